Lay out the design, the packages and the interfaces

The headers of all layers fix the interfaces; decisions are pure and take the present time.

Ruled out: cpprestsdk's listener towards callers (no bound on headers, close() cuts requests), Boost.LEAF (conflicts with the Boost that cpprestsdk needs).

--- /dev/null
+++ b/packages/state/configuration.cpp
@@ -0,0 +1,1 @@
+#include "state/configuration.h"
--- /dev/null
+++ b/packages/state/verdict.h
@@ -0,0 +1,93 @@
+// Errors of the system: a verdict saying whether the request may have run, and the reason.
+#pragma once
+
+#include <boost/outcome.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace zinnianotch
+{
+
+// Says whether the work of a request was executed. Only not_run may be retried for any request.
+enum class verdict
+{
+    not_run,
+    may_have_run,
+    ran
+};
+
+// Why a request was refused or an attempt failed. Each reason has its own counter.
+enum class reason
+{
+    bad_request,
+    unauthorized,
+    forbidden,
+    not_found,
+    not_ready,
+    draining,
+    overloaded,
+    busy,
+    not_owner,
+    authority_lapsed,
+    domain_out,
+    endpoint_leaving,
+    no_endpoint,
+    deadline_unreachable,
+    deadline_exceeded,
+    retry_budget_exhausted,
+    cancelled,
+    connect_failed,
+    connection_broken,
+    silent_connection,
+    answer_mismatch,
+    token_gap,
+    endpoint_error,
+    peer_unreachable,
+    idempotency_key_required,
+    idempotency_key_reused,
+    order_in_progress,
+    order_store_unavailable,
+    store_unavailable,
+    version_conflict,
+    invalid_configuration
+};
+
+inline constexpr std::size_t reason_count =
+    static_cast<std::size_t>(reason::invalid_configuration) + 1;
+
+// Name of the value as it appears in answers, logs and metrics.
+std::string_view to_string(verdict value);
+std::string_view to_string(reason value);
+
+// Inverse of to_string; returns false for an unknown name.
+bool from_string(std::string_view name, verdict& out);
+bool from_string(std::string_view name, reason& out);
+
+// HTTP status with which a reason is reported to callers and operators.
+int http_status(reason value);
+
+struct failure
+{
+    verdict outcome = verdict::not_run;
+    reason why = reason::bad_request;
+    std::string detail;
+};
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+template <typename T>
+using result = outcome::checked<T, failure>;
+
+inline failure not_run(reason why, std::string detail = {})
+{
+    return {verdict::not_run, why, std::move(detail)};
+}
+
+inline failure may_have_run(reason why, std::string detail = {})
+{
+    return {verdict::may_have_run, why, std::move(detail)};
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/transport/http_client.cpp
@@ -0,0 +1,1 @@
+#include "transport/http_client.h"
--- /dev/null
+++ b/packages/transport/rpc.cpp
@@ -0,0 +1,1 @@
+#include "transport/rpc.h"
--- /dev/null
+++ b/packages/transport/rpc.h
@@ -0,0 +1,134 @@
+// RPC between entry VMs: one thread runs the Cap'n Proto event loop, workers call it and block.
+#pragma once
+
+#include "state/admission.h"
+#include "state/routing.h"
+#include "state/time.h"
+#include "state/verdict.h"
+#include "state/view.h"
+#include "transport/http_server.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace zinnianotch
+{
+
+enum class vm_state
+{
+    starting,
+    serving,
+    draining
+};
+
+std::string_view to_string(vm_state value);
+
+struct heartbeat
+{
+    vm_id vm;
+    std::string domain;
+    std::string address;
+    vm_state state = vm_state::starting;
+    std::uint64_t config_version = 0;
+    std::uint64_t view_version = 0;
+    std::vector<endpoint_summary> endpoints;
+};
+
+struct stage_call
+{
+    std::string request;
+    std::string attempt;
+    std::string account;
+    std::uint32_t priority = 0;
+    std::string pipeline;
+    std::string stage;
+    std::string pool;
+    std::string endpoint;
+    bool streaming = false;
+    std::uint32_t max_tokens = 0;
+    std::uint32_t resume_from = 0;
+    milliseconds time_left{0};
+    std::uint64_t config_version = 0;
+    std::string input;
+};
+
+struct stage_output
+{
+    std::string attempt;
+    std::string output;
+    std::uint32_t tokens = 0;
+};
+
+struct config_document
+{
+    std::uint64_t version = 0;
+    std::string document;
+};
+
+// Receives tokens of a generation stage; false cancels the attempt. Called by one thread at a time.
+using token_handler =
+    std::function<bool(std::uint32_t first, const std::vector<std::string>& items)>;
+
+// Calls of other VMs, answered by the coordination layer. heartbeat and fetch_config run on the
+// event loop and must not block; run_stage runs on a worker thread.
+class rpc_service
+{
+public:
+    virtual ~rpc_service() = default;
+    virtual heartbeat on_heartbeat(const heartbeat& beat) = 0;
+    virtual config_document on_fetch_config() = 0;
+    virtual result<stage_output> on_run_stage(const stage_call& call,
+                                              const token_handler& on_tokens,
+                                              const cancel_flag& cancelled) = 0;
+};
+
+struct rpc_options
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::size_t workers = 256;      // threads for run_stage calls of other VMs
+    std::size_t queue_length = 256; // further calls are refused as overloaded
+    std::size_t max_peers = 1024;   // open connections
+};
+
+// Server and client of the peer interface. Calls block the calling thread, which must not be the
+// event loop.
+class rpc_node
+{
+public:
+    rpc_node(rpc_options options, rpc_service& service);
+    ~rpc_node();
+
+    rpc_node(const rpc_node&) = delete;
+    rpc_node& operator=(const rpc_node&) = delete;
+
+    void start();
+    std::uint16_t port() const;
+
+    // Sends a heartbeat without waiting; on_reply runs on the event loop when the answer came.
+    // A connection without an answer for peer_timeout is closed and opened again by the next call.
+    void send_heartbeat(const std::string& address, const heartbeat& beat,
+                        std::function<void(const heartbeat&)> on_reply);
+
+    // Runs a stage at another VM. A connection that could not be opened gives peer_unreachable with
+    // not_run; one that broke or timed out after the call was sent gives may_have_run.
+    result<stage_output> run_stage(const std::string& address, const stage_call& call,
+                                   const token_handler& on_tokens, const cancel_flag& cancelled);
+
+    result<config_document> fetch_config(const std::string& address, milliseconds timeout);
+
+    // Stage calls of other VMs in progress.
+    std::size_t in_flight() const;
+
+    // Closes all connections and joins the threads.
+    void stop();
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace zinnianotch
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
