--- /dev/null
+++ b/packages/coordination/dispatcher.cpp
@@ -0,0 +1,465 @@
+#include "coordination/dispatcher.h"
+
+#include "protocol/codec.h"
+#include "transport/log.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr milliseconds load_poll_timeout{400}; // below load_poll_interval
+constexpr milliseconds max_slot_wait{500};     // then the origin may try another endpoint
+constexpr milliseconds cancel_timeout{200};
+constexpr std::size_t poller_count = 4; // a silent endpoint must not delay all other reports
+constexpr int status_ok = 200;
+
+std::string stage_body(const stage_call& call)
+{
+    json body = json::object();
+    body["attempt"] = json(call.attempt);
+    body["stage"] = json(call.stage);
+    body["input"] = json(call.input);
+    body["account"] = json(call.account);
+    body["priority"] = json(call.priority);
+    if (call.streaming)
+    {
+        body["max_tokens"] = json(call.max_tokens);
+        body["resume_from"] = json(call.resume_from);
+    }
+    return body.serialize();
+}
+
+failure endpoint_failure(int status)
+{
+    return may_have_run(reason::endpoint_error, "status " + std::to_string(status));
+}
+
+// Reads the lines of a token stream and hands the tokens on.
+class token_stream
+{
+public:
+    token_stream(const stage_call& call, const token_handler& on_tokens)
+        : call_(call), on_tokens_(on_tokens), next_(call.resume_from)
+    {
+    }
+
+    // Takes one line; false ends the stream.
+    bool take(std::string_view line)
+    {
+        if (line.empty())
+            return true;
+        result<json> parsed = parse_json(std::string(line));
+        if (!parsed)
+            return fail(reason::endpoint_error, "a line of the stream is no valid JSON");
+        const json& value = parsed.value();
+        if (string_field(value, "attempt") != call_.attempt)
+            return fail(reason::answer_mismatch, "a token of another attempt");
+        if (bool_field(value, "done"))
+        {
+            done_ = true;
+            total_ = static_cast<std::uint32_t>(integer_field(value, "tokens"));
+            return false;
+        }
+        const auto index = static_cast<std::uint32_t>(integer_field(value, "index", -1));
+        if (index < next_)
+            return true; // delivered before
+        if (index > next_)
+            return fail(reason::token_gap, "a token is missing");
+        ++next_;
+        if (on_tokens_(index, {string_field(value, "text")}))
+            return true;
+        return fail(reason::cancelled, "the caller is gone");
+    }
+
+    result<stage_output> end(const result<client_reply>& reply) const
+    {
+        if (broken_)
+            return error_;
+        if (done_ && total_ == next_)
+            return stage_output{call_.attempt, {}, total_, 0};
+        if (done_)
+            return may_have_run(reason::token_gap, "the stream ended before its last token");
+        if (!reply)
+            return reply.error();
+        if (reply.value().status != status_ok)
+            return endpoint_failure(reply.value().status);
+        return may_have_run(reason::connection_broken, "the stream ended early");
+    }
+
+private:
+    bool fail(reason why, std::string detail)
+    {
+        broken_ = true;
+        error_ = may_have_run(why, std::move(detail));
+        return false;
+    }
+
+    const stage_call& call_;
+    const token_handler& on_tokens_;
+    std::uint32_t next_;
+    std::uint32_t total_ = 0;
+    bool done_ = false;
+    bool broken_ = false;
+    failure error_;
+};
+
+result<stage_output> generate(const stage_call& call, http_client& client, milliseconds silence,
+                              const token_handler& on_tokens, const cancel_flag& cancelled)
+{
+    client_request request;
+    request.method = "POST";
+    request.path = "/generate";
+    request.body = stage_body(call);
+    token_stream stream(call, on_tokens);
+    const result<client_reply> reply = client.stream(
+        request, silence, call.time_left, [&](std::string_view line) { return stream.take(line); },
+        cancelled);
+    result<stage_output> output = stream.end(reply);
+    if (output)
+        return output;
+    // The engine notices a closed connection only at its next write.
+    client_request cancel;
+    cancel.method = "POST";
+    cancel.path = "/cancel";
+    cancel.body = R"({"attempt":")" + call.attempt + "\"}";
+    if (output.error().why != reason::connect_failed)
+        (void)client.send(cancel, cancel_timeout);
+    return output;
+}
+
+result<stage_output> run_stage(const stage_call& call, http_client& client, milliseconds timeout,
+                               const cancel_flag& cancelled)
+{
+    client_request request;
+    request.method = "POST";
+    request.path = "/run";
+    request.body = stage_body(call);
+    result<client_reply> reply = client.send(request, timeout, cancelled);
+    if (!reply)
+        return reply.error();
+    if (reply.value().status != status_ok)
+        return endpoint_failure(reply.value().status);
+    result<json> body = parse_json(reply.value().body);
+    if (!body)
+        return may_have_run(reason::endpoint_error, "the answer is no valid JSON");
+    if (string_field(body.value(), "attempt") != call.attempt)
+        return may_have_run(reason::answer_mismatch, "an answer to another attempt");
+    if (!body.value().is_object() || !body.value().has_string_field("output"))
+        return may_have_run(reason::endpoint_error, "the answer has no output");
+    return stage_output{call.attempt, body.value().at("output").as_string(), 0, 0};
+}
+
+// Calls an operation of a plain service, on a fresh connection and once.
+result<stage_output> call_service(const stage_call& call, http_client& client, milliseconds timeout)
+{
+    client_request request;
+    request.method = "POST";
+    request.path = "/" + call.stage;
+    request.headers["Attempt"] = call.attempt;
+    request.body = call.input;
+    result<client_reply> reply = client.send_once(request, timeout);
+    if (!reply)
+        return reply.error();
+    return stage_output{call.attempt, std::move(reply.value().body), 0,
+                        static_cast<std::uint32_t>(reply.value().status)};
+}
+
+bool is_service_call(const stage_call& call)
+{
+    return call.pipeline.empty();
+}
+
+} // namespace
+
+dispatcher::dispatcher(config_store& config, membership& members, metrics& counters)
+    : config_(config), members_(members), counters_(counters)
+{
+}
+
+dispatcher::~dispatcher()
+{
+    stop();
+}
+
+void dispatcher::start()
+{
+    for (std::size_t part = 0; part < poller_count; ++part)
+        pollers_.emplace_back([this, part](std::stop_token stop) { poll_loads(stop, part); });
+}
+
+void dispatcher::stop()
+{
+    pollers_.clear();
+}
+
+result<stage_output> dispatcher::run(const stage_call& call, const token_handler& on_tokens,
+                                     const cancel_flag& cancelled)
+{
+    result<target> to = find_target(call);
+    if (!to)
+        return to.error();
+    const std::string& id = to.value().endpoint->id;
+    shard& owner = shard_of(id);
+    const std::shared_ptr<endpoint_state> state = state_of(owner, *to.value().endpoint);
+
+    const time_point start = steady_clock::now();
+    const time_point give_up = start + std::min(max_slot_wait, call.time_left / 2);
+    result<void> admitted = acquire(to.value(), *state, owner.mutex, give_up);
+    if (!admitted)
+        return admitted.error();
+
+    stage_call sent = call;
+    sent.time_left -= std::chrono::duration_cast<milliseconds>(steady_clock::now() - start);
+    result<void> allowed = check_before_send(to.value(), steady_clock::now());
+    if (!allowed)
+    {
+        release(*state, owner.mutex, allowed.error(), true);
+        return allowed.error();
+    }
+    std::shared_ptr<http_client> client;
+    {
+        const std::lock_guard lock(owner.mutex);
+        client = state->client;
+    }
+    result<stage_output> outcome = call_endpoint(sent, to.value(), *client, on_tokens, cancelled);
+
+    // A caller that left says nothing about the endpoint.
+    bool healthy = outcome || outcome.error().why == reason::cancelled;
+    if (!outcome && outcome.error().why == reason::silent_connection)
+    {
+        // The connection may be at fault and not the endpoint: a new connection tells.
+        client->reset_connections();
+        client_request probe;
+        probe.path = "/load";
+        healthy = static_cast<bool>(client->send(probe, load_poll_timeout));
+        counters_.count(healthy ? "silent_connections" : "silent_endpoints");
+    }
+    release(*state, owner.mutex, outcome, healthy);
+    return outcome;
+}
+
+std::vector<endpoint_summary> dispatcher::summaries(time_point now)
+{
+    std::vector<endpoint_summary> all;
+    const configuration_ptr config = config_.current();
+    for (const pool_config& pool : config->pools)
+    {
+        for (const endpoint_config& endpoint : pool.endpoints)
+        {
+            if (endpoint.domain != members_.domain() || !members_.owns(endpoint.id))
+                continue;
+            const target to{&endpoint, pool.name, config};
+            const admission_context context = context_of(to, now);
+            shard& owner = shard_of(endpoint.id);
+            const std::shared_ptr<endpoint_state> state = state_of(owner, endpoint);
+            const std::lock_guard lock(owner.mutex);
+            endpoint_summary summary;
+            summary.id = endpoint.id;
+            summary.domain = endpoint.domain;
+            summary.phase = context.leaving ? endpoint_phase::leaving : state->gate.phase();
+            summary.in_flight = state->gate.in_flight();
+            summary.limit = state->gate.limit(context, now);
+            summary.known = true;
+            all.push_back(std::move(summary));
+        }
+    }
+    return all;
+}
+
+std::size_t dispatcher::in_flight() const
+{
+    std::size_t total = 0;
+    for (const shard& part : shards_)
+    {
+        const std::lock_guard lock(part.mutex);
+        for (const auto& [id, state] : part.endpoints)
+            total += state->gate.in_flight();
+    }
+    return total;
+}
+
+dispatcher::shard& dispatcher::shard_of(const std::string& endpoint)
+{
+    return shards_[std::hash<std::string>()(endpoint) % shard_count];
+}
+
+// State of an endpoint, made on first use. A changed URL is another process: its phase is unknown.
+std::shared_ptr<dispatcher::endpoint_state> dispatcher::state_of(shard& owner,
+                                                                 const endpoint_config& endpoint)
+{
+    const std::lock_guard lock(owner.mutex);
+    std::shared_ptr<endpoint_state>& state = owner.endpoints[endpoint.id];
+    if (state == nullptr || state->url != endpoint.url)
+    {
+        state = std::make_shared<endpoint_state>();
+        state->url = endpoint.url;
+        state->client = std::make_shared<http_client>(endpoint.url);
+    }
+    return state;
+}
+
+result<dispatcher::target> dispatcher::find_target(const stage_call& call) const
+{
+    target to;
+    to.config = config_.current();
+    to.pool = call.pool;
+    const pool_config* pool = find_pool(*to.config, call.pool);
+    if (pool == nullptr)
+        return not_run(reason::no_endpoint, "no pool " + call.pool);
+    for (const endpoint_config& endpoint : pool->endpoints)
+    {
+        if (endpoint.id == call.endpoint)
+            to.endpoint = &endpoint;
+    }
+    if (to.endpoint == nullptr)
+        return not_run(reason::no_endpoint, "no endpoint " + call.endpoint);
+    if (to.endpoint->domain != members_.domain() || !members_.owns(call.endpoint))
+        return not_run(reason::not_owner, members_.owner_address(call.endpoint));
+    return to;
+}
+
+admission_context dispatcher::context_of(const target& to, time_point now) const
+{
+    const defaults_config limits = effective_limits(*to.config, to.pool, to.endpoint->id);
+    admission_context context;
+    context.cold_limit = limits.cold_limit;
+    context.warm_limit = limits.warm_limit;
+    context.cold_allowance = members_.cold_share(limits.cold_limit, now);
+    context.leaving = to.endpoint->leaving || members_.is_endpoint_leaving(to.endpoint->id);
+    context.domain_out = is_domain_out(*to.config, to.endpoint->domain);
+    return context;
+}
+
+// Takes a slot of the endpoint, waiting until `give_up` while all are in use.
+result<void> dispatcher::acquire(const target& to, endpoint_state& state, std::mutex& mutex,
+                                 time_point give_up)
+{
+    std::unique_lock lock(mutex);
+    for (;;)
+    {
+        const time_point now = steady_clock::now();
+        result<void> admitted = state.gate.try_admit(context_of(to, now), now);
+        if (admitted || admitted.error().why != reason::busy)
+            return admitted;
+        if (now >= give_up)
+            return admitted;
+        state.released.wait_until(lock, std::min(give_up, now + ramp_interval));
+    }
+}
+
+// Repeats the checks that may have changed while the call waited for its slot or the process was
+// paused.
+result<void> dispatcher::check_before_send(const target& to, time_point now) const
+{
+    const std::string& id = to.endpoint->id;
+    if (!members_.owns(id))
+        return not_run(reason::not_owner, members_.owner_address(id));
+    const configuration_ptr config = config_.current();
+    const endpoint_config* endpoint = find_endpoint(*config, id);
+    if (endpoint == nullptr || endpoint->leaving || members_.is_endpoint_leaving(id))
+        return not_run(reason::endpoint_leaving);
+    if (is_domain_out(*config, endpoint->domain))
+        return not_run(reason::domain_out);
+    if (context_of(to, now).cold_allowance == 0 && !members_.has_current_authority(now))
+        return not_run(reason::authority_lapsed);
+    return outcome::success();
+}
+
+result<stage_output> dispatcher::call_endpoint(const stage_call& call, const target& to,
+                                               http_client& client, const token_handler& on_tokens,
+                                               const cancel_flag& cancelled)
+{
+    if (call.time_left <= milliseconds::zero())
+        return not_run(reason::deadline_exceeded, "no time left after waiting for a slot");
+    const defaults_config limits = effective_limits(*to.config, to.pool, to.endpoint->id);
+    if (is_service_call(call))
+        return call_service(call, client,
+                            std::min(call.time_left, milliseconds(limits.service_timeout_ms)));
+    const milliseconds silence = std::min(call.time_left, milliseconds(limits.stage_timeout_ms));
+    if (call.streaming)
+        return generate(call, client, silence, on_tokens, cancelled);
+    return run_stage(call, client, silence, cancelled);
+}
+
+// Gives the slot back and lets the gate learn from the outcome.
+void dispatcher::release(endpoint_state& state, std::mutex& mutex,
+                         const result<stage_output>& outcome, bool endpoint_healthy)
+{
+    const time_point now = steady_clock::now();
+    {
+        const std::lock_guard lock(mutex);
+        state.gate.on_finished(endpoint_healthy, now);
+        const bool refused = !outcome && (outcome.error().why == reason::connect_failed ||
+                                          outcome.error().why == reason::connection_broken);
+        if (refused)
+            state.gate.on_restart_suspected(now);
+    }
+    state.released.notify_one();
+}
+
+// Polls the load reports of this part of the owned endpoints.
+void dispatcher::poll_loads(std::stop_token stop, std::size_t part)
+{
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    while (!stop.stop_requested())
+    {
+        const time_point next = steady_clock::now() + load_poll_interval;
+        const configuration_ptr config = config_.current();
+        std::size_t index = 0;
+        for (const pool_config& pool : config->pools)
+        {
+            for (const endpoint_config& endpoint : pool.endpoints)
+            {
+                const bool mine = endpoint.domain == members_.domain() &&
+                                  members_.owns(endpoint.id) && index++ % poller_count == part;
+                if (mine && !stop.stop_requested())
+                    poll_load({&endpoint, pool.name, config});
+            }
+        }
+        std::unique_lock lock(mutex);
+        wake.wait_until(lock, stop, next, [] { return false; });
+    }
+}
+
+void dispatcher::poll_load(const target& to)
+{
+    shard& owner = shard_of(to.endpoint->id);
+    const std::shared_ptr<endpoint_state> state = state_of(owner, *to.endpoint);
+    std::shared_ptr<http_client> client;
+    {
+        const std::lock_guard lock(owner.mutex);
+        client = state->client;
+    }
+    client_request request;
+    request.path = "/load";
+    result<client_reply> reply = client->send(request, load_poll_timeout);
+    if (!reply)
+    {
+        counters_.count("load_reports_missed");
+        if (reply.error().why == reason::silent_connection)
+            client->reset_connections();
+        const std::lock_guard lock(owner.mutex);
+        if (reply.error().why == reason::connect_failed)
+            state->gate.on_restart_suspected(steady_clock::now());
+        return;
+    }
+    result<load_report> report = parse_load_report(reply.value().body);
+    if (!report || reply.value().status != status_ok)
+    {
+        counters_.count("load_reports_invalid");
+        return;
+    }
+    {
+        const std::lock_guard lock(owner.mutex);
+        state->gate.on_report(report.value(), steady_clock::now());
+    }
+    state->released.notify_all();
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/load_map.cpp
@@ -0,0 +1,76 @@
+#include "coordination/load_map.h"
+
+#include "state/view.h"
+
+namespace zinnianotch
+{
+
+void load_map::on_summaries(const std::vector<endpoint_summary>& summaries, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    for (const endpoint_summary& summary : summaries)
+    {
+        entry& known = entries_[summary.id];
+        known.summary = summary;
+        known.summary.known = true;
+        known.summary.own_recent = 0;
+        known.heard = now;
+    }
+}
+
+void load_map::on_sent(const std::string& endpoint)
+{
+    const std::lock_guard lock(mutex_);
+    ++entries_[endpoint].summary.own_recent;
+}
+
+void load_map::on_finished(const std::string& endpoint)
+{
+    const std::lock_guard lock(mutex_);
+    endpoint_summary& summary = entries_[endpoint].summary;
+    // A report in between already counts the call, so the reported number goes down instead.
+    if (summary.own_recent > 0)
+        --summary.own_recent;
+    else if (summary.in_flight > 0)
+        --summary.in_flight;
+}
+
+std::vector<endpoint_summary> load_map::candidates(const configuration& config,
+                                                   const pool_config& pool,
+                                                   const std::set<std::string>& excluded,
+                                                   time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint_summary> found;
+    for (const endpoint_config& endpoint : pool.endpoints)
+    {
+        if (endpoint.leaving || excluded.contains(endpoint.id) ||
+            is_domain_out(config, endpoint.domain))
+            continue;
+        endpoint_summary summary;
+        const auto known = entries_.find(endpoint.id);
+        if (known != entries_.end())
+            summary = known->second.summary;
+        summary.id = endpoint.id;
+        summary.domain = endpoint.domain;
+        summary.known = known != entries_.end() && now - known->second.heard <= peer_timeout;
+        if (summary.known && summary.phase == endpoint_phase::leaving)
+            continue;
+        found.push_back(std::move(summary));
+    }
+    return found;
+}
+
+std::vector<endpoint_summary> load_map::recent(const std::string& domain, time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint_summary> found;
+    for (const auto& [id, known] : entries_)
+    {
+        if (known.summary.domain == domain && now - known.heard <= peer_timeout)
+            found.push_back(known.summary);
+    }
+    return found;
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/membership.cpp
@@ -0,0 +1,366 @@
+#include "coordination/membership.h"
+
+#include "protocol/codec.h"
+#include "transport/log.h"
+
+#include <algorithm>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr milliseconds view_read_timeout{800}; // below view_poll_interval, so that reads keep pace
+constexpr std::size_t views_per_read = 64;
+constexpr milliseconds rejoin_pause{1000};
+constexpr std::uint32_t max_rejoin_doublings = 5;
+constexpr std::string_view view_prefix = "view/";
+
+bool has_member(const domain_view& view, const vm_id& id)
+{
+    return std::any_of(view.members.begin(), view.members.end(),
+                       [&](const view_member& member) { return member.id == id; });
+}
+
+} // namespace
+
+membership::membership(membership_options options, table_client& table)
+    : options_(std::move(options)), table_(table)
+{
+}
+
+std::vector<std::string> membership::take_heartbeat_targets(time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> targets;
+    for (const view_member& member : authority_.view().members)
+    {
+        if (member.id != options_.self)
+            targets.push_back(member.peer_address);
+    }
+    // Former members may have resumed and then acknowledge the view that left them out.
+    for (const view_member& member : authority_.view().former)
+        targets.push_back(member.peer_address);
+    for (const auto& [domain, view] : other_views_)
+    {
+        std::vector<vm_id> silent;
+        for (const view_member& member : view.members)
+        {
+            if (is_contact_silent(member.peer_address, now))
+                silent.push_back(member.id);
+        }
+        // With all silent, the first choice is tried until one answers again.
+        const view_member* partner = heartbeat_partner(view, options_.self, silent);
+        if (partner == nullptr)
+            partner = heartbeat_partner(view, options_.self, {});
+        if (partner != nullptr)
+            targets.push_back(partner->peer_address);
+    }
+    if (!has_view_)
+        targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
+
+    std::sort(targets.begin(), targets.end());
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+    std::erase(targets, options_.peer_address);
+    for (const std::string& address : targets)
+    {
+        contact& sent = contacts_[address];
+        if (sent.waiting)
+            continue;
+        sent.waiting = true;
+        sent.unanswered_since = now;
+    }
+    return targets;
+}
+
+void membership::on_heartbeat(const heartbeat& beat, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    peer_info& peer = peers_[beat.vm.name];
+    peer.last = beat;
+    peer.heard = now;
+    contacts_[beat.address].waiting = false;
+    if (beat.domain == options_.domain)
+        authority_.on_acknowledged(beat.vm, beat.view_version);
+}
+
+void membership::poll_view(time_point now)
+{
+    const std::string key = std::string(view_prefix) + options_.domain;
+    result<std::optional<table_row>> row = table_.get(key, view_read_timeout);
+    if (!row)
+        return;
+    const time_point received = steady_clock::now();
+    if (row.value())
+    {
+        result<domain_view> view = parse_view(row.value()->value);
+        if (!view)
+        {
+            log_event(log_level::error, "view_row_invalid", {{"detail", view.error().detail}});
+            return;
+        }
+        adopt_view(view.value(), row.value()->version, now, received);
+    }
+
+    std::optional<domain_view> next;
+    {
+        const std::lock_guard lock(mutex_);
+        const domain_view& view = authority_.view();
+        view_change_input input;
+        input.self = {options_.self, options_.peer_address};
+        input.wants_membership = !leaving_;
+        // A VM that others cannot hear would rejoin and be removed without end.
+        if (!leaving_ && !has_member(view, options_.self) && received < rejoin_at_)
+            return;
+        input.silent = silent_members(view, received);
+        input.stopped = stopped_vms(view);
+        next = propose_view(view, input);
+    }
+    if (next)
+        write_view(*next, received);
+}
+
+// Adopts a view read from the table. A read that was sent before another one may arrive after it;
+// the authority ignores the older version.
+void membership::adopt_view(const domain_view& view, const std::string& row_version,
+                            time_point sent, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    if (has_view_ && view.version < authority_.view().version)
+        return;
+    const bool changed = !has_view_ || view.version > authority_.view().version;
+    const bool was_member = has_view_ && has_member(authority_.view(), options_.self);
+    authority_.on_view_read(view, sent, now);
+    authority_.on_acknowledged(options_.self, view.version);
+    has_view_ = true;
+    row_exists_ = true;
+    view_row_version_ = row_version;
+    if (!changed)
+        return;
+    view_changed_at_ = now;
+    if (was_member && !has_member(view, options_.self) && !leaving_)
+    {
+        rejoin_at_ = now + rejoin_pause * (1U << std::min(removals_, max_rejoin_doublings));
+        ++removals_;
+    }
+    // Heartbeats that came before the view was read may already have acknowledged it.
+    for (const auto& [name, peer] : peers_)
+    {
+        if (peer.last.domain == options_.domain)
+            authority_.on_acknowledged(peer.last.vm, peer.last.view_version);
+    }
+    log_event(log_level::info, "view_adopted",
+              {{"version", std::to_string(view.version)},
+               {"members", std::to_string(view.members.size())},
+               {"former", std::to_string(view.former.size())}});
+}
+
+void membership::write_view(const domain_view& next, time_point now)
+{
+    std::string row_version;
+    bool exists = false;
+    {
+        const std::lock_guard lock(mutex_);
+        row_version = view_row_version_;
+        exists = row_exists_;
+    }
+    const std::string key = std::string(view_prefix) + options_.domain;
+    const json value = zinnianotch::write_view(next);
+    const write_outcome outcome = exists
+                                      ? table_.replace(key, row_version, value, view_read_timeout)
+                                      : table_.insert(key, value, view_read_timeout);
+    log_event(log_level::info, "view_written",
+              {{"version", std::to_string(next.version)},
+               {"outcome", outcome == write_outcome::written    ? "written"
+                           : outcome == write_outcome::conflict ? "conflict"
+                                                                : "unknown"}});
+    // Whatever the outcome, the next read tells which view is in force.
+    if (outcome != write_outcome::written)
+        return;
+    result<std::optional<table_row>> row = table_.get(key, view_read_timeout);
+    if (!row || !row.value())
+        return;
+    result<domain_view> view = parse_view(row.value()->value);
+    if (view)
+        adopt_view(view.value(), row.value()->version, now, steady_clock::now());
+}
+
+void membership::poll_other_views()
+{
+    result<std::vector<table_row>> rows =
+        table_.list(std::string(view_prefix), "", views_per_read, view_read_timeout);
+    if (!rows)
+        return;
+    const std::lock_guard lock(mutex_);
+    for (const table_row& row : rows.value())
+    {
+        const std::string domain = row.key.substr(view_prefix.size());
+        if (domain == options_.domain)
+            continue;
+        result<domain_view> view = parse_view(row.value);
+        if (view)
+            other_views_[domain] = view.value();
+    }
+}
+
+void membership::on_vm_list(const std::set<std::string>& present,
+                            const std::set<std::string>& leaving)
+{
+    const std::lock_guard lock(mutex_);
+    listed_vms_ = present;
+    once_listed_vms_.insert(present.begin(), present.end());
+    leaving_endpoints_ = leaving;
+}
+
+void membership::begin_leaving()
+{
+    const std::lock_guard lock(mutex_);
+    leaving_ = true;
+}
+
+bool membership::is_member() const
+{
+    const std::lock_guard lock(mutex_);
+    return has_view_ && has_member(authority_.view(), options_.self);
+}
+
+std::uint64_t membership::view_version() const
+{
+    const std::lock_guard lock(mutex_);
+    return authority_.view().version;
+}
+
+bool membership::has_view() const
+{
+    const std::lock_guard lock(mutex_);
+    return has_view_;
+}
+
+bool membership::owns(const std::string& endpoint) const
+{
+    const std::lock_guard lock(mutex_);
+    const view_member* owner = owner_of(authority_.view(), endpoint);
+    return owner != nullptr && owner->id == options_.self;
+}
+
+std::string membership::owner_address(const std::string& endpoint) const
+{
+    const std::lock_guard lock(mutex_);
+    const view_member* owner = owner_of(authority_.view(), endpoint);
+    return owner == nullptr ? std::string() : owner->peer_address;
+}
+
+std::uint32_t membership::cold_share(std::uint32_t limit, time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return cold_allowance(limit, authority_.unsettled(), authority_.is_current(now),
+                          authority_.is_takeover_safe(now));
+}
+
+bool membership::has_unsettled() const
+{
+    const std::lock_guard lock(mutex_);
+    return authority_.unsettled() > 0;
+}
+
+bool membership::has_current_authority(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return authority_.is_current(now);
+}
+
+bool membership::is_endpoint_leaving(const std::string& endpoint) const
+{
+    const std::lock_guard lock(mutex_);
+    return leaving_endpoints_.contains(endpoint);
+}
+
+std::string membership::gateway_address(const std::string& domain, time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    const peer_info* latest = nullptr;
+    for (const auto& [name, peer] : peers_)
+    {
+        if (peer.last.domain != domain || peer.last.state != vm_state::serving)
+            continue;
+        if (now - peer.heard > peer_timeout)
+            continue;
+        if (latest == nullptr || peer.heard > latest->heard)
+            latest = &peer;
+    }
+    return latest == nullptr ? std::string() : latest->last.address;
+}
+
+std::vector<peer_info> membership::live_peers(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<peer_info> live;
+    for (const auto& [name, peer] : peers_)
+    {
+        if (now - peer.heard <= peer_timeout)
+            live.push_back(peer);
+    }
+    return live;
+}
+
+domain_view membership::view() const
+{
+    const std::lock_guard lock(mutex_);
+    return authority_.view();
+}
+
+// Members of the own view that were not heard for peer_timeout; a member that just joined gets
+// that time from the change of the view on.
+std::vector<vm_id> membership::silent_members(const domain_view& view, time_point now) const
+{
+    std::vector<vm_id> silent;
+    for (const view_member& member : view.members)
+    {
+        if (member.id == options_.self)
+            continue;
+        time_point heard = view_changed_at_;
+        const auto peer = peers_.find(member.id.name);
+        if (peer != peers_.end() && peer->second.last.vm == member.id)
+            heard = std::max(heard, peer->second.heard);
+        if (now - heard > peer_timeout)
+            silent.push_back(member.id);
+    }
+    return silent;
+}
+
+bool membership::is_contact_silent(const std::string& address, time_point now) const
+{
+    const auto sent = contacts_.find(address);
+    return sent != contacts_.end() && sent->second.waiting &&
+           now - sent->second.unanswered_since > peer_timeout;
+}
+
+// Processes that surely ended: another incarnation runs under their name, or the platform's VM
+// list no longer names their VM.
+std::vector<vm_id> membership::stopped_vms(const domain_view& view) const
+{
+    std::vector<vm_id> stopped;
+    const auto check = [&](const view_member& member)
+    {
+        const bool replaced =
+            std::any_of(view.members.begin(), view.members.end(),
+                        [&](const view_member& other)
+                        { return other.id.name == member.id.name && other.id != member.id; });
+        // The list lags: a VM that it has not named yet may well be running.
+        const bool gone =
+            once_listed_vms_.contains(member.id.name) && !listed_vms_.contains(member.id.name);
+        if (replaced || gone)
+            stopped.push_back(member.id);
+    };
+    for (const view_member& member : view.former)
+        check(member);
+    for (const view_member& member : view.members)
+    {
+        if (member.id != options_.self)
+            check(member);
+    }
+    return stopped;
+}
+
+} // namespace zinnianotch
--- a/packages/coordination/node.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "transport/rpc.h"
--- /dev/null
+++ b/packages/coordination/order_book.cpp
@@ -0,0 +1,255 @@
+#include "coordination/order_book.h"
+
+#include "coordination/random_id.h"
+#include "transport/log.h"
+
+#include <algorithm>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr milliseconds store_timeout{1000};
+constexpr milliseconds read_again_pause{50}; // while another claim of the key is in progress
+constexpr milliseconds record_retry_pause{200};
+constexpr milliseconds shutdown_record_time{2000};
+// Bounds the memory while the table is away. Further results stay unrecorded: their rows remain
+// at `started`, which is answered as may_have_run.
+constexpr std::size_t max_pending = 10000;
+
+milliseconds time_until(time_point deadline)
+{
+    return std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
+}
+
+} // namespace
+
+std::string order_row_key(const std::string& account, const std::string& key)
+{
+    return "order/" + account + "/" + key;
+}
+
+order_book::order_book(table_client& table, metrics& counters)
+    : table_(table), counters_(counters),
+      writer_([this](std::stop_token stop) { write_pending(stop); })
+{
+}
+
+order_book::~order_book()
+{
+    drain(steady_clock::now() + shutdown_record_time);
+}
+
+result<order_answer> order_book::place(const order_request& request, const service_call& call)
+{
+    const std::string key = order_row_key(request.account, request.key);
+    const std::string token = random_id();
+    order_machine machine(token, request.digest);
+    std::string row_version;
+    bool deadline_passed = false;
+    for (;;)
+    {
+        const milliseconds left = time_until(request.deadline);
+        if (left <= milliseconds::zero() && !deadline_passed)
+        {
+            deadline_passed = true;
+            machine.on_deadline();
+        }
+        const milliseconds timeout = std::clamp(left, milliseconds(1), store_timeout);
+        order_record claim;
+        claim.token = token;
+        claim.digest = request.digest;
+        switch (machine.next())
+        {
+        case order_action::insert_claim:
+            machine.on_insert(table_.insert(key, write_order(claim), timeout));
+            break;
+        case order_action::replace_claim:
+            machine.on_replace(table_.replace(key, row_version, write_order(claim), timeout));
+            break;
+        case order_action::wait_and_read:
+            std::this_thread::sleep_for(std::min(read_again_pause, timeout));
+            [[fallthrough]];
+        case order_action::read_row:
+        {
+            result<std::optional<table_row>> row = table_.get(key, timeout);
+            if (!row)
+            {
+                std::this_thread::sleep_for(std::min(read_again_pause, timeout));
+                machine.on_read(read_outcome::unknown, {});
+                break;
+            }
+            if (!row.value())
+            {
+                machine.on_read(read_outcome::absent, {});
+                break;
+            }
+            row_version = row.value()->version;
+            result<order_record> record = parse_order(row.value()->value);
+            if (record)
+                machine.on_read(read_outcome::found, record.value());
+            else
+                machine.on_read(read_outcome::unknown, {});
+            break;
+        }
+        case order_action::call_service:
+        {
+            result<service_answer> answer = call();
+            if (answer)
+                machine.on_call(call_outcome::answered, answer.value().status, answer.value().body);
+            else if (answer.error().outcome == verdict::not_run)
+                machine.on_call(call_outcome::not_started, 0, answer.error().detail);
+            else
+                machine.on_call(call_outcome::unknown, 0, answer.error().detail);
+            break;
+        }
+        case order_action::record_ran:
+        case order_action::record_not_run:
+        {
+            // The answer must not wait for the table: the record is written behind it.
+            const record_outcome outcome = try_record({key, machine.record()}, timeout);
+            if (outcome == record_outcome::unknown)
+                record_later({key, machine.record()});
+            machine.on_record(outcome == record_outcome::written ? write_outcome::written
+                                                                 : write_outcome::unknown);
+            break;
+        }
+        case order_action::answer_recorded:
+            counters_.count("orders_replayed");
+            return order_answer{machine.record().status, machine.record().answer, true};
+        case order_action::answer_called:
+            counters_.count("orders_ran");
+            return order_answer{machine.record().status, machine.record().answer, false};
+        case order_action::refuse:
+            if (machine.needs_release())
+            {
+                order_record released = claim;
+                released.state = order_state::not_run;
+                record_later({key, released});
+            }
+            counters_.count(machine.refusal().outcome == verdict::not_run ? "orders_not_run"
+                                                                          : "orders_may_have_run");
+            return machine.refusal();
+        }
+    }
+}
+
+result<order_record> order_book::find(const std::string& account, const std::string& key,
+                                      milliseconds timeout)
+{
+    result<std::optional<table_row>> row = table_.get(order_row_key(account, key), timeout);
+    if (!row)
+        return not_run(reason::order_store_unavailable, row.error().detail);
+    if (!row.value())
+        return not_run(reason::not_found, "no order with this key");
+    return parse_order(row.value()->value);
+}
+
+result<order_record> order_book::settle(const std::string& account, const std::string& key,
+                                        order_state state, bool dry_run, milliseconds timeout)
+{
+    const std::string row_key = order_row_key(account, key);
+    result<std::optional<table_row>> row = table_.get(row_key, timeout);
+    if (!row)
+        return not_run(reason::order_store_unavailable, row.error().detail);
+    if (!row.value())
+        return not_run(reason::not_found, "no order with this key");
+    result<order_record> record = parse_order(row.value()->value);
+    if (!record)
+        return record;
+    if (record.value().state != order_state::started)
+        return not_run(reason::version_conflict,
+                       "the order is " + std::string(to_string(record.value().state)));
+    order_record settled = record.value();
+    settled.state = state;
+    if (dry_run)
+        return settled;
+    const write_outcome outcome =
+        table_.replace(row_key, row.value()->version, write_order(settled), timeout);
+    if (outcome == write_outcome::conflict)
+        return not_run(reason::version_conflict, "the order changed meanwhile");
+    if (outcome == write_outcome::unknown)
+        return may_have_run(reason::order_store_unavailable, "the table did not answer");
+    return settled;
+}
+
+std::size_t order_book::pending() const
+{
+    const std::lock_guard lock(mutex_);
+    return pending_.size() + (writing_ ? 1 : 0);
+}
+
+bool order_book::drain(time_point until)
+{
+    std::unique_lock lock(mutex_);
+    return changed_.wait_until(lock, until, [&] { return pending_.empty() && !writing_; });
+}
+
+// Writes a final state over the own claim. The condition is the row's version as read together
+// with the own token, so that a claim of another request is never overwritten.
+order_book::record_outcome order_book::try_record(const pending_write& write, milliseconds timeout)
+{
+    result<std::optional<table_row>> row = table_.get(write.key, timeout);
+    if (!row)
+        return record_outcome::unknown;
+    if (!row.value())
+    {
+        // The claim may still be on its way: a row in its place makes it fail its condition.
+        const write_outcome inserted =
+            table_.insert(write.key, write_order(write.record), timeout);
+        return inserted == write_outcome::written ? record_outcome::written
+                                                  : record_outcome::unknown;
+    }
+    result<order_record> stored = parse_order(row.value()->value);
+    if (!stored || stored.value().token != write.record.token)
+        return record_outcome::superseded;
+    if (stored.value().state != order_state::started)
+        return record_outcome::superseded;
+    const write_outcome outcome =
+        table_.replace(write.key, row.value()->version, write_order(write.record), timeout);
+    return outcome == write_outcome::written ? record_outcome::written : record_outcome::unknown;
+}
+
+void order_book::record_later(pending_write write)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (pending_.size() >= max_pending)
+        {
+            counters_.count("order_records_dropped");
+            log_event(log_level::error, "order_record_dropped", {{"row", write.key}});
+            return;
+        }
+        pending_.push_back(std::move(write));
+    }
+    changed_.notify_all();
+}
+
+void order_book::write_pending(std::stop_token stop)
+{
+    std::unique_lock lock(mutex_);
+    while (!stop.stop_requested())
+    {
+        changed_.wait(lock, stop, [&] { return !pending_.empty(); });
+        if (pending_.empty())
+            continue;
+        const pending_write write = std::move(pending_.front());
+        pending_.pop_front();
+        writing_ = true;
+        lock.unlock();
+        const record_outcome outcome = try_record(write, store_timeout);
+        lock.lock();
+        writing_ = false;
+        if (outcome != record_outcome::unknown)
+        {
+            changed_.notify_all();
+            continue;
+        }
+        pending_.push_back(write);
+        changed_.wait_for(lock, stop, record_retry_pause, [] { return false; });
+    }
+}
+
+} // namespace zinnianotch
--- a/packages/protocol/peer.capnp
+++ b/packages/protocol/peer.capnp
@@ -55,6 +55,7 @@
   verdict @4 :UInt8;           # verdict
   reason @5 :UInt8;            # reason
   detail @6 :Text;
+  status @7 :UInt32;           # HTTP status of a plain service's answer
 }
 
 interface TokenSink {
--- a/packages/protocol/peer.capnp.h
+++ b/packages/protocol/peer.capnp.h
@@ -102,7 +102,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b88ac09eeb27c7d7, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b88ac09eeb27c7d7, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -725,6 +725,8 @@
   inline bool hasDetail() const;
   inline  ::capnp::Text::Reader getDetail() const;
 
+  inline  ::uint32_t getStatus() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -786,6 +788,9 @@
   inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDetail();
 
+  inline  ::uint32_t getStatus();
+  inline void setStatus( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2406,6 +2411,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t StageResult::Reader::getStatus() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StageResult::Builder::getStatus() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StageResult::Builder::setStatus( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline TokenSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
