Implement the decision functions of packages/state

Header changes, each needed to keep the cold limit over a handover: - authority::on_acknowledged and on_stopped take the present time; handover_at tells since when the allowance holds. - admission_context::handover_at: a cold endpoint gets no work until a report polled after the handover shows the calls that former owners left there. Without it, a new owner admits its full share while calls of its settled predecessor still run. - endpoint_gate::on_report takes the time at which the poll was sent. - order_machine::needs_record tells that the answer is still to be recorded.

Ruled out: subtracting own calls from a report, because a call whose answer was lost has ended at the endpoint but not at the owner.

--- /dev/null
+++ b/packages/state/admission.cpp
@@ -0,0 +1,178 @@
+#include "state/admission.h"
+
+#include <algorithm>
+#include <array>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> endpoint_phase_names = {"cold", "warming", "warm",
+                                                                  "leaving"};
+
+// Successes in a row that count as warming when the endpoint gives no report.
+constexpr std::uint32_t warming_successes = 4;
+
+} // namespace
+
+std::string_view to_string(endpoint_phase value)
+{
+    return endpoint_phase_names[static_cast<std::size_t>(value)];
+}
+
+bool from_string(std::string_view name, endpoint_phase& out)
+{
+    for (std::size_t i = 0; i < endpoint_phase_names.size(); ++i)
+    {
+        if (endpoint_phase_names[i] != name)
+            continue;
+        out = static_cast<endpoint_phase>(i);
+        return true;
+    }
+    return false;
+}
+
+result<void> endpoint_gate::try_admit(const admission_context& context, time_point now)
+{
+    if (context.handover_at != handover_at_)
+    {
+        foreign_ = foreign_after(context.handover_at, now);
+        handover_at_ = context.handover_at;
+    }
+    if (context.domain_out)
+        return not_run(reason::domain_out);
+    if (context.leaving || phase_ == endpoint_phase::leaving)
+        return not_run(reason::endpoint_leaving);
+
+    const std::uint32_t allowed = limit(context, now);
+    if (phase_ == endpoint_phase::warming && allowed >= context.warm_limit)
+        phase_ = endpoint_phase::warm;
+    if (in_flight_ >= allowed)
+        return not_run(reason::busy);
+    ++in_flight_;
+    return outcome::success();
+}
+
+void endpoint_gate::on_finished(bool succeeded, time_point now)
+{
+    if (in_flight_ > 0)
+        --in_flight_;
+    if (!succeeded)
+    {
+        successes_ = 0;
+        return;
+    }
+    if (phase_ == endpoint_phase::cold)
+    {
+        // A fresh report knows better than the successes of a few calls.
+        if (is_fresh(now))
+            successes_ = 0;
+        else if (++successes_ >= warming_successes)
+        {
+            phase_ = endpoint_phase::warming;
+            last_raise_ = now;
+        }
+    }
+    else if (phase_ == endpoint_phase::warming && now - last_raise_ >= ramp_interval)
+    {
+        ++ramp_steps_;
+        last_raise_ = now;
+    }
+}
+
+void endpoint_gate::on_restart_suspected(time_point now)
+{
+    has_suspicion_ = true;
+    suspected_at_ = now;
+    if (phase_ != endpoint_phase::leaving)
+        drop_to_cold();
+}
+
+void endpoint_gate::on_report(const load_report& report, time_point polled, time_point now)
+{
+    if (has_report_ && polled < polled_at_)
+        return;
+    const bool is_restarted = has_report_ && report.incarnation != incarnation_;
+    has_report_ = true;
+    polled_at_ = polled;
+    running_ = report.running;
+    incarnation_ = report.incarnation;
+    if (polled >= handover_at_ + load_report_lag)
+        foreign_ = std::min(foreign_.value_or(running_), running_);
+
+    if (report.leaving || report.phase == endpoint_phase::leaving)
+    {
+        drop_to_cold();
+        phase_ = endpoint_phase::leaving;
+        return;
+    }
+    if (is_restarted || report.phase == endpoint_phase::cold || phase_ == endpoint_phase::leaving)
+    {
+        drop_to_cold();
+        return;
+    }
+    // A report from before a suspected restart says nothing of the new process.
+    const bool is_outdated = has_suspicion_ && polled < suspected_at_ + load_report_lag;
+    if (phase_ == endpoint_phase::cold && !is_outdated)
+    {
+        phase_ = endpoint_phase::warming;
+        last_raise_ = now;
+    }
+}
+
+void endpoint_gate::on_report(const load_report& report, time_point now)
+{
+    on_report(report, now - load_poll_interval, now);
+}
+
+std::uint32_t endpoint_gate::limit(const admission_context& context, time_point now) const
+{
+    if (context.leaving || context.domain_out)
+        return 0;
+    switch (phase_)
+    {
+    case endpoint_phase::leaving:
+        return 0;
+    case endpoint_phase::warm:
+        return context.warm_limit;
+    case endpoint_phase::warming:
+        return std::min(context.warm_limit, context.cold_limit + ramp_steps_);
+    case endpoint_phase::cold:
+        break;
+    }
+    const std::optional<std::uint32_t> foreign = foreign_after(context.handover_at, now);
+    const std::uint32_t allowance = std::min(context.cold_limit, context.cold_allowance);
+    return foreign && *foreign < allowance ? allowance - *foreign : 0;
+}
+
+std::uint32_t endpoint_gate::foreign(time_point now) const
+{
+    return foreign_after(handover_at_, now).value_or(0);
+}
+
+std::optional<std::uint32_t> endpoint_gate::foreign_after(time_point handover, time_point now) const
+{
+    if (now - handover >= call_max_duration)
+        return 0;
+    if (handover == handover_at_ && foreign_)
+        return foreign_;
+    if (has_report_ && polled_at_ >= handover + load_report_lag)
+        return running_;
+    return std::nullopt;
+}
+
+bool endpoint_gate::is_fresh(time_point now) const
+{
+    return has_report_ && now - polled_at_ <= load_report_max_age;
+}
+
+void endpoint_gate::drop_to_cold()
+{
+    phase_ = endpoint_phase::cold;
+    ramp_steps_ = 0;
+    successes_ = 0;
+}
+
+} // namespace zinnianotch
--- a/packages/state/admission.h
+++ b/packages/state/admission.h
@@ -5,6 +5,7 @@
 #include "state/verdict.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,11 @@
 inline constexpr milliseconds load_poll_interval{500};
 inline constexpr milliseconds load_report_max_age{3000};
 inline constexpr milliseconds ramp_interval{200}; // least time between two raises of the limit
+// A report may miss calls sent and events since this long before its poll: the endpoint's own lag
+// plus the transit of a call.
+inline constexpr milliseconds load_report_lag{1000};
+// No call runs longer: the longest deadline of 60 s plus 5 % for the rate of another VM's clock.
+inline constexpr milliseconds call_max_duration{63'000};
 
 enum class endpoint_phase
 {
@@ -41,7 +47,10 @@
     std::uint32_t cold_limit = 2;
     std::uint32_t warm_limit = 16;
     std::uint32_t cold_allowance = 2; // share of cold_limit that this VM may use now
-    bool leaving = false;             // by configuration or the VM list
+    // authority::handover_at. A cold endpoint gets no work until a report polled after it shows the
+    // calls that other VMs left there; these come off the allowance.
+    time_point handover_at{};
+    bool leaving = false; // by configuration or the VM list
     bool domain_out = false;
 };
 
@@ -59,7 +68,9 @@
     // report or the ramp says otherwise.
     void on_restart_suspected(time_point now);
 
-    // Adopts a report; a new incarnation or a cold phase drops the limit at once.
+    // Adopts the report of a poll sent at `polled`; a new incarnation or a cold phase drops the
+    // limit at once. Without `polled`, the poll counts as sent one poll interval ago.
+    void on_report(const load_report& report, time_point polled, time_point now);
     void on_report(const load_report& report, time_point now);
 
     // Concurrent calls allowed now.
@@ -68,17 +79,29 @@
     endpoint_phase phase() const { return phase_; }
     std::uint32_t in_flight() const { return in_flight_; }
 
-    // Calls at the endpoint that this VM did not send, by the last report (a former owner's).
+    // Upper bound of the calls that former owners left at the endpoint: the least running count of
+    // all reports since the handover. Own calls are not subtracted, because an own call whose
+    // answer was lost has ended at the endpoint but not here.
     std::uint32_t foreign(time_point now) const;
 
 private:
+    // The bound above for the handover of the context, or nothing before its first report.
+    std::optional<std::uint32_t> foreign_after(time_point handover, time_point now) const;
+    bool is_fresh(time_point now) const;
+    void drop_to_cold();
+
     endpoint_phase phase_ = endpoint_phase::cold;
     std::uint32_t in_flight_ = 0;
-    std::uint32_t ramp_limit_ = 0;
-    std::uint32_t foreign_ = 0;
+    std::uint32_t ramp_steps_ = 0; // raises above the cold limit
+    std::uint32_t successes_ = 0;  // in a row while cold
+    std::uint32_t running_ = 0;    // by the last report
+    std::optional<std::uint32_t> foreign_;
+    time_point handover_at_{};
     time_point last_raise_{};
-    time_point reported_at_{};
+    time_point polled_at_{};
+    time_point suspected_at_{};
     bool has_report_ = false;
+    bool has_suspicion_ = false;
     std::string incarnation_;
 };
 
--- a/packages/state/orders.h
+++ b/packages/state/orders.h
@@ -60,7 +60,8 @@
     replace_claim,   // overwrite a not_run row, on the condition of its row version
     read_row,        // read the row to settle a conflict or a lost answer
     call_service,    // make the call, once
-    record_ran,      // write the answer, on the condition of the own token
+    record_ran,      // write the answer, on the condition of the own token; record() already holds
+                     // the answer and may be given to the caller before the write ends
     record_not_run,  // write that the call was not made, on the condition of the own token
     wait_and_read,   // another claim is in progress: read again later
     answer_recorded, // give the recorded answer
@@ -70,7 +71,9 @@
 
 // Decides the steps of one non-idempotent request. The driver carries out next() and reports the
 // end of each step; the machine holds no I/O and no clock, the driver tells when the deadline
-// passed.
+// passed. A report that does not belong to next() is ignored, except for the end of a call that was
+// under way at the deadline. The driver keeps the row version of its last claim or read, on which
+// the conditional writes depend.
 class order_machine
 {
 public:
@@ -82,23 +85,36 @@
     void on_insert(write_outcome outcome);
     void on_replace(write_outcome outcome);
     void on_read(read_outcome outcome, const order_record& row);
+    // After the deadline, a late end changes no answer but sets needs_record or needs_release.
     void on_call(call_outcome outcome, int status, const std::string& answer);
     void on_record(write_outcome outcome);
 
-    // The deadline passed: no further call may start; moves to answer_* or refuse.
+    // The deadline passed: no further call may start; moves to answer_* or refuse. While next() is
+    // call_service the call counts as under way (may_have_run); a driver that did not send it
+    // reports on_call(not_started) first.
     void on_deadline();
 
     // Valid when next() is refuse.
     const failure& refusal() const { return refusal_; }
 
-    // Valid when next() is answer_recorded, answer_called or record_*: the row to write or to give.
+    // The row to write or to give: valid when next() is *_claim, record_* or answer_*, and while
+    // needs_release or needs_record.
     const order_record& record() const { return record_; }
 
     // True when the request ended with its claim possibly left in the table although the call was
     // surely not made: the driver then writes not_run in the background, conditional on the token.
+    // An absent row is inserted as not_run, because the lost claim may still arrive.
     bool needs_release() const { return needs_release_; }
 
+    // True while the answer is not known to be recorded: the driver writes record() in the
+    // background until it is, conditional on the token.
+    bool needs_record() const { return needs_record_; }
+
 private:
+    void on_claim(write_outcome outcome);
+    void on_row(const order_record& row);
+    void claim_again(order_action action);
+    void start_call();
     void refuse(failure why);
 
     std::string token_;
@@ -106,9 +122,13 @@
     order_record record_;
     failure refusal_;
     order_action next_ = order_action::insert_claim;
-    bool called_ = false;
+    int unknown_claims_ = 0;
+    bool called_ = false; // the call was permitted, so that it may have been made
+    bool call_ended_ = false;
     bool may_hold_claim_ = false;
+    bool other_claim_ = false; // the row may be the claim of another request
     bool needs_release_ = false;
+    bool needs_record_ = false;
 };
 
 } // namespace zinnianotch
--- a/packages/state/routing.h
+++ b/packages/state/routing.h
@@ -86,6 +86,7 @@
     std::uint32_t attempts_ = 0;
     std::uint32_t previous_attempts_ = 0;
     std::uint32_t retries_ = 0;
+    std::uint32_t previous_retries_ = 0;
 };
 
 // Median time of each stage as observed by this VM; decides how much time an attempt may take.
--- a/packages/state/view.h
+++ b/packages/state/view.h
@@ -4,6 +4,7 @@
 #include "state/time.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,7 +19,7 @@
 // Authority plus 5 %, so that a VM whose clock runs slower has stopped before a successor starts.
 inline constexpr milliseconds takeover_wait{3150};
 
-// One process on an entry VM. The incarnation differs for each start of the process.
+// One process on an entry VM. The incarnation rises with each start of the process.
 struct vm_id
 {
     std::string name;
@@ -48,26 +49,34 @@
 const view_member* owner_of(const domain_view& view, std::string_view endpoint);
 
 // Returns the view with the VM added; an older incarnation of the same name is dropped, because a
-// VM runs one process at a time. The version is raised by one.
+// VM runs one process at a time. The version is raised by one. A view that has this member or a
+// newer incarnation of it is returned unchanged.
 domain_view with_member(const domain_view& view, const view_member& joining);
 
-// Returns the view with the VM moved to the former members, or dropped when it stopped cleanly.
+// Returns the view with the VM moved to the former members, or dropped when it is known to have
+// stopped; a stopped VM is dropped from the former members too. The version is raised by one,
+// unless nothing changes. A VM that leaves by itself stops admitting calls before it writes the
+// view.
 domain_view without_member(const domain_view& view, const vm_id& leaving, bool stopped);
 
 // What a VM knows about its right to act under its domain's view.
 class authority
 {
 public:
+    // Without an id, the VM acknowledges each view for itself by on_acknowledged.
+    authority() = default;
+    explicit authority(vm_id self);
+
     // Records a read of the view row that was sent at `sent`, received at `now` and showed `view`.
     // A view older than the one known is ignored. A member that leaves in a view without having
     // stopped, and every other member, counts as unsettled until it acknowledges the view.
     void on_view_read(const domain_view& view, time_point sent, time_point now);
 
     // Records that a VM adopted the view version (heard by heartbeat).
-    void on_acknowledged(const vm_id& vm, std::uint64_t version);
+    void on_acknowledged(const vm_id& vm, std::uint64_t version, time_point now);
 
     // Records that the process of a VM no longer exists (VM list, or a newer incarnation seen).
-    void on_stopped(const vm_id& vm);
+    void on_stopped(const vm_id& vm, time_point now);
 
     // True while the last confirmed read is younger than authority_duration.
     bool is_current(time_point now) const;
@@ -76,17 +85,29 @@
     // passed.
     bool is_takeover_safe(time_point now) const;
 
+    // Earliest time at which the present allowance holds: the last change of the view or of the
+    // unsettled VMs, or the end of the takeover wait. A call that another VM started before it may
+    // still run; see admission_context::handover_at.
+    time_point handover_at() const;
+
     // Number of other VMs that may still act under an older view.
     std::size_t unsettled() const { return unsettled_.size(); }
 
     const domain_view& view() const { return view_; }
 
 private:
+    bool is_settled(const vm_id& vm) const;
+    void settle(time_point now);
+
+    vm_id self_;
     domain_view view_;
     time_point adopted_at_{};
     time_point confirmed_at_{};
+    time_point settled_at_{};
     bool known_ = false;
     std::vector<vm_id> unsettled_;
+    std::map<vm_id, std::uint64_t> acknowledged_;  // an acknowledgement may precede the own read
+    std::map<std::string, std::uint64_t> stopped_; // highest incarnation by VM name
 };
 
 // Concurrent calls that the owner may have at a cold endpoint with the given limit. The limit is
