--- a/packages/coordination/dispatcher.cpp
+++ b/packages/coordination/dispatcher.cpp
@@ -330,6 +330,7 @@
     context.cold_limit = limits.cold_limit;
     context.warm_limit = limits.warm_limit;
     context.cold_allowance = members_.cold_share(limits.cold_limit, now);
+    context.handover_at = members_.handover_at();
     context.leaving = to.endpoint->leaving || members_.is_endpoint_leaving(to.endpoint->id);
     context.domain_out = is_domain_out(*to.config, to.endpoint->domain);
     return context;
@@ -438,6 +439,7 @@
     }
     client_request request;
     request.path = "/load";
+    const time_point polled = steady_clock::now();
     result<client_reply> reply = client->send(request, load_poll_timeout);
     if (!reply)
     {
@@ -457,7 +459,7 @@
     }
     {
         const std::lock_guard lock(owner.mutex);
-        state->gate.on_report(report.value(), steady_clock::now());
+        state->gate.on_report(report.value(), polled, steady_clock::now());
     }
     state->released.notify_all();
 }
--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds view_read_timeout{800}; // below view_poll_interval, so that reads keep pace
 constexpr std::size_t views_per_read = 64;
 constexpr milliseconds rejoin_pause{1000};
+constexpr milliseconds contact_memory{60000};
 constexpr std::uint32_t max_rejoin_doublings = 5;
 constexpr std::string_view view_prefix = "view/";
 
@@ -26,52 +27,54 @@
 } // namespace
 
 membership::membership(membership_options options, table_client& table)
-    : options_(std::move(options)), table_(table)
+    : options_(std::move(options)), table_(table), authority_(options_.self)
 {
 }
 
-std::vector<std::string> membership::take_heartbeat_targets(time_point now)
+std::vector<heartbeat_target> membership::take_heartbeat_targets(time_point now)
 {
     const std::lock_guard lock(mutex_);
-    std::vector<std::string> targets;
-    for (const view_member& member : authority_.view().members)
-    {
-        if (member.id != options_.self)
-            targets.push_back(member.peer_address);
-    }
-    // Former members may have resumed and then acknowledge the view that left them out.
-    for (const view_member& member : authority_.view().former)
-        targets.push_back(member.peer_address);
+    std::map<std::string, bool> targets; // address -> other_domain
     for (const auto& [domain, view] : other_views_)
     {
-        std::vector<vm_id> silent;
-        for (const view_member& member : view.members)
-        {
-            if (is_contact_silent(member.peer_address, now))
-                silent.push_back(member.id);
-        }
+        const view_member* partner =
+            heartbeat_partner(view, options_.self, silent_contacts(view, now));
         // With all silent, the first choice is tried until one answers again.
-        const view_member* partner = heartbeat_partner(view, options_.self, silent);
         if (partner == nullptr)
             partner = heartbeat_partner(view, options_.self, {});
         if (partner != nullptr)
-            targets.push_back(partner->peer_address);
+            targets[partner->peer_address] = true;
+    }
+    // Former members may have resumed and then acknowledge the view that left them out.
+    for (const auto* group : {&authority_.view().members, &authority_.view().former})
+    {
+        for (const view_member& member : *group)
+            targets[member.peer_address] = false;
     }
     if (!has_view_)
-        targets.insert(targets.end(), options_.seeds.begin(), options_.seeds.end());
+    {
+        for (const std::string& seed : options_.seeds)
+            targets[seed] = false;
+    }
+    targets.erase(options_.peer_address);
 
-    std::sort(targets.begin(), targets.end());
-    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-    std::erase(targets, options_.peer_address);
-    for (const std::string& address : targets)
+    std::vector<heartbeat_target> list;
+    for (const auto& [address, other_domain] : targets)
     {
+        list.push_back({address, other_domain});
         contact& sent = contacts_[address];
         if (sent.waiting)
             continue;
         sent.waiting = true;
         sent.unanswered_since = now;
     }
-    return targets;
+    // An address that never answers is forgotten and tried again much later.
+    std::erase_if(contacts_,
+                  [&](const auto& entry) {
+                      return !targets.contains(entry.first) &&
+                             now - entry.second.unanswered_since > contact_memory;
+                  });
+    return list;
 }
 
 void membership::on_heartbeat(const heartbeat& beat, time_point now)
@@ -80,9 +83,11 @@
     peer_info& peer = peers_[beat.vm.name];
     peer.last = beat;
     peer.heard = now;
-    contacts_[beat.address].waiting = false;
+    const auto sent = contacts_.find(beat.address);
+    if (sent != contacts_.end())
+        sent->second.waiting = false;
     if (beat.domain == options_.domain)
-        authority_.on_acknowledged(beat.vm, beat.view_version);
+        authority_.on_acknowledged(beat.vm, beat.view_version, now);
 }
 
 void membership::poll_view(time_point now)
@@ -109,13 +114,19 @@
         const domain_view& view = authority_.view();
         view_change_input input;
         input.self = {options_.self, options_.peer_address};
-        input.wants_membership = !leaving_;
+        input.wants_membership = !leaving_ || is_last_member(view, received);
         // A VM that others cannot hear would rejoin and be removed without end.
         if (!leaving_ && !has_member(view, options_.self) && received < rejoin_at_)
             return;
         input.silent = silent_members(view, received);
         input.stopped = stopped_vms(view);
+        for (const vm_id& stopped : input.stopped)
+            authority_.on_stopped(stopped, received);
         next = propose_view(view, input);
+        // The successors do not wait for a VM that leaves by itself, so it admits nothing from
+        // here on, even if it never learns how the write ended.
+        if (next && !input.wants_membership)
+            relinquished_ = true;
     }
     if (next)
         write_view(*next, received);
@@ -132,7 +143,6 @@
     const bool changed = !has_view_ || view.version > authority_.view().version;
     const bool was_member = has_view_ && has_member(authority_.view(), options_.self);
     authority_.on_view_read(view, sent, now);
-    authority_.on_acknowledged(options_.self, view.version);
     has_view_ = true;
     row_exists_ = true;
     view_row_version_ = row_version;
@@ -148,7 +158,7 @@
     for (const auto& [name, peer] : peers_)
     {
         if (peer.last.domain == options_.domain)
-            authority_.on_acknowledged(peer.last.vm, peer.last.view_version);
+            authority_.on_acknowledged(peer.last.vm, peer.last.view_version, now);
     }
     log_event(log_level::info, "view_adopted",
               {{"version", std::to_string(view.version)},
@@ -175,6 +185,11 @@
                {"outcome", outcome == write_outcome::written    ? "written"
                            : outcome == write_outcome::conflict ? "conflict"
                                                                 : "unknown"}});
+    if (outcome == write_outcome::conflict)
+    {
+        const std::lock_guard lock(mutex_);
+        relinquished_ = false;
+    }
     // Whatever the outcome, the next read tells which view is in force.
     if (outcome != write_outcome::written)
         return;
@@ -219,6 +234,12 @@
     leaving_ = true;
 }
 
+void membership::leave_as_last()
+{
+    const std::lock_guard lock(mutex_);
+    leaves_as_last_ = true;
+}
+
 bool membership::is_member() const
 {
     const std::lock_guard lock(mutex_);
@@ -240,6 +261,8 @@
 bool membership::owns(const std::string& endpoint) const
 {
     const std::lock_guard lock(mutex_);
+    if (relinquished_)
+        return false;
     const view_member* owner = owner_of(authority_.view(), endpoint);
     return owner != nullptr && owner->id == options_.self;
 }
@@ -258,10 +281,10 @@
                           authority_.is_takeover_safe(now));
 }
 
-bool membership::has_unsettled() const
+time_point membership::handover_at() const
 {
     const std::lock_guard lock(mutex_);
-    return authority_.unsettled() > 0;
+    return authority_.handover_at();
 }
 
 bool membership::has_current_authority(time_point now) const
@@ -329,6 +352,25 @@
     return silent;
 }
 
+// A domain without members serves nothing, so its last member stays until its work is done.
+bool membership::is_last_member(const domain_view& view, time_point now) const
+{
+    const std::vector<vm_id> silent = silent_members(view, now);
+    return !leaves_as_last_ && has_member(view, options_.self) &&
+           silent.size() + 1 == view.members.size();
+}
+
+std::vector<vm_id> membership::silent_contacts(const domain_view& view, time_point now) const
+{
+    std::vector<vm_id> silent;
+    for (const view_member& member : view.members)
+    {
+        if (is_contact_silent(member.peer_address, now))
+            silent.push_back(member.id);
+    }
+    return silent;
+}
+
 bool membership::is_contact_silent(const std::string& address, time_point now) const
 {
     const auto sent = contacts_.find(address);
--- a/packages/coordination/membership.h
+++ b/packages/coordination/membership.h
@@ -31,16 +31,26 @@
     time_point heard{};
 };
 
+struct heartbeat_target
+{
+    std::string address;
+    bool other_domain = false; // gets the load of the whole domain
+};
+
 class membership
 {
 public:
     membership(membership_options options, table_client& table);
 
+    // The address at which peers reach this VM, known once it is bound. Called before any other
+    // use.
+    void set_peer_address(std::string address) { options_.peer_address = std::move(address); }
+
     const vm_id& self() const { return options_.self; }
     const std::string& domain() const { return options_.domain; }
 
     // Addresses to send a heartbeat to now; records the sending.
-    std::vector<std::string> take_heartbeat_targets(time_point now);
+    std::vector<heartbeat_target> take_heartbeat_targets(time_point now);
 
     // Records a heartbeat or the answer to one.
     void on_heartbeat(const heartbeat& beat, time_point now);
@@ -56,6 +66,8 @@
 
     // A planned stop began: leaves the view at the next poll.
     void begin_leaving();
+    // All work is done: leaves the view even as its last member.
+    void leave_as_last();
     bool is_member() const;
     std::uint64_t view_version() const;
     bool has_view() const;
@@ -66,7 +78,8 @@
 
     // Share of a cold endpoint's limit that this VM may use now as its owner.
     std::uint32_t cold_share(std::uint32_t limit, time_point now) const;
-    bool has_unsettled() const;
+    // Earliest time at which that share holds, see authority::handover_at.
+    time_point handover_at() const;
     bool has_current_authority(time_point now) const;
 
     // True when the VM list says that the endpoint is leaving.
@@ -89,6 +102,8 @@
     };
 
     std::vector<vm_id> silent_members(const domain_view& view, time_point now) const;
+    bool is_last_member(const domain_view& view, time_point now) const;
+    std::vector<vm_id> silent_contacts(const domain_view& view, time_point now) const;
     bool is_contact_silent(const std::string& address, time_point now) const;
     void write_view(const domain_view& next, time_point now);
     void adopt_view(const domain_view& view, const std::string& row_version, time_point sent,
@@ -104,6 +119,8 @@
     std::string view_row_version_;
     bool row_exists_ = false;
     bool leaving_ = false;
+    bool leaves_as_last_ = false;
+    bool relinquished_ = false;
     std::uint32_t removals_ = 0;
     time_point rejoin_at_{};
     time_point view_changed_at_{};
--- /dev/null
+++ b/packages/coordination/node.cpp
@@ -0,0 +1,316 @@
+#include "coordination/node.h"
+
+#include "protocol/codec.h"
+#include "transport/log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr milliseconds config_poll_interval{1000};
+constexpr milliseconds config_timeout{1000};
+constexpr milliseconds other_views_interval{5000};
+constexpr milliseconds vm_list_interval{1000};
+constexpr milliseconds vm_list_timeout{800};
+// Time for all peers of the domain to answer before their highest configuration is taken.
+constexpr milliseconds start_gather_time{3000};
+constexpr milliseconds leave_time{2000};
+constexpr int status_ok = 200;
+
+std::string address_of(const rpc_options& options, std::uint16_t port)
+{
+    return options.address + ":" + std::to_string(port);
+}
+
+} // namespace
+
+node::node(node_options options)
+    : options_(std::move(options)), table_(options_.table_url), view_table_(options_.table_url),
+      config_(table_)
+{
+}
+
+node::~node()
+{
+    stop();
+}
+
+void node::start()
+{
+    started_at_ = steady_clock::now();
+    peers_ = std::make_unique<rpc_node>(options_.peers, *this);
+    // The parts that the peers call must exist before the first call can arrive, but they need the
+    // port, which is known only after the node is bound.
+    membership_options member;
+    member.self = {options_.vm, choose_incarnation()};
+    member.domain = options_.domain;
+    member.seeds = options_.seeds;
+    members_ = std::make_unique<membership>(member, view_table_);
+    dispatcher_ = std::make_unique<dispatcher>(config_, *members_, counters_);
+    router_ = std::make_unique<attempt_router>(*members_, *dispatcher_, loads_);
+    runner_ = std::make_unique<pipeline_runner<least_load>>(config_, *members_, *router_, loads_,
+                                                            counters_);
+    orders_ = std::make_unique<order_book>(table_, counters_);
+    peers_->start();
+    members_->set_peer_address(address_of(options_.peers, peers_->port()));
+    router_->connect(*peers_);
+
+    state_ = vm_state::serving;
+    dispatcher_->start();
+    threads_.emplace_back([this](std::stop_token stop) { heartbeat_loop(stop); });
+    threads_.emplace_back([this](std::stop_token stop) { view_loop(stop); });
+    threads_.emplace_back([this](std::stop_token stop) { config_loop(stop); });
+    if (!options_.vm_list_url.empty())
+        threads_.emplace_back([this](std::stop_token stop) { vm_list_loop(stop); });
+}
+
+// The incarnation must be higher than that of every earlier process with this VM's name. The wall
+// clock is such a number on one VM; a replaced VM with a slower clock learns the last one from the
+// view row.
+std::uint64_t node::choose_incarnation()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    auto incarnation =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+    result<std::optional<table_row>> row =
+        view_table_.get("view/" + options_.domain, config_timeout);
+    if (!row || !row.value())
+        return incarnation;
+    result<domain_view> view = parse_view(row.value()->value);
+    if (!view)
+        return incarnation;
+    for (const auto* group : {&view.value().members, &view.value().former})
+    {
+        for (const view_member& member : *group)
+        {
+            if (member.id.name == options_.vm)
+                incarnation = std::max(incarnation, member.id.incarnation + 1);
+        }
+    }
+    return incarnation;
+}
+
+void node::begin_drain()
+{
+    state_ = vm_state::draining;
+    members_->begin_leaving();
+    {
+        const std::lock_guard lock(wake_mutex_);
+        ++wake_count_;
+    }
+    wake_.notify_all();
+}
+
+void node::stop()
+{
+    if (stopped_ || peers_ == nullptr)
+        return;
+    stopped_ = true;
+    for (std::jthread& thread : threads_)
+        thread.request_stop();
+    wake_.notify_all();
+    threads_.clear();
+    if (members_->is_member())
+    {
+        members_->begin_leaving();
+        members_->leave_as_last();
+        members_->poll_view(steady_clock::now());
+    }
+    orders_->drain(steady_clock::now() + leave_time);
+    dispatcher_->stop();
+    peers_->stop();
+}
+
+std::uint16_t node::peer_port() const
+{
+    return peers_->port();
+}
+
+bool node::is_ready() const
+{
+    if (state_ != vm_state::serving || config_.version() == 0)
+        return false;
+    if (members_->is_member())
+        return true;
+    // With the table away, a VM that started meanwhile serves through the owners that it hears.
+    return !members_->gateway_address(options_.domain, steady_clock::now()).empty();
+}
+
+std::size_t node::in_flight() const
+{
+    return dispatcher_->in_flight() + peers_->in_flight();
+}
+
+heartbeat node::on_heartbeat(const heartbeat& beat)
+{
+    const time_point now = steady_clock::now();
+    members_->on_heartbeat(beat, now);
+    loads_.on_summaries(beat.endpoints, now);
+    if (beat.config_version > config_.version())
+    {
+        const std::lock_guard lock(wake_mutex_);
+        ++wake_count_;
+        wake_.notify_all();
+    }
+    return make_heartbeat(beat.domain != options_.domain);
+}
+
+config_document node::on_fetch_config()
+{
+    return {config_.version(), config_.document()};
+}
+
+result<stage_output> node::on_run_stage(const stage_call& call, const token_handler& on_tokens,
+                                        const cancel_flag& cancelled)
+{
+    return dispatcher_->run(call, on_tokens, cancelled);
+}
+
+heartbeat node::make_heartbeat(bool whole_domain)
+{
+    const time_point now = steady_clock::now();
+    heartbeat beat;
+    beat.vm = members_->self();
+    beat.domain = options_.domain;
+    beat.address = address_of(options_.peers, peers_->port());
+    beat.state = state_;
+    beat.config_version = config_.version();
+    beat.view_version = members_->view_version();
+    beat.endpoints =
+        whole_domain ? loads_.recent(options_.domain, now) : dispatcher_->summaries(now);
+    return beat;
+}
+
+void node::gather_loads(time_point now)
+{
+    loads_.on_summaries(dispatcher_->summaries(now), now);
+}
+
+// Sends heartbeats at a fixed rate. It does no blocking I/O, so that a slow table or peer does not
+// make this VM look dead.
+void node::heartbeat_loop(std::stop_token stop)
+{
+    const auto on_reply = [this](const heartbeat& reply)
+    {
+        const time_point now = steady_clock::now();
+        members_->on_heartbeat(reply, now);
+        loads_.on_summaries(reply.endpoints, now);
+    };
+    while (!stop.stop_requested())
+    {
+        const time_point now = steady_clock::now();
+        gather_loads(now);
+        const heartbeat own = make_heartbeat(false);
+        heartbeat whole = own;
+        whole.endpoints = loads_.recent(options_.domain, now);
+        for (const heartbeat_target& target : members_->take_heartbeat_targets(now))
+            peers_->send_heartbeat(target.address, target.other_domain ? whole : own, on_reply);
+        std::unique_lock lock(wake_mutex_);
+        wake_.wait_until(lock, stop, now + heartbeat_interval, [] { return false; });
+    }
+}
+
+void node::view_loop(std::stop_token stop)
+{
+    time_point other_views_at{};
+    while (!stop.stop_requested())
+    {
+        const time_point now = steady_clock::now();
+        members_->poll_view(now);
+        if (now - other_views_at >= other_views_interval)
+        {
+            members_->poll_other_views();
+            other_views_at = now;
+        }
+        pause(stop, view_poll_interval);
+    }
+}
+
+void node::config_loop(std::stop_token stop)
+{
+    while (!stop.stop_requested())
+    {
+        const bool table_answered = config_.poll(config_timeout);
+        fetch_newer_config(table_answered);
+        pause(stop, config_poll_interval);
+    }
+}
+
+// Pulls the configuration from the peer that announced the highest version above the own one.
+void node::fetch_newer_config(bool table_answered)
+{
+    const time_point now = steady_clock::now();
+    // Without the table, a starting VM waits for all peers: the first answer may be an old version.
+    const bool starting = config_.version() == 0 && !table_answered;
+    if (starting && now - started_at_ < start_gather_time)
+        return;
+    std::string address;
+    std::uint64_t highest = config_.version();
+    for (const peer_info& peer : members_->live_peers(now))
+    {
+        if (peer.last.config_version <= highest)
+            continue;
+        highest = peer.last.config_version;
+        address = peer.last.address;
+    }
+    if (address.empty())
+        return;
+    result<config_document> fetched = peers_->fetch_config(address, config_timeout);
+    if (!fetched)
+        return;
+    result<json> row = parse_json(fetched.value().document);
+    if (row)
+        config_.adopt(fetched.value().version, row.value());
+}
+
+void node::vm_list_loop(std::stop_token stop)
+{
+    http_client client(options_.vm_list_url);
+    while (!stop.stop_requested())
+    {
+        poll_vm_list(client);
+        pause(stop, vm_list_interval);
+    }
+}
+
+void node::poll_vm_list(http_client& client)
+{
+    client_request request;
+    request.path = "/vms";
+    result<client_reply> reply = client.send(request, vm_list_timeout);
+    if (!reply)
+    {
+        client.reset_connections();
+        return;
+    }
+    result<json> body = parse_json(reply.value().body);
+    if (reply.value().status != status_ok || !body || !body.value().is_object() ||
+        !body.value().has_array_field("vms"))
+        return;
+    std::set<std::string> present;
+    std::set<std::string> leaving;
+    for (const json& entry : body.value().at("vms").as_array())
+    {
+        const std::string name = string_field(entry, "name");
+        present.insert(name);
+        if (string_field(entry, "state") == "leaving")
+            leaving.insert(name);
+    }
+    members_->on_vm_list(present, leaving);
+}
+
+// Waits for the time, the stop, or an event that all loops should look at.
+void node::pause(std::stop_token stop, milliseconds time)
+{
+    std::unique_lock lock(wake_mutex_);
+    const std::uint64_t count = wake_count_;
+    wake_.wait_for(lock, stop, time, [&] { return wake_count_ != count; });
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/node.h
@@ -0,0 +1,108 @@
+// One entry VM: its coordination parts, their threads, and the answers to the other VMs.
+#pragma once
+
+#include "coordination/config_store.h"
+#include "coordination/dispatcher.h"
+#include "coordination/load_map.h"
+#include "coordination/membership.h"
+#include "coordination/order_book.h"
+#include "coordination/runner.h"
+#include "coordination/table.h"
+#include "transport/metrics.h"
+#include "transport/rpc.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace zinnianotch
+{
+
+struct node_options
+{
+    std::string vm;
+    std::string domain;
+    rpc_options peers;
+    std::vector<std::string> seeds;
+    std::string table_url;
+    std::string vm_list_url; // empty when there is no VM list
+};
+
+class node final : public rpc_service
+{
+public:
+    explicit node(node_options options);
+    ~node() override;
+
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    // Binds the peer address and starts all threads.
+    void start();
+
+    // A planned stop began: hands the owned endpoints over, goes on with the work in hand.
+    void begin_drain();
+
+    // Leaves the view if still a member, and ends all threads.
+    void stop();
+
+    std::uint16_t peer_port() const;
+    vm_state state() const { return state_.load(); }
+
+    // True when requests can be served: a configuration is in force and an owner can be found.
+    bool is_ready() const;
+
+    config_store& config() { return config_; }
+    membership& members() { return *members_; }
+    pipeline_runner<least_load>& runner() { return *runner_; }
+    order_book& orders() { return *orders_; }
+    load_map& loads() { return loads_; }
+    metrics& counters() { return counters_; }
+
+    // Calls at the owned endpoints and stage calls of other VMs in progress.
+    std::size_t in_flight() const;
+
+    // rpc_service
+    heartbeat on_heartbeat(const heartbeat& beat) override;
+    config_document on_fetch_config() override;
+    result<stage_output> on_run_stage(const stage_call& call, const token_handler& on_tokens,
+                                      const cancel_flag& cancelled) override;
+
+private:
+    heartbeat make_heartbeat(bool whole_domain);
+    std::uint64_t choose_incarnation();
+    void heartbeat_loop(std::stop_token stop);
+    void view_loop(std::stop_token stop);
+    void config_loop(std::stop_token stop);
+    void vm_list_loop(std::stop_token stop);
+    void poll_vm_list(http_client& client);
+    void fetch_newer_config(bool table_answered);
+    void pause(std::stop_token stop, milliseconds time);
+    void gather_loads(time_point now);
+
+    node_options options_;
+    metrics counters_;
+    table_client table_;      // reads and writes of configuration and orders
+    table_client view_table_; // reads of the view, not delayed by the others
+    config_store config_;
+    load_map loads_;
+    std::unique_ptr<membership> members_;
+    std::unique_ptr<dispatcher> dispatcher_;
+    std::unique_ptr<attempt_router> router_;
+    std::unique_ptr<pipeline_runner<least_load>> runner_;
+    std::unique_ptr<order_book> orders_;
+    std::unique_ptr<rpc_node> peers_;
+    std::atomic<vm_state> state_{vm_state::starting};
+    time_point started_at_{};
+    std::mutex wake_mutex_;
+    std::condition_variable_any wake_; // ends the pauses of all loops
+    std::uint64_t wake_count_ = 0;
+    std::vector<std::jthread> threads_;
+    bool stopped_ = false;
+};
+
+} // namespace zinnianotch
--- a/packages/coordination/order_book.cpp
+++ b/packages/coordination/order_book.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds store_timeout{1000};
 constexpr milliseconds read_again_pause{50}; // while another claim of the key is in progress
 constexpr milliseconds record_retry_pause{200};
+constexpr milliseconds record_timeout{250};
 constexpr milliseconds shutdown_record_time{2000};
 // Bounds the memory while the table is away. Further results stay unrecorded: their rows remain
 // at `started`, which is answered as may_have_run.
@@ -26,6 +27,20 @@
 
 } // namespace
 
+write_outcome order_book::write_outcome_of(record_outcome outcome)
+{
+    switch (outcome)
+    {
+    case record_outcome::written:
+        return write_outcome::written;
+    case record_outcome::superseded:
+        return write_outcome::conflict;
+    case record_outcome::unknown:
+        break;
+    }
+    return write_outcome::unknown;
+}
+
 std::string order_row_key(const std::string& account, const std::string& key)
 {
     return "order/" + account + "/" + key;
@@ -58,9 +73,7 @@
             machine.on_deadline();
         }
         const milliseconds timeout = std::clamp(left, milliseconds(1), store_timeout);
-        order_record claim;
-        claim.token = token;
-        claim.digest = request.digest;
+        const order_record claim{order_state::started, token, request.digest, 0, {}};
         switch (machine.next())
         {
         case order_action::insert_claim:
@@ -108,26 +121,24 @@
         case order_action::record_ran:
         case order_action::record_not_run:
         {
-            // The answer must not wait for the table: the record is written behind it.
-            const record_outcome outcome = try_record({key, machine.record()}, timeout);
-            if (outcome == record_outcome::unknown)
-                record_later({key, machine.record()});
-            machine.on_record(outcome == record_outcome::written ? write_outcome::written
-                                                                 : write_outcome::unknown);
+            // The caller waits for the record only a short time; then it is written behind.
+            const record_outcome outcome =
+                try_record({key, machine.record()}, std::min(timeout, record_timeout));
+            machine.on_record(write_outcome_of(outcome));
             break;
         }
         case order_action::answer_recorded:
             counters_.count("orders_replayed");
             return order_answer{machine.record().status, machine.record().answer, true};
         case order_action::answer_called:
+            if (machine.needs_record())
+                record_later({key, machine.record()});
             counters_.count("orders_ran");
             return order_answer{machine.record().status, machine.record().answer, false};
         case order_action::refuse:
             if (machine.needs_release())
             {
-                order_record released = claim;
-                released.state = order_state::not_run;
-                record_later({key, released});
+                record_later({key, machine.record()});
             }
             counters_.count(machine.refusal().outcome == verdict::not_run ? "orders_not_run"
                                                                           : "orders_may_have_run");
@@ -197,8 +208,7 @@
     if (!row.value())
     {
         // The claim may still be on its way: a row in its place makes it fail its condition.
-        const write_outcome inserted =
-            table_.insert(write.key, write_order(write.record), timeout);
+        const write_outcome inserted = table_.insert(write.key, write_order(write.record), timeout);
         return inserted == write_outcome::written ? record_outcome::written
                                                   : record_outcome::unknown;
     }
--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -50,7 +50,7 @@
 std::string attempt_router::owner_for(const std::string& endpoint, const std::string& domain,
                                       time_point now) const
 {
-    if (domain == members_.domain())
+    if (domain == members_.domain() && members_.has_view())
         return members_.owner_address(endpoint);
     const std::string gateway = members_.gateway_address(domain, now);
     if (gateway.empty())
@@ -80,7 +80,8 @@
         return outcome;
     }
     const std::string owner = outcome.error().detail;
-    if (owner.empty() || owner == address || domain == members_.domain())
+    const bool owner_is_agreed = domain == members_.domain() && members_.has_view();
+    if (owner.empty() || owner == address || owner_is_agreed)
         return outcome;
     {
         const std::lock_guard lock(mutex_);
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -1,9 +1,9 @@
 #include "protocol/codec.h"
 
 #include <charconv>
-#include <cstdio>
 #include <initializer_list>
 #include <limits>
+#include <sstream>
 
 namespace zinnianotch
 {
@@ -205,16 +205,11 @@
     reader.read("priority", out.priority);
 }
 
-// The state is written as "in" or "out", as operators say it.
 void read_domain(object_reader& reader, domain_config& out)
 {
-    reader.allow({"id", "state"});
+    reader.allow({"id", "out"});
     reader.read("id", out.id);
-    std::string state = "in";
-    reader.read("state", state, false);
-    if (state != "in" && state != "out")
-        reader.report("state", "must be in or out");
-    out.out = state == "out";
+    reader.read("out", out.out);
 }
 
 void read_exception(object_reader& reader, exception_config& out)
@@ -307,7 +302,7 @@
 {
     json out = json::object();
     out["id"] = json(domain.id);
-    out["state"] = json(std::string(domain.out ? "out" : "in"));
+    out["out"] = json(domain.out);
     return out;
 }
 
@@ -364,6 +359,15 @@
     return text;
 }
 
+std::vector<std::string> split_lines(const std::string& text)
+{
+    std::vector<std::string> lines;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);)
+        lines.push_back(line);
+    return lines;
+}
+
 } // namespace
 
 result<json> parse_json(const std::string& text)
@@ -436,7 +440,12 @@
     configuration_row row;
     row.token = string_field(value, "token");
     row.author = string_field(value, "author");
-    row.note = string_field(value, "note");
+    row.reason = string_field(value, "reason");
+    if (value.has_array_field("changes"))
+    {
+        for (const json& change : value.at("changes").as_array())
+            row.changes.push_back(change.is_string() ? change.as_string() : std::string());
+    }
     row.document = value.at("document");
     return row;
 }
@@ -446,7 +455,8 @@
     json out = json::object();
     out["token"] = json(row.token);
     out["author"] = json(row.author);
-    out["note"] = json(row.note);
+    out["reason"] = json(row.reason);
+    out["changes"] = write_list(row.changes, [](const std::string& line) { return json(line); });
     out["document"] = row.document;
     return out;
 }
@@ -532,6 +542,9 @@
     error["verdict"] = json(std::string(to_string(why.outcome)));
     error["message"] = json(why.detail);
     error["request"] = json(std::string(request));
+    if (why.why == reason::invalid_configuration)
+        error["problems"] =
+            write_list(split_lines(why.detail), [](const std::string& line) { return json(line); });
     json body = json::object();
     body["error"] = error;
     return body.serialize();
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -37,7 +37,8 @@
 {
     std::string token; // unique per write, settles a lost answer
     std::string author;
-    std::string note; // what was changed, in one line
+    std::string reason;               // the operator's, empty for a whole document
+    std::vector<std::string> changes; // one line for each difference to the version before
     json document;
 };
 
@@ -60,7 +61,8 @@
 // Answer of an endpoint to GET /load.
 result<load_report> parse_load_report(const std::string& body);
 
-// Body of an error answer: {"error":{"reason","verdict","message","request"}}.
+// Body of an error answer: {"error":{"reason","verdict","message","request"}}. The detail of
+// invalid_configuration has one problem a line, which are listed as "problems" too.
 std::string error_body(const failure& why, std::string_view request);
 
 } // namespace zinnianotch
