Read the settings of a VM and report all mistakes at once

A small operator's night shift mends a settings file in one go, so the reader collects every problem with its line and a hint instead of stopping at the first. Unknown keys name the closest known key; keys never appear in messages. Two holders of one key are refused because they could not be told apart.

Ruled out: YAML::Node::as<T>, which stops at the first error and accepts numbers in quotes.

--- /dev/null
+++ b/packages/daemon/settings.h
@@ -0,0 +1,90 @@
+// Settings of one entry VM, read from a YAML file at the start.
+#pragma once
+
+#include "state/time.h"
+#include "state/verdict.h"
+#include "transport/log.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinnianotch
+{
+
+struct socket_address
+{
+    std::string host; // IP address, an IPv6 address without brackets
+    std::uint16_t port = 0;
+
+    bool operator==(const socket_address&) const = default;
+};
+
+// Inverse of the parser: IP:PORT, with brackets around an IPv6 address.
+std::string to_string(const socket_address& value);
+
+// Parses IP:PORT; returns false for host names, other forms and ports beyond 65535.
+bool from_string(std::string_view text, socket_address& out);
+
+// A key that acts for a client account. An account may have several, so that keys can be rotated.
+struct account_key
+{
+    std::string account;
+    std::string key;
+};
+
+// A key that acts for an operator.
+struct operator_key
+{
+    std::string name;
+    std::string key;
+    std::string team; // empty for a fleet operator
+};
+
+struct server_limits
+{
+    std::uint32_t max_connections = 4096;
+    std::uint32_t workers = 256;
+    std::uint32_t queue_length = 256;
+    std::uint32_t header_bytes = 8192;
+    std::uint32_t body_bytes = 1048576;
+};
+
+struct settings
+{
+    std::string vm;
+    std::string failure_domain;
+    socket_address listen_callers;
+    socket_address listen_peers;
+    std::string table_url;   // http://IP:PORT
+    std::string vm_list_url; // empty when there is no VM list
+    std::vector<socket_address> seeds;
+    std::vector<account_key> accounts;
+    std::vector<operator_key> operators;
+    server_limits limits;
+    milliseconds balancer_grace{5000}; // from SIGTERM to the first refused connection
+    log_level least_level = log_level::info;
+};
+
+// One mistake in a settings file. Never holds a key.
+struct settings_problem
+{
+    int line = 0; // 1 for the first line, 0 when the whole file is meant
+    std::string message;
+    std::string hint; // empty when there is nothing to suggest
+};
+
+// Reads settings from YAML text and appends every mistake to `problems`, ordered by line. The
+// returned settings are complete only when no problem was added.
+settings parse_settings(const std::string& text, std::vector<settings_problem>& problems);
+
+// Formats a problem as "FILE:LINE: message (hint)".
+std::string to_string(const settings_problem& problem, std::string_view file);
+
+// Reads a settings file. The failure is invalid_configuration; its detail has one line for each
+// problem.
+result<settings> load_settings(const std::string& path);
+
+} // namespace zinnianotch
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,239 @@
+// Settings files: every mistake is found at once, with its line, and no key is shown.
+#include "daemon/settings.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+using namespace zinnianotch;
+
+namespace
+{
+
+const std::string complete = R"(vm: vm-a1
+failure_domain: dom-a
+listen: {callers: "127.0.0.1:0", peers: "[::1]:7001"}
+platform: {table: "http://127.0.0.1:7100", vm_list: "http://127.0.0.1:7101/"}
+seeds: ["127.0.0.1:7001"]
+keys:
+  accounts: [{account: library-1, key: "secret-a"}]
+  operators: [{name: night-shift, key: "secret-b", team: ""}]
+limits: {max_connections: 10, workers: 2, queue_length: 3, header_bytes: 2048, body_bytes: 4096}
+balancer_grace_ms: 100
+log_level: warning
+)";
+
+const std::string minimal = R"(vm: vm-a1
+failure_domain: dom-a
+listen: {callers: "127.0.0.1:0", peers: "127.0.0.1:0"}
+platform: {table: "http://127.0.0.1:7100"}
+keys: {accounts: [], operators: []}
+)";
+
+// Criterion's macros do not take braces inside an argument.
+bool is_address(const socket_address& address, std::string_view host, std::uint16_t port)
+{
+    return address.host == host && address.port == port;
+}
+
+std::vector<settings_problem> problems_of(const std::string& text)
+{
+    std::vector<settings_problem> problems;
+    parse_settings(text, problems);
+    return problems;
+}
+
+// Replaces one line of the complete file; line 1 is the first.
+std::string with_line(int line, const std::string& replacement)
+{
+    std::string text;
+    std::size_t start = 0;
+    for (int current = 1; start < complete.size(); ++current)
+    {
+        const std::size_t end = complete.find('\n', start);
+        text += current == line ? replacement : complete.substr(start, end - start);
+        text += '\n';
+        start = end + 1;
+    }
+    return text;
+}
+
+// Asserts that the text has exactly one problem, on the line and with the words given.
+void expect_one(const std::string& text, int line, const std::string& words)
+{
+    const std::vector<settings_problem> problems = problems_of(text);
+    cr_assert(problems.size() == 1, "%zu problems, expected one with: %s", problems.size(),
+              words.c_str());
+    const std::string shown = to_string(problems[0], "f");
+    cr_assert(problems[0].line == line, "wrong line: %s", shown.c_str());
+    cr_assert(shown.find(words) != std::string::npos, "%s", shown.c_str());
+}
+
+} // namespace
+
+// Guards against a key that is accepted and then ignored.
+Test(settings, file_complete_sets_every_field)
+{
+    std::vector<settings_problem> problems;
+    const settings read = parse_settings(complete, problems);
+    cr_assert(problems.empty(), "%s", problems.empty() ? "" : problems[0].message.c_str());
+    cr_assert(read.vm == "vm-a1" && read.failure_domain == "dom-a");
+    cr_assert(is_address(read.listen_callers, "127.0.0.1", 0));
+    cr_assert(is_address(read.listen_peers, "::1", 7001));
+    cr_assert(read.table_url == "http://127.0.0.1:7100");
+    cr_assert(read.vm_list_url == "http://127.0.0.1:7101");
+    cr_assert(read.seeds.size() == 1 && is_address(read.seeds[0], "127.0.0.1", 7001));
+    cr_assert(read.accounts.size() == 1 && read.accounts[0].account == "library-1");
+    cr_assert(read.accounts[0].key == "secret-a");
+    cr_assert(read.operators.size() == 1 && read.operators[0].name == "night-shift");
+    cr_assert(read.operators[0].key == "secret-b" && read.operators[0].team.empty());
+    cr_assert(read.limits.max_connections == 10 && read.limits.workers == 2);
+    cr_assert(read.limits.queue_length == 3 && read.limits.header_bytes == 2048);
+    cr_assert(read.limits.body_bytes == 4096);
+    cr_assert(read.balancer_grace == milliseconds(100));
+    cr_assert(read.least_level == log_level::warning);
+}
+
+// Guards against defaults that differ from the documented ones.
+Test(settings, file_minimal_keeps_defaults)
+{
+    std::vector<settings_problem> problems;
+    const settings read = parse_settings(minimal, problems);
+    cr_assert(problems.empty());
+    cr_assert(read.limits.max_connections == 4096 && read.limits.workers == 256);
+    cr_assert(read.limits.queue_length == 256 && read.limits.header_bytes == 8192);
+    cr_assert(read.limits.body_bytes == 1048576);
+    cr_assert(read.balancer_grace == milliseconds(5000));
+    cr_assert(read.least_level == log_level::info);
+    cr_assert(read.vm_list_url.empty() && read.seeds.empty());
+}
+
+// Guards against a mistyped optional key that silently keeps the default.
+Test(settings, unknown_key_reports_nearest_key)
+{
+    expect_one(with_line(10, "balancer_grace: 100"), 10, "did you mean balancer_grace_ms?");
+    expect_one(with_line(9, "limits: {worker: 2}"), 9, "did you mean workers?");
+    expect_one(with_line(9, "zzzzzzzzzzzz: 2"), 9, "known here: limits");
+    expect_one(with_line(8, "  operators: [{name: n, key: k, tem: x}]"), 8, "did you mean team?");
+}
+
+// Guards against a second value that overrides the first, depending on the parser.
+Test(settings, key_given_twice_reports_second_line)
+{
+    expect_one(with_line(10, "vm: vm-a2"), 10, "vm is given twice");
+}
+
+// Guards against a unit that is cut off, so that 5s becomes 5 ms.
+Test(settings, number_with_unit_or_wrong_type_is_refused)
+{
+    expect_one(with_line(10, "balancer_grace_ms: 5s"), 10, "without a unit");
+    expect_one(with_line(10, "balancer_grace_ms: 2.5"), 10, "not a plain number");
+    expect_one(with_line(10, "balancer_grace_ms: \"100\""), 10, "remove the quotes");
+    expect_one(with_line(10, "balancer_grace_ms: soon"), 10, "not a number");
+    expect_one(with_line(10, "balancer_grace_ms: [1]"), 10, "must be a single value");
+    expect_one(with_line(10, "balancer_grace_ms:"), 10, "has no value");
+    expect_one(with_line(9, "limits: 7"), 9, "limits must be a map");
+    expect_one(with_line(5, "seeds: 127.0.0.1:7001"), 5, "seeds must be a list");
+    expect_one(with_line(11, "log_level: warn"), 11, "did you mean warning?");
+}
+
+// Guards against limits that make the daemon useless or exhaust the VM.
+Test(settings, number_out_of_range_is_refused)
+{
+    expect_one(with_line(9, "limits: {workers: 0}"), 9, "out of range");
+    expect_one(with_line(9, "limits: {workers: 4097}"), 9, "from 1 to 4096");
+    expect_one(with_line(10, "balancer_grace_ms: 60001"), 10, "out of range");
+    expect_one(with_line(10, "balancer_grace_ms: 99999999999999999999999"), 10, "out of range");
+    expect_one(with_line(10, "balancer_grace_ms: -1"), 10, "not a number");
+}
+
+// Guards against addresses that would need name resolution or can never be reached.
+Test(settings, address_not_ip_and_port_is_refused)
+{
+    expect_one(with_line(3, "listen: {callers: \"localhost:1\", peers: \"127.0.0.1:0\"}"), 3,
+               "listen.callers: localhost:1 is not an address");
+    expect_one(with_line(5, "seeds: [\"127.0.0.1\"]"), 5, "seeds[0]");
+    expect_one(with_line(5, "seeds: [\"127.0.0.1:70000\"]"), 5, "seeds[0]");
+    expect_one(with_line(5, "seeds: [\"127.0.0.1:0\"]"), 5, "port 0 cannot be reached");
+    expect_one(with_line(4, "platform: {table: \"127.0.0.1:7100\"}"), 4, "http://IP:PORT");
+    expect_one(with_line(4, "platform: {table: \"http://table:7100\"}"), 4, "http://IP:PORT");
+}
+
+// Guards against two accounts that cannot be told apart, and against an account that gains an
+// operator's rights.
+Test(settings, key_shared_by_two_holders_is_refused)
+{
+    expect_one(with_line(7, "  accounts: [{account: a, key: same}, {account: b, key: same}]"), 7,
+               "account b is also the key of account a on line 7");
+    expect_one(with_line(8, "  operators: [{name: n, key: secret-a}]"), 8,
+               "operator n is also the key of account library-1 on line 7");
+    expect_one(with_line(8, "  operators: [{name: n, key: a, team: x}, {name: n, key: b}]"), 8,
+               "operator n is in two teams");
+}
+
+// Guards against keys in logs and terminals.
+Test(settings, message_about_key_never_shows_it)
+{
+    for (const settings_problem& problem :
+         problems_of(with_line(7, "  accounts: [{account: a, key: \"hidden word\"}, "
+                                  "{account: b, key: secret-b}]")))
+    {
+        const std::string shown = to_string(problem, "f");
+        cr_assert(shown.find("hidden") == std::string::npos, "%s", shown.c_str());
+        cr_assert(shown.find("secret") == std::string::npos, "%s", shown.c_str());
+    }
+}
+
+// Guards against a listener that fails to bind only after the other one is up.
+Test(settings, listeners_on_one_address_are_refused)
+{
+    expect_one(with_line(3, "listen: {callers: \"127.0.0.1:9\", peers: \"127.0.0.1:9\"}"), 3,
+               "same address");
+}
+
+// Guards against an operator who mends one mistake for each restart.
+Test(settings, file_with_many_mistakes_reports_all_in_order)
+{
+    const std::vector<settings_problem> problems =
+        problems_of("vm: \"a b\"\nlisten: {callers: x}\nplatform: {table: y}\nlog_level: z\n");
+    std::string all;
+    for (const settings_problem& problem : problems)
+        all += to_string(problem, "f") + "\n";
+    for (const char* words :
+         {"vm is not a valid name", "failure_domain is missing", "listen.callers: x",
+          "listen.peers is missing", "platform.table: y", "keys is missing", "unknown level z"})
+        cr_assert(all.find(words) != std::string::npos, "%s not in %s", words, all.c_str());
+    cr_assert(problems.size() == 7, "%s", all.c_str());
+    cr_assert(std::is_sorted(problems.begin(), problems.end(),
+                             [](const auto& a, const auto& b) { return a.line < b.line; }));
+}
+
+// Guards against a crash or a silent default on text that is not YAML.
+Test(settings, text_not_yaml_reports_line)
+{
+    expect_one("vm: [\nlisten: }\n", 2, "not valid YAML");
+    expect_one("", 0, "empty");
+    expect_one("- a\n", 1, "must be a map");
+}
+
+// Guards against a start with defaults when the file is missing.
+Test(settings, file_missing_or_wrong_fails_with_its_name)
+{
+    cr_assert(load_settings("/nonexistent/settings.yaml").has_error());
+    char path[] = "/tmp/zinnianotch-settings-XXXXXX";
+    const int descriptor = mkstemp(path);
+    cr_assert(descriptor >= 0);
+    close(descriptor);
+    std::ofstream(path) << minimal << "sedes: []\n";
+    const result<settings> wrong = load_settings(path);
+    std::ofstream(path) << minimal;
+    const result<settings> right = load_settings(path);
+    std::remove(path);
+    cr_assert(wrong.has_error() && wrong.error().why == reason::invalid_configuration);
+    cr_assert(wrong.error().detail.find(std::string(path) + ":6: unknown key sedes") == 0, "%s",
+              wrong.error().detail.c_str());
+    cr_assert(right.has_value());
+}
