--- a/packages/coordination/order_book.cpp
+++ b/packages/coordination/order_book.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds read_again_pause{50}; // while another claim of the key is in progress
 constexpr milliseconds record_retry_pause{200};
 constexpr milliseconds record_timeout{250};
+constexpr int settled_status = 200;
 constexpr milliseconds shutdown_record_time{2000};
 // Bounds the memory while the table is away. Further results stay unrecorded: their rows remain
 // at `started`, which is answered as may_have_run.
@@ -158,32 +159,41 @@
     return parse_order(row.value()->value);
 }
 
-result<order_record> order_book::settle(const std::string& account, const std::string& key,
-                                        order_state state, bool dry_run, milliseconds timeout)
+result<order_state> order_book::settle(const std::string& account, const std::string& key,
+                                       order_state state, const std::string& note, bool dry_run,
+                                       milliseconds timeout)
 {
     const std::string row_key = order_row_key(account, key);
     result<std::optional<table_row>> row = table_.get(row_key, timeout);
     if (!row)
-        return not_run(reason::order_store_unavailable, row.error().detail);
+        return row.error();
     if (!row.value())
         return not_run(reason::not_found, "no order with this key");
     result<order_record> record = parse_order(row.value()->value);
     if (!record)
-        return record;
-    if (record.value().state != order_state::started)
+        return record.error();
+    const order_state previous = record.value().state;
+    if (previous == state)
+        return previous;
+    if (previous != order_state::started)
         return not_run(reason::version_conflict,
-                       "the order is " + std::string(to_string(record.value().state)));
+                       "the order is " + std::string(to_string(previous)));
+    if (dry_run)
+        return previous;
     order_record settled = record.value();
     settled.state = state;
-    if (dry_run)
-        return settled;
+    if (state == order_state::ran)
+    {
+        settled.status = settled_status;
+        settled.answer = note;
+    }
     const write_outcome outcome =
         table_.replace(row_key, row.value()->version, write_order(settled), timeout);
     if (outcome == write_outcome::conflict)
         return not_run(reason::version_conflict, "the order changed meanwhile");
     if (outcome == write_outcome::unknown)
-        return may_have_run(reason::order_store_unavailable, "the table did not answer");
-    return settled;
+        return may_have_run(reason::deadline_exceeded, "the table did not answer");
+    return previous;
 }
 
 std::size_t order_book::pending() const
--- a/packages/coordination/order_book.h
+++ b/packages/coordination/order_book.h
@@ -56,9 +56,11 @@
     result<order_record> find(const std::string& account, const std::string& key,
                               milliseconds timeout);
 
-    // Settles an order that was left at `started`, after an operator looked at the service.
-    result<order_record> settle(const std::string& account, const std::string& key,
-                                order_state state, bool dry_run, milliseconds timeout);
+    // Settles an order that was left at `started`, after an operator looked at the service. A `ran`
+    // order answers repeats with status 200 and the note. Returns the state before.
+    result<order_state> settle(const std::string& account, const std::string& key,
+                               order_state state, const std::string& note, bool dry_run,
+                               milliseconds timeout);
 
     // Writes that wait for the table in the background.
     std::size_t pending() const;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,4 +1,183 @@
-int main()
+// zinnianotchd: the process on an entry VM.
+#include "coordination/node.h"
+#include "daemon/api.h"
+#include "daemon/settings.h"
+#include "transport/http_server.h"
+#include "transport/log.h"
+
+#include <popt.h>
+#include <pthread.h>
+
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <system_error>
+#include <thread>
+
+namespace
 {
+
+using namespace zinnianotch;
+
+constexpr int exit_usage = 2;
+constexpr int exit_cannot_listen = 4;
+// Requests already on their way when the last one ended are answered within this time.
+constexpr milliseconds quiet_time{300};
+constexpr milliseconds drain_poll_interval{20};
+
+struct command_line
+{
+    std::string settings_path;
+    bool check_only = false;
+};
+
+// Reads the command line; ends the process for --help, --version and usage errors.
+command_line parse_command_line(int argc, const char** argv)
+{
+    char* path = nullptr;
+    int check = 0;
+    int version = 0;
+    const poptOption options[] = {
+        {"settings", 's', POPT_ARG_STRING, &path, 0, "settings file (YAML)", "FILE"},
+        {"check", 'c', POPT_ARG_NONE, &check, 0, "check the settings file and exit", nullptr},
+        {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version and exit", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND};
+    const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+        poptGetContext("zinnianotchd", argc, argv, options, 0), &poptFreeContext);
+    const int end = poptGetNextOpt(context.get());
+    if (end < -1)
+    {
+        (void)std::fprintf(stderr, "zinnianotchd: %s: %s\n",
+                           poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(end));
+        std::exit(exit_usage);
+    }
+    if (version != 0)
+    {
+        (void)std::printf("zinnianotchd %s\n", ZINNIANOTCH_VERSION);
+        std::exit(0);
+    }
+    if (path == nullptr)
+    {
+        (void)std::fprintf(stderr, "zinnianotchd: --settings FILE is required\n");
+        std::exit(exit_usage);
+    }
+    const std::unique_ptr<char, decltype(&std::free)> owned(path, &std::free);
+    return {path, check != 0};
+}
+
+node_options make_node_options(const settings& config)
+{
+    node_options options;
+    options.vm = config.vm;
+    options.domain = config.failure_domain;
+    options.peers.address = config.listen_peers.host;
+    options.peers.port = config.listen_peers.port;
+    options.peers.workers = config.limits.workers;
+    options.peers.queue_length = config.limits.queue_length;
+    for (const socket_address& seed : config.seeds)
+        options.seeds.push_back(to_string(seed));
+    options.table_url = config.table_url;
+    options.vm_list_url = config.vm_list_url;
+    return options;
+}
+
+http_server_options make_server_options(const settings& config)
+{
+    http_server_options options;
+    options.address = config.listen_callers.host;
+    options.port = config.listen_callers.port;
+    options.header_limit = config.limits.header_bytes;
+    options.body_limit = config.limits.body_bytes;
+    options.max_connections = config.limits.max_connections;
+    options.workers = config.limits.workers;
+    options.queue_length = config.limits.queue_length;
+    return options;
+}
+
+// Waits until no request has been in hand for quiet_time. A request never outlives its deadline,
+// so this ends without a timeout of its own. Returns early only for the grace, on a second signal.
+void drain(http_server& server, node& vm, const sigset_t& signals, milliseconds grace)
+{
+    const timespec interval = {0, std::chrono::nanoseconds(drain_poll_interval).count()};
+    time_point grace_end = steady_clock::now() + grace;
+    time_point quiet_since = steady_clock::now();
+    for (;;)
+    {
+        if (sigtimedwait(&signals, nullptr, &interval) > 0)
+        {
+            log_event(log_level::warning, "second_signal", {{"effect", "balancer grace skipped"}});
+            grace_end = steady_clock::now();
+        }
+        const time_point now = steady_clock::now();
+        if (server.in_flight() > 0 || vm.in_flight() > 0)
+            quiet_since = now;
+        if (now >= grace_end && now - quiet_since >= quiet_time)
+            return;
+    }
+}
+
+int run(const settings& config)
+{
+    // All threads inherit the mask, so that only this thread takes the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    (void)std::signal(SIGPIPE, SIG_IGN);
+
+    node vm(make_node_options(config));
+    api handlers(config, vm);
+    http_server server(
+        make_server_options(config),
+        [&](const http_request& request, http_response& response)
+        { handlers.handle(request, response); },
+        [&] { return handlers.overloaded_body(); });
+    handlers.set_in_flight([&] { return server.in_flight(); });
+    try
+    {
+        vm.start();
+        server.start();
+    }
+    catch (const std::system_error& error)
+    {
+        log_event(log_level::error, "cannot_listen", {{"detail", error.what()}});
+        return exit_cannot_listen;
+    }
+    const std::string host = config.listen_callers.host;
+    log_event(log_level::info, "listening",
+              {{"callers", host + ":" + std::to_string(server.port())},
+               {"peers", config.listen_peers.host + ":" + std::to_string(vm.peer_port())},
+               {"version", ZINNIANOTCH_VERSION}});
+
+    int signal = 0;
+    sigwait(&signals, &signal);
+    log_event(log_level::info, "draining", {{"signal", std::to_string(signal)}});
+    vm.begin_drain();
+    server.begin_drain();
+    drain(server, vm, signals, config.balancer_grace);
+    server.stop();
+    vm.stop();
+    log_event(log_level::info, "stopped", {});
     return 0;
 }
+
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    const command_line line = parse_command_line(argc, argv);
+    const result<settings> config = load_settings(line.settings_path);
+    if (!config)
+    {
+        (void)std::fprintf(stderr, "%s\n", config.error().detail.c_str());
+        return exit_usage;
+    }
+    if (line.check_only)
+    {
+        (void)std::printf("%s: valid\n", line.settings_path.c_str());
+        return 0;
+    }
+    configure_log(config.value().least_level, config.value().vm);
+    return run(config.value());
+}
--- a/packages/transport/rpc.cpp
+++ b/packages/transport/rpc.cpp
@@ -201,13 +201,15 @@
     out.setAttempt(to_text(end.value().attempt));
     out.setOutput(to_text(end.value().output));
     out.setTokens(end.value().tokens);
+    out.setStatus(end.value().status);
 }
 
 // An unknown verdict or reason of a newer peer must not be taken for "not run".
 result<stage_output> read_result(wire::StageResult::Reader in)
 {
     if (!in.getFailed())
-        return stage_output{to_string(in.getAttempt()), to_string(in.getOutput()), in.getTokens()};
+        return stage_output{to_string(in.getAttempt()), to_string(in.getOutput()), in.getTokens(),
+                            in.getStatus()};
     failure error{verdict::may_have_run, reason::endpoint_error, to_string(in.getDetail())};
     if (in.getVerdict() <= static_cast<std::uint8_t>(verdict::ran))
         error.outcome = static_cast<verdict>(in.getVerdict());
