--- a/packages/state/orders.h
+++ b/packages/state/orders.h
@@ -102,8 +102,10 @@
     const order_record& record() const { return record_; }
 
     // True when the request ended with its claim possibly left in the table although the call was
-    // surely not made: the driver then writes not_run in the background, conditional on the token.
-    // An absent row is inserted as not_run, because the lost claim may still arrive.
+    // surely not made: the driver then writes record() in the background, on the condition of the
+    // row version that a read showed, when the row is absent, is a not_run row with the own digest,
+    // or is started with the own token. The first two are written because a lost claim may still
+    // arrive and would leave the row started for good.
     bool needs_release() const { return needs_release_; }
 
     // True while the answer is not known to be recorded: the driver writes record() in the
