--- a/packages/cli/main.cpp
+++ b/packages/cli/main.cpp
@@ -1,4 +1,85 @@
-int main()
+// `zinnianotch`: command line for callers and operators.
+#include "cli/arguments.h"
+#include "cli/commands.h"
+
+#include <cpprest/json.h>
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <memory>
+
+namespace
 {
-    return 0;
+
+using namespace zinnianotch;
+
+class http_api_client final : public api_client
+{
+public:
+    explicit http_api_client(const std::string& server) : client_(server) {}
+
+    result<client_reply> send(const client_request& request, milliseconds timeout) override
+    {
+        return client_.send(request, timeout);
+    }
+
+    result<client_reply> send_once(const client_request& request, milliseconds timeout) override
+    {
+        return client_.send_once(request, timeout);
+    }
+
+    // The server bounds silence by its own deadline, so no shorter bound is set here.
+    result<client_reply> stream(const client_request& request, milliseconds timeout,
+                                const line_handler& on_line) override
+    {
+        return client_.stream(request, timeout, timeout, on_line);
+    }
+
+private:
+    http_client client_;
+};
+
+std::string variable(const char* name)
+{
+    const char* const value = std::getenv(name);
+    return value ? value : "";
+}
+
+exit_code run(const std::vector<std::string>& arguments)
+{
+    // Documents are printed in the order in which the server sends their keys.
+    web::json::keep_object_element_order(true);
+    const environment env{variable("ZINNIANOTCH_SERVER"), variable("ZINNIANOTCH_KEY")};
+    const invocation asked = parse_arguments(arguments, env);
+    if (!asked.run)
+    {
+        (asked.code == exit_code::done ? std::cout : std::cerr) << asked.text;
+        return asked.code;
+    }
+    if (asked.run->server.empty())
+        return run_command(*asked.run, {}, nullptr, std::cout, std::cerr);
+    const result<std::string> key = load_key(*asked.run, env);
+    if (key.has_error())
+    {
+        std::cerr << "zinnianotch: " << key.error().detail << "\n";
+        return exit_code::usage;
+    }
+    http_api_client client(asked.run->server);
+    return run_command(*asked.run, key.value(), &client, std::cout, std::cerr);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return static_cast<int>(run({argv + 1, argv + argc}));
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "zinnianotch: " << error.what() << "\n";
+        return static_cast<int>(exit_code::may_have_run);
+    }
 }
