--- a/packages/transport/rpc.cpp
+++ b/packages/transport/rpc.cpp
@@ -523,7 +523,8 @@
     kj::Promise<void> fetchConfig(FetchConfigContext context) override
     {
         const auto config = service_.on_fetch_config();
-        KJ_REQUIRE(config.document.size() <= text_limit, "document exceeds the message limit");
+        if (config.document.size() > text_limit)
+            return KJ_EXCEPTION(FAILED, "document exceeds the message limit");
         context.getResults().setVersion(config.version);
         context.getResults().setDocument(to_text(config.document));
         return kj::READY_NOW;
@@ -781,7 +782,7 @@
         auto& slot = peers_[address];
         if (slot)
             return slot;
-        const auto connection = std::make_shared<peer_connection>(address);
+        auto connection = std::make_shared<peer_connection>(address);
         slot = connection;
         auto opened =
             kj::evalLater([this, weak = std::weak_ptr(connection)] { return open(weak); });
@@ -835,7 +836,7 @@
 
     // Closes a connection and ends the calls on it. Its objects are released in a later turn,
     // because this may run inside one of them.
-    void close(const std::shared_ptr<peer_connection>& connection, const std::string& why)
+    void close(std::shared_ptr<peer_connection> connection, const std::string& why)
     {
         if (connection->closed)
             return;
@@ -851,7 +852,7 @@
         }
         for (const auto* key : ended)
             fail_call(key, reason::connection_broken, why);
-        tasks_.add(kj::evalLater([connection] { connection->release(); }));
+        tasks_.add(kj::evalLater([closed = std::move(connection)] { closed->release(); }));
     }
 
     // Closes the connection when an answer stays out for peer_timeout.
@@ -1048,11 +1049,12 @@
     std::size_t in_flight() const { return in_flight_.load(); }
 
     void send_heartbeat(const std::string& address, const heartbeat& beat,
-                        const std::function<void(const heartbeat&)>& on_reply)
+                        std::function<void(const heartbeat&)> on_reply)
     {
         const caller_scope scope(*this);
         if (scope.admitted())
-            post([=, this] { loop_->send_heartbeat(address, beat, on_reply); });
+            post([this, address, beat, on_reply = std::move(on_reply)]
+                 { loop_->send_heartbeat(address, beat, on_reply); });
     }
 
     result<stage_output> run_stage(const std::string& address, const stage_call& request,
@@ -1290,7 +1292,7 @@
 void rpc_node::send_heartbeat(const std::string& address, const heartbeat& beat,
                               std::function<void(const heartbeat&)> on_reply)
 {
-    impl_->send_heartbeat(address, beat, on_reply);
+    impl_->send_heartbeat(address, beat, std::move(on_reply));
 }
 
 result<stage_output> rpc_node::run_stage(const std::string& address, const stage_call& call,
