--- a/packages/cli/arguments.cpp
+++ b/packages/cli/arguments.cpp
@@ -407,6 +407,7 @@
 split_arguments split_options(const std::vector<std::string>& arguments)
 {
     std::vector<poptOption> table;
+    table.reserve(options.size() + 1);
     for (const option_spec& entry : options)
         table.push_back({entry.name, '\0',
                          entry.argument ? static_cast<unsigned int>(POPT_ARG_STRING)
