Add the HTTP server and the HTTP client

The server runs on Boost.Beast with bounds on headers, bodies, connections and times; the client on cpprestsdk with its own timeouts per call, because the library's timeout belongs to the client object.

Ruled out: telling a refused connection from a broken pipe by error code; cpprestsdk reports both as host_unreachable, so its connect message is used and anything else counts as may_have_run.

--- /dev/null
+++ b/packages/transport/http_server.cpp
@@ -0,0 +1,1295 @@
+#include "transport/http_server.h"
+
+#include "state/verdict.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <poll.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <sstream>
+#include <system_error>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+// Bytes of pipelined requests that are read while a request is being worked on. Reading ahead is
+// what shows a closed connection at once; more than this is left to the kernel.
+constexpr std::size_t read_ahead_limit = 4 * 1024;
+
+// With a full read-ahead buffer a closed connection is looked for at this interval instead.
+constexpr milliseconds hangup_poll_interval{25};
+
+// Room in the connection buffer beside the header, for the line of a chunk or the next piece.
+constexpr std::size_t buffer_slack = 8 * 1024;
+
+// Body bytes of all requests that are being read, queued or worked on. Without a common bound,
+// every connection could hold a whole body, 4 GiB with the default limits.
+constexpr std::size_t body_budget = 128 * 1024 * 1024;
+
+// Bytes of a chunked answer that wait for the socket before write() blocks.
+constexpr std::size_t stream_buffer_limit = 64 * 1024;
+
+// Bounds what the kernel holds for a caller that stops reading; its own default grows to several
+// megabytes for each connection and delays back-pressure.
+constexpr int socket_send_buffer = 128 * 1024;
+
+// A connection is read and discarded for this long after its last answer: closing it with unread
+// data resets it, which can destroy the answer before the caller has read it.
+constexpr milliseconds linger_time{2000};
+
+// Pause of the acceptor when the process is out of file descriptors or memory.
+constexpr milliseconds accept_retry_interval{50};
+
+// How long stop() waits for connections to close before it stops the I/O threads.
+constexpr milliseconds stop_grace{5000};
+
+std::string lower_case(boost::string_view text)
+{
+    std::string out(text.data(), text.size());
+    for (char& c : out)
+    {
+        if (c >= 'A' && c <= 'Z')
+            c = static_cast<char>(c - 'A' + 'a');
+    }
+    return out;
+}
+
+// Error body of the shape in the design's section 7. The message is a constant without characters
+// that JSON escapes; the request has no id yet.
+std::string error_body(reason why, verdict outcome, std::string_view message)
+{
+    std::string out = R"({"error":{"reason":")";
+    out += to_string(why);
+    out += R"(","verdict":")";
+    out += to_string(outcome);
+    out += R"(","message":")";
+    out += message;
+    out += R"(","request":""}})";
+    return out;
+}
+
+template <typename BufferSequence>
+void append_buffers(std::string& out, const BufferSequence& buffers)
+{
+    for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers))
+        out.append(static_cast<const char*>(buffer.data()), buffer.size());
+}
+
+bool is_token_field(std::string_view value)
+{
+    return value.find_first_of("\r\n") == std::string_view::npos;
+}
+
+// Tells a request that is not valid HTTP from a connection that ended or broke.
+bool is_syntax_error(const error_code& ec)
+{
+    static const auto& parser_errors = http::make_error_code(http::error::bad_method).category();
+    if (ec == http::error::buffer_overflow)
+        return true;
+    return ec.category() == parser_errors && ec != http::error::end_of_stream &&
+           ec != http::error::partial_message;
+}
+
+using answer_header = http::response<http::empty_body>;
+
+answer_header make_header(int status, unsigned version, std::string_view content_type,
+                          const std::map<std::string, std::string>& fields)
+{
+    answer_header out;
+    out.version(version);
+    out.result(static_cast<unsigned>(status));
+    out.set(http::field::content_type, {content_type.data(), content_type.size()});
+    for (const auto& [name, value] : fields)
+    {
+        // A line break would let a value add header fields of its own.
+        if (is_token_field(name) && is_token_field(value))
+            out.set(name, value);
+    }
+    return out;
+}
+
+std::string serialize_header(const answer_header& header)
+{
+    std::ostringstream out;
+    out << header.base();
+    return out.str();
+}
+
+// Counts a request from its first byte until its answer is sent and its handler has returned.
+class in_flight_token
+{
+public:
+    explicit in_flight_token(std::atomic<std::size_t>& counter) : counter_(counter) { ++counter_; }
+    ~in_flight_token() { --counter_; }
+    in_flight_token(const in_flight_token&) = delete;
+    in_flight_token& operator=(const in_flight_token&) = delete;
+
+private:
+    std::atomic<std::size_t>& counter_;
+};
+
+// Share of the body budget held by one request.
+class body_charge
+{
+public:
+    explicit body_charge(std::atomic<std::size_t>& used) : used_(used) {}
+    ~body_charge() { used_ -= held_; }
+    body_charge(const body_charge&) = delete;
+    body_charge& operator=(const body_charge&) = delete;
+
+    // False when the budget is exhausted.
+    bool grow_to(std::size_t size)
+    {
+        if (size <= held_)
+            return true;
+        const std::size_t more = size - held_;
+        if (used_.fetch_add(more) + more > body_budget)
+        {
+            used_ -= more;
+            return false;
+        }
+        held_ = size;
+        return true;
+    }
+
+private:
+    std::atomic<std::size_t>& used_;
+    std::size_t held_ = 0;
+};
+
+class session;
+
+// One request and its answer. The worker appends to `pending`, the session's strand writes it to
+// the socket; a session outlives its exchanges, and a finished exchange ignores late calls.
+class exchange final : public http_response
+{
+public:
+    exchange(std::shared_ptr<session> owner, std::shared_ptr<in_flight_token> token,
+             std::shared_ptr<body_charge> charge)
+        : owner_(std::move(owner)), token_(std::move(token)), charge_(std::move(charge))
+    {
+    }
+
+    void send(int status, std::string_view content_type, std::string body,
+              const std::map<std::string, std::string>& headers) override;
+    void start_stream(int status, std::string_view content_type,
+                      const std::map<std::string, std::string>& headers) override;
+    bool write(std::string_view chunk) override;
+    void finish() override;
+    void abort() override;
+    cancel_flag cancelled() const override { return cancelled_; }
+
+    // Called by the session, on its strand.
+    void connection_lost();
+
+    // Ends an exchange whose handler returned or threw without a complete answer.
+    void complete_after_handler(bool threw);
+
+    http_request request;
+    unsigned version = 11;
+    bool keep_alive = true;
+    bool head_only = false;
+
+private:
+    friend class session;
+
+    enum class phase
+    {
+        unanswered,
+        streaming,
+        ended
+    };
+
+    bool decide_keep_alive();
+    void notify_session();
+
+    std::shared_ptr<session> owner_;
+    std::shared_ptr<in_flight_token> token_;
+    std::shared_ptr<body_charge> charge_;
+    cancel_flag cancelled_ = std::make_shared<std::atomic<bool>>(false);
+
+    std::mutex mutex_;
+    std::condition_variable writable_;
+    phase phase_ = phase::unanswered;
+    std::string pending_;
+    bool close_after_ = false;
+    bool reset_after_ = false; // an answer without framing is cut by a reset, not by an end
+    bool chunked_ = false;
+    bool gone_ = false;
+};
+
+// Threads that run handlers, started as they are needed. At most `workers` jobs run and at most
+// `queue_length` wait.
+class worker_pool
+{
+public:
+    using job = std::function<void()>;
+
+    worker_pool(std::size_t workers, std::size_t queue_length)
+        : workers_(std::max<std::size_t>(workers, 1)), queue_length_(queue_length)
+    {
+    }
+
+    // False when workers and queue are full.
+    bool submit(job work)
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_ || running_ + queue_.size() >= workers_ + queue_length_)
+            return false;
+        const std::size_t free_threads = threads_.size() - running_;
+        if (queue_.size() >= free_threads && threads_.size() < workers_ && !start_thread())
+            return false;
+        queue_.push_back(std::move(work));
+        ready_.notify_one();
+        return true;
+    }
+
+    // Runs no further job and joins the threads.
+    void stop()
+    {
+        std::vector<std::thread> threads;
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+            queue_.clear();
+            threads.swap(threads_);
+            ready_.notify_all();
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+    }
+
+private:
+    // True when at least one thread exists to take the job.
+    bool start_thread()
+    {
+        try
+        {
+            threads_.emplace_back([this] { run(); });
+            return true;
+        }
+        catch (const std::system_error&)
+        {
+            return !threads_.empty();
+        }
+    }
+
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        for (;;)
+        {
+            ready_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+            if (stopping_)
+                return;
+            job work = std::move(queue_.front());
+            queue_.pop_front();
+            ++running_;
+            lock.unlock();
+            work();
+            work = nullptr;
+            lock.lock();
+            --running_;
+        }
+    }
+
+    const std::size_t workers_;
+    const std::size_t queue_length_;
+    std::mutex mutex_;
+    std::condition_variable ready_;
+    std::deque<job> queue_;
+    std::vector<std::thread> threads_;
+    std::size_t running_ = 0;
+    bool stopping_ = false;
+};
+
+// Open connections, and among them those that may be closed to make room for a new one.
+class connection_registry
+{
+public:
+    explicit connection_registry(std::size_t limit) : limit_(std::max<std::size_t>(limit, 1)) {}
+
+    struct admission
+    {
+        bool accepted = false;
+        std::shared_ptr<session> evicted; // to be closed by the caller
+    };
+
+    // Adds a connection. When all places are taken, the connection that has waited longest for a
+    // request gives up its place: otherwise idle connections alone could lock out all callers.
+    admission add(const std::shared_ptr<session>& added)
+    {
+        const std::lock_guard lock(mutex_);
+        if (closed_)
+            return {};
+        admission out;
+        if (all_.size() >= limit_)
+        {
+            if (waiting_.empty())
+                return {};
+            const auto victim = all_.find(waiting_.front());
+            out.evicted = victim->second.connection;
+            waiting_.pop_front();
+            all_.erase(victim);
+        }
+        all_.emplace(added.get(), entry{added, waiting_.end()});
+        out.accepted = true;
+        return out;
+    }
+
+    void remove(session* removed)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = all_.find(removed);
+        if (found == all_.end())
+            return;
+        if (found->second.place != waiting_.end())
+            waiting_.erase(found->second.place);
+        all_.erase(found);
+        if (all_.empty())
+            empty_.notify_all();
+    }
+
+    void enter_waiting(session* waiting)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = all_.find(waiting);
+        if (found != all_.end() && found->second.place == waiting_.end())
+            found->second.place = waiting_.insert(waiting_.end(), waiting);
+    }
+
+    // False when the connection has been evicted in the meantime.
+    bool leave_waiting(session* waiting)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = all_.find(waiting);
+        if (found == all_.end())
+            return false;
+        if (found->second.place != waiting_.end())
+        {
+            waiting_.erase(found->second.place);
+            found->second.place = waiting_.end();
+        }
+        return true;
+    }
+
+    // Accepts no further connection and returns those that are open.
+    std::vector<std::shared_ptr<session>> close()
+    {
+        const std::lock_guard lock(mutex_);
+        closed_ = true;
+        std::vector<std::shared_ptr<session>> out;
+        for (const auto& item : all_)
+            out.push_back(item.second.connection);
+        return out;
+    }
+
+    // Releases connections that did not close in time; all threads have ended.
+    void clear()
+    {
+        const std::lock_guard lock(mutex_);
+        waiting_.clear();
+        all_.clear();
+    }
+
+    void wait_empty(milliseconds timeout)
+    {
+        std::unique_lock lock(mutex_);
+        empty_.wait_for(lock, timeout, [this] { return all_.empty(); });
+    }
+
+private:
+    struct entry
+    {
+        std::shared_ptr<session> connection;
+        std::list<session*>::iterator place;
+    };
+
+    const std::size_t limit_;
+    std::mutex mutex_;
+    std::condition_variable empty_;
+    std::unordered_map<session*, entry> all_;
+    std::list<session*> waiting_;
+    bool closed_ = false;
+};
+
+// What the sessions share with their server. It is destroyed after all threads have ended.
+struct server_state
+{
+    server_state(http_server_options given, http_handler on_request, http_refusal on_overload)
+        : options(std::move(given)), handler(std::move(on_request)),
+          overloaded_body(std::move(on_overload)), pool(options.workers, options.queue_length),
+          connections(options.max_connections)
+    {
+    }
+
+    const http_server_options options;
+    const http_handler handler;
+    const http_refusal overloaded_body;
+    std::atomic<bool> draining{false};
+    std::atomic<std::size_t> in_flight{0};
+    std::atomic<std::size_t> body_bytes{0};
+    std::atomic<std::uint64_t> dropped{0};
+    worker_pool pool;
+    connection_registry connections;
+};
+
+// One connection. All members are used on the strand of the socket only.
+class session : public std::enable_shared_from_this<session>
+{
+public:
+    session(tcp::socket socket, server_state& server)
+        : socket_(std::move(socket)), timer_(socket_.get_executor()),
+          hangup_timer_(socket_.get_executor()), server_(server),
+          buffer_(server.options.header_limit + buffer_slack)
+    {
+    }
+
+    void start();
+    void post_flush();
+    void post_close();
+    bool draining() const { return server_.draining; }
+
+private:
+    using parser_type = http::request_parser<http::string_body>;
+
+    enum class phase
+    {
+        waiting,   // for the first byte of a request
+        reading,   // a request
+        working,   // a worker or the write of an answer
+        lingering, // answered for the last time, until the caller has closed
+        closed
+    };
+
+    void wait_request();
+    void watch();
+    void on_readable(const error_code& ec);
+    void read_ahead();
+    void poll_hangup();
+    void begin_request();
+    void read_header();
+    void on_header(const error_code& ec);
+    void send_continue();
+    void read_body();
+    bool read_failed(const error_code& ec);
+    void reject(int status, reason why, std::string_view message);
+    void dispatch();
+    void run_handler(const std::shared_ptr<exchange>& current);
+    std::shared_ptr<exchange> make_exchange();
+    void flush();
+    void write_some();
+    void answer_sent();
+    void linger();
+    void discard();
+    void close();
+    void drop();
+    void arm(milliseconds time, void (session::*expired)());
+    void disarm();
+    void read_expired();
+
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    asio::steady_timer hangup_timer_;
+    server_state& server_;
+    beast::flat_buffer buffer_;
+    std::optional<parser_type> parser_;
+    std::shared_ptr<in_flight_token> token_;
+    std::shared_ptr<body_charge> charge_;
+    std::shared_ptr<exchange> exchange_;
+    std::string out_;
+    std::size_t out_sent_ = 0;
+    std::uint64_t timer_generation_ = 0;
+    phase phase_ = phase::waiting;
+    bool watching_ = false;
+    bool polling_ = false;
+    bool writing_ = false;
+    bool read_timed_out_ = false;
+    bool rejecting_ = false;
+};
+
+// exchange
+
+bool exchange::decide_keep_alive()
+{
+    if (!keep_alive || owner_->draining())
+        close_after_ = true;
+    return !close_after_;
+}
+
+void exchange::notify_session()
+{
+    owner_->post_flush();
+}
+
+void exchange::send(int status, std::string_view content_type, std::string body,
+                    const std::map<std::string, std::string>& headers)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (phase_ != phase::unanswered)
+            return;
+        phase_ = phase::ended;
+        answer_header header = make_header(status, version, content_type, headers);
+        header.keep_alive(decide_keep_alive());
+        const bool bodiless = status == 204 || status == 304 || status < 200;
+        if (!bodiless)
+            header.content_length(body.size());
+        pending_ = serialize_header(header);
+        if (!bodiless && !head_only)
+            pending_ += body;
+    }
+    notify_session();
+}
+
+void exchange::start_stream(int status, std::string_view content_type,
+                            const std::map<std::string, std::string>& headers)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (phase_ != phase::unanswered)
+            return;
+        phase_ = phase::streaming;
+        chunked_ = version >= 11;
+        if (!chunked_)
+            close_after_ = true;
+        answer_header header = make_header(status, version, content_type, headers);
+        header.keep_alive(decide_keep_alive());
+        if (chunked_)
+            header.chunked(true);
+        pending_ = serialize_header(header);
+    }
+    notify_session();
+}
+
+bool exchange::write(std::string_view chunk)
+{
+    {
+        std::unique_lock lock(mutex_);
+        writable_.wait(lock, [this] { return gone_ || pending_.size() < stream_buffer_limit; });
+        if (gone_ || phase_ != phase::streaming)
+            return false;
+        // An empty chunk would end the answer.
+        if (chunk.empty() || head_only)
+            return true;
+        const asio::const_buffer data(chunk.data(), chunk.size());
+        if (chunked_)
+            append_buffers(pending_, http::make_chunk(data));
+        else
+            pending_.append(chunk);
+    }
+    notify_session();
+    return true;
+}
+
+void exchange::finish()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (phase_ != phase::streaming)
+            return;
+        phase_ = phase::ended;
+        if (chunked_ && !head_only)
+            append_buffers(pending_, http::make_chunk_last());
+    }
+    notify_session();
+}
+
+void exchange::abort()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (phase_ == phase::ended)
+            return;
+        reset_after_ = phase_ == phase::streaming && !chunked_;
+        phase_ = phase::ended;
+        close_after_ = true;
+    }
+    notify_session();
+}
+
+void exchange::connection_lost()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        gone_ = true;
+        pending_.clear();
+        writable_.notify_all();
+    }
+    *cancelled_ = true;
+}
+
+void exchange::complete_after_handler(bool threw)
+{
+    phase reached;
+    {
+        const std::lock_guard lock(mutex_);
+        reached = phase_;
+    }
+    if (reached == phase::streaming)
+        abort();
+    if (reached != phase::unanswered)
+        return;
+    send(500, "application/json",
+         error_body(reason::endpoint_error, verdict::may_have_run,
+                    threw ? "the request handler failed" : "the request handler gave no answer"),
+         {});
+}
+
+// session
+
+void session::start()
+{
+    auto self = shared_from_this();
+    asio::post(socket_.get_executor(),
+               [self]
+               {
+                   error_code ec;
+                   self->socket_.non_blocking(true, ec);
+                   self->socket_.set_option(tcp::no_delay(true), ec);
+                   self->socket_.set_option(asio::socket_base::send_buffer_size(socket_send_buffer),
+                                            ec);
+                   self->wait_request();
+               });
+}
+
+void session::post_flush()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->flush(); });
+}
+
+void session::post_close()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
+}
+
+// The socket is watched from the first request to the close, also while a request is worked on;
+// that is how a closed connection is noticed.
+void session::wait_request()
+{
+    if (phase_ == phase::closed)
+        return;
+    if (buffer_.size() > 0)
+    {
+        begin_request();
+        return;
+    }
+    phase_ = phase::waiting;
+    token_.reset();
+    parser_.reset();
+    buffer_.shrink_to_fit();
+    server_.connections.enter_waiting(this);
+    arm(server_.options.idle_timeout, &session::close);
+    watch();
+}
+
+void session::watch()
+{
+    if (watching_ || phase_ == phase::closed)
+        return;
+    watching_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& ec)
+                       {
+                           self->watching_ = false;
+                           self->on_readable(ec);
+                       });
+}
+
+void session::on_readable(const error_code& ec)
+{
+    if (phase_ == phase::working)
+    {
+        // The end of a rejected request is no reason to withhold the answer.
+        if (!ec && !rejecting_)
+            read_ahead();
+        return;
+    }
+    if (phase_ != phase::waiting)
+        return;
+    if (ec)
+    {
+        close();
+        return;
+    }
+    char first = 0;
+    error_code peeked;
+    socket_.receive(asio::buffer(&first, 1), tcp::socket::message_peek, peeked);
+    if (peeked == asio::error::would_block)
+    {
+        watch();
+        return;
+    }
+    if (peeked || !server_.connections.leave_waiting(this))
+    {
+        close();
+        return;
+    }
+    begin_request();
+}
+
+// Reads what the caller sends while its request is worked on: pipelined requests, or the end.
+void session::read_ahead()
+{
+    while (buffer_.size() < read_ahead_limit)
+    {
+        error_code ec;
+        const std::size_t room = read_ahead_limit - buffer_.size();
+        const std::size_t count = socket_.read_some(buffer_.prepare(room), ec);
+        if (ec == asio::error::would_block)
+        {
+            watch();
+            return;
+        }
+        if (ec)
+        {
+            close();
+            return;
+        }
+        buffer_.commit(count);
+    }
+    poll_hangup();
+}
+
+// With a full read-ahead buffer the socket stays readable, so only poll(2) shows its end.
+void session::poll_hangup()
+{
+    if (polling_ || phase_ != phase::working || buffer_.size() < read_ahead_limit)
+        return;
+    pollfd descriptor{socket_.native_handle(), POLLRDHUP, 0};
+    if (::poll(&descriptor, 1, 0) > 0)
+    {
+        close();
+        return;
+    }
+    polling_ = true;
+    hangup_timer_.expires_after(hangup_poll_interval);
+    hangup_timer_.async_wait(
+        [self = shared_from_this()](const error_code&)
+        {
+            self->polling_ = false;
+            self->poll_hangup();
+        });
+}
+
+void session::begin_request()
+{
+    phase_ = phase::reading;
+    read_timed_out_ = false;
+    // The token of the previous request is released after this one is counted, so that a drain
+    // never sees zero between two pipelined requests.
+    token_ = std::make_shared<in_flight_token>(server_.in_flight);
+    charge_ = std::make_shared<body_charge>(server_.body_bytes);
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(server_.options.header_limit));
+    parser_->body_limit(server_.options.body_limit);
+    arm(server_.options.read_timeout, &session::read_expired);
+    read_header();
+}
+
+void session::read_expired()
+{
+    read_timed_out_ = true;
+    error_code ec;
+    socket_.cancel(ec);
+}
+
+void session::read_header()
+{
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this()](const error_code& ec, std::size_t)
+                            { self->on_header(ec); });
+}
+
+void session::on_header(const error_code& ec)
+{
+    if (read_failed(ec))
+        return;
+    const auto& message = parser_->get();
+    if (message.version() >= 11 && !parser_->is_done() &&
+        beast::iequals(message[http::field::expect], "100-continue"))
+    {
+        send_continue();
+        return;
+    }
+    read_body();
+}
+
+// The line is short and the socket's send buffer empty or nearly so; if it doesn't fit the caller
+// has stopped reading, and it sends its body without the line or times out.
+void session::send_continue()
+{
+    static constexpr std::string_view line = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code ec;
+    socket_.write_some(asio::buffer(line.data(), line.size()), ec);
+    read_body();
+}
+
+void session::read_body()
+{
+    if (!charge_->grow_to(parser_->get().body().size()))
+    {
+        reject(503, reason::overloaded, "too many request bodies are being received");
+        return;
+    }
+    if (parser_->is_done())
+    {
+        dispatch();
+        return;
+    }
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](const error_code& ec, std::size_t)
+                          {
+                              if (!self->read_failed(ec))
+                                  self->read_body();
+                          });
+}
+
+// Ends the connection when reading a request failed, with an answer where the caller may still
+// receive one.
+bool session::read_failed(const error_code& ec)
+{
+    if (phase_ != phase::reading)
+        return true;
+    if (read_timed_out_)
+        reject(408, reason::bad_request, "the request was not received in time");
+    else if (!ec)
+        return false;
+    else if (ec == http::error::header_limit ||
+             (ec == http::error::buffer_overflow && !parser_->is_header_done()))
+        reject(431, reason::bad_request, "the request header is too large");
+    else if (ec == http::error::body_limit)
+        reject(413, reason::bad_request, "the request body is too large");
+    else if (is_syntax_error(ec))
+        reject(400, reason::bad_request, "the request is not valid HTTP");
+    else
+        close();
+    return true;
+}
+
+void session::reject(int status, reason why, std::string_view message)
+{
+    ++server_.dropped;
+    exchange_ = make_exchange();
+    exchange_->keep_alive = false;
+    phase_ = phase::working;
+    rejecting_ = true;
+    disarm();
+    exchange_->send(status, "application/json", error_body(why, verdict::not_run, message), {});
+}
+
+std::shared_ptr<exchange> session::make_exchange()
+{
+    return std::make_shared<exchange>(shared_from_this(), token_, charge_);
+}
+
+void session::dispatch()
+{
+    disarm();
+    phase_ = phase::working;
+    auto current = make_exchange();
+    exchange_ = current;
+    auto message = parser_->release();
+    parser_.reset();
+    current->version = message.version();
+    current->keep_alive = message.keep_alive();
+    current->head_only = message.method() == http::verb::head;
+    current->request.method = std::string(message.method_string());
+    current->request.target = std::string(message.target());
+    for (const auto& field : message)
+    {
+        auto [found, added] = current->request.headers.try_emplace(
+            lower_case(field.name_string()), field.value().data(), field.value().size());
+        if (!added)
+            found->second.append(", ").append(field.value().data(), field.value().size());
+    }
+    current->request.body = std::move(message.body());
+
+    auto self = shared_from_this();
+    if (!server_.pool.submit([self, current] { self->run_handler(current); }))
+        current->send(503, "application/json", server_.overloaded_body(), {{"Retry-After", "1"}});
+    watch();
+}
+
+// Runs on a worker. A request whose caller left while it was queued is not started.
+void session::run_handler(const std::shared_ptr<exchange>& current)
+{
+    if (*current->cancelled())
+        return;
+    bool threw = false;
+    try
+    {
+        server_.handler(current->request, *current);
+    }
+    catch (...)
+    {
+        // The error is the handler's to log; a worker thread must outlive it.
+        threw = true;
+    }
+    current->complete_after_handler(threw);
+}
+
+// Writes what the current exchange has pending, one write at a time.
+void session::flush()
+{
+    if (writing_ || phase_ != phase::working || !exchange_)
+        return;
+    bool ended = false;
+    {
+        const std::lock_guard lock(exchange_->mutex_);
+        out_.clear();
+        out_.swap(exchange_->pending_);
+        ended = exchange_->phase_ == exchange::phase::ended;
+        exchange_->writable_.notify_all();
+    }
+    if (out_.empty())
+    {
+        if (ended)
+            answer_sent();
+        return;
+    }
+    writing_ = true;
+    out_sent_ = 0;
+    write_some();
+}
+
+// The timer is restarted with each piece that the socket takes, so only a caller that reads
+// nothing at all is dropped.
+void session::write_some()
+{
+    arm(server_.options.write_timeout, &session::drop);
+    socket_.async_write_some(asio::buffer(out_.data() + out_sent_, out_.size() - out_sent_),
+                             [self = shared_from_this()](const error_code& ec, std::size_t count)
+                             {
+                                 if (self->phase_ == phase::closed)
+                                     return;
+                                 if (ec)
+                                 {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->out_sent_ += count;
+                                 if (self->out_sent_ < self->out_.size())
+                                 {
+                                     self->write_some();
+                                     return;
+                                 }
+                                 self->writing_ = false;
+                                 self->disarm();
+                                 self->flush();
+                             });
+}
+
+void session::answer_sent()
+{
+    auto answered = std::move(exchange_);
+    exchange_.reset();
+    charge_.reset();
+    std::string().swap(out_);
+    hangup_timer_.cancel();
+    bool close_after = false;
+    bool reset_after = false;
+    {
+        const std::lock_guard lock(answered->mutex_);
+        close_after = answered->close_after_;
+        reset_after = answered->reset_after_;
+        answered->gone_ = true; // late calls of the handler have no effect
+    }
+    // The worker's own copy keeps the request counted until its handler returns.
+    if (!close_after)
+    {
+        wait_request();
+        return;
+    }
+    token_.reset();
+    if (reset_after)
+    {
+        error_code ec;
+        socket_.set_option(asio::socket_base::linger(true, 0), ec);
+        close();
+        return;
+    }
+    linger();
+}
+
+void session::linger()
+{
+    phase_ = phase::lingering;
+    parser_.reset();
+    error_code ec;
+    socket_.shutdown(tcp::socket::shutdown_send, ec);
+    if (ec)
+    {
+        close();
+        return;
+    }
+    buffer_.clear();
+    server_.connections.enter_waiting(this);
+    arm(linger_time, &session::close);
+    discard();
+}
+
+void session::discard()
+{
+    buffer_.clear();
+    socket_.async_read_some(buffer_.prepare(read_ahead_limit),
+                            [self = shared_from_this()](const error_code& ec, std::size_t)
+                            {
+                                if (self->phase_ != phase::lingering)
+                                    return;
+                                if (ec)
+                                    self->close();
+                                else
+                                    self->discard();
+                            });
+}
+
+void session::close()
+{
+    if (phase_ == phase::closed)
+        return;
+    phase_ = phase::closed;
+    disarm();
+    hangup_timer_.cancel();
+    error_code ec;
+    socket_.close(ec);
+    if (exchange_)
+        exchange_->connection_lost();
+    exchange_.reset();
+    charge_.reset();
+    token_.reset();
+    server_.connections.remove(this);
+}
+
+void session::drop()
+{
+    ++server_.dropped;
+    close();
+}
+
+void session::arm(milliseconds time, void (session::*expired)())
+{
+    const std::uint64_t generation = ++timer_generation_;
+    timer_.expires_after(time);
+    timer_.async_wait(
+        [self = shared_from_this(), generation, expired](const error_code& ec)
+        {
+            // A wait that expired just before it was replaced still reports success.
+            if (!ec && generation == self->timer_generation_)
+                (self.get()->*expired)();
+        });
+}
+
+void session::disarm()
+{
+    ++timer_generation_;
+    timer_.cancel();
+}
+
+} // namespace
+
+std::string_view http_request::header(std::string_view name) const
+{
+    const auto found = headers.find(std::string(name));
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+class http_server::impl
+{
+public:
+    impl(http_server_options options, http_handler handler, http_refusal overloaded_body)
+        : state_(std::move(options), std::move(handler), std::move(overloaded_body)),
+          work_(asio::make_work_guard(io_)), acceptor_(asio::make_strand(io_)),
+          accept_timer_(acceptor_.get_executor())
+    {
+    }
+
+    void start();
+    void stop();
+
+    server_state& state() { return state_; }
+    std::uint16_t port() const { return port_; }
+
+private:
+    void accept();
+    void accepted(const error_code& ec, tcp::socket socket);
+    void run_io();
+
+    // Destroyed last: sessions that the I/O context still holds refer to it.
+    server_state state_;
+    asio::io_context io_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
+    std::vector<std::thread> threads_;
+    std::uint16_t port_ = 0;
+};
+
+void http_server::impl::start()
+{
+    const tcp::endpoint endpoint(asio::ip::make_address(state_.options.address),
+                                 state_.options.port);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen(asio::socket_base::max_listen_connections);
+    port_ = acceptor_.local_endpoint().port();
+    asio::post(acceptor_.get_executor(), [this] { accept(); });
+    for (std::size_t i = 0; i < std::max<std::size_t>(state_.options.io_threads, 1); ++i)
+        threads_.emplace_back([this] { run_io(); });
+}
+
+void http_server::impl::run_io()
+{
+    for (;;)
+    {
+        try
+        {
+            io_.run();
+            return;
+        }
+        catch (const std::exception&)
+        {
+            // Only memory exhaustion reaches this point; the connection concerned is closed by its
+            // timer, the others go on.
+        }
+    }
+}
+
+void http_server::impl::accept()
+{
+    if (!acceptor_.is_open())
+        return;
+    acceptor_.async_accept(asio::make_strand(io_), [this](const error_code& ec, tcp::socket socket)
+                           { accepted(ec, std::move(socket)); });
+}
+
+void http_server::impl::accepted(const error_code& ec, tcp::socket socket)
+{
+    if (!acceptor_.is_open())
+        return;
+    if (ec && ec != asio::error::connection_aborted)
+    {
+        // Without the pause, a process out of file descriptors would spin here.
+        accept_timer_.expires_after(accept_retry_interval);
+        accept_timer_.async_wait(
+            [this](const error_code& waited)
+            {
+                if (!waited)
+                    accept();
+            });
+        return;
+    }
+    if (!ec)
+    {
+        auto added = std::make_shared<session>(std::move(socket), state_);
+        auto admitted = state_.connections.add(added);
+        if (!admitted.accepted || admitted.evicted)
+            ++state_.dropped;
+        if (admitted.evicted)
+            admitted.evicted->post_close();
+        if (admitted.accepted)
+            added->start();
+    }
+    accept();
+}
+
+void http_server::impl::stop()
+{
+    if (threads_.empty())
+        return;
+    asio::post(acceptor_.get_executor(),
+               [this]
+               {
+                   error_code ec;
+                   acceptor_.close(ec);
+                   accept_timer_.cancel();
+               });
+    for (const auto& open : state_.connections.close())
+        open->post_close();
+    state_.connections.wait_empty(stop_grace);
+    state_.pool.stop();
+    work_.reset();
+    io_.stop();
+    for (std::thread& thread : threads_)
+        thread.join();
+    threads_.clear();
+    state_.connections.clear();
+}
+
+http_server::http_server(http_server_options options, http_handler handler,
+                         http_refusal overloaded_body)
+    : impl_(std::make_unique<impl>(std::move(options), std::move(handler),
+                                   std::move(overloaded_body)))
+{
+}
+
+http_server::~http_server()
+{
+    impl_->stop();
+}
+
+void http_server::start()
+{
+    impl_->start();
+}
+
+std::uint16_t http_server::port() const
+{
+    return impl_->port();
+}
+
+void http_server::begin_drain()
+{
+    impl_->state().draining = true;
+}
+
+std::size_t http_server::in_flight() const
+{
+    return impl_->state().in_flight;
+}
+
+std::uint64_t http_server::dropped_connections() const
+{
+    return impl_->state().dropped;
+}
+
+void http_server::stop()
+{
+    impl_->stop();
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/tests/unit/http_client_test.cpp
@@ -0,0 +1,587 @@
+// The HTTP client tells "not run" from "may have run" and never reuses a doubtful connection.
+#include "transport/http_client.h"
+
+#include "raw_socket.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+using namespace zinnianotch;
+using namespace zinnianotch::test;
+
+namespace
+{
+
+// Long enough that a test reaches it only when the expected event doesn't happen.
+constexpr milliseconds long_timeout{60000};
+// Short timeout of calls that are meant to run into it.
+constexpr milliseconds short_timeout{200};
+
+constexpr std::string_view ok_answer =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Mixed-Case: Yes\r\n"
+    "Content-Length: 2\r\n\r\n{}";
+constexpr std::string_view stream_header =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(std::string_view text)
+{
+    char size[32];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + std::string(text) + "\r\n";
+}
+
+client_request get(std::string path)
+{
+    client_request out;
+    out.path = std::move(path);
+    return out;
+}
+
+client_request post(std::string path, std::string body)
+{
+    client_request out;
+    out.method = "POST";
+    out.path = std::move(path);
+    out.body = std::move(body);
+    return out;
+}
+
+// Runs a script of an endpoint on its own thread and joins it.
+class endpoint_script
+{
+public:
+    explicit endpoint_script(std::function<void()> script) : thread_(std::move(script)) {}
+    ~endpoint_script() { thread_.join(); }
+    endpoint_script(const endpoint_script&) = delete;
+    endpoint_script& operator=(const endpoint_script&) = delete;
+
+private:
+    std::thread thread_;
+};
+
+void expect_failure(const result<client_reply>& outcome, verdict run, reason why)
+{
+    cr_assert(outcome.has_error());
+    cr_assert(outcome.error().why == why, "reason %s (%s)",
+              std::string(to_string(outcome.error().why)).c_str(), outcome.error().detail.c_str());
+    cr_assert(outcome.error().outcome == run, "verdict %s",
+              std::string(to_string(outcome.error().outcome)).c_str());
+}
+
+} // namespace
+
+// Guards against a body, header or status that is lost or altered on the way.
+Test(http_client, send_answer_returns_status_headers_and_body)
+{
+    const raw_listener listener;
+    std::string seen;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            seen = peer.read_until("{\"a\":1}");
+            peer.send(ok_answer);
+        });
+    http_client client(listener.url());
+    auto request = post("/run?x=1", "{\"a\":1}");
+    request.headers["Deadline-Ms"] = "100";
+    const auto outcome = client.send(request, long_timeout);
+    cr_assert(outcome.has_value());
+    cr_assert(outcome.value().status == 200);
+    cr_assert(outcome.value().body == "{}");
+    cr_assert(outcome.value().headers.at("x-mixed-case") == "Yes");
+    cr_assert(seen.starts_with("POST /run?x=1 HTTP/1.1\r\n"));
+    // The library writes no space after the colon.
+    cr_assert(seen.find("\r\nDeadline-Ms:100\r\n") != std::string::npos);
+}
+
+// Guards against a refused connection that is reported as possibly run and so never retried.
+Test(http_client, connection_refused_not_run)
+{
+    const raw_listener bound_only(0);
+    http_client client(bound_only.url());
+    expect_failure(client.send(get("/load"), long_timeout), verdict::not_run,
+                   reason::connect_failed);
+    expect_failure(client.send_once(post("/loan", "{}"), long_timeout), verdict::not_run,
+                   reason::connect_failed);
+    expect_failure(client.stream(post("/generate", "{}"), long_timeout, long_timeout,
+                                 [](std::string_view) { return true; }),
+                   verdict::not_run, reason::connect_failed);
+}
+
+// Guards against an unusable base address that ends the process or counts as run.
+Test(http_client, base_url_invalid_not_run)
+{
+    http_client client("not a url");
+    expect_failure(client.send(get("/load"), long_timeout), verdict::not_run,
+                   reason::connect_failed);
+}
+
+// Guards against a request reported as "not run" although the endpoint has received it.
+Test(http_client, connection_closed_without_answer_may_have_run)
+{
+    const raw_listener listener;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.close();
+            raw_socket second = listener.accept();
+            second.read_until("\r\n\r\n");
+            second.reset();
+        });
+    http_client client(listener.url());
+    expect_failure(client.send_once(post("/loan", "{}"), long_timeout), verdict::may_have_run,
+                   reason::connection_broken);
+    expect_failure(client.send_once(post("/loan", "{}"), long_timeout), verdict::may_have_run,
+                   reason::connection_broken);
+}
+
+// Guards against a cut answer that is handed on as a complete one.
+Test(http_client, body_cut_short_connection_broken)
+{
+    const raw_listener listener;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart of it");
+            peer.close();
+            raw_socket second = listener.accept();
+            second.read_until("\r\n\r\n");
+            second.send(stream_header);
+            second.send(chunk("part of it"));
+            second.close();
+        });
+    http_client client(listener.url());
+    expect_failure(client.send(get("/a"), long_timeout), verdict::may_have_run,
+                   reason::connection_broken);
+    expect_failure(client.send(get("/b"), long_timeout), verdict::may_have_run,
+                   reason::connection_broken);
+}
+
+// Guards against a non-idempotent call on a reused connection, which the library may send twice.
+Test(http_client, send_once_repeated_fresh_connection_each)
+{
+    const raw_listener listener;
+    std::vector<raw_socket> peers;
+    const endpoint_script script(
+        [&]
+        {
+            for (int i = 0; i < 3; ++i)
+            {
+                peers.push_back(listener.accept());
+                peers.back().read_until("\r\n\r\n");
+                peers.back().send(ok_answer);
+            }
+        });
+    http_client client(listener.url());
+    cr_assert(client.send(get("/load"), long_timeout).has_value());
+    cr_assert(client.send_once(post("/loan", "{}"), long_timeout).has_value());
+    cr_assert(client.send_once(post("/loan", "{}"), long_timeout).has_value());
+}
+
+// Guards against a pool that is never used: each call would pay for a connection of its own.
+Test(http_client, send_repeated_connection_reused)
+{
+    const raw_listener listener;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            for (int i = 0; i < 3; ++i)
+            {
+                peer.read_until("\r\n\r\n");
+                peer.send(ok_answer);
+            }
+        });
+    http_client client(listener.url());
+    for (int i = 0; i < 3; ++i)
+        cr_assert(client.send(get("/load"), long_timeout).has_value());
+}
+
+// Guards against the late answer of a timed-out call being taken for the answer of the next one.
+Test(http_client, timeout_connection_closed_and_not_reused)
+{
+    const raw_listener listener;
+    std::atomic<bool> first_closed{false};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket first = listener.accept();
+            first.read_until("\r\n\r\n");
+            raw_socket second = listener.accept();
+            second.read_until("\r\n\r\n");
+            second.send(ok_answer);
+            first.read_to_end();
+            first_closed = first.ended();
+        });
+    http_client client(listener.url());
+    expect_failure(client.send(get("/slow"), short_timeout), verdict::may_have_run,
+                   reason::silent_connection);
+    const auto outcome = client.send(get("/next"), long_timeout);
+    cr_assert(outcome.has_value());
+    cr_assert(outcome.value().body == "{}");
+    cr_assert(eventually([&] { return first_closed.load(); }));
+}
+
+// Guards against an endpoint that stalls in the middle of an answer and holds a worker for ever.
+Test(http_client, timeout_within_body_silent_connection)
+{
+    const raw_listener listener;
+    std::atomic<bool> closed{false};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart of it");
+            peer.read_to_end();
+            closed = peer.ended();
+        });
+    http_client client(listener.url());
+    expect_failure(client.send(get("/slow"), short_timeout), verdict::may_have_run,
+                   reason::silent_connection);
+    cr_assert(eventually([&] { return closed.load(); }));
+}
+
+// Guards against a cancelled call that goes on until its timeout and keeps the endpoint busy.
+Test(http_client, cancel_waiting_call_ends_and_closes_connection)
+{
+    const raw_listener listener;
+    auto cancelled = std::make_shared<std::atomic<bool>>(false);
+    std::atomic<bool> closed{false};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            *cancelled = true;
+            peer.read_to_end();
+            closed = peer.ended();
+        });
+    http_client client(listener.url());
+    expect_failure(client.send(get("/slow"), long_timeout, cancelled), verdict::may_have_run,
+                   reason::cancelled);
+    cr_assert(eventually([&] { return closed.load(); }));
+}
+
+// Guards against work that is sent although its caller has left already.
+Test(http_client, cancel_before_send_nothing_sent)
+{
+    const raw_listener listener;
+    auto cancelled = std::make_shared<std::atomic<bool>>(true);
+    http_client client(listener.url());
+    expect_failure(client.send(get("/load"), long_timeout, cancelled), verdict::not_run,
+                   reason::cancelled);
+    expect_failure(client.send(get("/load"), milliseconds(0)), verdict::not_run,
+                   reason::silent_connection);
+    cr_assert(!listener.accept(milliseconds(0)).valid());
+}
+
+// Guards against tokens that are held back until the stream ends, and against lines torn apart at
+// the boundaries of chunks.
+Test(http_client, stream_lines_delivered_as_they_arrive)
+{
+    const raw_listener listener;
+    std::atomic<int> received{0};
+    std::atomic<bool> in_time{true};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send(stream_header);
+            peer.send(chunk("{\"index\":0}\n"));
+            if (!eventually([&] { return received == 1; }))
+                in_time = false;
+            peer.send(chunk("{\"ind"));
+            peer.send(chunk("ex\":1}\n{\"index\":2}\n"));
+            if (!eventually([&] { return received == 3; }))
+                in_time = false;
+            peer.send(chunk("{\"done\":true}"));
+            peer.send("0\r\n\r\n");
+        });
+    http_client client(listener.url());
+    std::vector<std::string> lines;
+    const auto outcome = client.stream(post("/generate", "{}"), long_timeout, long_timeout,
+                                       [&](std::string_view line)
+                                       {
+                                           lines.emplace_back(line);
+                                           ++received;
+                                           return true;
+                                       });
+    cr_assert(outcome.has_value());
+    cr_assert(in_time);
+    const std::vector<std::string> expected = {"{\"index\":0}", "{\"index\":1}", "{\"index\":2}",
+                                               "{\"done\":true}"};
+    cr_assert(lines == expected);
+}
+
+// Guards against a broken stream that looks complete: the runner would not resume it.
+Test(http_client, stream_cut_connection_broken_after_lines)
+{
+    const raw_listener listener;
+    std::atomic<int> received{0};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send(stream_header);
+            peer.send(chunk("{\"index\":0}\n"));
+            eventually([&] { return received == 1; });
+            peer.close();
+        });
+    http_client client(listener.url());
+    expect_failure(client.stream(post("/generate", "{}"), long_timeout, long_timeout,
+                                 [&](std::string_view)
+                                 {
+                                     ++received;
+                                     return true;
+                                 }),
+                   verdict::may_have_run, reason::connection_broken);
+    cr_assert(received == 1);
+}
+
+// Guards against a connection that goes silent mid-stream and is noticed only at the deadline.
+Test(http_client, stream_silent_fails_before_whole_timeout)
+{
+    const raw_listener listener;
+    std::atomic<bool> closed{false};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send(stream_header);
+            peer.send(chunk("{\"index\":0}\n"));
+            peer.read_to_end();
+            closed = peer.ended();
+        });
+    http_client client(listener.url());
+    int received = 0;
+    expect_failure(client.stream(post("/generate", "{}"), milliseconds(1000), long_timeout,
+                                 [&](std::string_view)
+                                 {
+                                     ++received;
+                                     return true;
+                                 }),
+                   verdict::may_have_run, reason::silent_connection);
+    cr_assert(received == 1);
+    cr_assert(eventually([&] { return closed.load(); }));
+}
+
+// Guards against a steady trickle of tokens that outlives the deadline of its request.
+Test(http_client, stream_trickle_ends_at_whole_timeout)
+{
+    const raw_listener listener;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send(stream_header);
+            while (peer.send(chunk("{\"index\":0}\n")))
+                ::poll(nullptr, 0, poll_step_ms);
+        });
+    http_client client(listener.url());
+    expect_failure(client.stream(post("/generate", "{}"), long_timeout, short_timeout,
+                                 [](std::string_view) { return true; }),
+                   verdict::may_have_run, reason::silent_connection);
+}
+
+// Guards against an endpoint that keeps generating for a caller who has left.
+Test(http_client, stream_handler_returns_false_connection_closed)
+{
+    const raw_listener listener;
+    std::atomic<bool> closed{false};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send(stream_header);
+            peer.send(chunk("{\"index\":0}\n"));
+            peer.read_to_end();
+            closed = peer.ended();
+        });
+    http_client client(listener.url());
+    const auto outcome = client.stream(post("/generate", "{}"), long_timeout, long_timeout,
+                                       [](std::string_view) { return false; });
+    cr_assert(outcome.has_value());
+    cr_assert(eventually([&] { return closed.load(); }));
+}
+
+// Guards against an error answer whose body is fed to the token parser.
+Test(http_client, stream_error_status_body_returned)
+{
+    const raw_listener listener;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
+        });
+    http_client client(listener.url());
+    const auto outcome = client.stream(post("/generate", "{}"), long_timeout, long_timeout,
+                                       [](std::string_view)
+                                       {
+                                           cr_assert_fail("a line of an error answer");
+                                           return true;
+                                       });
+    cr_assert(outcome.has_value());
+    cr_assert(outcome.value().status == 503);
+    cr_assert(outcome.value().body == "busy");
+}
+
+// Guards against an endpoint that exhausts the memory of the VM with an endless line.
+Test(http_client, stream_endless_line_endpoint_error)
+{
+    const raw_listener listener;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send(stream_header);
+            const std::string piece = chunk(std::string(65536, 'x'));
+            while (peer.send(piece))
+            {
+            }
+        });
+    http_client client(listener.url());
+    expect_failure(client.stream(post("/generate", "{}"), long_timeout, long_timeout,
+                                 [](std::string_view) { return true; }),
+                   verdict::may_have_run, reason::endpoint_error);
+}
+
+// Guards against pooled connections that have gone silent and are used again after the reset, and
+// against a reset that cuts calls in progress.
+Test(http_client, reset_connections_new_connection_and_calls_go_on)
+{
+    const raw_listener listener;
+    std::atomic<bool> waiting{false};
+    std::atomic<bool> reset{false};
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket first = listener.accept();
+            first.read_until("\r\n\r\n");
+            first.send(ok_answer);
+            first.read_until("\r\n\r\n");
+            waiting = true;
+            eventually([&] { return reset.load(); });
+            raw_socket second = listener.accept();
+            second.read_until("\r\n\r\n");
+            second.send(ok_answer);
+            first.send(ok_answer);
+        });
+    http_client client(listener.url());
+    cr_assert(client.send(get("/a"), long_timeout).has_value());
+    std::atomic<bool> first_succeeded{false};
+    std::thread in_progress(
+        [&] { first_succeeded = client.send(get("/b"), long_timeout).has_value(); });
+    cr_assert(eventually([&] { return waiting.load(); }));
+    client.reset_connections();
+    reset = true;
+    cr_assert(client.send(get("/c"), long_timeout).has_value());
+    in_progress.join();
+    cr_assert(first_succeeded);
+}
+
+// Guards against a redirect that repeats a request at an address no configuration names.
+Test(http_client, redirect_returned_not_followed)
+{
+    const raw_listener listener;
+    const raw_listener elsewhere;
+    const endpoint_script script(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send("HTTP/1.1 307 Temporary Redirect\r\nLocation: " + elsewhere.url() +
+                      "/loan\r\nContent-Length: 0\r\n\r\n");
+        });
+    http_client client(listener.url());
+    const auto outcome = client.send_once(post("/loan", "{}"), long_timeout);
+    cr_assert(outcome.has_value());
+    cr_assert(outcome.value().status == 307);
+    cr_assert(!elsewhere.accept(milliseconds(0)).valid());
+}
+
+// Guards against answers that reach another call when many share one client and some time out.
+Test(http_client, concurrent_calls_with_timeouts_no_answer_crosses)
+{
+    constexpr int callers = 8;
+    constexpr int calls = 20;
+    const raw_listener listener;
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> peers;
+    std::thread acceptor(
+        [&]
+        {
+            while (!stop)
+            {
+                raw_socket peer = listener.accept(milliseconds(50));
+                if (!peer.valid())
+                    continue;
+                peers.emplace_back(
+                    [peer = std::move(peer)]() mutable
+                    {
+                        for (;;)
+                        {
+                            const std::string head = peer.read_until("\r\n\r\n");
+                            if (peer.ended() || head.size() < 5)
+                                return;
+                            const std::string path = head.substr(4, head.find(' ', 4) - 4);
+                            // Paths that end in 7 are answered late, after the client gave up.
+                            if (path.ends_with('7'))
+                                ::poll(nullptr, 0, 150);
+                            if (!peer.send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                           std::to_string(path.size()) + "\r\n\r\n" + path))
+                                return;
+                        }
+                    });
+            }
+        });
+    std::atomic<int> crossed{0};
+    std::atomic<int> answered{0};
+    {
+        http_client client(listener.url());
+        std::vector<std::thread> threads;
+        for (int c = 0; c < callers; ++c)
+        {
+            threads.emplace_back(
+                [&, c]
+                {
+                    for (int i = 0; i < calls; ++i)
+                    {
+                        const std::string path = "/" + std::to_string(c) + "-" + std::to_string(i);
+                        const bool late = path.ends_with('7');
+                        const auto outcome =
+                            client.send(get(path), late ? milliseconds(50) : long_timeout);
+                        if (!outcome.has_value())
+                            continue;
+                        ++answered;
+                        if (outcome.value().body != path)
+                            ++crossed;
+                    }
+                });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+    }
+    stop = true;
+    acceptor.join();
+    for (std::thread& peer : peers)
+        peer.join();
+    cr_assert(crossed == 0);
+    cr_assert(answered >= callers * (calls - 2));
+}
