Count abandoned calls as foreign until a report shows otherwise

A call that its VM gives up after a timeout may go on at the endpoint; releasing its slot let a cold endpoint get one call too many. endpoint_gate::on_abandoned keeps it counted.

--- a/packages/state/admission.cpp
+++ b/packages/state/admission.cpp
@@ -82,6 +82,15 @@
     }
 }
 
+void endpoint_gate::on_abandoned(time_point now)
+{
+    foreign_ = foreign_after(handover_at_, now);
+    if (foreign_)
+        ++*foreign_;
+    abandoned_at_ = now;
+    on_finished(false, now);
+}
+
 void endpoint_gate::on_restart_suspected(time_point now)
 {
     has_suspicion_ = true;
@@ -99,7 +108,7 @@
     polled_at_ = polled;
     running_ = report.running;
     incarnation_ = report.incarnation;
-    if (polled >= handover_at_ + load_report_lag)
+    if (polled >= std::max(handover_at_, abandoned_at_) + load_report_lag)
         foreign_ = std::min(foreign_.value_or(running_), running_);
 
     if (report.leaving || report.phase == endpoint_phase::leaving)
@@ -154,11 +163,12 @@
 
 std::optional<std::uint32_t> endpoint_gate::foreign_after(time_point handover, time_point now) const
 {
-    if (now - handover >= call_max_duration)
+    const time_point since = std::max(handover, abandoned_at_);
+    if (now - since >= call_max_duration)
         return 0;
     if (handover == handover_at_ && foreign_)
         return foreign_;
-    if (has_report_ && polled_at_ >= handover + load_report_lag)
+    if (has_report_ && polled_at_ >= since + load_report_lag)
         return running_;
     return std::nullopt;
 }
--- a/packages/state/admission.h
+++ b/packages/state/admission.h
@@ -58,12 +58,18 @@
 class endpoint_gate
 {
 public:
-    // Admits one call or says why not. An admitted call must be ended by on_finished.
+    // Admits one call or says why not. An admitted call must be ended by on_finished or
+    // on_abandoned.
     result<void> try_admit(const admission_context& context, time_point now);
 
     // Releases the slot of an admitted call and learns from its end.
     void on_finished(bool succeeded, time_point now);
 
+    // Releases the slot of a call that this VM gives up without knowing its end, after a timeout or
+    // a cancellation. The call may go on at the endpoint and counts as foreign until a report shows
+    // otherwise.
+    void on_abandoned(time_point now);
+
     // The endpoint refused a connection or reset it: it may have restarted and is cold until a
     // report or the ramp says otherwise.
     void on_restart_suspected(time_point now);
@@ -79,13 +85,15 @@
     endpoint_phase phase() const { return phase_; }
     std::uint32_t in_flight() const { return in_flight_; }
 
-    // Upper bound of the calls that former owners left at the endpoint: the least running count of
-    // all reports since the handover. Own calls are not subtracted, because an own call whose
-    // answer was lost has ended at the endpoint but not here.
+    // Upper bound of the calls at the endpoint that are not in flight here: those of former owners
+    // and abandoned ones. It is the least running count of the reports since the handover. Own
+    // calls are not subtracted, because an own call whose answer was lost has ended at the endpoint
+    // but not here; under constant load the bound may therefore stay at half of the allowance until
+    // call_max_duration has passed.
     std::uint32_t foreign(time_point now) const;
 
 private:
-    // The bound above for the handover of the context, or nothing before its first report.
+    // The bound above for the given handover, or nothing before the first report after it.
     std::optional<std::uint32_t> foreign_after(time_point handover, time_point now) const;
     bool is_fresh(time_point now) const;
     void drop_to_cold();
@@ -97,6 +105,7 @@
     std::uint32_t running_ = 0;    // by the last report
     std::optional<std::uint32_t> foreign_;
     time_point handover_at_{};
+    time_point abandoned_at_{};
     time_point last_raise_{};
     time_point polled_at_{};
     time_point suspected_at_{};
