--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -219,6 +219,15 @@
     }
 }
 
+bool membership::knows_domains(const configuration& config) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::all_of(config.domains.begin(), config.domains.end(),
+                       [&](const domain_config& domain) {
+                           return domain.id == options_.domain || other_views_.contains(domain.id);
+                       });
+}
+
 void membership::on_vm_list(const std::set<std::string>& present,
                             const std::set<std::string>& leaving)
 {
--- a/packages/coordination/membership.h
+++ b/packages/coordination/membership.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/table.h"
+#include "state/configuration.h"
 #include "state/routing.h"
 #include "state/view.h"
 #include "state/view_change.h"
@@ -60,6 +61,8 @@
 
     // Reads the views of the other failure domains.
     void poll_other_views();
+    // True when the views of all failure domains of the configuration are known.
+    bool knows_domains(const configuration& config) const;
 
     // Adopts the platform's VM list: names that are gone, and endpoints that are leaving.
     void on_vm_list(const std::set<std::string>& present, const std::set<std::string>& leaving);
--- a/packages/coordination/node.cpp
+++ b/packages/coordination/node.cpp
@@ -223,7 +223,9 @@
     {
         const time_point now = steady_clock::now();
         members_->poll_view(now);
-        if (now - other_views_at >= other_views_interval)
+        // A domain that is not known yet is looked for at each poll.
+        const bool some_unknown = !members_->knows_domains(*config_.current());
+        if (some_unknown || now - other_views_at >= other_views_interval)
         {
             members_->poll_other_views();
             other_views_at = now;
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -405,8 +405,9 @@
     configuration config;
     std::vector<std::string> problems;
     object_reader reader(document, "document", problems);
-    reader.allow(
-        {"defaults", "pipelines", "pools", "services", "accounts", "domains", "exceptions"});
+    // The version and the author come from the row; a document that was read with them is accepted.
+    reader.allow({"version", "author", "defaults", "pipelines", "pools", "services", "accounts",
+                  "domains", "exceptions"});
     if (const json* defaults = reader.find("defaults", false))
         read_defaults(*defaults, config.defaults, problems);
     reader.read_list("pipelines", config.pipelines, read_pipeline);
