--- a/packages/transport/rpc.cpp
+++ b/packages/transport/rpc.cpp
@@ -45,6 +45,9 @@
 constexpr int keepalive_idle_s = 5;
 constexpr int keepalive_interval_s = 2;
 constexpr int keepalive_count = 3;
+// Keepalive does not cover unacknowledged data, which the system would resend for minutes.
+constexpr unsigned unacknowledged_limit_ms = 10000;
+constexpr std::size_t detail_limit = 4096; // details may quote an endpoint's answer
 
 constexpr std::array<std::string_view, 3> vm_state_names = {"starting", "serving", "draining"};
 
@@ -80,13 +83,14 @@
 
 void set_socket_options(kj::AsyncIoStream& stream)
 {
-    const auto set = [&stream](int level, int option, int value)
+    const auto set = [&stream](int level, int option, auto value)
     { stream.setsockopt(level, option, &value, sizeof(value)); };
     set(IPPROTO_TCP, TCP_NODELAY, 1);
     set(SOL_SOCKET, SO_KEEPALIVE, 1);
     set(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set(IPPROTO_TCP, TCP_KEEPCNT, keepalive_count);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
 }
 
 void write_heartbeat(const heartbeat& beat, wire::Heartbeat::Builder out)
@@ -182,7 +186,7 @@
     out.setFailed(true);
     out.setVerdict(static_cast<std::uint8_t>(error.outcome));
     out.setReason(static_cast<std::uint8_t>(error.why));
-    out.setDetail(to_text(error.detail));
+    out.setDetail(to_text(error.detail.substr(0, detail_limit)));
 }
 
 void write_result(const result<stage_output>& end, wire::StageResult::Builder out)
@@ -295,12 +299,19 @@
     }
 
     // Queues tokens for the event loop; blocks the worker while too many are unsent. False once
-    // the call is cancelled.
+    // the call is cancelled, for tokens over the message limit, and after the deadline: a caller
+    // that vanished without closing its connection neither takes tokens nor cancels.
     bool push(std::uint32_t first, const std::vector<std::string>& items)
     {
+        std::size_t bytes = 0;
+        for (const auto& item : items)
+            bytes += item.size();
         std::unique_lock lock(mutex);
-        space.wait(lock,
-                   [this] { return cancelled->load() || unsent.size() < max_unsent_batches; });
+        const bool ready = space.wait_until(
+            lock, deadline,
+            [this] { return cancelled->load() || unsent.size() < max_unsent_batches; });
+        if (!ready || bytes > text_limit)
+            cancelled->store(true);
         if (cancelled->load())
             return false;
         unsent.push_back({first, items, {}});
@@ -347,6 +358,7 @@
 
     stage_call request;
     const time_point accepted = steady_clock::now();
+    const time_point deadline = accepted + request.time_left;
     const cancel_flag cancelled = std::make_shared<std::atomic<bool>>(false);
     std::atomic<std::size_t>& in_flight_count;
     std::mutex mutex;
@@ -1166,13 +1178,14 @@
             loop_ = &loop;
             {
                 const std::lock_guard lock(mailbox_mutex_);
-                executor_ = &kj::getCurrentThreadExecutor();
+                executor_ = kj::getCurrentThreadExecutor().addRef();
+                accepting_jobs_ = true;
             }
             running = true;
             started.set_value();
             exit.promise.wait(io.waitScope);
             const std::lock_guard lock(mailbox_mutex_);
-            executor_ = nullptr;
+            accepting_jobs_ = false;
         }
         catch (const kj::Exception& error)
         {
@@ -1190,20 +1203,19 @@
             loop_->defer(std::move(job));
             return true;
         }
-        const kj::Executor* executor = nullptr;
+        bool wake = false;
         {
             const std::lock_guard lock(mailbox_mutex_);
-            if (executor_ == nullptr)
+            if (!accepting_jobs_)
                 return false;
-            if (mailbox_.empty())
-                executor = executor_;
+            wake = mailbox_.empty();
             mailbox_.push_back(std::move(job));
         }
-        if (executor == nullptr)
+        if (!wake)
             return true; // the thread that filled the empty mailbox wakes the loop
         try
         {
-            executor->executeSync([this] { loop_->defer([this] { run_mailbox(); }); });
+            executor_->executeSync([this] { loop_->defer([this] { run_mailbox(); }); });
         }
         catch (const kj::Exception&)
         {
@@ -1261,7 +1273,9 @@
 
     std::mutex mailbox_mutex_;
     std::vector<std::function<void()>> mailbox_;
-    const kj::Executor* executor_ = nullptr;
+    bool accepting_jobs_ = false;
+    // An own reference, because posting threads use it without holding the mutex.
+    kj::Own<const kj::Executor> executor_;
 
     std::thread loop_thread_;
     std::uint16_t port_ = 0;
