Show absent members of a status as unknown, not as alarms

An answer without authority_current or reachable was shown as LAPSED and NO. config put no longer prints the dry run's heading above the changes.

--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -338,7 +338,7 @@
                          print_answer(line.command, reply, to);
                      else
                          to.err << "Replacing configuration version " << *version << ":\n"
-                                << format_change(body);
+                                << format_differences(body);
                      return exit_code::done;
                  });
     if (checked != exit_code::done || line.dry_run || !has_changes)
--- a/packages/cli/format.cpp
+++ b/packages/cli/format.cpp
@@ -50,6 +50,15 @@
     return value.is_boolean() && value.as_bool();
 }
 
+// A boolean member in words; "-" when it is absent, so that an old server raises no alarm.
+std::string flag(const web::json::value& object, const std::string& name, const std::string& yes,
+                 const std::string& no)
+{
+    if (!child(object, name).is_boolean())
+        return "-";
+    return is_true(object, name) ? yes : no;
+}
+
 // "refusals: busy 12, draining 1", the most frequent first.
 std::string format_counts(const std::string& title, const web::json::value& counts)
 {
@@ -110,16 +119,20 @@
 
 std::string format_change(const web::json::value& answer)
 {
-    const std::vector<web::json::value> changes = items(answer, "changes");
     const std::string version = member(answer, "version");
-    if (changes.empty())
+    if (items(answer, "changes").empty())
         return "nothing to change, version " + version + " stays in effect\n";
     std::string text = is_true(answer, "dry_run") ? "dry run, would become version " + version
                                                   : "accepted as version " + version;
     if (child(answer, "id").is_string())
         text += ", exception " + member(answer, "id");
-    text += "\n";
-    for (const web::json::value& change : changes)
+    return text + "\n" + format_differences(answer);
+}
+
+std::string format_differences(const web::json::value& answer)
+{
+    std::string text;
+    for (const web::json::value& change : items(answer, "changes"))
         text += "  " + (change.is_string() ? change.as_string() : change.serialize()) + "\n";
     return text;
 }
@@ -169,7 +182,7 @@
     text += "configuration version " + member(configuration, "version") + " by " +
             member(configuration, "author") + "\n";
     text += "view version " + member(view, "version") + ", authority " +
-            (is_true(view, "authority_current") ? "current" : "LAPSED") + ", members " +
+            flag(view, "authority_current", "current", "LAPSED") + ", members " +
             joined(items(view, "members"), " ") + ", former " + joined(items(view, "former"), " ") +
             "\n\n";
     std::vector<std::vector<std::string>> peers = {
@@ -177,7 +190,7 @@
     for (const web::json::value& peer : items(answer, "peers"))
         peers.push_back({member(peer, "vm"), member(peer, "failure_domain"),
                          member(peer, "address"), member(peer, "state"),
-                         is_true(peer, "reachable") ? "yes" : "NO",
+                         flag(peer, "reachable", "yes", "NO"),
                          member(peer, "configuration_version")});
     text += format_table(peers) + "\n";
     text += format_rows(items(answer, "endpoints"),
--- a/packages/cli/format.h
+++ b/packages/cli/format.h
@@ -14,6 +14,7 @@
 
 // Answers of docs/api.md. A member that is missing or of another type is shown as "-".
 std::string format_change(const web::json::value& answer);
+std::string format_differences(const web::json::value& answer); // only the changes of a change
 std::string format_history(const web::json::value& answer);
 std::string format_order(const web::json::value& answer);
 std::string format_settled(const web::json::value& answer);
--- a/tests/unit/cli_test.cpp
+++ b/tests/unit/cli_test.cpp
@@ -460,7 +460,8 @@
     cr_assert(client.sent[0].path == "/admin/v1/config?dry_run=true");
     cr_assert(client.sent[1].path == "/admin/v1/config" && client.sent[1].method == "PUT");
     cr_assert(client.sent[1].headers["If-Match"] == "\"12\"");
-    cr_assert(done.err.find("Replacing configuration version 12") == 0);
+    cr_assert(done.err == "Replacing configuration version 12:\n  a -> b\n", "%s",
+              done.err.c_str());
     cr_assert(done.out.find("accepted as version 13") == 0);
     done = run({"config", "put", file.path(), "--expected-version", "13"}, client);
     cr_assert(done.code == exit_code::not_run);
@@ -508,7 +509,7 @@
 Test(format, answer_with_missing_members_is_shown)
 {
     const web::json::value empty = web::json::value::object();
-    cr_assert(!format_status(empty).empty());
+    cr_assert(format_status(empty).find("authority -,") != std::string::npos);
     cr_assert(!format_history(empty).empty());
     cr_assert(!format_order(web::json::value::null()).empty());
     cr_assert(!format_settled(empty).empty());
