Add logs and metrics, and tests of the HTTP server

Logs go to standard error through a dispatch callback of easylogging++, because its own one writes to standard output. A full pipe loses lines and counts them instead of stopping the process.

The server test found that Boost's system_error is not derived from the standard one that the header promises; start() translates it. A "Connection: close" header on send_once was ruled out: cpprestsdk adds "Connection: Keep-Alive" to it.

--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -460,10 +460,10 @@
 result<client_reply> http_client::send_once(const client_request& request, milliseconds timeout,
                                             const cancel_flag& cancelled)
 {
+    // The connection is closed with its client. A "Connection: close" header can't say so to the
+    // endpoint, because cpprestsdk always adds "Connection: Keep-Alive".
     call current(impl_->make_inner(), cancelled, steady_clock::now() + timeout);
-    client_request once = request;
-    once.headers["Connection"] = "close";
-    BOOST_OUTCOME_TRY(reply, current.open(once, current.deadline()));
+    BOOST_OUTCOME_TRY(reply, current.open(request, current.deadline()));
     return read_all(current, std::move(reply), timeout);
 }
 
--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -1160,13 +1160,21 @@
 
 void http_server::impl::start()
 {
-    const tcp::endpoint endpoint(asio::ip::make_address(state_.options.address),
-                                 state_.options.port);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
-    port_ = acceptor_.local_endpoint().port();
+    try
+    {
+        const tcp::endpoint endpoint(asio::ip::make_address(state_.options.address),
+                                     state_.options.port);
+        acceptor_.open(endpoint.protocol());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        acceptor_.bind(endpoint);
+        acceptor_.listen(asio::socket_base::max_listen_connections);
+        port_ = acceptor_.local_endpoint().port();
+    }
+    catch (const boost::system::system_error& e)
+    {
+        // Boost's exception is not derived from the standard one.
+        throw std::system_error(e.code(), e.what());
+    }
     asio::post(acceptor_.get_executor(), [this] { accept(); });
     for (std::size_t i = 0; i < std::max<std::size_t>(state_.options.io_threads, 1); ++i)
         threads_.emplace_back([this] { run_io(); });
--- /dev/null
+++ b/packages/transport/log.cpp
@@ -0,0 +1,227 @@
+#include "transport/log.h"
+
+#include <easylogging++.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <ctime>
+#include <mutex>
+#include <utility>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
+
+constexpr const char* default_sink = "DefaultLogDispatchCallback";
+constexpr const char* stderr_sink = "stderr_callback";
+
+std::atomic<log_level> least_level{log_level::info};
+
+std::mutex vm_mutex;
+std::string& vm_name()
+{
+    static std::string name;
+    return name;
+}
+
+// Writes the message as it is; easylogging++ itself would write to standard output. easylogging++
+// calls it under its lock, so one line is written at a time.
+class stderr_callback : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData* data) override
+    {
+        if (!writable())
+        {
+            ++lost_;
+            return;
+        }
+        std::string line = data->logMessage()->message();
+        if (lost_ > 0)
+            line += " lost_lines=" + std::to_string(std::exchange(lost_, 0));
+        line += '\n';
+        std::string_view rest = line;
+        while (!rest.empty())
+        {
+            const ssize_t count = ::write(STDERR_FILENO, rest.data(), rest.size());
+            if (count < 0 && errno == EINTR)
+                continue;
+            if (count <= 0)
+                return;
+            rest.remove_prefix(static_cast<std::size_t>(count));
+        }
+    }
+
+private:
+    // False while the reader of standard error is stuck and its pipe is full. Blocking there would
+    // stop every thread that logs; the lines are counted instead and the next one says how many
+    // were lost.
+    static bool writable()
+    {
+        pollfd descriptor{STDERR_FILENO, POLLOUT, 0};
+        return ::poll(&descriptor, 1, 0) != 0;
+    }
+
+    std::uint64_t lost_ = 0;
+};
+
+// Makes standard error the only output. The VMs have no disk, so no file is ever opened.
+void install_sink()
+{
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    settings.setGlobally(el::ConfigurationType::Format, "%msg");
+    el::Loggers::setDefaultConfigurations(settings, true);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(default_sink);
+    el::Helpers::installLogDispatchCallback<stderr_callback>(stderr_sink);
+}
+
+// UTC time with milliseconds, as in 2026-01-31T09:30:00.125Z.
+std::string utc_now()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    const std::time_t seconds = since_epoch / 1000;
+    std::tm parts{};
+    ::gmtime_r(&seconds, &parts);
+    std::array<char, 32> date{};
+    const std::size_t size = std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 8> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%03dZ", static_cast<int>(since_epoch % 1000));
+    return std::string(date.data(), size) + fraction.data();
+}
+
+bool is_control(char c)
+{
+    return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
+}
+
+bool needs_quotes(std::string_view value)
+{
+    if (value.empty())
+        return true;
+    for (const char c : value)
+    {
+        if (is_control(c) || c == ' ' || c == '"' || c == '=' || c == '\\')
+            return true;
+    }
+    return false;
+}
+
+// Appends the value; escapes keep it on the line and its end recognizable.
+void append_value(std::string& out, std::string_view value)
+{
+    if (!needs_quotes(value))
+    {
+        out += value;
+        return;
+    }
+    out += '"';
+    for (const char c : value)
+    {
+        if (c == '"' || c == '\\')
+            (out += '\\') += c;
+        else if (c == '\n')
+            out += "\\n";
+        else if (is_control(c))
+        {
+            std::array<char, 8> escape{};
+            std::snprintf(escape.data(), escape.size(), "\\x%02x",
+                          static_cast<unsigned>(static_cast<unsigned char>(c)));
+            out += escape.data();
+        }
+        else
+            out += c;
+    }
+    out += '"';
+}
+
+void append_pair(std::string& out, std::string_view key, std::string_view value)
+{
+    if (!out.empty())
+        out += ' ';
+    out += key;
+    out += '=';
+    append_value(out, value);
+}
+
+void dispatch(log_level level, const std::string& line)
+{
+    switch (level)
+    {
+    case log_level::debug:
+        LOG(DEBUG) << line;
+        return;
+    case log_level::info:
+        LOG(INFO) << line;
+        return;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        return;
+    case log_level::error:
+        LOG(ERROR) << line;
+        return;
+    }
+}
+
+} // namespace
+
+std::string_view to_string(log_level value)
+{
+    return level_names[static_cast<std::size_t>(value)];
+}
+
+bool from_string(std::string_view name, log_level& out)
+{
+    for (std::size_t i = 0; i < level_names.size(); ++i)
+    {
+        if (level_names[i] != name)
+            continue;
+        out = static_cast<log_level>(i);
+        return true;
+    }
+    return false;
+}
+
+void configure_log(log_level least, std::string vm)
+{
+    least_level = least;
+    const std::lock_guard lock(vm_mutex);
+    vm_name() = std::move(vm);
+}
+
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (level < least_level)
+        return;
+    static std::once_flag installed;
+    std::call_once(installed, install_sink);
+    std::string line;
+    append_pair(line, "time", utc_now());
+    append_pair(line, "level", to_string(level));
+    {
+        const std::lock_guard lock(vm_mutex);
+        append_pair(line, "vm", vm_name());
+    }
+    append_pair(line, "event", event);
+    for (const auto& [key, value] : fields)
+        append_pair(line, key, value);
+    dispatch(level, line);
+}
+
+} // namespace zinnianotch
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -165,25 +165,32 @@
                    reason::connection_broken);
 }
 
-// Guards against a non-idempotent call on a reused connection, which the library may send twice.
+// Guards against a non-idempotent call on a reused connection, which the library may send twice,
+// and against connections of such calls that stay open.
 Test(http_client, send_once_repeated_fresh_connection_each)
 {
     const raw_listener listener;
-    std::vector<raw_socket> peers;
+    std::atomic<int> closed{0};
     const endpoint_script script(
         [&]
         {
-            for (int i = 0; i < 3; ++i)
+            raw_socket pooled = listener.accept();
+            pooled.read_until("\r\n\r\n");
+            pooled.send(ok_answer);
+            for (int i = 0; i < 2; ++i)
             {
-                peers.push_back(listener.accept());
-                peers.back().read_until("\r\n\r\n");
-                peers.back().send(ok_answer);
+                raw_socket fresh = listener.accept();
+                fresh.read_until("\r\n\r\n{}");
+                fresh.send(ok_answer);
+                if (fresh.read_to_end().empty() && fresh.ended())
+                    ++closed;
             }
         });
     http_client client(listener.url());
     cr_assert(client.send(get("/load"), long_timeout).has_value());
     cr_assert(client.send_once(post("/loan", "{}"), long_timeout).has_value());
     cr_assert(client.send_once(post("/loan", "{}"), long_timeout).has_value());
+    cr_assert(eventually([&] { return closed == 2; }));
 }
 
 // Guards against a pool that is never used: each call would pay for a connection of its own.
@@ -556,6 +563,7 @@
     {
         http_client client(listener.url());
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int c = 0; c < callers; ++c)
         {
             threads.emplace_back(
--- /dev/null
+++ b/tests/unit/metrics_test.cpp
@@ -0,0 +1,140 @@
+// Counters and histograms count every event and are written in the Prometheus text format.
+#include "transport/metrics.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace zinnianotch;
+
+namespace
+{
+
+bool has_line(const std::string& text, const std::string& line)
+{
+    return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+}
+
+void expect_line(const std::string& text, const std::string& line)
+{
+    cr_assert(has_line(text, line), "no line %s", line.c_str());
+}
+
+} // namespace
+
+// Guards against events lost when many workers count at once.
+Test(metrics, concurrent_events_all_counted)
+{
+    constexpr int threads = 8;
+    constexpr int events = 2000;
+    metrics counted;
+    std::vector<std::thread> workers;
+    workers.reserve(threads);
+    for (int t = 0; t < threads; ++t)
+    {
+        workers.emplace_back(
+            [&]
+            {
+                for (int i = 0; i < events; ++i)
+                {
+                    counted.count("requests_total");
+                    counted.count_refusal(reason::overloaded, verdict::not_run);
+                    counted.count_retry(reason::busy);
+                    counted.record_stage("draft", "rerank", std::chrono::microseconds(i));
+                }
+            });
+    }
+    for (std::thread& worker : workers)
+        worker.join();
+    cr_assert(counted.counter("requests_total") == threads * events);
+    cr_assert(counted.refusals(reason::overloaded) == threads * events);
+    cr_assert(counted.retries(reason::busy) == threads * events);
+    expect_line(counted.scrape(),
+                "zinnianotch_stage_seconds_count{pipeline=\"draft\",stage=\"rerank\"} 16000");
+}
+
+// Guards against a reason that operators cannot tell apart, or that appears only after its first
+// event and so hides it from a rate.
+Test(metrics, scrape_every_reason_and_verdict_present)
+{
+    metrics counted;
+    counted.count_refusal(reason::order_in_progress, verdict::may_have_run);
+    counted.count_refusal(reason::order_in_progress, verdict::not_run);
+    counted.count_refusal(reason::order_in_progress, verdict::not_run);
+    cr_assert(counted.refusals(reason::order_in_progress) == 3);
+    cr_assert(counted.refusals(reason::busy) == 0);
+    const std::string text = counted.scrape();
+    expect_line(text, "# TYPE zinnianotch_refusals_total counter");
+    expect_line(text,
+                "zinnianotch_refusals_total{reason=\"order_in_progress\",verdict=\"not_run\"} 2");
+    expect_line(
+        text,
+        "zinnianotch_refusals_total{reason=\"order_in_progress\",verdict=\"may_have_run\"} 1");
+    for (std::size_t i = 0; i < reason_count; ++i)
+    {
+        const std::string name(to_string(static_cast<reason>(i)));
+        expect_line(text, "zinnianotch_retries_total{reason=\"" + name + "\"} 0");
+    }
+}
+
+// Guards against names without the prefix, gauges that only grow and counts by more than one.
+Test(metrics, scrape_named_values_prefixed)
+{
+    metrics counted;
+    counted.count("tokens_total", 40);
+    counted.count("tokens_total", 2);
+    counted.set_gauge("config_version", 12);
+    counted.set_gauge("config_version", -3);
+    cr_assert(counted.counter("tokens_total") == 42);
+    cr_assert(counted.counter("unknown") == 0);
+    const std::string text = counted.scrape();
+    expect_line(text, "# TYPE zinnianotch_tokens_total counter");
+    expect_line(text, "zinnianotch_tokens_total 42");
+    expect_line(text, "# TYPE zinnianotch_config_version gauge");
+    expect_line(text, "zinnianotch_config_version -3");
+}
+
+// Guards against times on a bucket's bound counted in the next bucket, buckets that are not
+// cumulative, and times beyond the last bound left out of the count.
+Test(metrics, record_stage_buckets_cumulative_and_inclusive)
+{
+    metrics counted;
+    for (const int us : {0, 1000, 1001, 33000, 60000000, 60000001})
+        counted.record_stage("draft", "generate", std::chrono::microseconds(us));
+    const std::string text = counted.scrape();
+    const std::string series =
+        "zinnianotch_stage_seconds_bucket{pipeline=\"draft\",stage=\"generate\",le=";
+    expect_line(text, "# TYPE zinnianotch_stage_seconds histogram");
+    expect_line(text, series + "\"0.001\"} 2");
+    expect_line(text, series + "\"0.002\"} 3");
+    expect_line(text, series + "\"0.02\"} 3");
+    expect_line(text, series + "\"0.033\"} 4");
+    expect_line(text, series + "\"60\"} 5");
+    expect_line(text, series + "\"+Inf\"} 6");
+    expect_line(text,
+                "zinnianotch_stage_seconds_sum{pipeline=\"draft\",stage=\"generate\"} 120.035002");
+    expect_line(text, "zinnianotch_stage_seconds_count{pipeline=\"draft\",stage=\"generate\"} 6");
+}
+
+// Guards against a pipeline name that breaks the text format for the whole page.
+Test(metrics, scrape_label_with_quote_escaped)
+{
+    metrics counted;
+    counted.record_stage("a\"b\\c\nd", "s", std::chrono::microseconds(1));
+    expect_line(counted.scrape(),
+                "zinnianotch_stage_seconds_count{pipeline=\"a\\\"b\\\\c\\nd\",stage=\"s\"} 1");
+}
+
+// Guards against memory that grows with every pipeline that a configuration ever named.
+Test(metrics, record_stage_many_pipelines_bounded)
+{
+    constexpr int pipelines = 5000;
+    metrics counted;
+    for (int i = 0; i < pipelines; ++i)
+        counted.record_stage("p" + std::to_string(i), "s", std::chrono::microseconds(1));
+    const std::string text = counted.scrape();
+    expect_line(text, "zinnianotch_stage_seconds_count{pipeline=\"other\",stage=\"other\"} 3976");
+    cr_assert(!has_line(text, "zinnianotch_stage_seconds_count{pipeline=\"p4999\",stage=\"s\"} 1"));
+}
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -156,7 +156,9 @@
         : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         const sockaddr_in wanted = raw_socket::loopback(0);
-        ::bind(socket_.descriptor(), reinterpret_cast<const sockaddr*>(&wanted), sizeof wanted);
+        if (::bind(socket_.descriptor(), reinterpret_cast<const sockaddr*>(&wanted),
+                   sizeof wanted) != 0)
+            return; // port 0 makes every later step of the test fail
         sockaddr_in bound{};
         socklen_t size = sizeof bound;
         ::getsockname(socket_.descriptor(), reinterpret_cast<sockaddr*>(&bound), &size);
