--- a/packages/coordination/node.cpp
+++ b/packages/coordination/node.cpp
@@ -54,8 +54,7 @@
     members_ = std::make_unique<membership>(member, view_table_);
     dispatcher_ = std::make_unique<dispatcher>(config_, *members_, counters_);
     router_ = std::make_unique<attempt_router>(*members_, *dispatcher_, loads_);
-    runner_ = std::make_unique<pipeline_runner<least_load>>(config_, *members_, *router_, loads_,
-                                                            counters_);
+    make_runner();
     orders_ = std::make_unique<order_book>(table_, counters_);
     peers_->start();
     members_->set_peer_address(address_of(options_.peers, peers_->port()));
@@ -70,6 +69,39 @@
         threads_.emplace_back([this](std::stop_token stop) { vm_list_loop(stop); });
 }
 
+void node::make_runner()
+{
+    const auto emplace = [this]<typename Runner>()
+    { runner_.emplace<Runner>(config_, *members_, *router_, loads_, counters_); };
+    switch (options_.routing)
+    {
+    case routing_kind::least_load:
+        return emplace.operator()<pipeline_runner<least_load>>();
+    case routing_kind::round_robin:
+        return emplace.operator()<pipeline_runner<round_robin>>();
+    case routing_kind::least_reported_load:
+        return emplace.operator()<pipeline_runner<least_reported_load>>();
+    }
+}
+
+result<pipeline_result> node::run_pipeline(const pipeline_config& pipeline,
+                                           const configuration_ptr& config,
+                                           const pipeline_request& request,
+                                           const token_handler& on_tokens)
+{
+    return with_runner([&](auto& runner)
+                       { return runner.run(pipeline, config, request, on_tokens); });
+}
+
+result<stage_output> node::call_service(const service_config& service,
+                                        const operation_config& operation,
+                                        const configuration_ptr& config,
+                                        const pipeline_request& request)
+{
+    return with_runner([&](auto& runner)
+                       { return runner.call_service(service, operation, config, request); });
+}
+
 // The incarnation must be higher than that of every earlier process with this VM's name. The wall
 // clock is such a number on one VM; a replaced VM with a slower clock learns the last one from the
 // view row.
--- a/packages/coordination/node.h
+++ b/packages/coordination/node.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <variant>
 #include <vector>
 
 namespace zinnianotch
@@ -30,8 +31,13 @@
     std::vector<std::string> seeds;
     std::string table_url;
     std::string vm_list_url; // empty when there is no VM list
+    routing_kind routing = routing_kind::least_load;
 };
 
+// The runner of the chosen routing policy; empty before the node is started.
+using any_runner = std::variant<std::monostate, pipeline_runner<least_load>,
+                                pipeline_runner<round_robin>, pipeline_runner<least_reported_load>>;
+
 class node final : public rpc_service
 {
 public:
@@ -58,11 +64,20 @@
 
     config_store& config() { return config_; }
     membership& members() { return *members_; }
-    pipeline_runner<least_load>& runner() { return *runner_; }
     order_book& orders() { return *orders_; }
     load_map& loads() { return loads_; }
     metrics& counters() { return counters_; }
 
+    // See pipeline_runner; the routing policy is the one of the options.
+    result<pipeline_result> run_pipeline(const pipeline_config& pipeline,
+                                         const configuration_ptr& config,
+                                         const pipeline_request& request,
+                                         const token_handler& on_tokens);
+    result<stage_output> call_service(const service_config& service,
+                                      const operation_config& operation,
+                                      const configuration_ptr& config,
+                                      const pipeline_request& request);
+
     // Calls at the owned endpoints and stage calls of other VMs in progress.
     std::size_t in_flight() const;
 
@@ -75,6 +90,19 @@
 private:
     heartbeat make_heartbeat(bool whole_domain);
     std::uint64_t choose_incarnation();
+    void make_runner();
+
+    // Calls `use` with the runner in place.
+    template <typename Use>
+    auto with_runner(Use use) -> decltype(use(std::declval<pipeline_runner<least_load>&>()))
+    {
+        if (auto* runner = std::get_if<pipeline_runner<round_robin>>(&runner_))
+            return use(*runner);
+        if (auto* runner = std::get_if<pipeline_runner<least_reported_load>>(&runner_))
+            return use(*runner);
+        return use(std::get<pipeline_runner<least_load>>(runner_));
+    }
+
     void heartbeat_loop(std::stop_token stop);
     void view_loop(std::stop_token stop);
     void config_loop(std::stop_token stop);
@@ -93,7 +121,7 @@
     std::unique_ptr<membership> members_;
     std::unique_ptr<dispatcher> dispatcher_;
     std::unique_ptr<attempt_router> router_;
-    std::unique_ptr<pipeline_runner<least_load>> runner_;
+    any_runner runner_;
     std::unique_ptr<order_book> orders_;
     std::unique_ptr<rpc_node> peers_;
     std::atomic<vm_state> state_{vm_state::starting};
--- a/packages/daemon/api.cpp
+++ b/packages/daemon/api.cpp
@@ -419,7 +419,7 @@
         sent = first + static_cast<std::uint32_t>(items.size());
         return response.write(lines);
     };
-    result<pipeline_result> done = node_.runner().run(*pipeline, config, run, on_tokens);
+    result<pipeline_result> done = node_.run_pipeline(*pipeline, config, run, on_tokens);
     const auto elapsed =
         std::chrono::duration_cast<milliseconds>(steady_clock::now() - request.received);
     log_event(log_level::info, "pipeline",
@@ -476,7 +476,7 @@
     call.account = account.value()->name;
     call.input = request.http->body;
     call.deadline = deadline.value();
-    result<stage_output> output = node_.runner().call_service(*service, *operation, config, call);
+    result<stage_output> output = node_.call_service(*service, *operation, config, call);
     if (!output)
         return send_error(request, response, output.error());
     response.send(static_cast<int>(output.value().status), json_type,
@@ -507,7 +507,7 @@
     call.deadline = deadline;
     const auto make_call = [&]() -> result<service_answer>
     {
-        result<stage_output> output = node_.runner().call_service(service, operation, config, call);
+        result<stage_output> output = node_.call_service(service, operation, config, call);
         if (!output)
             return output.error();
         return service_answer{static_cast<int>(output.value().status),
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -78,6 +78,7 @@
         options.seeds.push_back(to_string(seed));
     options.table_url = config.table_url;
     options.vm_list_url = config.vm_list_url;
+    options.routing = config.routing;
     return options;
 }
 
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -155,7 +155,9 @@
     void read_seeds(const YAML::Node& root, settings& out);
     void read_keys(const YAML::Node& root, settings& out);
     void read_limits(const YAML::Node& root, settings& out);
-    void read_log_level(const YAML::Node& root, settings& out);
+    template <typename Enum>
+    void read_enum(const YAML::Node& root, std::string_view key,
+                   const std::vector<std::string_view>& names, Enum& out);
 
     std::vector<settings_problem>& problems_;
     std::map<std::string, std::pair<std::string, int>> key_holders_; // key: holder and line
@@ -459,12 +461,14 @@
     read_number(*limits, "limits", "body_bytes", body_rule, out.limits.body_bytes);
 }
 
-void settings_reader::read_log_level(const YAML::Node& root, settings& out)
+template <typename Enum>
+void settings_reader::read_enum(const YAML::Node& root, std::string_view key,
+                                const std::vector<std::string_view>& names, Enum& out)
 {
-    const std::optional<std::string> text = scalar(root, "", "log_level");
-    if (text && !from_string(*text, out.least_level))
-        add(line_of_key(root, "log_level"), "log_level: unknown level " + *text,
-            name_hint(*text, {"debug", "info", "warning", "error"}));
+    const std::optional<std::string> text = scalar(root, "", key);
+    if (text && !from_string(*text, out))
+        add(line_of_key(root, key), std::string(key) + ": unknown value " + *text,
+            name_hint(*text, names));
 }
 
 settings settings_reader::read(const YAML::Node& root)
@@ -479,7 +483,8 @@
                     {"keys"},
                     {"limits", false},
                     {"balancer_grace_ms", false},
-                    {"log_level", false}}))
+                    {"log_level", false},
+                    {"routing", false}}))
         return out;
     read_name(root, "", "vm", out.vm);
     read_name(root, "", "failure_domain", out.failure_domain);
@@ -500,7 +505,8 @@
     std::uint32_t grace = static_cast<std::uint32_t>(out.balancer_grace.count());
     read_number(root, "", "balancer_grace_ms", grace_rule, grace);
     out.balancer_grace = milliseconds(grace);
-    read_log_level(root, out);
+    read_enum(root, "log_level", {"debug", "info", "warning", "error"}, out.least_level);
+    read_enum(root, "routing", {"least_load", "round_robin", "least_reported_load"}, out.routing);
     return out;
 }
 
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -1,6 +1,7 @@
 // Settings of one entry VM, read from a YAML file at the start.
 #pragma once
 
+#include "state/routing.h"
 #include "state/time.h"
 #include "state/verdict.h"
 #include "transport/log.h"
@@ -66,6 +67,7 @@
     server_limits limits;
     milliseconds balancer_grace{5000}; // from SIGTERM to the first refused connection
     log_level least_level = log_level::info;
+    routing_kind routing = routing_kind::least_load;
 };
 
 // One mistake in a settings file. Never holds a key.
--- a/packages/state/routing.cpp
+++ b/packages/state/routing.cpp
@@ -1,6 +1,7 @@
 #include "state/routing.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace zinnianotch
@@ -9,6 +10,9 @@
 namespace
 {
 
+constexpr std::array<std::string_view, 3> routing_kind_names = {"least_load", "round_robin",
+                                                                "least_reported_load"};
+
 constexpr milliseconds retry_window{10'000};
 constexpr std::uint32_t retry_constant = 10; // lets a pool with little traffic retry at all
 
@@ -56,6 +60,23 @@
 
 } // namespace
 
+std::string_view to_string(routing_kind value)
+{
+    return routing_kind_names[static_cast<std::size_t>(value)];
+}
+
+bool from_string(std::string_view name, routing_kind& out)
+{
+    for (std::size_t i = 0; i < routing_kind_names.size(); ++i)
+    {
+        if (routing_kind_names[i] != name)
+            continue;
+        out = static_cast<routing_kind>(i);
+        return true;
+    }
+    return false;
+}
+
 std::size_t least_load::choose(const std::vector<endpoint_summary>& candidates,
                                const routing_query& query) const
 {
--- a/packages/state/routing.h
+++ b/packages/state/routing.h
@@ -70,6 +70,17 @@
 static_assert(routing_policy<least_load> && routing_policy<round_robin> &&
               routing_policy<least_reported_load>);
 
+// The policies by name, for the settings and for comparisons in one run.
+enum class routing_kind
+{
+    least_load,
+    round_robin,
+    least_reported_load
+};
+
+std::string_view to_string(routing_kind value);
+bool from_string(std::string_view name, routing_kind& out);
+
 // Bounds the retries of one pool: a share of the first attempts plus a small constant, over a
 // sliding window, so that a slow stage is not made slower by its own retries.
 class retry_budget
