--- a/tests/process/fixture.cpp
+++ b/tests/process/fixture.cpp
@@ -482,7 +482,8 @@
          << base_url(vm_list.port()) << "\"}\nkeys:\n  accounts: [{account: library-1, key: \""
          << caller_key << "\"}]\n  operators:\n    - {name: night-shift, key: \"" << operator_key
          << "\", team: \"\"}\n    - {name: catalogue-desk, key: \"" << team_operator_key
-         << "\", team: catalogue}\nbalancer_grace_ms: 0\nlog_level: info\n";
+         << "\", team: catalogue}\nbalancer_grace_ms: 0\nlog_level: info\n"
+         << options_.settings_lines;
     if (!file.flush())
         throw std::runtime_error("cannot write " + target.settings_file);
 }
@@ -505,12 +506,14 @@
 }
 
 http_lines deployment::run_pipeline(const vm& target, const std::string& input,
-                                    milliseconds deadline) const
+                                    milliseconds deadline,
+                                    const zinnianotch::line_handler& on_line) const
 {
     return http_stream(target.callers, "/v1/pipelines/suggest",
                        object({{"input", value(input)}}).serialize(),
                        {{"Authorization", std::string("Bearer ") + caller_key},
-                        {"Deadline-Ms", std::to_string(deadline.count())}});
+                        {"Deadline-Ms", std::to_string(deadline.count())}},
+                       on_line);
 }
 
 http_answer deployment::place(const vm& target, const std::string& key,
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -145,6 +145,7 @@
     bool start_vms = true;
     std::vector<std::string> endpoint_arguments; // further options of every endpoint stand-in
     std::function<void(web::json::value& document)> adjust; // changes the first configuration
+    std::string settings_lines;                             // added to the settings file of each VM
 };
 
 // Two failure domains, dom-a and dom-b. Per domain: VMs vm-a1, vm-a2 ..., endpoints encoder-a1,
@@ -176,7 +177,8 @@
 
     // Requests by the account library-1 and by the fleet operator night-shift.
     http_lines run_pipeline(const vm& target, const std::string& input,
-                            milliseconds deadline = milliseconds{5000}) const;
+                            milliseconds deadline = milliseconds{5000},
+                            const zinnianotch::line_handler& on_line = nullptr) const;
     http_answer place(const vm& target, const std::string& key, const std::string& order) const;
     http_answer admin(const vm& target, const std::string& method, const std::string& path,
                       const std::string& body = {}, const header_map& headers = {}) const;
