--- /dev/null
+++ b/tests/process/standin_test.cpp
@@ -0,0 +1,222 @@
+// The stand-ins and the fault proxy inject what the other process tests rely on.
+#include "../standins/token_text.h"
+#include "fixture.h"
+
+#include <criterion/criterion.h>
+
+#include <future>
+
+using namespace fixture;
+
+namespace
+{
+
+http_answer put(const standin& table, const std::string& key, const std::string& value,
+                const header_map& condition)
+{
+    return http(table.port(), "PUT", "/rows/" + key, value, condition);
+}
+
+const header_map if_absent = {{"If-None-Match", "*"}};
+
+} // namespace
+
+// Guards against a table that lets two racing writers both win.
+Test(standin_table, put_condition_fails_conflict)
+{
+    const standin table("table");
+    cr_assert(put(table, "config/0000000001", "{\"n\":1}", if_absent).status == 201);
+    cr_assert(put(table, "config/0000000001", "{\"n\":2}", if_absent).status == 412);
+    const auto first = http(table.port(), "GET", "/rows/config%2F0000000001");
+    cr_assert(first.status == 200);
+    const header_map if_first = {{"If-Match", first.headers.at("etag")}};
+    cr_assert(put(table, "config/0000000001", "{\"n\":3}", if_first).status == 200);
+    cr_assert(put(table, "config/0000000001", "{\"n\":4}", if_first).status == 412);
+    cr_assert(put(table, "config/0000000009", "{}", if_first).status == 412);
+    cr_assert(http(table.port(), "GET", "/rows/config/0000000001").body == "{\"n\":3}");
+    cr_assert(table.count("conflicts") == 3);
+}
+
+// Guards against a listing that leaves the prefix, its order or its limit.
+Test(standin_table, list_prefix_pages_in_key_order)
+{
+    const standin table("table");
+    for (const char* key : {"view/b", "config/3", "config/1", "config/2", "order/a/1"})
+        cr_assert(put(table, key, "{}", if_absent).status == 201);
+    const auto page = [&](const std::string& after)
+    {
+        std::string keys;
+        const auto list =
+            http(table.port(), "GET", "/rows?prefix=config/&after=" + after + "&limit=2").json();
+        for (const auto& row : list.at("rows").as_array())
+            keys += row.at("key").as_string() + ' ';
+        return keys;
+    };
+    cr_assert(page("") == "config/1 config/2 ");
+    cr_assert(page("config%2F2") == "config/3 ");
+    cr_assert(page("config/3").empty());
+}
+
+// Guards against a lost answer that also loses the write, which would hide recovery faults.
+Test(standin_table, put_answer_lost_takes_effect)
+{
+    const standin table("table");
+    table.control("{\"lose_answers_percent\":100}");
+    cr_assert(put(table, "order/a/1", "{\"n\":1}", if_absent).status == 0);
+    cr_assert(http(table.port(), "GET", "/rows/order/a/1").body == "{\"n\":1}");
+}
+
+// Guards against overruns of a cold endpoint that go uncounted, and work that cannot be cancelled.
+Test(standin_endpoint, cold_overrun_refused_and_counted)
+{
+    const standin stage("stage",
+                        {"--cold-ms", "-1", "--cold-capacity", "1", "--work-ms", "600000"});
+    const auto run = [&](const char* attempt) {
+        return http(stage.port(), "POST", "/run", std::string("{\"attempt\":\"") + attempt + "\"}");
+    };
+    auto first = std::async(std::launch::async, run, "first");
+    cr_assert(eventually([&] { return stage.count("running") == 1; }));
+    cr_assert(run("second").status == 503);
+    cr_assert(http(stage.port(), "POST", "/cancel", "{\"attempt\":\"first\"}").status == 200);
+    cr_assert(first.get().status == 0);
+    const auto counters = stage.counters();
+    cr_assert(counters.at("overruns").as_integer() == 1);
+    cr_assert(counters.at("peak_running_while_cold").as_integer() == 2);
+    cr_assert(counters.at("starts").as_integer() == 1);
+    cr_assert(counters.at("cancelled").as_integer() == 1);
+}
+
+// Guards against a swapped answer that still carries the right attempt or output.
+Test(standin_endpoint, swap_attempts_answers_for_other_request)
+{
+    const standin stage("stage", {"--stage", "encoder"});
+    const auto run = [&](const char* body)
+    { return http(stage.port(), "POST", "/run", body).json(); };
+    const auto right = run(R"({"attempt":"r1","input":"x"})");
+    cr_assert(right.at("attempt").as_string() == "r1");
+    cr_assert(right.at("output").as_string() == "encoder(x)");
+    stage.control("{\"swap_attempts\":true}");
+    const auto swapped = run(R"({"attempt":"r2","input":"y"})");
+    cr_assert(swapped.at("attempt").as_string() == "r1");
+    cr_assert(swapped.at("output").as_string() == "encoder(x)");
+}
+
+// Guards against tokens that depend on anything but input and index, so that no test could check
+// the content of a resumed stream.
+Test(standin_engine, stream_cut_resume_joins_up)
+{
+    const standin engine("engine");
+    engine.control("{\"cut_after_tokens\":3}");
+    auto cut = http_stream(engine.port(), "/generate",
+                           R"({"attempt":"r1","input":"quilt","max_tokens":8})");
+    cr_assert(!cut.complete);
+    cr_assert(cut.lines.size() == 3);
+    engine.control("{\"cut_after_tokens\":0}");
+    const auto rest =
+        http_stream(engine.port(), "/generate",
+                    R"({"attempt":"r1","input":"quilt","max_tokens":8,"resume_from":3})");
+    cr_assert(rest.complete);
+    cr_assert(rest.lines.size() == 6);
+    cut.lines.insert(cut.lines.end(), rest.lines.begin(), rest.lines.end());
+    for (std::uint64_t index = 0; index < 8; ++index)
+    {
+        const auto line = web::json::value::parse(cut.lines[index]);
+        cr_assert(line.at("index").as_number().to_uint64() == index);
+        cr_assert(line.at("text").as_string() == standins::token_text("quilt", index));
+    }
+    cr_assert(web::json::value::parse(cut.lines[8]).at("tokens").as_integer() == 8);
+}
+
+// Guards against an engine that generates on for a client that has left.
+Test(standin_engine, stream_client_leaves_cancels)
+{
+    const standin engine("engine");
+    const auto left = http_stream(engine.port(), "/generate",
+                                  R"({"attempt":"r1","input":"quilt","max_tokens":1000000})", {},
+                                  [](std::string_view) { return false; });
+    cr_assert(!left.complete);
+    cr_assert(eventually([&] { return engine.count("cancelled") == 1; }));
+    cr_assert(engine.count("running") == 0);
+}
+
+// Guards against a freeze that ends the connection, or that hits new connections too.
+Test(fault_proxy, freeze_established_silences_old_only)
+{
+    const standin list("vm_list", {"--vms", "vm-a1"});
+    const fault_proxy proxy(list.port());
+    zinnianotch::http_client client("http://127.0.0.1:" + std::to_string(proxy.port()));
+    zinnianotch::client_request request;
+    request.path = "/vms";
+    cr_assert(client.send(request, patience).has_value());
+    cr_assert(proxy.command("freeze_established").at("frozen").as_integer() == 1);
+    const auto silent = client.send(request, milliseconds{300});
+    cr_assert(!silent);
+    cr_assert(silent.error().why == zinnianotch::reason::silent_connection);
+    cr_assert(list.count("requests") == 1, "the frozen connection must pass nothing on");
+    cr_assert(http(proxy.port(), "GET", "/vms").status == 200);
+}
+
+// Guards against dropped answers that keep the request from taking effect.
+Test(fault_proxy, drop_answers_request_takes_effect)
+{
+    const standin service("service");
+    const fault_proxy proxy(service.port());
+    proxy.command("drop_answers");
+    auto lost = std::async(std::launch::async, [&]
+                           { return http(proxy.port(), "POST", "/place", "{\"order\":\"o1\"}"); });
+    cr_assert(eventually([&] { return service.count("starts") == 1; }));
+    cr_assert(eventually([&] { return service.count("running") == 0; }));
+    proxy.command("cut");
+    cr_assert(lost.get().status == 0);
+    proxy.command("pass");
+    const auto answered = http(proxy.port(), "POST", "/place", "{\"order\":\"o1\"}");
+    cr_assert(answered.json().at("run").as_integer() == 2);
+}
+
+// Guards against children that outlive their test or report a wrong exit code.
+Test(child_process, signals_stop_resume_exit_code)
+{
+    standin list("vm_list");
+    list.stop();
+    cr_assert(http(list.port(), "GET", "/vms", {}, {}, milliseconds{300}).status == 0);
+    list.resume();
+    cr_assert(http(list.port(), "GET", "/vms").status == 200);
+    list.signal(SIGTERM);
+    cr_assert(list.wait_exit() == 0);
+    standin other("vm_list");
+    other.kill();
+    cr_assert(other.wait_exit() == 128 + SIGKILL);
+}
+
+// Guards against a restart that goes unnoticed or moves the endpoint.
+Test(standin_endpoint, restart_same_port_new_incarnation)
+{
+    standin engine("engine");
+    const auto load = [&] { return http(engine.port(), "GET", "/load").json(); };
+    const auto before = load();
+    engine.restart({"--cold-ms", "-1"});
+    const auto after = load();
+    cr_assert(before.at("incarnation").as_string() != after.at("incarnation").as_string());
+    cr_assert(before.at("phase").as_string() == "warm");
+    cr_assert(after.at("phase").as_string() == "cold");
+}
+
+// Guards against a fixture that comes up incomplete: every pool and its endpoints are configured.
+Test(deployment, without_vms_configuration_reachable)
+{
+    deployment_options options;
+    options.proxies = true;
+    options.start_vms = false;
+    const deployment entry(options);
+    const auto row = http(entry.table_proxies.at("dom-b").port(), "GET", "/rows/config/0000000001");
+    const auto document = row.json().at("document");
+    cr_assert(document.at("pools").size() == 5);
+    cr_assert(entry.endpoints.size() == 10);
+    for (const auto& pool : document.at("pools").as_array())
+        for (const auto& endpoint : pool.at("endpoints").as_array())
+        {
+            const auto url = endpoint.at("url").as_string();
+            const auto port = static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
+            cr_assert(http(port, "GET", "/load").status == 200);
+        }
+}
--- a/tests/standins/endpoint.cpp
+++ b/tests/standins/endpoint.cpp
@@ -76,15 +76,9 @@
             client.answer(500, R"({"error":"failed"})");
             return;
         }
-        ending finish;
-        if (!begin_work())
-            finish = [&] { client.answer(503, R"({"error":"overloaded"})"); };
-        else if (settings.role == "service")
-            finish = run_operation(client, now, body);
-        else if (settings.role == "engine")
-            finish = generate(client, now, body);
-        else
-            finish = run_stage(client, now, body);
+        ending finish = [&] { client.answer(503, R"({"error":"overloaded"})"); };
+        if (begin_work())
+            finish = run(client, now, body);
         {
             const std::lock_guard lock(mutex);
             --running_;
@@ -93,6 +87,22 @@
         finish();
     }
 
+    ending run(session& client, const faults& now, const value& body)
+    {
+        try
+        {
+            if (settings.role == "service")
+                return run_operation(client, now, body);
+            if (settings.role == "engine")
+                return generate(client, now, body);
+            return run_stage(client, now, body);
+        }
+        catch (const web::json::json_exception&)
+        {
+            return [&] { client.answer(400, R"({"error":"bad request"})"); };
+        }
+    }
+
     // Counts a request as running; false when that is more than the endpoint bears now.
     bool begin_work()
     {
@@ -175,14 +185,15 @@
     ending generate(session& client, const faults& now, const value& body)
     {
         const std::string attempt = text_field(body, "attempt");
+        const std::uint64_t end = number_field(body, "max_tokens", default_max_tokens);
+        std::uint64_t index = number_field(body, "resume_from", 0);
         const subject answered = choose_subject(body, now.swap_attempts);
         ending close = [&] { client.close(); };
         if (!take_time(client, settings.work_ms + now.delay_ms, attempt) ||
             draw(now.lose_answers_percent) || !client.start_stream())
             return close;
-        const std::uint64_t end = number_field(body, "max_tokens", default_max_tokens);
         int sent = 0;
-        for (std::uint64_t index = number_field(body, "resume_from", 0); index < end; ++index)
+        for (; index < end; ++index)
         {
             auto line = value::object();
             line["attempt"] = value(answered.attempt);
