--- a/tests/process/fixture.cpp
+++ b/tests/process/fixture.cpp
@@ -63,7 +63,8 @@
     std::vector<std::pair<std::string, std::string>> names;
     for (const auto& letter : domain_letters)
     {
-        const std::string stem = prefix + '-' + letter;
+        std::string stem = prefix;
+        stem.append("-").append(letter);
         for (int number = 1; number <= count; ++number)
             names.emplace_back(stem + std::to_string(number), "dom-" + letter);
     }
