Answer a request whose handler sends an invalid status

The exchange counted as answered before the header was built, so the caller waited until it gave up.

--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -562,7 +562,7 @@
         const std::lock_guard lock(mutex_);
         if (phase_ != phase::unanswered)
             return;
-        phase_ = phase::ended;
+        // An invalid status throws here; the exchange is then still unanswered.
         answer_header header = make_header(status, version, content_type, headers);
         header.keep_alive(decide_keep_alive());
         const bool bodiless = status == 204 || status == 304 || status < 200;
@@ -571,6 +571,7 @@
         pending_ = serialize_header(header);
         if (!bodiless && !head_only)
             pending_ += body;
+        phase_ = phase::ended;
     }
     notify_session();
 }
@@ -582,15 +583,15 @@
         const std::lock_guard lock(mutex_);
         if (phase_ != phase::unanswered)
             return;
-        phase_ = phase::streaming;
+        answer_header header = make_header(status, version, content_type, headers);
         chunked_ = version >= 11;
         if (!chunked_)
             close_after_ = true;
-        answer_header header = make_header(status, version, content_type, headers);
         header.keep_alive(decide_keep_alive());
         if (chunked_)
             header.chunked(true);
         pending_ = serialize_header(header);
+        phase_ = phase::streaming;
     }
     notify_session();
 }
@@ -938,10 +939,10 @@
     }
     current->request.body = std::move(message.body());
 
+    watch();
     auto self = shared_from_this();
     if (!server_.pool.submit([self, current] { self->run_handler(current); }))
         current->send(503, "application/json", server_.overloaded_body(), {{"Retry-After", "1"}});
-    watch();
 }
 
 // Runs on a worker. A request whose caller left while it was queued is not started.
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -344,10 +344,12 @@
         {
             if (request.target == "/throws")
                 throw std::runtime_error("fault");
+            if (request.target == "/status")
+                response.send(12345, json_type, "");
             if (request.target == "/stream")
                 response.start_stream(200, json_type);
         });
-    for (const std::string target : {"/throws", "/silent"})
+    for (const std::string target : {"/throws", "/status", "/silent"})
     {
         raw_socket caller = running.connect();
         caller.send("GET " + target + " HTTP/1.1\r\n\r\n");
