Count calls given up without their end and release claims safely

Cause: the dispatcher freed a cold endpoint's slot when a call timed out, although the endpoint may go on with it; a released claim left a not_run row of another token in place, whose version a late claim might still expect.

--- a/packages/coordination/dispatcher.cpp
+++ b/packages/coordination/dispatcher.cpp
@@ -169,6 +169,13 @@
                         static_cast<std::uint32_t>(reply.value().status)};
 }
 
+// True when the call was given up without its end: the endpoint may go on with it for a while.
+bool may_still_run(reason why)
+{
+    return why == reason::cancelled || why == reason::silent_connection ||
+           why == reason::connection_broken || why == reason::token_gap;
+}
+
 bool is_service_call(const stage_call& call)
 {
     return call.pipeline.empty();
@@ -394,7 +401,10 @@
     const time_point now = steady_clock::now();
     {
         const std::lock_guard lock(mutex);
-        state.gate.on_finished(endpoint_healthy, now);
+        if (!outcome && may_still_run(outcome.error().why))
+            state.gate.on_abandoned(now);
+        else
+            state.gate.on_finished(endpoint_healthy, now);
         const bool refused = !outcome && (outcome.error().why == reason::connect_failed ||
                                           outcome.error().why == reason::connection_broken);
         if (refused)
--- a/packages/coordination/order_book.cpp
+++ b/packages/coordination/order_book.cpp
@@ -21,6 +21,16 @@
 // at `started`, which is answered as may_have_run.
 constexpr std::size_t max_pending = 10000;
 
+// True when the final state may replace the stored row: the own claim, or another released claim
+// of the same order, whose row version a late claim of this request might still expect.
+bool may_overwrite(const order_record& stored, const order_record& final_record)
+{
+    if (stored.token == final_record.token)
+        return stored.state == order_state::started;
+    return final_record.state == order_state::not_run && stored.state == order_state::not_run &&
+           stored.digest == final_record.digest;
+}
+
 milliseconds time_until(time_point deadline)
 {
     return std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
@@ -223,9 +233,7 @@
                                                   : record_outcome::unknown;
     }
     result<order_record> stored = parse_order(row.value()->value);
-    if (!stored || stored.value().token != write.record.token)
-        return record_outcome::superseded;
-    if (stored.value().state != order_state::started)
+    if (!stored || !may_overwrite(stored.value(), write.record))
         return record_outcome::superseded;
     const write_outcome outcome =
         table_.replace(write.key, row.value()->version, write_order(write.record), timeout);
--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -52,7 +52,7 @@
 {
     if (domain == members_.domain() && members_.has_view())
         return members_.owner_address(endpoint);
-    const std::string gateway = members_.gateway_address(domain, now);
+    std::string gateway = members_.gateway_address(domain, now);
     if (gateway.empty())
         return gateway;
     const std::lock_guard lock(mutex_);
--- a/packages/daemon/api.cpp
+++ b/packages/daemon/api.cpp
@@ -660,7 +660,7 @@
         }
         return not_run(reason::not_found, "no such failure domain");
     };
-    change_config(request, response, std::move(change));
+    change_config(request, response, change);
 }
 
 void api::post_exception(const api_request& request, http_response& response)
@@ -693,7 +693,7 @@
         config.exceptions.push_back(added);
         return outcome::success();
     };
-    change_config(request, response, std::move(change));
+    change_config(request, response, change);
 }
 
 void api::delete_exception(const api_request& request, http_response& response)
@@ -709,10 +709,10 @@
             return not_run(reason::not_found, "no such exception");
         return outcome::success();
     };
-    change_config(request, response, std::move(change));
+    change_config(request, response, change);
 }
 
-void api::change_config(const api_request& request, http_response& response, edit change)
+void api::change_config(const api_request& request, http_response& response, const edit& change)
 {
     result<time_point> deadline = deadline_of(request, admin_deadline);
     if (!deadline)
--- a/packages/daemon/api.h
+++ b/packages/daemon/api.h
@@ -92,7 +92,7 @@
     };
 
     // Applies an edit to the newest version and repeats on a conflict until the deadline.
-    void change_config(const api_request& request, http_response& response, edit change);
+    void change_config(const api_request& request, http_response& response, const edit& change);
     result<json> write_change(const api_request& request, const configuration& before,
                               configuration after, const std::string& note, bool dry_run,
                               time_point deadline);
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -156,7 +156,7 @@
     void read_keys(const YAML::Node& root, settings& out);
     void read_limits(const YAML::Node& root, settings& out);
     template <typename Enum>
-    void read_enum(const YAML::Node& root, std::string_view key,
+    void read_enum(const YAML::Node& root, std::string_view key, std::string_view noun,
                    const std::vector<std::string_view>& names, Enum& out);
 
     std::vector<settings_problem>& problems_;
@@ -462,12 +462,13 @@
 }
 
 template <typename Enum>
-void settings_reader::read_enum(const YAML::Node& root, std::string_view key,
+void settings_reader::read_enum(const YAML::Node& root, std::string_view key, std::string_view noun,
                                 const std::vector<std::string_view>& names, Enum& out)
 {
     const std::optional<std::string> text = scalar(root, "", key);
     if (text && !from_string(*text, out))
-        add(line_of_key(root, key), std::string(key) + ": unknown value " + *text,
+        add(line_of_key(root, key),
+            std::string(key) + ": unknown " + std::string(noun) + " " + *text,
             name_hint(*text, names));
 }
 
@@ -505,8 +506,9 @@
     std::uint32_t grace = static_cast<std::uint32_t>(out.balancer_grace.count());
     read_number(root, "", "balancer_grace_ms", grace_rule, grace);
     out.balancer_grace = milliseconds(grace);
-    read_enum(root, "log_level", {"debug", "info", "warning", "error"}, out.least_level);
-    read_enum(root, "routing", {"least_load", "round_robin", "least_reported_load"}, out.routing);
+    read_enum(root, "log_level", "level", {"debug", "info", "warning", "error"}, out.least_level);
+    read_enum(root, "routing", "policy", {"least_load", "round_robin", "least_reported_load"},
+              out.routing);
     return out;
 }
 
--- a/packages/protocol/config_diff.cpp
+++ b/packages/protocol/config_diff.cpp
@@ -2,8 +2,9 @@
 
 #include "protocol/codec.h"
 
-#include <algorithm>
+#include <initializer_list>
 #include <map>
+#include <string_view>
 
 namespace zinnianotch
 {
@@ -33,6 +34,16 @@
     return entries;
 }
 
+config_difference difference(const std::string& section_name, const std::string& id,
+                             std::initializer_list<std::string_view> parts)
+{
+    config_difference out{section_name, id, section_name};
+    out.text.append(": ").append(id);
+    for (const std::string_view part : parts)
+        out.text.append(part);
+    return out;
+}
+
 void compare_section(const json& before, const json& after, const section& part,
                      std::vector<config_difference>& out)
 {
@@ -42,15 +53,14 @@
     {
         const auto found = new_entries.find(id);
         if (found == new_entries.end())
-            out.push_back({part.name, id, part.name + ": " + id + " removed"});
+            out.push_back(difference(part.name, id, {" removed"}));
         else if (found->second != text)
-            out.push_back(
-                {part.name, id, part.name + ": " + id + " " + text + " -> " + found->second});
+            out.push_back(difference(part.name, id, {" ", text, " -> ", found->second}));
     }
     for (const auto& [id, text] : new_entries)
     {
         if (!old_entries.contains(id))
-            out.push_back({part.name, id, part.name + ": " + id + " added " + text});
+            out.push_back(difference(part.name, id, {" added ", text}));
     }
 }
 
