--- a/packages/transport/rpc.cpp
+++ b/packages/transport/rpc.cpp
@@ -1118,18 +1118,30 @@
     {
         {
             std::unique_lock lock(mutex_);
-            if (stopping_ || !loop_thread_.joinable())
+            if (stopping_)
+            {
+                // Another thread stops the node; the owner may destroy it once this returns.
+                changed_.wait(lock, [this] { return stopped_; });
                 return;
+            }
             stopping_ = true;
+            if (!loop_thread_.joinable())
+            {
+                stopped_ = true;
+                return;
+            }
         }
         post([this] { loop_->close_all(); });
         workers_.stop();
         {
             std::unique_lock lock(mutex_);
-            callers_left_.wait(lock, [this] { return callers_ == 0; });
+            changed_.wait(lock, [this] { return callers_ == 0; });
         }
         post([this] { exit_->fulfill(); });
         loop_thread_.join();
+        const std::lock_guard lock(mutex_);
+        stopped_ = true;
+        changed_.notify_all();
     }
 
 private:
@@ -1151,7 +1163,7 @@
                 return;
             const std::lock_guard lock(node_.mutex_);
             if (--node_.callers_ == 0)
-                node_.callers_left_.notify_all();
+                node_.changed_.notify_all();
         }
 
         caller_scope(const caller_scope&) = delete;
@@ -1267,9 +1279,10 @@
     stage_workers workers_;
 
     std::mutex mutex_;
-    std::condition_variable callers_left_;
+    std::condition_variable changed_;
     std::size_t callers_ = 0;
     bool stopping_ = false;
+    bool stopped_ = false;
 
     std::mutex mailbox_mutex_;
     std::vector<std::function<void()>> mailbox_;
