Send heartbeats from one side of each pair

Cause: both VMs of a pair sent a heartbeat and each answer is a heartbeat too, so the traffic between peers was twice what the failure detector needs.

--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -45,12 +45,15 @@
         if (partner != nullptr)
             targets[partner->peer_address] = true;
     }
-    // Former members may have resumed and then acknowledge the view that left them out.
-    for (const auto* group : {&authority_.view().members, &authority_.view().former})
+    // The answer to a heartbeat is one too, so that one side of each pair sends: the lower id.
+    for (const view_member& member : authority_.view().members)
     {
-        for (const view_member& member : *group)
+        if (options_.self < member.id)
             targets[member.peer_address] = false;
     }
+    // Former members may have resumed and then acknowledge the view that left them out.
+    for (const view_member& member : authority_.view().former)
+        targets[member.peer_address] = false;
     if (!has_view_)
     {
         for (const std::string& seed : options_.seeds)
