--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -225,7 +225,7 @@
             fixture::deployment_options options;
             options.vms_per_domain = 2;
             options.endpoints_per_pool = 3;
-            options.settings_lines = "log_level: warning\n";
+            options.log_level = "warning";
             options.adjust = [&](value& document)
             {
                 value& stages = document["pipelines"][0]["stages"];
--- /dev/null
+++ b/bench/overhead.cpp
@@ -0,0 +1,125 @@
+// Time that the system adds to a stage call: a pipeline of three stages through an entry VM against
+// direct calls of the same stand-ins, interleaved in one run, both on kept-alive connections.
+#include "load.h"
+
+#include <cstdio>
+#include <iostream>
+#include <thread>
+
+namespace
+{
+
+using namespace bench;
+using web::json::value;
+
+constexpr int calls_per_thread = 300;
+constexpr int warm_up_calls = 50;
+constexpr int stages = 3;
+
+using clock = std::chrono::steady_clock;
+
+double ms_since(clock::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(clock::now() - start).count();
+}
+
+struct timings
+{
+    std::vector<double> direct;   // one stage
+    std::vector<double> pipeline; // all stages, divided by their number
+};
+
+zinnianotch::client_request request_to(const std::string& path, const std::string& body)
+{
+    zinnianotch::client_request request;
+    request.method = "POST";
+    request.path = path;
+    request.body = body;
+    return request;
+}
+
+void must_be_ok(const zinnianotch::result<zinnianotch::client_reply>& reply)
+{
+    if (!reply || reply.value().status != 200)
+        throw std::runtime_error(reply ? reply.value().body : reply.error().detail);
+}
+
+timings run_thread(const fixture::deployment& all)
+{
+    zinnianotch::http_client endpoint("http://127.0.0.1:" +
+                                      std::to_string(all.endpoints.at("encoder-a1").port()));
+    zinnianotch::http_client vm("http://127.0.0.1:" + std::to_string(all.vms.at("vm-a1").callers));
+    const zinnianotch::client_request direct =
+        request_to("/run", R"({"attempt":"direct","stage":"encoder","input":"pennant"})");
+    zinnianotch::client_request pipeline =
+        request_to("/v1/pipelines/suggest", R"({"input":"pennant"})");
+    pipeline.headers["Authorization"] = std::string("Bearer ") + fixture::caller_key;
+    timings out;
+    for (int i = 0; i < warm_up_calls + calls_per_thread; ++i)
+    {
+        const clock::time_point direct_start = clock::now();
+        must_be_ok(endpoint.send(direct, fixture::patience));
+        const double direct_ms = ms_since(direct_start);
+        const clock::time_point pipeline_start = clock::now();
+        must_be_ok(vm.send(pipeline, fixture::patience));
+        const double pipeline_ms = ms_since(pipeline_start) / stages;
+        if (i < warm_up_calls)
+            continue;
+        out.direct.push_back(direct_ms);
+        out.pipeline.push_back(pipeline_ms);
+    }
+    return out;
+}
+
+void measure(int callers, int vms_per_domain)
+{
+    fixture::deployment_options options;
+    options.vms_per_domain = vms_per_domain;
+    options.endpoint_arguments = {"--work-ms", "5"};
+    options.log_level = "warning";
+    // Without the generation stage, which streams.
+    options.adjust = [](value& document) { document["pipelines"][0]["stages"].erase(stages); };
+    const fixture::deployment all(options);
+    std::vector<timings> parts(static_cast<std::size_t>(callers));
+    {
+        std::vector<std::jthread> threads;
+        for (timings& part : parts)
+            threads.emplace_back([&] { part = run_thread(all); });
+    }
+    timings sum;
+    for (const timings& part : parts)
+    {
+        sum.direct.insert(sum.direct.end(), part.direct.begin(), part.direct.end());
+        sum.pipeline.insert(sum.pipeline.end(), part.pipeline.begin(), part.pipeline.end());
+    }
+    for (const double share : {0.50, 0.99})
+    {
+        const double direct = quantile(sum.direct, share);
+        const double pipeline = quantile(sum.pipeline, share);
+        std::printf("%7d %7d    p%02.0f %10.3f %10.3f %10.3f %8.2f\n", callers, vms_per_domain,
+                    100 * share, direct, pipeline, pipeline - direct, pipeline / direct);
+    }
+    (void)std::fflush(stdout);
+}
+
+} // namespace
+
+int main()
+{
+    try
+    {
+        std::printf("%7s %7s %6s %10s %10s %10s %8s\n", "callers", "VMs/dom", "", "direct ms",
+                    "stage ms", "added ms", "ratio");
+        for (const int vms : {1, 3})
+        {
+            for (const int callers : {1, 8})
+                measure(callers, vms);
+        }
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "overhead: " << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -27,6 +27,9 @@
 // Far above any time that a test needs on a busy machine; only a failing test waits this long.
 inline constexpr milliseconds patience{30000};
 
+// Key of the account library-1 in the settings of each VM.
+inline constexpr const char* caller_key = "caller-key-for-tests";
+
 // Polls until `condition` holds; false when it still does not after `limit`.
 bool eventually(const std::function<bool()>& condition, milliseconds limit = patience);
 
@@ -145,7 +148,8 @@
     bool start_vms = true;
     std::vector<std::string> endpoint_arguments; // further options of every endpoint stand-in
     std::function<void(web::json::value& document)> adjust; // changes the first configuration
-    std::string settings_lines;                             // added to the settings file of each VM
+    std::string log_level = "info";
+    std::string settings_lines; // added to the settings file of each VM
 };
 
 // Two failure domains, dom-a and dom-b. Per domain: VMs vm-a1, vm-a2 ..., endpoints encoder-a1,
