--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -225,7 +225,6 @@
             fixture::deployment_options options;
             options.vms_per_domain = 2;
             options.endpoints_per_pool = 3;
-            options.log_level = "warning";
             options.adjust = [&](value& document)
             {
                 value& stages = document["pipelines"][0]["stages"];
--- a/bench/overhead.cpp
+++ b/bench/overhead.cpp
@@ -76,7 +76,6 @@
     fixture::deployment_options options;
     options.vms_per_domain = vms_per_domain;
     options.endpoint_arguments = {"--work-ms", "5"};
-    options.log_level = "warning";
     // Without the generation stage, which streams.
     options.adjust = [](value& document) { document["pipelines"][0]["stages"].erase(stages); };
     const fixture::deployment all(options);
--- a/tests/process/fixture.cpp
+++ b/tests/process/fixture.cpp
@@ -482,7 +482,7 @@
          << base_url(vm_list.port()) << "\"}\nkeys:\n  accounts: [{account: library-1, key: \""
          << caller_key << "\"}]\n  operators:\n    - {name: night-shift, key: \"" << operator_key
          << "\", team: \"\"}\n    - {name: catalogue-desk, key: \"" << team_operator_key
-         << "\", team: catalogue}\nbalancer_grace_ms: 0\nlog_level: " << options_.log_level << '\n'
+         << "\", team: catalogue}\nbalancer_grace_ms: 0\nlog_level: info\n"
          << options_.settings_lines;
     if (!file.flush())
         throw std::runtime_error("cannot write " + target.settings_file);
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -148,7 +148,6 @@
     bool start_vms = true;
     std::vector<std::string> endpoint_arguments; // further options of every endpoint stand-in
     std::function<void(web::json::value& document)> adjust; // changes the first configuration
-    std::string log_level = "info";
     std::string settings_lines; // added to the settings file of each VM
 };
 
