Refuse JSON with a lone surrogate instead of throwing

Cause: the JSON library throws for a lone surrogate although it is given an error code, so that parse_json let an exception escape. One from an endpoint's load report ended on the poller's thread, which ends the process. Ruled out: catching in each caller; a nesting limit (the library has one). Change: parse_json turns the exception into bad_request.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -373,7 +373,16 @@
 result<json> parse_json(const std::string& text)
 {
     std::error_code error;
-    json value = json::parse(text, error);
+    json value;
+    try
+    {
+        value = json::parse(text, error);
+    }
+    catch (const std::exception&)
+    {
+        // The library throws in spite of the error code, for example for a lone surrogate.
+        error = std::make_error_code(std::errc::invalid_argument);
+    }
     if (error)
         return not_run(reason::bad_request, "the body is no valid JSON");
     return value;
