Let the verdict of a repeated operation cover all its attempts

An idempotent operation that had begun at one endpoint and found no endpoint afterwards was answered as not_run. Ruled out: orders, which end at the first attempt that may have run; stages of pipelines, which already keep the verdict. Change: every end of call_service goes through end_with, as in run_stage. Tests: not_run/refused_repeat_does_not_hide_begun_attempt was told no_endpoint not_run for a begun operation before; passes now. The other tests of the file passed before and after.

--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -329,18 +329,24 @@
     }
     stage_progress progress;
     failure last = not_run(reason::no_endpoint, "no endpoint of " + call.pool + " can be used");
+    // The verdict covers all attempts: one that was refused says nothing about those before it.
+    const auto end_with = [&](failure why)
+    {
+        if (progress.may_have_run)
+            why.outcome = verdict::may_have_run;
+        return why;
+    };
     for (;;)
     {
         const time_point now = steady_clock::now();
         call.time_left = time_until(request.deadline, now);
         if (call.time_left <= milliseconds::zero())
-            return progress.may_have_run ? may_have_run(reason::deadline_exceeded, last.detail)
-                                         : not_run(reason::deadline_exceeded, last.detail);
+            return end_with(not_run(reason::deadline_exceeded, last.detail));
         result<endpoint_summary> chosen = choose(call.pool, progress.tried, now);
         if (!chosen)
         {
             if (now - first_start >= no_endpoint_wait)
-                return chosen.error();
+                return end_with(chosen.error());
             std::this_thread::sleep_for(busy_pause);
             continue;
         }
@@ -372,10 +378,10 @@
             progress.may_have_run = true;
         }
         if (is_final(last.why))
-            return last;
+            return end_with(last);
         result<void> allowed = may_retry(last, config, call.pool, steady_clock::now());
         if (!allowed)
-            return allowed.error();
+            return end_with(allowed.error());
         progress.tried.insert(call.endpoint);
         counters_.count_retry(last.why);
     }
