Tell the caller of an order why its call failed

Cause: the order machine knows only whether the call was made, so that every call that was not made was answered as connect_failed ("the service refused the connection") and every broken one as connection_broken. An order that met busy or leaving endpoints pointed operators to the network. Ruled out: passing the reason through the machine, whose interface is fixed. Change: the order book keeps the call's failure and answers it when the verdict of the machine's refusal is the same.

--- a/packages/coordination/order_book.cpp
+++ b/packages/coordination/order_book.cpp
@@ -65,6 +65,7 @@
     order_machine machine(token, request.digest);
     std::string row_version;
     bool deadline_passed = false;
+    std::optional<failure> call_failure;
     for (;;)
     {
         const milliseconds left = time_until(request.deadline);
@@ -111,6 +112,8 @@
         case order_action::call_service:
         {
             result<service_answer> answer = call();
+            if (!answer)
+                call_failure = answer.error();
             if (answer)
                 machine.on_call(call_outcome::answered, answer.value().status, answer.value().body);
             else if (answer.error().outcome == verdict::not_run)
@@ -143,6 +146,9 @@
             }
             counters_.count(machine.refusal().outcome == verdict::not_run ? "orders_not_run"
                                                                           : "orders_may_have_run");
+            // The machine knows only whether the call was made; why it failed is known here.
+            if (call_failure && call_failure->outcome == machine.refusal().outcome)
+                return *call_failure;
             return machine.refusal();
         }
     }
--- a/tests/process/not_run_test.cpp
+++ b/tests/process/not_run_test.cpp
@@ -164,6 +164,15 @@
             const std::string binary = send_raw(vm.callers, junk, "never");
             cr_assert(binary.find("200 OK") == std::string::npos);
         }
+        // Bodies without a stated length, which only the bytes themselves show to be too large.
+        const std::string piece = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+        for (int i = 0; i < 8; ++i)
+        {
+            open.push_back(raw_socket::connect_to(vm.callers));
+            bool taken = open.back().send(head + "Transfer-Encoding: chunked\r\n\r\n");
+            for (int sent = 0; sent < 256 && taken; ++sent)
+                taken = open.back().send(piece);
+        }
         return resident_size(vm.process->pid());
     };
     // The first flood pays for buffers and arenas that stay; later ones must not add to them.
@@ -266,6 +275,8 @@
             const order_reply status = send_order(port, "nowhere", long_deadline, "status");
             cr_assert(status.verdict == told::not_run, "%s: %s", what.c_str(),
                       status.raw.body.c_str());
+            // An order is told why its call was not made, as any other operation is.
+            cr_assert_str_eq(order.reason.c_str(), status.reason.c_str());
         }
         if (what != "endpoints leaving")
             assert_not_run(post(port, "/v1/pipelines/suggest", R"({"input":"nowhere"})"), what);
