Return the memory of refused request bodies to the system

Cause: glibc raises the size from which blocks are mapped apart with each freed block, up to 32 MB. Buffers of bodies up to 1 MB then come from the heap, and small blocks of other connections between them keep the pages resident. Ruled out: a leak in the server (each kind of refused request alone grows by less than 0.1 MB in 528 connections); malloc arenas (with two arenas the growth was larger, 147 MB after 80 floods). Change: the daemon fixes the bound at 128 KB.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include "transport/http_server.h"
 #include "transport/log.h"
 
+#include <malloc.h>
 #include <popt.h>
 #include <pthread.h>
 
@@ -24,6 +25,10 @@
 // Requests already on their way when the last one ended are answered within this time.
 constexpr milliseconds quiet_time{300};
 constexpr milliseconds drain_poll_interval{20};
+// Larger blocks go back to the system when they are freed. By default the C library raises this
+// bound with each block it frees, up to 32 MB: request bodies then fragment the heap, which grew
+// by 2 MB with every 500 refused requests.
+constexpr int return_block_bytes = 128 * 1024;
 
 struct command_line
 {
@@ -178,6 +183,7 @@
         (void)std::printf("%s: valid\n", line.settings_path.c_str());
         return 0;
     }
+    (void)mallopt(M_MMAP_THRESHOLD, return_block_bytes);
     configure_log(config.value().least_level, config.value().vm);
     return run(config.value());
 }
--- a/tests/process/not_run_test.cpp
+++ b/tests/process/not_run_test.cpp
@@ -6,8 +6,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <future>
@@ -69,6 +71,12 @@
     return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::size_t descriptors(pid_t pid)
+{
+    const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 // Makes the endpoints of a pool unusable in the first configuration.
 std::function<void(web::json::value&)> leaving_pool(const std::string& pool)
 {
@@ -141,6 +149,9 @@
     std::string junk;
     for (int i = 0; i < 4096; ++i)
         junk.push_back(static_cast<char>((i * 37 + 11) % 256));
+    const std::uint64_t idle = resident_size(vm.process->pid());
+    const std::size_t idle_descriptors = descriptors(vm.process->pid());
+    std::uint64_t peak = idle;
     const auto flood = [&]
     {
         std::vector<raw_socket> open;
@@ -173,20 +184,25 @@
             for (int sent = 0; sent < 256 && taken; ++sent)
                 taken = open.back().send(piece);
         }
+        peak = std::max(peak, resident_size(vm.process->pid()));
+        open.clear();
+        // The VM reads on for a while after it has refused, so that its answer is not lost.
+        const auto closed = [&] { return descriptors(vm.process->pid()) <= idle_descriptors + 16; };
+        cr_assert(eventually(closed));
         return resident_size(vm.process->pid());
     };
     // The first flood pays for buffers and arenas that stay; later ones must not add to them.
-    const std::uint64_t idle = resident_size(vm.process->pid());
     const std::uint64_t first = flood();
     std::uint64_t last = 0;
-    for (int repeat = 0; repeat < 4; ++repeat)
+    for (int repeat = 0; repeat < 11; ++repeat)
         last = flood();
-    (void)std::fprintf(stderr, "resident MB: idle %lu, after one flood %lu, after five %lu\n",
-                       idle >> 20, first >> 20, last >> 20);
-    constexpr std::uint64_t growth_limit = 16 * 1024 * 1024;
+    (void)std::fprintf(stderr,
+                       "resident MB: idle %lu, after one flood %lu, after twelve %lu, peak %lu\n",
+                       idle >> 20, first >> 20, last >> 20, peak >> 20);
+    constexpr std::uint64_t growth_limit = 8 * 1024 * 1024;
     constexpr std::uint64_t flood_limit =
         64 * 1024 * 1024; // 400 connections with 16 KB each, arenas
-    cr_assert_leq(first, idle + flood_limit);
+    cr_assert_leq(peak, idle + flood_limit);
     cr_assert_leq(last, first + growth_limit);
     cr_assert_eq(work_begun(all), 0);
     cr_assert_str_empty(row_state(all, "half").c_str());
