--- /dev/null
+++ b/tests/process/cold_start_test.cpp
@@ -0,0 +1,271 @@
+// Invariant 2: an endpoint in a cold start receives no more work than it can handle, whatever
+// happens to the VMs, the table and the connections. The stand-in counts each request beyond its
+// cold capacity of 2 as an overrun and is the judge.
+#include "load.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+
+using namespace fixture;
+
+namespace
+{
+
+constexpr const char* engine_id = "generator-a1";
+constexpr std::uint64_t cold_capacity = 2;
+constexpr milliseconds promised{5000}; // "a few seconds" of the design page
+const std::vector<std::string> vm_names = {"vm-a1", "vm-a2", "vm-a3"};
+
+// Three VMs of one failure domain that call one engine.
+class cold_engine
+{
+public:
+    explicit cold_engine(const std::vector<std::string>& engine_arguments, bool proxies = false)
+        : all(make_options(engine_arguments, proxies))
+    {
+        for (const std::string& name : vm_names)
+            all.start_vm(name);
+        wait_all_ready();
+    }
+
+    void wait_all_ready() const
+    {
+        for (const std::string& name : vm_names)
+            deployment::wait_ready(all.vms.at(name));
+    }
+
+    const standin& engine() const { return all.endpoints.at(engine_id); }
+
+    std::uint64_t count(const char* counter) const { return engine().count(counter); }
+
+    // Waits until the engine has begun `more` further requests.
+    bool serves(std::uint64_t more) const
+    {
+        const std::uint64_t before = count("starts");
+        return eventually([&] { return count("starts") >= before + more; });
+    }
+
+    std::string owner(const std::string& asked) const { return wait_owner(all, asked, engine_id); }
+
+    // Waits until `asked` names another owner than `former`.
+    bool owner_changes(const std::string& asked, const std::string& former) const
+    {
+        return eventually([&] { return owner(asked) != former; });
+    }
+
+    // Waits until each VM sees the whole view and no member of it is unsettled.
+    bool view_is_whole() const
+    {
+        const auto whole = [&]
+        {
+            for (const std::string& name : vm_names)
+            {
+                const auto view = view_of(name);
+                if (!view || view->at("members").size() != vm_names.size() ||
+                    view->at("former").size() != 0)
+                    return false;
+            }
+            return true;
+        };
+        return eventually(whole);
+    }
+
+    std::optional<web::json::value> view_of(const std::string& vm) const
+    {
+        const http_answer answer = all.admin(all.vms.at(vm), "GET", "/admin/v1/status");
+        if (answer.status != 200)
+            return std::nullopt;
+        return answer.json().at("view");
+    }
+
+    bool has_authority(const std::string& vm) const
+    {
+        const auto view = view_of(vm);
+        return view && view->at("authority_current").as_bool();
+    }
+
+    load_options load_from_all(int threads_per_vm = 6) const
+    {
+        load_options options;
+        options.vms = vm_names;
+        options.threads_per_vm = threads_per_vm;
+        options.deadline = milliseconds{20000};
+        options.expected = generated_tokens;
+        return options;
+    }
+
+    // Ends the load at once: a cold engine serves the waiting callers only slowly.
+    void end(load& callers)
+    {
+        for (const std::string& name : vm_names)
+            all.vms.at(name).process->kill();
+        callers.stop();
+    }
+
+    // The verdict on a run with `callers`, apart from `allowed` overruns.
+    void check(const load& callers, const char* name, std::uint64_t allowed = 0) const
+    {
+        const auto counters = engine().counters();
+        std::printf("%s: %s; engine %s\n", name, callers.summary().c_str(),
+                    counters.serialize().c_str());
+        cr_assert_eq(callers.count(answer_kind::wrong), 0, "%s", callers.summary().c_str());
+        cr_assert_eq(counters.at("overruns").as_number().to_uint64(), allowed, "%s",
+                     counters.serialize().c_str());
+    }
+
+    deployment all;
+
+private:
+    static deployment_options make_options(const std::vector<std::string>& engine_arguments,
+                                           bool proxies)
+    {
+        deployment_options options;
+        options.vms_per_domain = static_cast<int>(vm_names.size());
+        options.proxies = proxies;
+        options.start_vms = false;
+        options.endpoint_arguments = engine_arguments;
+        options.adjust = [](web::json::value& document)
+        {
+            keep_generation_only(document, {engine_id});
+            keep_first_domain_only(document);
+        };
+        return options;
+    }
+};
+
+} // namespace
+
+// Guards against three VMs that each send the cold limit, and against a cold endpoint that is not
+// used at all.
+Test(cold_start, cold_engine_serves_at_its_limit)
+{
+    cold_engine test({"--cold-ms", "-1", "--token-ms", "2"});
+    load callers(test.all, test.load_from_all());
+    cr_assert(test.serves(100));
+    test.check(callers, "cold engine under load");
+    cr_assert_eq(test.count("peak_running_while_cold"), cold_capacity);
+    test.end(callers);
+}
+
+// Guards against full load on an engine that turned cold without warning. Work that was sent before
+// the next load report is not counted; it ends when the owner knows of the phase and holds no more
+// calls than the cold limit.
+Test(cold_start, unannounced_turn_to_cold_is_respected)
+{
+    cold_engine test({"--token-ms", "2"});
+    load callers(test.all, test.load_from_all(8));
+    cr_assert(eventually([&] { return test.count("peak_running") >= 12; }),
+              "the engine never came under full load");
+    const std::string owner = test.owner("vm-a1");
+    test.engine().control(R"({"phase":"cold"})");
+    const auto knows = [&]
+    {
+        const auto status = endpoint_status(test.all, owner, engine_id);
+        return status && status->at("phase").as_string() == "cold" &&
+               static_cast<std::uint64_t>(status->at("in_flight").as_integer()) <= cold_capacity;
+    };
+    cr_assert(eventually(knows, promised), "the owner did not notice the cold engine");
+    const std::uint64_t before = test.count("overruns");
+    cr_assert(test.serves(100));
+    test.check(callers, "turn to cold", before);
+    test.end(callers);
+}
+
+// Guards against an owner that goes on under an expired lease, and against a new owner that doesn't
+// know of the calls of the former one. The calls take so long that those of the frozen VM are still
+// running when its successor takes over.
+Test(cold_start, frozen_owner_and_its_successor_stay_within_the_limit)
+{
+    cold_engine test({"--cold-ms", "-1", "--token-ms", "700"});
+    load callers(test.all, test.load_from_all(4));
+    cr_assert(eventually([&] { return test.count("running") == cold_capacity; }));
+    const std::string frozen = test.owner("vm-a1");
+    const std::string other = frozen == "vm-a1" ? "vm-a2" : "vm-a1";
+    test.all.vms.at(frozen).process->stop();
+    cr_assert(test.owner_changes(other, frozen));
+    cr_assert(test.serves(2), "the successor does not use the engine");
+    test.all.vms.at(frozen).process->resume();
+    cr_assert(test.view_is_whole());
+    cr_assert(test.serves(3));
+    test.check(callers, "frozen owner");
+    test.end(callers);
+}
+
+// Guards against VMs that begin with full limits, or with no account of each other, after all of
+// them were restarted under load.
+Test(cold_start, restart_of_all_vms_stays_within_the_limit)
+{
+    cold_engine test({"--cold-ms", "-1", "--token-ms", "20"});
+    load callers(test.all, test.load_from_all());
+    cr_assert(test.serves(10));
+    for (const std::string& name : vm_names)
+        test.all.vms.at(name).process->kill();
+    for (const std::string& name : vm_names)
+        test.all.start_vm(name);
+    callers.update_ports();
+    test.wait_all_ready();
+    cr_assert(test.serves(40));
+    test.check(callers, "restart of all VMs");
+    test.end(callers);
+}
+
+// Guards against a cold engine that is overrun, or left unused, while the table is out of reach and
+// after it has come back.
+Test(cold_start, table_outage_stays_within_the_limit)
+{
+    cold_engine test({"--cold-ms", "-1", "--token-ms", "10"}, true);
+    load callers(test.all, test.load_from_all());
+    cr_assert(test.serves(20));
+    const std::string owner = test.owner("vm-a1");
+    test.all.table_proxies.at("dom-a").command("freeze_all");
+    cr_assert(eventually([&] { return !test.has_authority(owner); }));
+    cr_assert(test.serves(20), "the engine is not used while the table is down");
+    // While the table is down, the view cannot change, so the death of a VM that is not the owner
+    // must not matter.
+    const std::string bystander = owner == "vm-a1" ? "vm-a2" : "vm-a1";
+    test.all.vms.at(bystander).process->kill();
+    cr_assert(test.serves(20));
+    test.all.table_proxies.at("dom-a").command("pass");
+    cr_assert(eventually([&] { return test.has_authority(owner); }));
+    cr_assert(test.serves(20));
+    test.check(callers, "table outage");
+    test.end(callers);
+}
+
+// Guards against a successor that counts only its own calls after the owner was killed.
+Test(cold_start, killed_owner_is_replaced_within_the_limit)
+{
+    cold_engine test({"--cold-ms", "-1", "--token-ms", "20"});
+    load callers(test.all, test.load_from_all());
+    cr_assert(test.serves(10));
+    const std::string owner = test.owner("vm-a1");
+    const std::string other = owner == "vm-a1" ? "vm-a2" : "vm-a1";
+    test.all.vms.at(owner).process->kill();
+    cr_assert(test.owner_changes(other, owner));
+    cr_assert(test.serves(40));
+    test.check(callers, "killed owner");
+    test.end(callers);
+}
+
+// Guards against a slot that is given to the next call before the engine has noticed that the last
+// one was given up: by a caller that left, or by the owner after its connection broke or went
+// silent.
+Test(cold_start, abandoned_calls_count_until_the_engine_ends_them)
+{
+    cold_engine test({"--cold-ms", "-1", "--token-ms", "40"}, true);
+    auto options = test.load_from_all();
+    options.leave_percent = 50;
+    load callers(test.all, options);
+    cr_assert(eventually([&] { return callers.left() >= 8; }));
+    const fault_proxy& proxy = test.all.endpoint_proxies.at(engine_id);
+    for (int i = 0; i < 5; ++i)
+    {
+        cr_assert(test.serves(2));
+        proxy.command("cut");
+    }
+    proxy.command("freeze_established");
+    cr_assert(test.serves(6));
+    test.check(callers, "abandoned calls");
+    test.end(callers);
+}
--- a/tests/process/fixture.cpp
+++ b/tests/process/fixture.cpp
@@ -505,12 +505,14 @@
 }
 
 http_lines deployment::run_pipeline(const vm& target, const std::string& input,
-                                    milliseconds deadline) const
+                                    milliseconds deadline,
+                                    const zinnianotch::line_handler& on_line) const
 {
     return http_stream(target.callers, "/v1/pipelines/suggest",
                        object({{"input", value(input)}}).serialize(),
                        {{"Authorization", std::string("Bearer ") + caller_key},
-                        {"Deadline-Ms", std::to_string(deadline.count())}});
+                        {"Deadline-Ms", std::to_string(deadline.count())}},
+                       on_line);
 }
 
 http_answer deployment::place(const vm& target, const std::string& key,
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -174,9 +174,11 @@
     // Throws when /readyz does not answer 200 in time.
     static void wait_ready(const vm& target);
 
-    // Requests by the account library-1 and by the fleet operator night-shift.
+    // Requests by the account library-1 and by the fleet operator night-shift. `on_line` is that of
+    // http_stream.
     http_lines run_pipeline(const vm& target, const std::string& input,
-                            milliseconds deadline = milliseconds{5000}) const;
+                            milliseconds deadline = milliseconds{5000},
+                            const zinnianotch::line_handler& on_line = nullptr) const;
     http_answer place(const vm& target, const std::string& key, const std::string& order) const;
     http_answer admin(const vm& target, const std::string& method, const std::string& path,
                       const std::string& body = {}, const header_map& headers = {}) const;
--- /dev/null
+++ b/tests/process/results_test.cpp
@@ -0,0 +1,168 @@
+// Invariant 1: no stage result is lost, duplicated or delivered to another request, whatever the
+// endpoints, the connections to them and the VMs do.
+#include "load.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <random>
+
+using namespace fixture;
+
+namespace
+{
+
+constexpr std::uint64_t requests_per_seed = 3500; // 10,500 with the three seeds
+constexpr int callers_per_vm = 40;                // 160 requests at a time for each seed
+constexpr milliseconds load_limit{90000};
+
+// Faults of an endpoint, each with what ends it.
+struct endpoint_fault
+{
+    const char* begin;
+    const char* end;
+    bool engines_only;
+};
+
+// Late means later than stage_timeout_ms below: the attempt has been given up by then.
+const std::vector<endpoint_fault> endpoint_faults = {
+    {R"({"swap_attempts":true})", R"({"swap_attempts":false})", false},
+    {R"({"delay_ms":900})", R"({"delay_ms":0})", false},
+    {R"({"lose_answers_percent":30})", R"({"lose_answers_percent":0})", false},
+    {R"({"fail_percent":30})", R"({"fail_percent":0})", false},
+    {R"({"duplicate_lines":true})", R"({"duplicate_lines":false})", true},
+    {R"({"cut_after_tokens":5})", R"({"cut_after_tokens":0})", true}};
+
+const std::vector<std::string> proxy_faults = {"cut", "freeze_established", "delay 40"};
+
+bool is_stage_endpoint(const std::string& id)
+{
+    return !id.starts_with("loans");
+}
+
+// Switches each endpoint fault on at one or two endpoints in turn, with a fault of a proxy beside
+// it, until all requests are complete. The order and the places follow from the seed.
+class fault_schedule
+{
+public:
+    fault_schedule(const deployment& all, std::uint64_t seed) : all_(all), random_(seed)
+    {
+        for (const auto& [id, endpoint] : all.endpoints)
+            if (is_stage_endpoint(id))
+                endpoints_.push_back(id);
+    }
+
+    void step()
+    {
+        const endpoint_fault& fault = endpoint_faults[steps_++ % endpoint_faults.size()];
+        std::vector<std::string> targets;
+        while (targets.size() < 2)
+        {
+            const std::string& id = endpoints_[random_() % endpoints_.size()];
+            if (!fault.engines_only || id.starts_with("generator"))
+                targets.push_back(id);
+        }
+        for (const std::string& id : targets)
+            all_.endpoints.at(id).control(fault.begin);
+        const std::string& cut = endpoints_[random_() % endpoints_.size()];
+        all_.endpoint_proxies.at(cut).command(proxy_faults[random_() % proxy_faults.size()]);
+        const std::uint64_t before = requests_at(targets.front());
+        // Long enough to hit some requests; an endpoint that got none does not hold the test up.
+        (void)eventually([&] { return requests_at(targets.front()) >= before + 40; },
+                         milliseconds{1500});
+        hits_ += requests_at(targets.front()) - before;
+        for (const std::string& id : targets)
+            all_.endpoints.at(id).control(fault.end);
+        all_.endpoint_proxies.at(cut).command("pass");
+    }
+
+    std::uint64_t steps() const { return steps_; }
+    std::uint64_t hits() const { return hits_; }
+
+private:
+    std::uint64_t requests_at(const std::string& id) const
+    {
+        return all_.endpoints.at(id).count("requests");
+    }
+
+    const deployment& all_;
+    std::mt19937_64 random_;
+    std::vector<std::string> endpoints_;
+    std::uint64_t steps_ = 0;
+    std::uint64_t hits_ = 0; // requests at faulty endpoints, of the first one in each step
+};
+
+void check_results_under_faults(std::uint64_t seed)
+{
+    deployment_options options;
+    options.vms_per_domain = 2;
+    options.endpoints_per_pool = 2;
+    options.proxies = true;
+    options.endpoint_arguments = {"--capacity", "64", "--seed", std::to_string(seed)};
+    options.adjust = [](web::json::value& document)
+    {
+        auto& defaults = document["defaults"];
+        defaults["warm_limit"] = web::json::value::number(64);
+        defaults["stage_timeout_ms"] = web::json::value::number(600);
+        defaults["retry_percent"] = web::json::value::number(100);
+    };
+    deployment all(options);
+
+    load_options wanted;
+    wanted.vms = {"vm-a1", "vm-a2", "vm-b1", "vm-b2"};
+    wanted.threads_per_vm = callers_per_vm;
+    wanted.requests = requests_per_seed;
+    wanted.seed = seed;
+    wanted.deadline = milliseconds{8000};
+    load callers(all, wanted);
+    fault_schedule faults(all, seed);
+    const std::string killed = wanted.vms[seed % wanted.vms.size()];
+    const auto complete = [&] { return callers.count(answer_kind::complete); };
+    std::uint64_t complete_at_kill = 0;
+    const auto give_up = std::chrono::steady_clock::now() + load_limit;
+    while (complete() < requests_per_seed && std::chrono::steady_clock::now() < give_up)
+    {
+        faults.step();
+        if (complete_at_kill == 0 && complete() >= requests_per_seed / 3)
+        {
+            complete_at_kill = complete();
+            all.vms.at(killed).process->kill();
+        }
+    }
+    const std::string summary = callers.summary();
+    std::uint64_t mismatches = 0;
+    for (const std::string& vm : wanted.vms)
+        if (vm != killed)
+            mismatches += metric(all, vm, "zinnianotch_retries_total{reason=\"answer_mismatch\"");
+    std::printf("results: %s; killed %s after %llu; fault steps=%llu, requests at the first faulty "
+                "endpoint=%llu, mismatched answers dropped=%llu\n",
+                summary.c_str(), killed.c_str(), (unsigned long long)complete_at_kill,
+                (unsigned long long)faults.steps(), (unsigned long long)faults.hits(),
+                (unsigned long long)mismatches);
+    cr_assert_eq(callers.count(answer_kind::wrong), 0, "%s", summary.c_str());
+    cr_assert_eq(complete(), requests_per_seed, "%s", summary.c_str());
+    cr_assert_gt(complete_at_kill, 0);
+    cr_assert_lt(complete_at_kill, requests_per_seed);
+    cr_assert_gt(mismatches, 0, "no answer of another attempt was offered");
+}
+
+} // namespace
+
+// Guard against an answer that reaches another request, a token that is repeated or left out, and a
+// request that never gets its answer, while endpoints answer late, crossed, twice, not at all or in
+// part, connections break or go silent, and a VM dies.
+Test(results, answers_under_faults_match_their_requests_seed_1)
+{
+    check_results_under_faults(1);
+}
+
+Test(results, answers_under_faults_match_their_requests_seed_2)
+{
+    check_results_under_faults(2);
+}
+
+Test(results, answers_under_faults_match_their_requests_seed_3)
+{
+    check_results_under_faults(3);
+}
--- /dev/null
+++ b/tests/process/whole_answer_test.cpp
@@ -0,0 +1,236 @@
+// Invariant 4: a caller receives the complete answer to its own request when streams break, stall
+// or freeze on the way, and nothing is left running for a caller that is gone.
+#include "load.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+
+using namespace fixture;
+
+namespace
+{
+
+constexpr int streams = 8;
+constexpr milliseconds stream_deadline{30000};
+
+deployment_options generation_options(const std::vector<std::string>& endpoints,
+                                      const std::vector<std::string>& endpoint_arguments)
+{
+    deployment_options options;
+    options.endpoint_arguments = endpoint_arguments;
+    options.adjust = [endpoints](web::json::value& document)
+    {
+        keep_generation_only(document, endpoints);
+        document["defaults"]["stage_timeout_ms"] = web::json::value::number(1000);
+    };
+    return options;
+}
+
+// Callers that stream one answer each through the same VM. Their answers must be complete.
+class stream_group
+{
+public:
+    stream_group(const deployment& all, const std::string& vm, const std::string& name)
+        : answers_(streams), expected_(streams), seen_(streams)
+    {
+        target_.callers = all.vms.at(vm).callers;
+        for (std::size_t i = 0; i < streams; ++i)
+        {
+            const std::string input = name + '-' + std::to_string(i);
+            expected_[i] = generated_tokens(input);
+            threads_.emplace_back([this, &all, i, input] { run(all, i, input); });
+        }
+    }
+
+    ~stream_group() { join(); }
+
+    stream_group(const stream_group&) = delete;
+    stream_group& operator=(const stream_group&) = delete;
+
+    // Waits until every caller has `count` lines and so is in the middle of its stream.
+    bool wait_lines(int count) const
+    {
+        const auto reached = [&]
+        {
+            for (const auto& seen : seen_)
+                if (seen < count)
+                    return false;
+            return true;
+        };
+        return eventually(reached);
+    }
+
+    // Checks all answers; returns how many attempts there were beyond the first ones.
+    std::uint64_t check_complete()
+    {
+        join();
+        std::uint64_t repeated = 0;
+        for (std::size_t i = 0; i < streams; ++i)
+        {
+            const checked_answer answer = check_answer(answers_[i], expected_[i]);
+            cr_assert(answer.kind == answer_kind::complete, "stream %zu: kind %d, %s, %zu tokens",
+                      i, static_cast<int>(answer.kind), answer.detail.c_str(), answer.tokens);
+            repeated += answer.attempts - 1;
+        }
+        std::printf("whole answer: %d of %d complete, attempts beyond the first: %llu\n", streams,
+                    streams, (unsigned long long)repeated);
+        return repeated;
+    }
+
+private:
+    void run(const deployment& all, std::size_t i, const std::string& input)
+    {
+        const auto on_line = [this, i](std::string_view)
+        {
+            ++seen_[i];
+            return true;
+        };
+        answers_[i] = all.run_pipeline(target_, input, stream_deadline, on_line);
+    }
+
+    void join()
+    {
+        for (std::thread& one : threads_)
+            one.join();
+        threads_.clear();
+    }
+
+    deployment::vm target_;
+    std::vector<http_lines> answers_;
+    std::vector<std::vector<std::string>> expected_;
+    std::vector<std::atomic<int>> seen_;
+    std::vector<std::thread> threads_;
+};
+
+// Waits until the VM that owns the endpoint regards it as warm, so that all streams run at once.
+void wait_warm(const deployment& all, const std::string& vm, const std::string& endpoint)
+{
+    const auto is_warm = [&]
+    {
+        const auto status = endpoint_status(all, vm, endpoint);
+        return status && status->at("phase").as_string() == "warming";
+    };
+    const auto is_fully_warm = [&]
+    {
+        const auto status = endpoint_status(all, vm, endpoint);
+        return status && status->at("phase").as_string() == "warm";
+    };
+    cr_assert(eventually([&] { return is_warm() || is_fully_warm(); }), "%s stays cold",
+              endpoint.c_str());
+    // Short answers raise the limit step by step.
+    deployment::vm target;
+    target.callers = all.vms.at(vm).callers;
+    const auto has_room = [&]
+    {
+        const auto status = endpoint_status(all, vm, endpoint);
+        if (status && status->at("limit").as_integer() >= streams)
+            return true;
+        (void)all.run_pipeline(target, "warm-up", stream_deadline);
+        return false;
+    };
+    cr_assert(eventually(has_room), "%s stays at a low limit", endpoint.c_str());
+}
+
+} // namespace
+
+// Guards against tokens that are lost or repeated when the engine dies in the middle of streams.
+Test(whole_answer, engine_killed_mid_stream_is_replaced)
+{
+    deployment all(generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "60"}));
+    wait_warm(all, "vm-a1", "generator-a1");
+    stream_group callers(all, "vm-a1", "killed-engine");
+    cr_assert(callers.wait_lines(3));
+    cr_assert_geq(all.endpoints.at("generator-a1").count("running"), 1);
+    all.endpoints.at("generator-a1").kill();
+    cr_assert_geq(callers.check_complete(), 1);
+}
+
+// Guards against an answer that ends early, or begins again, when each engine cuts its streams.
+Test(whole_answer, stream_cut_after_tokens_is_resumed)
+{
+    deployment all(generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "5"}));
+    wait_warm(all, "vm-a1", "generator-a1");
+    for (const char* id : {"generator-a1", "generator-b1"})
+        all.endpoints.at(id).control(R"({"cut_after_tokens":9,"duplicate_lines":true})");
+    stream_group callers(all, "vm-a1", "cut-stream");
+    // Each of the 16 tokens counts, so one attempt of 9 tokens never suffices.
+    cr_assert_geq(callers.check_complete(), streams);
+}
+
+// Guards against a caller that waits for a stalled engine until its deadline.
+Test(whole_answer, slow_engine_is_given_up)
+{
+    deployment all(generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "5"}));
+    wait_warm(all, "vm-a1", "generator-a1");
+    all.endpoints.at("generator-a1").control(R"({"delay_ms":20000})");
+    stream_group callers(all, "vm-a1", "slow-engine");
+    cr_assert_geq(callers.check_complete(), 1);
+    cr_assert(eventually([&] { return all.endpoints.at("generator-a1").count("running") == 0; }));
+}
+
+// Guards against a healthy endpoint that is given up because its established connections went
+// silent. It is the only one, so the answers are complete only if it stays in use.
+Test(whole_answer, frozen_connections_are_replaced_without_blaming_the_endpoint)
+{
+    auto options = generation_options({"generator-a1"}, {"--token-ms", "60"});
+    options.proxies = true;
+    deployment all(options);
+    wait_warm(all, "vm-a1", "generator-a1");
+    stream_group callers(all, "vm-a1", "frozen");
+    cr_assert(callers.wait_lines(3));
+    all.endpoint_proxies.at("generator-a1").command("freeze_established");
+    cr_assert_geq(callers.check_complete(), streams);
+    cr_assert_geq(metric(all, "vm-a1", "zinnianotch_silent_connections"), 1);
+    cr_assert_eq(metric(all, "vm-a1", "zinnianotch_silent_endpoints"), 0);
+    const auto status = endpoint_status(all, "vm-a1", "generator-a1");
+    cr_assert(status.has_value());
+    cr_assert(status->at("phase").as_string() != "cold");
+    cr_assert_geq(status->at("limit").as_integer(), streams);
+}
+
+// Guards against a stream that ends with the VM that forwarded it.
+Test(whole_answer, killed_forwarding_vm_is_replaced)
+{
+    auto options = generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "60"});
+    options.vms_per_domain = 2;
+    deployment all(options);
+    const std::string owner = wait_owner(all, "vm-a1", "generator-a1");
+    const std::string entry = owner == "vm-a1" ? "vm-a2" : "vm-a1";
+    wait_warm(all, entry, "generator-a1");
+    stream_group callers(all, entry, "killed-vm");
+    cr_assert(callers.wait_lines(3));
+    cr_assert_geq(all.endpoints.at("generator-a1").count("running"), 1);
+    all.vms.at(owner).process->kill();
+    cr_assert_geq(callers.check_complete(), 1);
+    cr_assert(eventually([&] { return all.endpoints.at("generator-a1").count("running") == 0; }));
+}
+
+// Guards against work that goes on, and a slot that stays taken, for a caller that left.
+Test(whole_answer, caller_that_leaves_frees_the_engine)
+{
+    auto options = generation_options({"generator-a1"}, {"--token-ms", "400"});
+    options.vms_per_domain = 2;
+    deployment all(options);
+    const std::string owner = wait_owner(all, "vm-a1", "generator-a1");
+    const standin& engine = all.endpoints.at("generator-a1");
+    for (const char* entry : {"vm-a1", "vm-a2"}) // one of them forwards to the owner
+    {
+        const std::uint64_t cancelled = engine.count("cancelled");
+        const std::uint64_t starts = engine.count("starts");
+        const auto leave = [](std::string_view) { return false; };
+        const http_lines left =
+            all.run_pipeline(all.vms.at(entry), "leaver", stream_deadline, leave);
+        cr_assert_eq(left.lines.size(), 1);
+        cr_assert(eventually([&] { return engine.count("cancelled") == cancelled + 1; }),
+                  "the work for a caller of %s goes on", entry);
+        cr_assert_eq(engine.count("starts"), starts + 1);
+        cr_assert_eq(engine.count("running"), 0);
+        const auto is_free = [&]
+        {
+            const auto status = endpoint_status(all, owner, "generator-a1");
+            return status && status->at("in_flight").as_integer() == 0;
+        };
+        cr_assert(eventually(is_free), "the slot stays taken");
+    }
+}
