--- a/tests/process/load.cpp
+++ b/tests/process/load.cpp
@@ -242,6 +242,19 @@
     return owner;
 }
 
+bool wait_view(const deployment& all, const std::vector<std::string>& vms, std::size_t members)
+{
+    const auto is_whole = [&](const std::string& vm)
+    {
+        const http_answer answer = all.admin(all.vms.at(vm), "GET", "/admin/v1/status");
+        if (answer.status != 200)
+            return false;
+        const value view = answer.json().at("view");
+        return view.at("members").size() == members && view.at("former").size() == 0;
+    };
+    return eventually([&] { return std::all_of(vms.begin(), vms.end(), is_whole); });
+}
+
 std::uint64_t metric(const deployment& all, const std::string& vm, const std::string& name)
 {
     std::istringstream lines(http(all.vms.at(vm).callers, "GET", "/metrics").body);
--- a/tests/process/load.h
+++ b/tests/process/load.h
@@ -103,6 +103,10 @@
 // Name of the VM that owns the endpoint by the status of `vm`; waits until there is one.
 std::string wait_owner(const deployment& all, const std::string& vm, const std::string& endpoint);
 
+// Waits until each of the VMs adopted a view of exactly `members` members and no unsettled former
+// ones; until then endpoints may change their owners. False when that doesn't happen.
+bool wait_view(const deployment& all, const std::vector<std::string>& vms, std::size_t members);
+
 // Value of a line of /metrics that begins with `name`, 0 when there is none.
 std::uint64_t metric(const deployment& all, const std::string& vm, const std::string& name);
 
--- a/tests/process/whole_answer_test.cpp
+++ b/tests/process/whole_answer_test.cpp
@@ -195,6 +195,7 @@
     auto options = generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "60"});
     options.vms_per_domain = 2;
     deployment all(options);
+    cr_assert(wait_view(all, {"vm-a1", "vm-a2"}, 2));
     const std::string owner = wait_owner(all, "vm-a1", "generator-a1");
     const std::string entry = owner == "vm-a1" ? "vm-a2" : "vm-a1";
     wait_warm(all, entry, "generator-a1");
@@ -212,6 +213,7 @@
     auto options = generation_options({"generator-a1"}, {"--token-ms", "400"});
     options.vms_per_domain = 2;
     deployment all(options);
+    cr_assert(wait_view(all, {"vm-a1", "vm-a2"}, 2));
     const std::string owner = wait_owner(all, "vm-a1", "generator-a1");
     const standin& engine = all.endpoints.at("generator-a1");
     for (const char* entry : {"vm-a1", "vm-a2"}) // one of them forwards to the owner
