Count calls that were given up until the endpoint is known to have ended them

The dispatcher freed the slot of every ended attempt with endpoint_gate::on_finished, also after a timeout, a broken connection or a cancellation, so a cold endpoint got the next call while it still ran the last one. endpoint_gate::on_abandoned exists for this case and was not called. Ruled out: waiting for the answer to /cancel, because it may be lost and the engine ends the work only some time after it.

--- a/packages/coordination/dispatcher.cpp
+++ b/packages/coordination/dispatcher.cpp
@@ -169,6 +169,14 @@
                         static_cast<std::uint32_t>(reply.value().status)};
 }
 
+// Whether the call may still run at the endpoint although this VM has given it up. An endpoint that
+// answered with an error has ended it.
+bool may_go_on(const result<stage_output>& outcome)
+{
+    return !outcome && outcome.error().outcome != verdict::not_run &&
+           outcome.error().why != reason::endpoint_error;
+}
+
 bool is_service_call(const stage_call& call)
 {
     return call.pipeline.empty();
@@ -394,7 +402,10 @@
     const time_point now = steady_clock::now();
     {
         const std::lock_guard lock(mutex);
-        state.gate.on_finished(endpoint_healthy, now);
+        if (may_go_on(outcome))
+            state.gate.on_abandoned(now);
+        else
+            state.gate.on_finished(endpoint_healthy, now);
         const bool refused = !outcome && (outcome.error().why == reason::connect_failed ||
                                           outcome.error().why == reason::connection_broken);
         if (refused)
