Route around endpoints and owners that are gone

Every request chose a dead endpoint, or one whose owner VM died, first: without calls in flight it had the least load. Each such attempt used up the retry budget, so callers got retry_budget_exhausted while another engine was only busy. An endpoint counts as without room from a refused or broken connection until the next heartbeat of its owner, and the owner reports it so as long as connections are refused. A round of tries starts again instead of taking such an endpoint.

--- a/packages/coordination/dispatcher.cpp
+++ b/packages/coordination/dispatcher.cpp
@@ -271,7 +271,8 @@
             summary.domain = endpoint.domain;
             summary.phase = context.leaving ? endpoint_phase::leaving : state->gate.phase();
             summary.in_flight = state->gate.in_flight();
-            summary.limit = state->gate.limit(context, now);
+            // An idle endpoint without a process would otherwise attract all calls.
+            summary.limit = state->refuses ? 0 : state->gate.limit(context, now);
             summary.known = true;
             all.push_back(std::move(summary));
         }
@@ -410,6 +411,7 @@
                                           outcome.error().why == reason::connection_broken);
         if (refused)
             state.gate.on_restart_suspected(now);
+        state.refuses = !outcome && outcome.error().why == reason::connect_failed;
     }
     state.released.notify_one();
 }
@@ -459,7 +461,10 @@
             client->reset_connections();
         const std::lock_guard lock(owner.mutex);
         if (reply.error().why == reason::connect_failed)
+        {
             state->gate.on_restart_suspected(steady_clock::now());
+            state->refuses = true;
+        }
         return;
     }
     result<load_report> report = parse_load_report(reply.value().body);
@@ -471,6 +476,7 @@
     {
         const std::lock_guard lock(owner.mutex);
         state->gate.on_report(report.value(), polled, steady_clock::now());
+        state->refuses = false;
     }
     state->released.notify_all();
 }
--- a/packages/coordination/dispatcher.h
+++ b/packages/coordination/dispatcher.h
@@ -49,6 +49,7 @@
         std::shared_ptr<http_client> client;
         std::string url;
         std::condition_variable released;
+        bool refuses = false; // the last contact ended with a refused connection
     };
 
     struct shard
--- a/packages/coordination/load_map.cpp
+++ b/packages/coordination/load_map.cpp
@@ -35,6 +35,12 @@
         --summary.in_flight;
 }
 
+void load_map::on_unreachable(const std::string& endpoint)
+{
+    const std::lock_guard lock(mutex_);
+    entries_[endpoint].summary.limit = 0;
+}
+
 std::vector<endpoint_summary> load_map::candidates(const configuration& config,
                                                    const pool_config& pool,
                                                    const std::set<std::string>& excluded,
--- a/packages/coordination/load_map.h
+++ b/packages/coordination/load_map.h
@@ -23,6 +23,10 @@
     void on_sent(const std::string& endpoint);
     void on_finished(const std::string& endpoint);
 
+    // A call lost the endpoint or its owner: the endpoint counts as without room until the next
+    // heartbeat of its owner.
+    void on_unreachable(const std::string& endpoint);
+
     // Endpoints of the pool that may be tried: not leaving, domain not out, not in `excluded`.
     // An endpoint without a summary within peer_timeout is returned as unknown.
     std::vector<endpoint_summary> candidates(const configuration& config, const pool_config& pool,
--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -28,6 +28,13 @@
            why == reason::draining || why == reason::no_endpoint || why == reason::overloaded;
 }
 
+// The process of the endpoint, or of the VM that owns it, may be gone.
+bool is_unreachable(reason why)
+{
+    return why == reason::connect_failed || why == reason::peer_unreachable ||
+           why == reason::connection_broken;
+}
+
 bool is_final(reason why)
 {
     return why == reason::cancelled || why == reason::deadline_exceeded;
@@ -203,6 +210,8 @@
             return output;
         }
         last = output.error();
+        if (is_unreachable(last.why))
+            loads_.on_unreachable(call.endpoint);
         if (last.outcome != verdict::not_run)
             progress.may_have_run = true;
         log_event(log_level::info, "attempt_failed",
@@ -261,7 +270,9 @@
     return output;
 }
 
-// Chooses an endpoint that was not tried yet; when all were, the round starts again.
+// Chooses an endpoint that was not tried yet; when all with a limit were, the round starts again. An
+// endpoint without a limit is not tried instead of one that is only busy: each such attempt would
+// use up the retry budget.
 template <routing_policy Policy>
 result<endpoint_summary> pipeline_runner<Policy>::choose(const std::string& pool_name,
                                                          std::set<std::string>& tried,
@@ -273,7 +284,10 @@
     if (pool == nullptr)
         return not_run(reason::no_endpoint, "no pool " + pool_name);
     std::vector<endpoint_summary> candidates = loads_.candidates(*config, *pool, tried, now);
-    if (candidates.empty() && !tried.empty())
+    const bool none_usable =
+        std::all_of(candidates.begin(), candidates.end(),
+                    [](const endpoint_summary& one) { return one.known && one.limit == 0; });
+    if (none_usable && !tried.empty())
     {
         tried.clear();
         std::this_thread::sleep_for(busy_pause);
@@ -358,6 +372,8 @@
             return output;
         }
         last = output.error();
+        if (is_unreachable(last.why))
+            loads_.on_unreachable(call.endpoint);
         log_event(log_level::info, "attempt_failed",
                   {{"request", request.id},
                    {"attempt", call.attempt},
