--- a/tests/process/whole_answer_test.cpp
+++ b/tests/process/whole_answer_test.cpp
@@ -23,6 +23,15 @@
     {
         keep_generation_only(document, endpoints);
         document["defaults"]["stage_timeout_ms"] = web::json::value::number(1000);
+        // Only the first engine has room for all streams; the other one must take them over under
+        // its cold limit.
+        auto room = web::json::value::object();
+        room["id"] = web::json::value("ex-room");
+        room["target"] = web::json::value("endpoint:generator-a1");
+        room["setting"] = web::json::value("cold_limit");
+        room["value"] = web::json::value::number(streams);
+        room["reason"] = web::json::value("streams run at once");
+        document["exceptions"] = web::json::value::array({room});
     };
     return options;
 }
@@ -103,42 +112,32 @@
     std::vector<std::thread> threads_;
 };
 
-// Waits until the VM that owns the endpoint regards it as warm, so that all streams run at once.
-void wait_warm(const deployment& all, const std::string& vm, const std::string& endpoint)
+// Waits until the VM knows an endpoint that has room for so many calls.
+void wait_room(const deployment& all, const std::string& vm, const std::string& endpoint,
+               int calls = streams)
 {
-    const auto is_warm = [&]
-    {
-        const auto status = endpoint_status(all, vm, endpoint);
-        return status && status->at("phase").as_string() == "warming";
-    };
-    const auto is_fully_warm = [&]
-    {
-        const auto status = endpoint_status(all, vm, endpoint);
-        return status && status->at("phase").as_string() == "warm";
-    };
-    cr_assert(eventually([&] { return is_warm() || is_fully_warm(); }), "%s stays cold",
-              endpoint.c_str());
-    // Short answers raise the limit step by step.
-    deployment::vm target;
-    target.callers = all.vms.at(vm).callers;
     const auto has_room = [&]
     {
         const auto status = endpoint_status(all, vm, endpoint);
-        if (status && status->at("limit").as_integer() >= streams)
-            return true;
-        (void)all.run_pipeline(target, "warm-up", stream_deadline);
-        return false;
+        return status && status->at("limit").as_integer() >= calls;
     };
     cr_assert(eventually(has_room), "%s stays at a low limit", endpoint.c_str());
 }
 
+// The same for an engine that takes all streams and one that replaces it under its cold limit.
+void wait_two_engines(const deployment& all, const std::string& vm)
+{
+    wait_room(all, vm, "generator-a1");
+    wait_room(all, vm, "generator-b1", 1);
+}
+
 } // namespace
 
 // Guards against tokens that are lost or repeated when the engine dies in the middle of streams.
 Test(whole_answer, engine_killed_mid_stream_is_replaced)
 {
     deployment all(generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "60"}));
-    wait_warm(all, "vm-a1", "generator-a1");
+    wait_two_engines(all, "vm-a1");
     stream_group callers(all, "vm-a1", "killed-engine");
     cr_assert(callers.wait_lines(3));
     cr_assert_geq(all.endpoints.at("generator-a1").count("running"), 1);
@@ -150,7 +149,7 @@
 Test(whole_answer, stream_cut_after_tokens_is_resumed)
 {
     deployment all(generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "5"}));
-    wait_warm(all, "vm-a1", "generator-a1");
+    wait_two_engines(all, "vm-a1");
     for (const char* id : {"generator-a1", "generator-b1"})
         all.endpoints.at(id).control(R"({"cut_after_tokens":9,"duplicate_lines":true})");
     stream_group callers(all, "vm-a1", "cut-stream");
@@ -162,7 +161,7 @@
 Test(whole_answer, slow_engine_is_given_up)
 {
     deployment all(generation_options({"generator-a1", "generator-b1"}, {"--token-ms", "5"}));
-    wait_warm(all, "vm-a1", "generator-a1");
+    wait_two_engines(all, "vm-a1");
     all.endpoints.at("generator-a1").control(R"({"delay_ms":20000})");
     stream_group callers(all, "vm-a1", "slow-engine");
     cr_assert_geq(callers.check_complete(), 1);
@@ -176,7 +175,7 @@
     auto options = generation_options({"generator-a1"}, {"--token-ms", "60"});
     options.proxies = true;
     deployment all(options);
-    wait_warm(all, "vm-a1", "generator-a1");
+    wait_room(all, "vm-a1", "generator-a1");
     stream_group callers(all, "vm-a1", "frozen");
     cr_assert(callers.wait_lines(3));
     all.endpoint_proxies.at("generator-a1").command("freeze_established");
@@ -198,7 +197,7 @@
     cr_assert(wait_view(all, {"vm-a1", "vm-a2"}, 2));
     const std::string owner = wait_owner(all, "vm-a1", "generator-a1");
     const std::string entry = owner == "vm-a1" ? "vm-a2" : "vm-a1";
-    wait_warm(all, entry, "generator-a1");
+    wait_two_engines(all, entry);
     stream_group callers(all, entry, "killed-vm");
     cr_assert(callers.wait_lines(3));
     cr_assert_geq(all.endpoints.at("generator-a1").count("running"), 1);
