--- a/packages/coordination/dispatcher.cpp
+++ b/packages/coordination/dispatcher.cpp
@@ -169,11 +169,12 @@
                         static_cast<std::uint32_t>(reply.value().status)};
 }
 
-// True when the call was given up without its end: the endpoint may go on with it for a while.
-bool may_still_run(reason why)
+// Whether the call may still run at the endpoint although this VM has given it up. An endpoint that
+// answered with an error has ended it.
+bool may_go_on(const result<stage_output>& outcome)
 {
-    return why == reason::cancelled || why == reason::silent_connection ||
-           why == reason::connection_broken || why == reason::token_gap;
+    return !outcome && outcome.error().outcome != verdict::not_run &&
+           outcome.error().why != reason::endpoint_error;
 }
 
 bool is_service_call(const stage_call& call)
@@ -270,7 +271,8 @@
             summary.domain = endpoint.domain;
             summary.phase = context.leaving ? endpoint_phase::leaving : state->gate.phase();
             summary.in_flight = state->gate.in_flight();
-            summary.limit = state->gate.limit(context, now);
+            // An idle endpoint without a process would otherwise attract all calls.
+            summary.limit = state->refuses ? 0 : state->gate.limit(context, now);
             summary.known = true;
             all.push_back(std::move(summary));
         }
@@ -401,7 +403,7 @@
     const time_point now = steady_clock::now();
     {
         const std::lock_guard lock(mutex);
-        if (!outcome && may_still_run(outcome.error().why))
+        if (may_go_on(outcome))
             state.gate.on_abandoned(now);
         else
             state.gate.on_finished(endpoint_healthy, now);
@@ -409,6 +411,7 @@
                                           outcome.error().why == reason::connection_broken);
         if (refused)
             state.gate.on_restart_suspected(now);
+        state.refuses = !outcome && outcome.error().why == reason::connect_failed;
     }
     state.released.notify_one();
 }
@@ -458,7 +461,10 @@
             client->reset_connections();
         const std::lock_guard lock(owner.mutex);
         if (reply.error().why == reason::connect_failed)
+        {
             state->gate.on_restart_suspected(steady_clock::now());
+            state->refuses = true;
+        }
         return;
     }
     result<load_report> report = parse_load_report(reply.value().body);
@@ -470,6 +476,7 @@
     {
         const std::lock_guard lock(owner.mutex);
         state->gate.on_report(report.value(), polled, steady_clock::now());
+        state->refuses = false;
     }
     state->released.notify_all();
 }
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -178,7 +178,8 @@
     // Throws when /readyz does not answer 200 in time.
     static void wait_ready(const vm& target);
 
-    // Requests by the account library-1 and by the fleet operator night-shift.
+    // Requests by the account library-1 and by the fleet operator night-shift. `on_line` is that of
+    // http_stream.
     http_lines run_pipeline(const vm& target, const std::string& input,
                             milliseconds deadline = milliseconds{5000},
                             const zinnianotch::line_handler& on_line = nullptr) const;
