Show leaving endpoints and those of domains out of service in the status

Cause: the status took its phases from load_map::candidates, which leaves out the endpoints that must not be chosen, so they were shown as unknown. Ruled out: a summary that does not arrive (the endpoint got no new work). Change: load_map::summary_of returns the summary of one endpoint in any phase.

--- a/packages/coordination/load_map.cpp
+++ b/packages/coordination/load_map.cpp
@@ -61,6 +61,15 @@
     return found;
 }
 
+endpoint_summary load_map::summary_of(const std::string& endpoint, time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto known = entries_.find(endpoint);
+    if (known == entries_.end() || now - known->second.heard > peer_timeout)
+        return {};
+    return known->second.summary;
+}
+
 std::vector<endpoint_summary> load_map::recent(const std::string& domain, time_point now) const
 {
     const std::lock_guard lock(mutex_);
--- a/packages/coordination/load_map.h
+++ b/packages/coordination/load_map.h
@@ -29,6 +29,9 @@
                                              const std::set<std::string>& excluded,
                                              time_point now) const;
 
+    // Summary of one endpoint, whatever its phase; unknown when none came within peer_timeout.
+    endpoint_summary summary_of(const std::string& endpoint, time_point now) const;
+
     // All summaries heard within peer_timeout, for the partners in other failure domains.
     std::vector<endpoint_summary> recent(const std::string& domain, time_point now) const;
 
--- a/packages/daemon/api.cpp
+++ b/packages/daemon/api.cpp
@@ -836,12 +836,9 @@
     std::size_t index = 0;
     for (const pool_config& pool : config->pools)
     {
-        std::map<std::string, endpoint_summary> known;
-        for (const endpoint_summary& one : node_.loads().candidates(*config, pool, {}, now))
-            known[one.id] = one;
         for (const endpoint_config& endpoint : pool.endpoints)
         {
-            const endpoint_summary& summary = known[endpoint.id];
+            const endpoint_summary summary = node_.loads().summary_of(endpoint.id, now);
             json entry = json::object();
             entry["id"] = json(endpoint.id);
             entry["pool"] = json(pool.name);
