Answer a lost configuration change with the version in effect

Cause: no code wrote the member current_version that docs/api.md promises for version_conflict; the command line already reads it. Ruled out: a conflict that is not recognised (reason and status were right). Change: failure carries the version, error_body writes it.

--- a/packages/daemon/api.cpp
+++ b/packages/daemon/api.cpp
@@ -199,6 +199,14 @@
     }
 }
 
+failure configuration_conflict(std::uint64_t in_effect)
+{
+    failure why =
+        not_run(reason::version_conflict, "the version in effect is " + std::to_string(in_effect));
+    why.current_version = in_effect;
+    return why;
+}
+
 json peer_status(const peer_info& peer)
 {
     json out = json::object();
@@ -589,9 +597,7 @@
     node_.config().poll(store_timeout);
     const configuration_ptr before = node_.config().current();
     if (before->version != *expected)
-        return send_error(request, response,
-                          not_run(reason::version_conflict,
-                                  "the version in effect is " + std::to_string(before->version)));
+        return send_error(request, response, configuration_conflict(before->version));
     result<json> answer = write_change(request, *before, std::move(parsed.value()), {},
                                        dry_run.value(), deadline.value());
     if (!answer)
@@ -787,8 +793,7 @@
         return why;
     }
     if (changed.value().conflict)
-        return not_run(reason::version_conflict,
-                       "the version in effect is " + std::to_string(changed.value().version));
+        return configuration_conflict(changed.value().version);
     log_event(log_level::info, "config_accepted",
               {{"request", request.id},
                {"version", std::to_string(changed.value().version)},
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -546,6 +546,8 @@
     if (why.why == reason::invalid_configuration)
         error["problems"] =
             write_list(split_lines(why.detail), [](const std::string& line) { return json(line); });
+    if (why.current_version)
+        error["current_version"] = json::number(*why.current_version);
     json body = json::object();
     body["error"] = error;
     return body.serialize();
--- a/packages/state/verdict.h
+++ b/packages/state/verdict.h
@@ -4,6 +4,7 @@
 #include <boost/outcome.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -73,6 +74,8 @@
     verdict outcome = verdict::not_run;
     reason why = reason::bad_request;
     std::string detail;
+    // Configuration version in effect; only with version_conflict on the configuration.
+    std::optional<std::uint64_t> current_version = std::nullopt;
 };
 
 namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
