Send a domain's load to its partners every 2 s

Cause: each heartbeat to another failure domain carried the load of the whole domain, twice a second in both directions; it was the largest part of the traffic between VMs. Unit tests pass.

--- a/packages/coordination/load_map.cpp
+++ b/packages/coordination/load_map.cpp
@@ -1,11 +1,10 @@
 #include "coordination/load_map.h"
 
-#include "state/view.h"
-
 namespace zinnianotch
 {
 
-void load_map::on_summaries(const std::vector<endpoint_summary>& summaries, time_point now)
+void load_map::on_summaries(const std::vector<endpoint_summary>& summaries, milliseconds max_age,
+                            time_point now)
 {
     const std::lock_guard lock(mutex_);
     for (const endpoint_summary& summary : summaries)
@@ -14,7 +13,7 @@
         known.summary = summary;
         known.summary.known = true;
         known.summary.own_recent = 0;
-        known.heard = now;
+        known.known_until = now + max_age;
     }
 }
 
@@ -59,7 +58,7 @@
             summary = known->second.summary;
         summary.id = endpoint.id;
         summary.domain = endpoint.domain;
-        summary.known = known != entries_.end() && now - known->second.heard <= peer_timeout;
+        summary.known = known != entries_.end() && now <= known->second.known_until;
         if (summary.known && summary.phase == endpoint_phase::leaving)
             continue;
         found.push_back(std::move(summary));
@@ -71,7 +70,7 @@
 {
     const std::lock_guard lock(mutex_);
     const auto known = entries_.find(endpoint);
-    if (known == entries_.end() || now - known->second.heard > peer_timeout)
+    if (known == entries_.end() || now > known->second.known_until)
         return {};
     return known->second.summary;
 }
@@ -82,7 +81,7 @@
     std::vector<endpoint_summary> found;
     for (const auto& [id, known] : entries_)
     {
-        if (known.summary.domain == domain && now - known.heard <= peer_timeout)
+        if (known.summary.domain == domain && now <= known.known_until)
             found.push_back(known.summary);
     }
     return found;
--- a/packages/coordination/load_map.h
+++ b/packages/coordination/load_map.h
@@ -16,8 +16,9 @@
 class load_map
 {
 public:
-    // Adopts the summaries of a heartbeat.
-    void on_summaries(const std::vector<endpoint_summary>& summaries, time_point now);
+    // Adopts the summaries of a heartbeat, which count as known for `max_age`.
+    void on_summaries(const std::vector<endpoint_summary>& summaries, milliseconds max_age,
+                      time_point now);
 
     // This VM sends a call to the endpoint, or one of its calls ended.
     void on_sent(const std::string& endpoint);
@@ -28,7 +29,7 @@
     void on_unreachable(const std::string& endpoint);
 
     // Endpoints of the pool that may be tried: not leaving, domain not out, not in `excluded`.
-    // An endpoint without a summary within peer_timeout is returned as unknown.
+    // An endpoint whose summary is missing or too old is returned as unknown.
     std::vector<endpoint_summary> candidates(const configuration& config, const pool_config& pool,
                                              const std::set<std::string>& excluded,
                                              time_point now) const;
@@ -36,14 +37,15 @@
     // Summary of one endpoint, whatever its phase; unknown when none came within peer_timeout.
     endpoint_summary summary_of(const std::string& endpoint, time_point now) const;
 
-    // All summaries heard within peer_timeout, for the partners in other failure domains.
+    // All summaries of the failure domain that are still known, for the partners in other failure
+    // domains.
     std::vector<endpoint_summary> recent(const std::string& domain, time_point now) const;
 
 private:
     struct entry
     {
         endpoint_summary summary;
-        time_point heard{};
+        time_point known_until{};
     };
 
     mutable std::mutex mutex_;
--- a/packages/coordination/node.cpp
+++ b/packages/coordination/node.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds config_poll_interval{1000};
 constexpr milliseconds config_timeout{1000};
 constexpr milliseconds other_views_interval{5000};
+// The load of a whole domain is by far the largest message, so its partners get it less often.
+constexpr milliseconds partner_summary_interval{2000};
+constexpr milliseconds partner_summary_max_age{5000}; // rides out one lost exchange
 constexpr milliseconds vm_list_interval{1000};
 constexpr milliseconds vm_list_timeout{800};
 // Time for all peers of the domain to answer before their highest configuration is taken.
@@ -183,14 +186,24 @@
 {
     const time_point now = steady_clock::now();
     members_->on_heartbeat(beat, now);
-    loads_.on_summaries(beat.endpoints, now);
+    adopt_summaries(beat, now);
     if (beat.config_version > config_.version())
     {
         const std::lock_guard lock(wake_mutex_);
         ++wake_count_;
         wake_.notify_all();
     }
-    return make_heartbeat(beat.domain != options_.domain);
+    if (beat.domain == options_.domain)
+        return make_heartbeat(summary_scope::owned);
+    // The partner sets the rate of the exchange.
+    return make_heartbeat(beat.endpoints.empty() ? summary_scope::none : summary_scope::domain);
+}
+
+void node::adopt_summaries(const heartbeat& beat, time_point now)
+{
+    loads_.on_summaries(beat.endpoints,
+                        beat.domain == options_.domain ? peer_timeout : partner_summary_max_age,
+                        now);
 }
 
 config_document node::on_fetch_config()
@@ -208,7 +221,7 @@
     return dispatcher_->run(call, on_tokens, cancelled);
 }
 
-heartbeat node::make_heartbeat(bool whole_domain)
+heartbeat node::make_heartbeat(summary_scope scope)
 {
     const time_point now = steady_clock::now();
     heartbeat beat;
@@ -218,14 +231,16 @@
     beat.state = state_;
     beat.config_version = config_.version();
     beat.view_version = members_->view_version();
-    beat.endpoints =
-        whole_domain ? loads_.recent(options_.domain, now) : dispatcher_->summaries(now);
+    if (scope == summary_scope::owned)
+        beat.endpoints = dispatcher_->summaries(now);
+    if (scope == summary_scope::domain)
+        beat.endpoints = loads_.recent(options_.domain, now);
     return beat;
 }
 
 void node::gather_loads(time_point now)
 {
-    loads_.on_summaries(dispatcher_->summaries(now), now);
+    loads_.on_summaries(dispatcher_->summaries(now), peer_timeout, now);
 }
 
 // Sends heartbeats at a fixed rate. It does no blocking I/O, so that a slow table or peer does not
@@ -236,17 +251,22 @@
     {
         const time_point now = steady_clock::now();
         members_->on_heartbeat(reply, now);
-        loads_.on_summaries(reply.endpoints, now);
+        adopt_summaries(reply, now);
     };
+    time_point partners_at{};
     while (!stop.stop_requested())
     {
         const time_point now = steady_clock::now();
         gather_loads(now);
-        const heartbeat own = make_heartbeat(false);
-        heartbeat whole = own;
-        whole.endpoints = loads_.recent(options_.domain, now);
+        const bool tell_partners = now >= partners_at;
+        if (tell_partners)
+            partners_at = now + partner_summary_interval;
+        const heartbeat to_domain = make_heartbeat(summary_scope::owned);
+        const heartbeat to_partners =
+            make_heartbeat(tell_partners ? summary_scope::domain : summary_scope::none);
         for (const heartbeat_target& target : members_->take_heartbeat_targets(now))
-            peers_->send_heartbeat(target.address, target.other_domain ? whole : own, on_reply);
+            peers_->send_heartbeat(target.address, target.other_domain ? to_partners : to_domain,
+                                   on_reply);
         std::unique_lock lock(wake_mutex_);
         wake_.wait_until(lock, stop, now + heartbeat_interval, [] { return false; });
     }
--- a/packages/coordination/node.h
+++ b/packages/coordination/node.h
@@ -88,7 +88,16 @@
                                       const cancel_flag& cancelled) override;
 
 private:
-    heartbeat make_heartbeat(bool whole_domain);
+    // Which endpoints a heartbeat describes: none, the owned ones, or all of the failure domain.
+    enum class summary_scope
+    {
+        none,
+        owned,
+        domain
+    };
+
+    heartbeat make_heartbeat(summary_scope scope);
+    void adopt_summaries(const heartbeat& beat, time_point now);
     std::uint64_t choose_incarnation();
     void make_runner();
 
