--- a/packages/state/admission.cpp
+++ b/packages/state/admission.cpp
@@ -1,5 +1,7 @@
 #include "state/admission.h"
 
+#include "state/enum_names.h"
+
 #include <algorithm>
 #include <array>
 
@@ -19,19 +21,12 @@
 
 std::string_view to_string(endpoint_phase value)
 {
-    return endpoint_phase_names[static_cast<std::size_t>(value)];
+    return name_of(endpoint_phase_names, value);
 }
 
 bool from_string(std::string_view name, endpoint_phase& out)
 {
-    for (std::size_t i = 0; i < endpoint_phase_names.size(); ++i)
-    {
-        if (endpoint_phase_names[i] != name)
-            continue;
-        out = static_cast<endpoint_phase>(i);
-        return true;
-    }
-    return false;
+    return value_of(endpoint_phase_names, name, out);
 }
 
 result<void> endpoint_gate::try_admit(const admission_context& context, time_point now)
--- a/packages/state/configuration.cpp
+++ b/packages/state/configuration.cpp
@@ -1,5 +1,7 @@
 #include "state/configuration.h"
 
+#include "state/enum_names.h"
+
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/ip/address_v6.hpp>
 
@@ -332,19 +334,12 @@
 
 std::string_view to_string(stage_kind value)
 {
-    return stage_kind_names[static_cast<std::size_t>(value)];
+    return name_of(stage_kind_names, value);
 }
 
 bool from_string(std::string_view name, stage_kind& out)
 {
-    for (std::size_t i = 0; i < stage_kind_names.size(); ++i)
-    {
-        if (stage_kind_names[i] != name)
-            continue;
-        out = static_cast<stage_kind>(i);
-        return true;
-    }
-    return false;
+    return value_of(stage_kind_names, name, out);
 }
 
 const pipeline_config* find_pipeline(const configuration& config, std::string_view name)
--- a/packages/state/orders.cpp
+++ b/packages/state/orders.cpp
@@ -1,5 +1,7 @@
 #include "state/orders.h"
 
+#include "state/enum_names.h"
+
 #include <array>
 #include <utility>
 
@@ -19,19 +21,12 @@
 
 std::string_view to_string(order_state value)
 {
-    return order_state_names[static_cast<std::size_t>(value)];
+    return name_of(order_state_names, value);
 }
 
 bool from_string(std::string_view name, order_state& out)
 {
-    for (std::size_t i = 0; i < order_state_names.size(); ++i)
-    {
-        if (order_state_names[i] != name)
-            continue;
-        out = static_cast<order_state>(i);
-        return true;
-    }
-    return false;
+    return value_of(order_state_names, name, out);
 }
 
 order_machine::order_machine(std::string token, std::string digest)
--- a/packages/state/routing.cpp
+++ b/packages/state/routing.cpp
@@ -1,5 +1,7 @@
 #include "state/routing.h"
 
+#include "state/enum_names.h"
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -62,19 +64,12 @@
 
 std::string_view to_string(routing_kind value)
 {
-    return routing_kind_names[static_cast<std::size_t>(value)];
+    return name_of(routing_kind_names, value);
 }
 
 bool from_string(std::string_view name, routing_kind& out)
 {
-    for (std::size_t i = 0; i < routing_kind_names.size(); ++i)
-    {
-        if (routing_kind_names[i] != name)
-            continue;
-        out = static_cast<routing_kind>(i);
-        return true;
-    }
-    return false;
+    return value_of(routing_kind_names, name, out);
 }
 
 std::size_t least_load::choose(const std::vector<endpoint_summary>& candidates,
--- a/packages/state/verdict.cpp
+++ b/packages/state/verdict.cpp
@@ -1,5 +1,7 @@
 #include "state/verdict.h"
 
+#include "state/enum_names.h"
+
 #include <array>
 
 namespace zinnianotch
@@ -55,7 +57,7 @@
 
 std::string_view to_string(verdict value)
 {
-    return verdict_names[static_cast<std::size_t>(value)];
+    return name_of(verdict_names, value);
 }
 
 std::string_view to_string(reason value)
@@ -65,14 +67,7 @@
 
 bool from_string(std::string_view name, verdict& out)
 {
-    for (std::size_t i = 0; i < verdict_names.size(); ++i)
-    {
-        if (verdict_names[i] != name)
-            continue;
-        out = static_cast<verdict>(i);
-        return true;
-    }
-    return false;
+    return value_of(verdict_names, name, out);
 }
 
 bool from_string(std::string_view name, reason& out)
--- a/packages/transport/log.cpp
+++ b/packages/transport/log.cpp
@@ -1,5 +1,7 @@
 #include "transport/log.h"
 
+#include "state/enum_names.h"
+
 #include <easylogging++.h>
 
 #include <poll.h>
@@ -183,19 +185,12 @@
 
 std::string_view to_string(log_level value)
 {
-    return level_names[static_cast<std::size_t>(value)];
+    return name_of(level_names, value);
 }
 
 bool from_string(std::string_view name, log_level& out)
 {
-    for (std::size_t i = 0; i < level_names.size(); ++i)
-    {
-        if (level_names[i] != name)
-            continue;
-        out = static_cast<log_level>(i);
-        return true;
-    }
-    return false;
+    return value_of(level_names, name, out);
 }
 
 void configure_log(log_level least, std::string vm)
