Show peers that are not heard any more in the status

The API page promises all peers with a reachable member; the status listed only those heard within 2.5 s, so that an operator saw a dead VM vanish instead of reachable: false.

--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t views_per_read = 64;
 constexpr milliseconds rejoin_pause{1000};
 constexpr milliseconds contact_memory{60000};
+constexpr milliseconds peer_memory{600000};
 constexpr std::uint32_t max_rejoin_doublings = 5;
 constexpr std::string_view view_prefix = "view/";
 
@@ -86,6 +87,9 @@
     peer_info& peer = peers_[beat.vm.name];
     peer.last = beat;
     peer.heard = now;
+    // VMs are replaced all the time; those that are gone must not add up.
+    std::erase_if(peers_,
+                  [&](const auto& entry) { return now - entry.second.heard > peer_memory; });
     const auto sent = contacts_.find(beat.address);
     if (sent != contacts_.end())
         sent->second.waiting = false;
@@ -327,6 +331,15 @@
     return latest == nullptr ? std::string() : latest->last.address;
 }
 
+std::vector<peer_info> membership::known_peers() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<peer_info> known;
+    for (const auto& [name, peer] : peers_)
+        known.push_back(peer);
+    return known;
+}
+
 std::vector<peer_info> membership::live_peers(time_point now) const
 {
     const std::lock_guard lock(mutex_);
--- a/packages/coordination/membership.h
+++ b/packages/coordination/membership.h
@@ -91,6 +91,9 @@
     // A serving VM of another failure domain that was heard within peer_timeout; empty if none.
     std::string gateway_address(const std::string& domain, time_point now) const;
 
+    // All VMs heard of in the last ten minutes, for the status page.
+    std::vector<peer_info> known_peers() const;
+
     // VMs heard within peer_timeout.
     std::vector<peer_info> live_peers(time_point now) const;
 
--- a/packages/daemon/api.cpp
+++ b/packages/daemon/api.cpp
@@ -207,14 +207,14 @@
     return why;
 }
 
-json peer_status(const peer_info& peer)
+json peer_status(const peer_info& peer, time_point now)
 {
     json out = json::object();
     out["vm"] = json(peer.last.vm.name);
     out["failure_domain"] = json(peer.last.domain);
     out["address"] = json(peer.last.address);
     out["state"] = json(std::string(to_string(peer.last.state)));
-    out["reachable"] = json(true);
+    out["reachable"] = json(now - peer.heard <= peer_timeout);
     out["configuration_version"] = json::number(peer.last.config_version);
     return out;
 }
@@ -832,10 +832,10 @@
     view_part["members"] = text_list(names);
     view_part["former"] = text_list(former);
 
-    const std::vector<peer_info> peers = members.live_peers(now);
+    const std::vector<peer_info> peers = members.known_peers();
     json peer_list = json::array(peers.size());
     for (std::size_t i = 0; i < peers.size(); ++i)
-        peer_list[i] = peer_status(peers[i]);
+        peer_list[i] = peer_status(peers[i], now);
 
     json endpoints = json::array();
     std::size_t index = 0;
