Let a VM stop while the table is away

Cause: without the table the view cannot leave the stopping VM out, so its peers go on calling its endpoints through it, and the drain waits for a quiet moment that does not come while there is load. Ruled out: connections of callers (all had left; the last own request had ended 1.2 s after the signal).

--- a/packages/coordination/node.cpp
+++ b/packages/coordination/node.cpp
@@ -169,6 +169,10 @@
 result<stage_output> node::on_run_stage(const stage_call& call, const token_handler& on_tokens,
                                         const cancel_flag& cancelled)
 {
+    // While the table is away the view cannot leave this VM out, and the calls of its peers would
+    // keep it from ever ending. They have other endpoints.
+    if (state_ == vm_state::draining && !members_->has_current_authority(steady_clock::now()))
+        return not_run(reason::draining, "this VM is stopping");
     return dispatcher_->run(call, on_tokens, cancelled);
 }
 
