Keep the retry budget when no owner of an endpoint can be reached yet

Cause: an attempt that fails as peer_unreachable and not run counted as a retry. A VM that has just become ready knows no other domain, tries their endpoints, and its first requests used up the budget; the same holds for up to 2.5 s after an owner has ended. Ruled out: the endpoints (none was called). Change: such attempts cost nothing in the first second of a stage, the time that the runner already waits for an endpoint to become known.

--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -214,7 +214,7 @@
                    {"detail", last.detail}});
         if (is_final(last.why))
             return end_with(last);
-        result<void> allowed = may_retry(last, config, call.pool, steady_clock::now());
+        result<void> allowed = may_retry(last, config, call.pool, first_start);
         if (!allowed)
             return end_with(allowed.error());
         progress.tried.insert(chosen.value().id);
@@ -294,9 +294,13 @@
 
 template <routing_policy Policy>
 result<void> pipeline_runner<Policy>::may_retry(const failure& why, const configuration_ptr& config,
-                                                const std::string& pool, time_point now)
+                                                const std::string& pool, time_point first_start)
 {
-    if (why.outcome == verdict::not_run && is_redirection(why.why))
+    const time_point now = steady_clock::now();
+    // An owner that has just ended, or is not heard yet, must not use up the budget of the pool.
+    const bool awaits_owner =
+        why.why == reason::peer_unreachable && now - first_start < no_endpoint_wait;
+    if (why.outcome == verdict::not_run && (is_redirection(why.why) || awaits_owner))
         return outcome::success();
     const std::lock_guard lock(mutex_);
     if (budget_of(pool).try_retry(config->defaults.retry_percent, now))
@@ -373,7 +377,7 @@
         }
         if (is_final(last.why))
             return last;
-        result<void> allowed = may_retry(last, config, call.pool, steady_clock::now());
+        result<void> allowed = may_retry(last, config, call.pool, first_start);
         if (!allowed)
             return allowed.error();
         progress.tried.insert(call.endpoint);
--- a/packages/coordination/runner.h
+++ b/packages/coordination/runner.h
@@ -112,7 +112,7 @@
     result<endpoint_summary> choose(const std::string& pool, std::set<std::string>& tried,
                                     time_point now);
     result<void> may_retry(const failure& why, const configuration_ptr& config,
-                           const std::string& pool, time_point now);
+                           const std::string& pool, time_point first_start);
     retry_budget& budget_of(const std::string& pool);
 
     config_store& config_;
