Check that a stop drops no work and that a cut-off domain stays at home

Repeated work hides a VM that drops the work in hand, and a long deadline hides attempts at an unreachable domain, so the stop tests also count cancelled work and the cut-off test the attempts.

--- a/tests/process/outage_test.cpp
+++ b/tests/process/outage_test.cpp
@@ -77,6 +77,17 @@
     return runs;
 }
 
+// A stage that is tried at the other domain first takes more than one attempt.
+void expect_own_domain_only(const deployment& all, const std::string& vm)
+{
+    const http_lines answer = all.run_pipeline(all.vms.at(vm), "own");
+    cr_assert(answer.complete && !answer.lines.empty(), "%s", answer.body.c_str());
+    const value end = value::parse(answer.lines.back());
+    cr_assert(end.at("type").as_string() == "end", "%s", answer.lines.back().c_str());
+    for (const value& stage : end.at("stages").as_array())
+        cr_expect_eq(stage.at("attempts").as_integer(), 1, "%s", answer.lines.back().c_str());
+}
+
 deployment_options some_work()
 {
     deployment_options options;
@@ -189,19 +200,24 @@
     all.table_proxies.at("dom-b").command("freeze_all");
     cr_expect(eventually([&] { return !hears_other_domain(); }));
     cr_expect(load.wait_answers(3 * enough_answers), "%s", load.failures().c_str());
+    load.stop();
+    for (int number = 0; number < 20; ++number)
+        expect_own_domain_only(all, number % 2 == 0 ? "vm-b1" : "vm-b2");
     expect_error(all.place(all.vms.at("vm-b1"), "cut-off", "cut-off"), 503,
                  "order_store_unavailable");
     cr_expect_eq(runs_of(all, "cut-off"), 0);
 
+    background_load again(callers, pipeline_load(all, {"vm-b1", "vm-b2"}));
     for (const auto& [id, proxy] : all.endpoint_proxies)
         proxy.command("pass");
     all.table_proxies.at("dom-b").command("pass");
     for (const std::string name : {"vm-a1", "vm-a2"})
         all.vms.at(name).process->resume();
     cr_expect(eventually(hears_other_domain));
-    cr_expect(load.wait_answers(enough_answers), "%s", load.failures().c_str());
+    cr_expect(again.wait_answers(enough_answers), "%s", again.failures().c_str());
     const std::string wrong = call_pipeline(all.vms.at("vm-a1").callers, "met again");
     cr_expect(wrong.empty(), "%s", wrong.c_str());
-    load.stop();
+    again.stop();
     cr_expect(load.failures().empty(), "%s", load.failures().c_str());
+    cr_expect(again.failures().empty(), "%s", again.failures().c_str());
 }
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -48,6 +48,13 @@
     cr_expect_eq(code.value_or(-1), 0, "%s: %s", name.c_str(), process.output().c_str());
 }
 
+// Work in hand that the stopping VM drops is repeated by the others, so callers do not see it.
+void expect_nothing_cancelled(const deployment& all)
+{
+    for (const std::string letter : {"a", "b"})
+        cr_expect_eq(count_in_domain(all, letter, "cancelled"), 0, "dom-%s", letter.c_str());
+}
+
 std::vector<std::string> members_seen_by(const deployment& all, const std::string& name)
 {
     const value status = all.admin(all.vms.at(name), "GET", "/admin/v1/status").json();
@@ -78,6 +85,7 @@
     others.stop();
     cr_expect(kept.failures().empty(), "kept-alive: %s", kept.failures().c_str());
     cr_expect(others.failures().empty(), "other VMs: %s", others.failures().c_str());
+    expect_nothing_cancelled(all);
 }
 
 // Guards against a VM that stays away after a rolling restart, or interrupts requests as it comes.
@@ -97,6 +105,7 @@
         load.stop();
         cr_expect(load.failures().empty(), "%s: %s", name.c_str(), load.failures().c_str());
     }
+    expect_nothing_cancelled(all);
 }
 
 // Guards against a second signal that cuts the requests in hand, and against an idle kept-alive
