--- a/tests/process/callers.cpp
+++ b/tests/process/callers.cpp
@@ -110,7 +110,7 @@
     const std::string body = pipeline_body(input);
     std::string text = std::string("POST ") + pipeline_path + " HTTP/1.1\r\nHost: vm\r\n";
     for (const auto& [name, content] : caller_headers())
-        text += name + ": " + content + "\r\n";
+        text.append(name).append(": ").append(content).append("\r\n");
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     return ::send(socket_, text.data(), text.size(), MSG_NOSIGNAL) ==
            static_cast<ssize_t>(text.size());
@@ -158,7 +158,7 @@
     }
     const bool sent = connection_->send(input);
     const kept_connection::answer answer = connection_->receive();
-    const std::string wrong = check_pipeline(answer.status, answer.body, answer.complete, input);
+    std::string wrong = check_pipeline(answer.status, answer.body, answer.complete, input);
     if (!sent || answer.closes || !wrong.empty())
     {
         connection_.reset();
