Respect the reported capacity and break on failing endpoints

Change: the warm limit is bounded by the capacity in the load report; after three failures in a row an endpoint gets one call a second until one succeeds. Ruled out: a larger retry budget, which adds work where there is none to spare.

--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -359,6 +359,14 @@
     return text;
 }
 
+// A count of an endpoint's report; zero for anything that is no count.
+std::uint32_t count_field(const json& object, const std::string& name)
+{
+    const std::int64_t value = integer_field(object, name);
+    const bool fits = value > 0 && value <= std::numeric_limits<std::uint32_t>::max();
+    return fits ? static_cast<std::uint32_t>(value) : 0;
+}
+
 std::vector<std::string> split_lines(const std::string& text)
 {
     std::vector<std::string> lines;
@@ -538,9 +546,8 @@
     if (!from_string(string_field(value.value(), "phase"), report.phase))
         return not_run(reason::endpoint_error, "the load report has no known phase");
     report.incarnation = string_field(value.value(), "incarnation");
-    const std::int64_t running = integer_field(value.value(), "running");
-    if (running > 0 && running <= std::numeric_limits<std::uint32_t>::max())
-        report.running = static_cast<std::uint32_t>(running);
+    report.running = count_field(value.value(), "running");
+    report.capacity = count_field(value.value(), "capacity");
     report.leaving = bool_field(value.value(), "leaving");
     return report;
 }
--- a/packages/state/admission.cpp
+++ b/packages/state/admission.cpp
@@ -42,7 +42,7 @@
         return not_run(reason::endpoint_leaving);
 
     const std::uint32_t allowed = limit(context, now);
-    if (phase_ == endpoint_phase::warming && allowed >= context.warm_limit)
+    if (phase_ == endpoint_phase::warming && allowed >= warm_limit(context))
         phase_ = endpoint_phase::warm;
     if (in_flight_ >= allowed)
         return not_run(reason::busy);
@@ -52,13 +52,15 @@
 
 void endpoint_gate::on_finished(bool succeeded, time_point now)
 {
-    if (in_flight_ > 0)
-        --in_flight_;
+    release_slot();
     if (!succeeded)
     {
         successes_ = 0;
+        ++failures_;
+        probe_at_ = now + breaker_pause;
         return;
     }
+    failures_ = 0;
     if (phase_ == endpoint_phase::cold)
     {
         // A fresh report knows better than the successes of a few calls.
@@ -83,7 +85,9 @@
     if (foreign_)
         ++*foreign_;
     abandoned_at_ = now;
-    on_finished(false, now);
+    // A caller that left says nothing about the endpoint, so that this is no failure.
+    successes_ = 0;
+    release_slot();
 }
 
 void endpoint_gate::on_restart_suspected(time_point now)
@@ -102,6 +106,7 @@
     has_report_ = true;
     polled_at_ = polled;
     running_ = report.running;
+    capacity_ = report.capacity;
     incarnation_ = report.incarnation;
     if (polled >= std::max(handover_at_, abandoned_at_) + load_report_lag)
         foreign_ = std::min(foreign_.value_or(running_), running_);
@@ -135,14 +140,22 @@
 {
     if (context.leaving || context.domain_out)
         return 0;
+    const std::uint32_t allowed = phase_limit(context, now);
+    if (failures_ < breaker_failures)
+        return allowed;
+    return now < probe_at_ ? 0 : std::min(allowed, 1U);
+}
+
+std::uint32_t endpoint_gate::phase_limit(const admission_context& context, time_point now) const
+{
     switch (phase_)
     {
     case endpoint_phase::leaving:
         return 0;
     case endpoint_phase::warm:
-        return context.warm_limit;
+        return warm_limit(context);
     case endpoint_phase::warming:
-        return std::min(context.warm_limit, context.cold_limit + ramp_steps_);
+        return std::min(warm_limit(context), context.cold_limit + ramp_steps_);
     case endpoint_phase::cold:
         break;
     }
@@ -151,6 +164,17 @@
     return foreign && *foreign < allowance ? allowance - *foreign : 0;
 }
 
+std::uint32_t endpoint_gate::warm_limit(const admission_context& context) const
+{
+    return capacity_ == 0 ? context.warm_limit : std::min(context.warm_limit, capacity_);
+}
+
+void endpoint_gate::release_slot()
+{
+    if (in_flight_ > 0)
+        --in_flight_;
+}
+
 std::uint32_t endpoint_gate::foreign(time_point now) const
 {
     return foreign_after(handover_at_, now).value_or(0);
--- a/packages/state/admission.h
+++ b/packages/state/admission.h
@@ -15,6 +15,10 @@
 inline constexpr milliseconds load_poll_interval{500};
 inline constexpr milliseconds load_report_max_age{3000};
 inline constexpr milliseconds ramp_interval{200}; // least time between two raises of the limit
+// An endpoint that fails at once looks idle and would draw all calls of its pool: after so many
+// failures in a row it gets one call at a time, breaker_pause apart, until one succeeds.
+inline constexpr std::uint32_t breaker_failures = 3;
+inline constexpr milliseconds breaker_pause{1000};
 // A report may miss calls sent and events since this long before its poll: the endpoint's own lag
 // plus the transit of a call.
 inline constexpr milliseconds load_report_lag{1000};
@@ -38,6 +42,7 @@
     std::string incarnation;
     endpoint_phase phase = endpoint_phase::cold;
     std::uint32_t running = 0;
+    std::uint32_t capacity = 0; // concurrent calls that it serves; 0 when it does not say
     bool leaving = false;
 };
 
@@ -95,6 +100,11 @@
 private:
     // The bound above for the given handover, or nothing before the first report after it.
     std::optional<std::uint32_t> foreign_after(time_point handover, time_point now) const;
+    // Limit by phase, without regard to recent failures.
+    std::uint32_t phase_limit(const admission_context& context, time_point now) const;
+    // The configured warm limit, or the capacity that the endpoint reports if that is lower.
+    std::uint32_t warm_limit(const admission_context& context) const;
+    void release_slot();
     bool is_fresh(time_point now) const;
     void drop_to_cold();
 
@@ -103,10 +113,13 @@
     std::uint32_t ramp_steps_ = 0; // raises above the cold limit
     std::uint32_t successes_ = 0;  // in a row while cold
     std::uint32_t running_ = 0;    // by the last report
+    std::uint32_t capacity_ = 0;   // by the last report
+    std::uint32_t failures_ = 0;   // in a row
     std::optional<std::uint32_t> foreign_;
     time_point handover_at_{};
     time_point abandoned_at_{};
     time_point last_raise_{};
+    time_point probe_at_{}; // earliest next call after breaker_failures failures
     time_point polled_at_{};
     time_point suspected_at_{};
     bool has_report_ = false;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -18,7 +18,7 @@
 load_report report_of(endpoint_phase phase, std::uint32_t running = 0,
                       const std::string& incarnation = "i1")
 {
-    return {incarnation, phase, running, false};
+    return {incarnation, phase, running, 0, false};
 }
 
 // An owner without predecessors: the handover lies long ago.
@@ -260,3 +260,58 @@
     gate.on_report(report_of(endpoint_phase::warm), start, start);
     cr_assert(gate.limit(context, start) == 2);
 }
+
+// Guards against an endpoint that fails at once, looks idle and draws all calls of its pool.
+Test(admission, endpoint_failing_in_a_row_gets_one_probe_at_a_time)
+{
+    endpoint_gate gate;
+    const admission_context context = settled_context();
+    gate.on_report(report_of(endpoint_phase::warm), after(-100), start);
+    for (std::uint32_t i = 0; i < breaker_failures; ++i)
+    {
+        cr_assert(gate.try_admit(context, start));
+        gate.on_finished(false, start);
+    }
+    cr_assert_eq(gate.limit(context, start), 0);
+    const time_point later = start + breaker_pause;
+    cr_assert_eq(admit_all(gate, context, later), 1);
+    gate.on_finished(false, later);
+    cr_assert_eq(gate.limit(context, later), 0);
+
+    const time_point healed = later + breaker_pause;
+    cr_assert_eq(admit_all(gate, context, healed), 1);
+    gate.on_finished(true, healed);
+    cr_assert_gt(gate.limit(context, healed), 1);
+}
+
+// Guards against a caller that leaves being held against the endpoint.
+Test(admission, abandoned_calls_are_no_failures)
+{
+    endpoint_gate gate;
+    const admission_context context = settled_context();
+    gate.on_report(report_of(endpoint_phase::warm), after(-100), start);
+    for (std::uint32_t i = 0; i < 2 * breaker_failures; ++i)
+    {
+        cr_assert(gate.try_admit(context, start));
+        gate.on_abandoned(start);
+    }
+    cr_assert_gt(gate.limit(context, start), 0);
+}
+
+// Guards against calls beyond the capacity that an endpoint reports, which it answers with errors.
+Test(admission, warm_endpoint_reporting_capacity_is_not_overrun)
+{
+    endpoint_gate gate;
+    const admission_context context = settled_context();
+    load_report report = report_of(endpoint_phase::warm);
+    report.capacity = 4;
+    time_point now = start;
+    gate.on_report(report, now, now);
+    for (int i = 0; i < 40; ++i)
+    {
+        now += ramp_interval;
+        cr_assert(gate.try_admit(context, now));
+        gate.on_finished(true, now);
+    }
+    cr_assert_eq(admit_all(gate, context, now), 4);
+}
