Choose no endpoint of a failure domain without a live VM

Cause: a VM that has just started has not heard of the other domains and its own endpoints are cold. Calls beyond the cold limit were sent to an endpoint of another domain, failed at once ("no live VM") and used up the retry budget of the pool; all further orders of that moment were refused as retry_budget_exhausted, not_run, without any fault in the system. Ruled out: naming the failure a redirection, which costs no budget but would keep a worker busy until the deadline of each request during a partition. Change: choose() leaves such endpoints out; the request then waits for its own endpoints for up to no_endpoint_wait and is refused as no_endpoint after it.

--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -272,12 +272,24 @@
     const pool_config* pool = find_pool(*config, pool_name);
     if (pool == nullptr)
         return not_run(reason::no_endpoint, "no pool " + pool_name);
-    std::vector<endpoint_summary> candidates = loads_.candidates(*config, *pool, tried, now);
+    // An endpoint of a domain without a live VM cannot be reached now. An attempt at it would only
+    // use up the retry budget, which all requests of the pool share.
+    const auto reachable_candidates = [&]
+    {
+        std::vector<endpoint_summary> found = loads_.candidates(*config, *pool, tried, now);
+        std::erase_if(found,
+                      [&](const endpoint_summary& one) {
+                          return one.domain != members_.domain() &&
+                                 members_.gateway_address(one.domain, now).empty();
+                      });
+        return found;
+    };
+    std::vector<endpoint_summary> candidates = reachable_candidates();
     if (candidates.empty() && !tried.empty())
     {
         tried.clear();
         std::this_thread::sleep_for(busy_pause);
-        candidates = loads_.candidates(*config, *pool, tried, now);
+        candidates = reachable_candidates();
     }
     // Endpoints whose owner is not heard may still work, but only when no other is left.
     const bool any_known = std::any_of(candidates.begin(), candidates.end(),
--- a/tests/process/orders_test.cpp
+++ b/tests/process/orders_test.cpp
@@ -98,6 +98,35 @@
         cr_assert_eq(count, 1, "%s ran %lu times", key.c_str(), count);
 }
 
+// Guards against orders that fail because a domain without a live VM is tried in vain: a VM that is
+// just starting has not heard of the other domain yet, and its own endpoints are cold.
+Test(orders, domain_without_live_vm_uses_up_no_retries)
+{
+    deployment_options options;
+    options.start_vms = false;
+    options.endpoint_arguments = {"--cold-ms", "-1", "--work-ms", "20"};
+    deployment all(options);
+    const std::uint16_t port = all.start_vm("vm-a1").callers;
+    deployment::wait_ready(vm_of(all, "vm-a1"));
+    std::vector<std::future<order_reply>> calls;
+    for (int number = 0; number < 40; ++number)
+        calls.push_back(std::async(
+            std::launch::async,
+            [=] { return send_order(port, "cold-" + std::to_string(number), long_deadline); }));
+    int ran = 0;
+    for (auto& call : calls)
+    {
+        const order_reply reply = call.get();
+        ran += reply.verdict == told::ran ? 1 : 0;
+        // A busy machine may let the wait for the cold endpoint end.
+        cr_assert(reply.verdict == told::ran || reply.reason == "no_endpoint" ||
+                      reply.reason == "busy",
+                  "%s", reply.raw.body.c_str());
+    }
+    cr_assert_gt(ran, 0);
+    (void)std::fprintf(stderr, "cold start: %d of 40 ran\n", ran);
+}
+
 // Guards against the HTTP library's silent repeat: it sends again on a reused connection that the
 // service closes without an answer.
 Test(orders, service_closing_kept_connections_sees_no_second_call)
