--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -283,7 +283,7 @@
     const pool_config* pool = find_pool(*config, pool_name);
     if (pool == nullptr)
         return not_run(reason::no_endpoint, "no pool " + pool_name);
-    std::vector<endpoint_summary> candidates = loads_.candidates(*config, *pool, tried, now);
+    std::vector<endpoint_summary> candidates = reachable_candidates(*config, *pool, tried, now);
     const bool none_usable =
         std::all_of(candidates.begin(), candidates.end(),
                     [](const endpoint_summary& one) { return one.known && one.limit == 0; });
@@ -291,7 +291,7 @@
     {
         tried.clear();
         std::this_thread::sleep_for(busy_pause);
-        candidates = loads_.candidates(*config, *pool, tried, now);
+        candidates = reachable_candidates(*config, *pool, tried, now);
     }
     // Endpoints whose owner is not heard may still work, but only when no other is left.
     const bool any_known = std::any_of(candidates.begin(), candidates.end(),
@@ -306,6 +306,23 @@
     return candidates[policy_.choose(candidates, query)];
 }
 
+// Candidates without those of a domain that has no live VM: they cannot be reached now, and an
+// attempt would only use up the retry budget, which all requests of the pool share.
+template <routing_policy Policy>
+std::vector<endpoint_summary>
+pipeline_runner<Policy>::reachable_candidates(const configuration& config, const pool_config& pool,
+                                              const std::set<std::string>& tried,
+                                              time_point now) const
+{
+    std::vector<endpoint_summary> found = loads_.candidates(config, pool, tried, now);
+    std::erase_if(found,
+                  [&](const endpoint_summary& one) {
+                      return one.domain != members_.domain() &&
+                             members_.gateway_address(one.domain, now).empty();
+                  });
+    return found;
+}
+
 template <routing_policy Policy>
 result<void> pipeline_runner<Policy>::may_retry(const failure& why, const configuration_ptr& config,
                                                 const std::string& pool, time_point first_start)
--- a/packages/coordination/runner.h
+++ b/packages/coordination/runner.h
@@ -111,6 +111,10 @@
                                  stage_progress& progress);
     result<endpoint_summary> choose(const std::string& pool, std::set<std::string>& tried,
                                     time_point now);
+    std::vector<endpoint_summary> reachable_candidates(const configuration& config,
+                                                       const pool_config& pool,
+                                                       const std::set<std::string>& tried,
+                                                       time_point now) const;
     result<void> may_retry(const failure& why, const configuration_ptr& config,
                            const std::string& pool, time_point first_start);
     retry_budget& budget_of(const std::string& pool);
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -161,7 +161,7 @@
             return; // port 0 makes every later step of the test fail
         sockaddr_in bound{};
         socklen_t size = sizeof bound;
-        ::getsockname(socket_.descriptor(), reinterpret_cast<sockaddr*>(&bound), &size);
+        (void)::getsockname(socket_.descriptor(), reinterpret_cast<sockaddr*>(&bound), &size);
         port_ = ntohs(bound.sin_port);
         if (backlog > 0)
             ::listen(socket_.descriptor(), backlog);
