Prove the halved cold limit of an owner cut off from the table

Each VM of the cold start tests reaches the table through a proxy of its own. The test of frozen connections also covers idle ones.

--- a/tests/process/cold_start_test.cpp
+++ b/tests/process/cold_start_test.cpp
@@ -6,6 +6,8 @@
 #include <criterion/criterion.h>
 
 #include <cstdio>
+#include <fstream>
+#include <sstream>
 
 using namespace fixture;
 
@@ -24,8 +26,14 @@
     explicit cold_engine(const std::vector<std::string>& engine_arguments, bool proxies = false)
         : all(make_options(engine_arguments, proxies))
     {
+        const std::uint16_t table =
+            proxies ? all.table_proxies.at("dom-a").port() : all.table.port();
         for (const std::string& name : vm_names)
+        {
+            const auto own_way = ways_to_table.emplace(name, fault_proxy(table)).first;
+            replace_port(all.vms.at(name).settings_file, table, own_way->second.port());
             all.start_vm(name);
+        }
         wait_all_ready();
     }
 
@@ -91,8 +99,19 @@
     }
 
     deployment all;
+    std::map<std::string, fault_proxy> ways_to_table; // by VM
 
 private:
+    static void replace_port(const std::string& file, std::uint16_t from, std::uint16_t to)
+    {
+        std::stringstream text;
+        text << std::ifstream(file).rdbuf();
+        std::string settings = text.str();
+        const std::string old = "127.0.0.1:" + std::to_string(from);
+        settings.replace(settings.find(old), old.size(), "127.0.0.1:" + std::to_string(to));
+        std::ofstream(file) << settings;
+    }
+
     static deployment_options make_options(const std::vector<std::string>& engine_arguments,
                                            bool proxies)
     {
@@ -173,6 +192,30 @@
     test.end(callers);
 }
 
+// Guards against a thawed owner that goes on at the full limit because it cannot read that it was
+// replaced: the allowances of both VMs together must stay within the limit.
+Test(cold_start, frozen_owner_without_table_stays_within_its_share)
+{
+    cold_engine test({"--cold-ms", "-1", "--token-ms", "30"});
+    load callers(test.all, test.load_from_all(4));
+    cr_assert(test.serves(4));
+    const std::string frozen = test.owner("vm-a1");
+    const std::string other = frozen == "vm-a1" ? "vm-a2" : "vm-a1";
+    test.all.vms.at(frozen).process->stop();
+    test.ways_to_table.at(frozen).command("freeze_all");
+    cr_assert(test.owner_changes(other, frozen));
+    cr_assert(test.serves(4), "the successor does not use the engine");
+    test.all.vms.at(frozen).process->resume();
+    cr_assert(eventually([&] { return endpoint_status(test.all, frozen, engine_id).has_value(); }));
+    cr_assert(!test.has_authority(frozen));
+    cr_assert(test.serves(30));
+    test.ways_to_table.at(frozen).command("pass");
+    cr_assert(wait_view(test.all, vm_names, vm_names.size()));
+    cr_assert(test.serves(10));
+    test.check(callers, "frozen owner without table");
+    test.end(callers);
+}
+
 // Guards against VMs that begin with full limits, or with no account of each other, after all of
 // them were restarted under load.
 Test(cold_start, restart_of_all_vms_stays_within_the_limit)
--- a/tests/process/whole_answer_test.cpp
+++ b/tests/process/whole_answer_test.cpp
@@ -186,6 +186,16 @@
     cr_assert(status.has_value());
     cr_assert(status->at("phase").as_string() != "cold");
     cr_assert_geq(status->at("limit").as_integer(), streams);
+
+    // The idle connections of the last streams go silent too. One attempt may find that out; the
+    // next one must not take another of them.
+    stream_group again(all, "vm-a1", "idle");
+    again.check_complete();
+    all.endpoint_proxies.at("generator-a1").command("freeze_established");
+    const http_lines lines = all.run_pipeline(all.vms.at("vm-a1"), "single", stream_deadline);
+    const checked_answer single = check_answer(lines, generated_tokens("single"));
+    cr_assert(single.kind == answer_kind::complete, "%s", single.detail.c_str());
+    cr_assert_leq(single.attempts, 2);
 }
 
 // Guards against a stream that ends with the VM that forwarded it.
