Take a 503 of an endpoint as the sign of a cold start

Cause: an engine that turned cold under full load refused calls, and the owner retried them at once at the warm limit until the next load report showed the cold phase. Ruled out: polling the load more often, which costs processor time on every endpoint.

--- a/packages/coordination/dispatcher.cpp
+++ b/packages/coordination/dispatcher.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds cancel_timeout{200};
 constexpr std::size_t poller_count = 4; // a silent endpoint must not delay all other reports
 constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
 
 std::string stage_body(const stage_call& call)
 {
@@ -36,6 +37,8 @@
 
 failure endpoint_failure(int status)
 {
+    if (status == status_unavailable)
+        return may_have_run(reason::endpoint_overloaded, "status 503");
     return may_have_run(reason::endpoint_error, "status " + std::to_string(status));
 }
 
@@ -174,7 +177,8 @@
 bool may_go_on(const result<stage_output>& outcome)
 {
     return !outcome && outcome.error().outcome != verdict::not_run &&
-           outcome.error().why != reason::endpoint_error;
+           outcome.error().why != reason::endpoint_error &&
+           outcome.error().why != reason::endpoint_overloaded;
 }
 
 bool is_service_call(const stage_call& call)
@@ -197,7 +201,8 @@
 void dispatcher::start()
 {
     for (std::size_t part = 0; part < poller_count; ++part)
-        pollers_.emplace_back([this, part](std::stop_token stop) { poll_loads(stop, part); });
+        pollers_.emplace_back([this, part](const std::stop_token& stop)
+                              { poll_loads(stop, part); });
 }
 
 void dispatcher::stop()
@@ -405,6 +410,8 @@
         const std::lock_guard lock(mutex);
         if (may_go_on(outcome))
             state.gate.on_abandoned(now);
+        else if (!outcome && outcome.error().why == reason::endpoint_overloaded)
+            state.gate.on_overloaded(now);
         else
             state.gate.on_finished(endpoint_healthy, now);
         const bool refused = !outcome && (outcome.error().why == reason::connect_failed ||
@@ -417,7 +424,7 @@
 }
 
 // Polls the load reports of this part of the owned endpoints.
-void dispatcher::poll_loads(std::stop_token stop, std::size_t part)
+void dispatcher::poll_loads(const std::stop_token& stop, std::size_t part)
 {
     std::mutex mutex;
     std::condition_variable_any wake;
--- a/packages/coordination/dispatcher.h
+++ b/packages/coordination/dispatcher.h
@@ -77,7 +77,7 @@
                                        const cancel_flag& cancelled);
     void release(endpoint_state& state, std::mutex& mutex, const result<stage_output>& outcome,
                  bool endpoint_healthy);
-    void poll_loads(std::stop_token stop, std::size_t part);
+    void poll_loads(const std::stop_token& stop, std::size_t part);
     void poll_load(const target& to);
 
     static constexpr std::size_t shard_count = 16;
--- a/packages/coordination/node.cpp
+++ b/packages/coordination/node.cpp
@@ -65,11 +65,11 @@
 
     state_ = vm_state::serving;
     dispatcher_->start();
-    threads_.emplace_back([this](std::stop_token stop) { heartbeat_loop(stop); });
-    threads_.emplace_back([this](std::stop_token stop) { view_loop(stop); });
-    threads_.emplace_back([this](std::stop_token stop) { config_loop(stop); });
+    threads_.emplace_back([this](const std::stop_token& stop) { heartbeat_loop(stop); });
+    threads_.emplace_back([this](const std::stop_token& stop) { view_loop(stop); });
+    threads_.emplace_back([this](const std::stop_token& stop) { config_loop(stop); });
     if (!options_.vm_list_url.empty())
-        threads_.emplace_back([this](std::stop_token stop) { vm_list_loop(stop); });
+        threads_.emplace_back([this](const std::stop_token& stop) { vm_list_loop(stop); });
 }
 
 void node::make_runner()
@@ -245,7 +245,7 @@
 
 // Sends heartbeats at a fixed rate. It does no blocking I/O, so that a slow table or peer does not
 // make this VM look dead.
-void node::heartbeat_loop(std::stop_token stop)
+void node::heartbeat_loop(const std::stop_token& stop)
 {
     const auto on_reply = [this](const heartbeat& reply)
     {
@@ -272,7 +272,7 @@
     }
 }
 
-void node::view_loop(std::stop_token stop)
+void node::view_loop(const std::stop_token& stop)
 {
     time_point other_views_at{};
     while (!stop.stop_requested())
@@ -290,7 +290,7 @@
     }
 }
 
-void node::config_loop(std::stop_token stop)
+void node::config_loop(const std::stop_token& stop)
 {
     while (!stop.stop_requested())
     {
@@ -327,7 +327,7 @@
         config_.adopt(fetched.value().version, row.value());
 }
 
-void node::vm_list_loop(std::stop_token stop)
+void node::vm_list_loop(const std::stop_token& stop)
 {
     http_client client(options_.vm_list_url);
     while (!stop.stop_requested())
@@ -364,7 +364,7 @@
 }
 
 // Waits for the time, the stop, or an event that all loops should look at.
-void node::pause(std::stop_token stop, milliseconds time)
+void node::pause(const std::stop_token& stop, milliseconds time)
 {
     std::unique_lock lock(wake_mutex_);
     const std::uint64_t count = wake_count_;
--- a/packages/coordination/node.h
+++ b/packages/coordination/node.h
@@ -112,13 +112,13 @@
         return use(std::get<pipeline_runner<least_load>>(runner_));
     }
 
-    void heartbeat_loop(std::stop_token stop);
-    void view_loop(std::stop_token stop);
-    void config_loop(std::stop_token stop);
-    void vm_list_loop(std::stop_token stop);
+    void heartbeat_loop(const std::stop_token& stop);
+    void view_loop(const std::stop_token& stop);
+    void config_loop(const std::stop_token& stop);
+    void vm_list_loop(const std::stop_token& stop);
     void poll_vm_list(http_client& client);
     void fetch_newer_config(bool table_answered);
-    void pause(std::stop_token stop, milliseconds time);
+    void pause(const std::stop_token& stop, milliseconds time);
     void gather_loads(time_point now);
 
     node_options options_;
--- a/packages/coordination/order_book.cpp
+++ b/packages/coordination/order_book.cpp
@@ -59,7 +59,7 @@
 
 order_book::order_book(table_client& table, metrics& counters)
     : table_(table), counters_(counters),
-      writer_([this](std::stop_token stop) { write_pending(stop); })
+      writer_([this](const std::stop_token& stop) { write_pending(stop); })
 {
 }
 
@@ -261,7 +261,7 @@
     changed_.notify_all();
 }
 
-void order_book::write_pending(std::stop_token stop)
+void order_book::write_pending(const std::stop_token& stop)
 {
     std::unique_lock lock(mutex_);
     while (!stop.stop_requested())
--- a/packages/coordination/order_book.h
+++ b/packages/coordination/order_book.h
@@ -85,7 +85,7 @@
     static write_outcome write_outcome_of(record_outcome outcome);
     record_outcome try_record(const pending_write& write, milliseconds timeout);
     void record_later(pending_write write);
-    void write_pending(std::stop_token stop);
+    void write_pending(const std::stop_token& stop);
 
     table_client& table_;
     metrics& counters_;
--- a/packages/state/admission.cpp
+++ b/packages/state/admission.cpp
@@ -90,6 +90,12 @@
     release_slot();
 }
 
+void endpoint_gate::on_overloaded(time_point now)
+{
+    release_slot();
+    on_restart_suspected(now);
+}
+
 void endpoint_gate::on_restart_suspected(time_point now)
 {
     has_suspicion_ = true;
--- a/packages/state/admission.h
+++ b/packages/state/admission.h
@@ -75,6 +75,9 @@
     // otherwise.
     void on_abandoned(time_point now);
 
+    // The endpoint refused the call because it has too many: it turned cold, whatever it reported.
+    void on_overloaded(time_point now);
+
     // The endpoint refused a connection or reset it: it may have restarted and is cold until a
     // report or the ramp says otherwise.
     void on_restart_suspected(time_point now);
--- a/packages/state/verdict.cpp
+++ b/packages/state/verdict.cpp
@@ -43,6 +43,7 @@
     {"answer_mismatch", 502},
     {"token_gap", 502},
     {"endpoint_error", 502},
+    {"endpoint_overloaded", 503},
     {"peer_unreachable", 502},
     {"idempotency_key_required", 400},
     {"idempotency_key_reused", 422},
--- a/packages/state/verdict.h
+++ b/packages/state/verdict.h
@@ -45,6 +45,7 @@
     answer_mismatch,
     token_gap,
     endpoint_error,
+    endpoint_overloaded,
     peer_unreachable,
     idempotency_key_required,
     idempotency_key_reused,
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -315,3 +315,26 @@
     }
     cr_assert_eq(admit_all(gate, context, now), 4);
 }
+
+// Guards against an endpoint that turned cold unannounced: each refused call would be followed by
+// the next at the warm limit until the load report tells.
+Test(admission, endpoint_refusing_a_call_drops_to_cold_limit)
+{
+    endpoint_gate gate;
+    const admission_context context = settled_context();
+    time_point now = start;
+    gate.on_report(report_of(endpoint_phase::warm), now, now);
+    for (int i = 0; i < 40; ++i)
+    {
+        now += ramp_interval;
+        cr_assert(gate.try_admit(context, now));
+        gate.on_finished(true, now);
+    }
+    cr_assert_eq(gate.limit(context, now), context.warm_limit);
+    cr_assert(gate.try_admit(context, now));
+    gate.on_overloaded(now);
+    cr_assert_leq(gate.limit(context, now), context.cold_limit);
+    // The report in hand is from before the turn and must not raise the limit again.
+    gate.on_report(report_of(endpoint_phase::warm), now, now);
+    cr_assert_leq(gate.limit(context, now), context.cold_limit);
+}
