--- a/bench/overhead.cpp
+++ b/bench/overhead.cpp
@@ -82,6 +82,7 @@
     std::vector<timings> parts(static_cast<std::size_t>(callers));
     {
         std::vector<std::jthread> threads;
+        threads.reserve(parts.size());
         for (timings& part : parts)
             threads.emplace_back([&] { part = run_thread(all); });
     }
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -148,7 +148,7 @@
     bool start_vms = true;
     std::vector<std::string> endpoint_arguments; // further options of every endpoint stand-in
     std::function<void(web::json::value& document)> adjust; // changes the first configuration
-    std::string settings_lines; // added to the settings file of each VM
+    std::string settings_lines;                             // added to the settings file of each VM
 };
 
 // Two failure domains, dom-a and dom-b. Per domain: VMs vm-a1, vm-a2 ..., endpoints encoder-a1,
