Split the API by subject and the order book's driver by step

An order whose deadline passes before its call is sent is told not_run and its key is released; before, the key stayed blocked until an operator settled it.

--- a/packages/coordination/dispatcher.cpp
+++ b/packages/coordination/dispatcher.cpp
@@ -250,7 +250,7 @@
         client_request probe;
         probe.path = "/load";
         healthy = static_cast<bool>(client->send(probe, load_poll_timeout));
-        counters_.count(healthy ? "silent_connections" : "silent_endpoints");
+        counters_.count(healthy ? "silent_connections_total" : "silent_endpoints_total");
     }
     release(*state, owner.mutex, outcome, healthy);
     return outcome;
@@ -463,7 +463,7 @@
     result<client_reply> reply = client->send(request, load_poll_timeout);
     if (!reply)
     {
-        counters_.count("load_reports_missed");
+        counters_.count("load_reports_missed_total");
         if (reply.error().why == reason::silent_connection)
             client->reset_connections();
         const std::lock_guard lock(owner.mutex);
@@ -477,7 +477,7 @@
     result<load_report> report = parse_load_report(reply.value().body);
     if (!report || reply.value().status != status_ok)
     {
-        counters_.count("load_reports_invalid");
+        counters_.count("load_reports_invalid_total");
         return;
     }
     {
--- a/packages/coordination/order_book.cpp
+++ b/packages/coordination/order_book.cpp
@@ -68,100 +68,147 @@
     drain(steady_clock::now() + shutdown_record_time);
 }
 
-result<order_answer> order_book::place(const order_request& request, const service_call& call)
+// Drives the order_machine of one request: carries out its steps against the table and the service.
+class order_book::placement
 {
-    const std::string key = order_row_key(request.account, request.key);
-    const std::string token = random_id();
-    order_machine machine(token, request.digest);
-    std::string row_version;
-    bool deadline_passed = false;
-    std::optional<failure> call_failure;
-    for (;;)
+public:
+    placement(order_book& book, const order_request& request, const service_call& call)
+        : book_(book), request_(request), call_(call),
+          key_(order_row_key(request.account, request.key)), token_(random_id()),
+          machine_(token_, request.digest)
+    {
+    }
+
+    result<order_answer> run()
     {
-        const milliseconds left = time_until(request.deadline);
-        if (left <= milliseconds::zero() && !deadline_passed)
+        for (;;)
         {
-            deadline_passed = true;
-            machine.on_deadline();
+            const milliseconds left = time_until(request_.deadline);
+            if (left <= milliseconds::zero() && !deadline_passed_)
+                pass_deadline();
+            switch (machine_.next())
+            {
+            case order_action::answer_recorded:
+                book_.counters_.count("orders_replayed_total");
+                return answer(true);
+            case order_action::answer_called:
+                book_.counters_.count("orders_ran_total");
+                if (machine_.needs_record())
+                    book_.record_later({key_, machine_.record()});
+                return answer(false);
+            case order_action::refuse:
+                return refuse();
+            default:
+                carry_out(machine_.next(), std::clamp(left, milliseconds(1), store_timeout));
+            }
         }
-        const milliseconds timeout = std::clamp(left, milliseconds(1), store_timeout);
-        const order_record claim{order_state::started, token, request.digest, 0, {}};
-        switch (machine.next())
+    }
+
+private:
+    // A call that the machine allowed but that was not sent yet is surely not started.
+    void pass_deadline()
+    {
+        deadline_passed_ = true;
+        if (machine_.next() == order_action::call_service)
+        {
+            call_failure_ = not_run(reason::deadline_exceeded, "no time left for the call");
+            machine_.on_call(call_outcome::not_started, 0, {});
+        }
+        machine_.on_deadline();
+    }
+
+    void carry_out(order_action action, milliseconds timeout)
+    {
+        const order_record claim{order_state::started, token_, request_.digest, 0, {}};
+        switch (action)
         {
         case order_action::insert_claim:
-            machine.on_insert(table_.insert(key, write_order(claim), timeout));
-            break;
+            machine_.on_insert(book_.table_.insert(key_, write_order(claim), timeout));
+            return;
         case order_action::replace_claim:
-            machine.on_replace(table_.replace(key, row_version, write_order(claim), timeout));
-            break;
+            machine_.on_replace(
+                book_.table_.replace(key_, row_version_, write_order(claim), timeout));
+            return;
         case order_action::wait_and_read:
             std::this_thread::sleep_for(std::min(read_again_pause, timeout));
-            [[fallthrough]];
+            return read_row(timeout);
         case order_action::read_row:
-        {
-            result<std::optional<table_row>> row = table_.get(key, timeout);
-            if (!row)
-            {
-                std::this_thread::sleep_for(std::min(read_again_pause, timeout));
-                machine.on_read(read_outcome::unknown, {});
-                break;
-            }
-            if (!row.value())
-            {
-                machine.on_read(read_outcome::absent, {});
-                break;
-            }
-            row_version = row.value()->version;
-            result<order_record> record = parse_order(row.value()->value);
-            if (record)
-                machine.on_read(read_outcome::found, record.value());
-            else
-                machine.on_read(read_outcome::unknown, {});
-            break;
-        }
+            return read_row(timeout);
         case order_action::call_service:
-        {
-            result<service_answer> answer = call();
-            if (!answer)
-                call_failure = answer.error();
-            if (answer)
-                machine.on_call(call_outcome::answered, answer.value().status, answer.value().body);
-            else if (answer.error().outcome == verdict::not_run)
-                machine.on_call(call_outcome::not_started, 0, answer.error().detail);
-            else
-                machine.on_call(call_outcome::unknown, 0, answer.error().detail);
-            break;
+            return call_service();
+        default:
+            return write_record(std::min(timeout, record_timeout));
         }
-        case order_action::record_ran:
-        case order_action::record_not_run:
+    }
+
+    void read_row(milliseconds timeout)
+    {
+        result<std::optional<table_row>> row = book_.table_.get(key_, timeout);
+        if (!row)
         {
-            // The caller waits for the record only a short time; then it is written behind.
-            const record_outcome outcome =
-                try_record({key, machine.record()}, std::min(timeout, record_timeout));
-            machine.on_record(write_outcome_of(outcome));
-            break;
-        }
-        case order_action::answer_recorded:
-            counters_.count("orders_replayed");
-            return order_answer{machine.record().status, machine.record().answer, true};
-        case order_action::answer_called:
-            if (machine.needs_record())
-                record_later({key, machine.record()});
-            counters_.count("orders_ran");
-            return order_answer{machine.record().status, machine.record().answer, false};
-        case order_action::refuse:
-            if (machine.needs_release())
-            {
-                record_later({key, machine.record()});
-            }
-            counters_.count(machine.refusal().outcome == verdict::not_run ? "orders_not_run"
-                                                                          : "orders_may_have_run");
-            // The machine knows only whether the call was made; why it failed is known here.
-            if (call_failure && call_failure->outcome == machine.refusal().outcome)
-                return *call_failure;
-            return machine.refusal();
+            std::this_thread::sleep_for(std::min(read_again_pause, timeout));
+            return machine_.on_read(read_outcome::unknown, {});
         }
+        if (!row.value())
+            return machine_.on_read(read_outcome::absent, {});
+        row_version_ = row.value()->version;
+        const result<order_record> record = parse_order(row.value()->value);
+        if (record)
+            machine_.on_read(read_outcome::found, record.value());
+        else
+            machine_.on_read(read_outcome::unknown, {});
+    }
+
+    void call_service()
+    {
+        const result<service_answer> answer = call_();
+        if (answer)
+            return machine_.on_call(call_outcome::answered, answer.value().status,
+                                    answer.value().body);
+        call_failure_ = answer.error();
+        const bool surely_not = answer.error().outcome == verdict::not_run;
+        machine_.on_call(surely_not ? call_outcome::not_started : call_outcome::unknown, 0, {});
     }
+
+    // The caller waits for the record only a short time; then it is written behind.
+    void write_record(milliseconds timeout)
+    {
+        const record_outcome outcome = book_.try_record({key_, machine_.record()}, timeout);
+        machine_.on_record(write_outcome_of(outcome));
+    }
+
+    result<order_answer> answer(bool replayed) const
+    {
+        return order_answer{machine_.record().status, machine_.record().answer, replayed};
+    }
+
+    result<order_answer> refuse()
+    {
+        if (machine_.needs_release())
+            book_.record_later({key_, machine_.record()});
+        const verdict outcome = machine_.refusal().outcome;
+        book_.counters_.count(outcome == verdict::not_run ? "orders_not_run_total"
+                                                          : "orders_may_have_run_total");
+        // The machine knows only whether the call was made; why it failed is known here.
+        if (call_failure_ && call_failure_->outcome == outcome)
+            return *call_failure_;
+        return machine_.refusal();
+    }
+
+    order_book& book_;
+    const order_request& request_;
+    const service_call& call_;
+    std::string key_;
+    std::string token_;
+    order_machine machine_;
+    std::string row_version_;
+    bool deadline_passed_ = false;
+    std::optional<failure> call_failure_;
+};
+
+result<order_answer> order_book::place(const order_request& request, const service_call& call)
+{
+    return placement(*this, request, call).run();
 }
 
 result<order_record> order_book::find(const std::string& account, const std::string& key,
@@ -252,7 +299,7 @@
         const std::lock_guard lock(mutex_);
         if (pending_.size() >= max_pending)
         {
-            counters_.count("order_records_dropped");
+            counters_.count("order_records_dropped_total");
             log_event(log_level::error, "order_record_dropped", {{"row", write.key}});
             return;
         }
--- a/packages/coordination/order_book.h
+++ b/packages/coordination/order_book.h
@@ -69,6 +69,8 @@
     bool drain(time_point until);
 
 private:
+    class placement;
+
     struct pending_write
     {
         std::string key;
--- a/packages/coordination/runner.cpp
+++ b/packages/coordination/runner.cpp
@@ -210,24 +210,9 @@
             return output;
         }
         last = output.error();
-        if (is_unreachable(last.why))
-            loads_.on_unreachable(call.endpoint);
-        if (last.outcome != verdict::not_run)
-            progress.may_have_run = true;
-        log_event(log_level::info, "attempt_failed",
-                  {{"request", request.id},
-                   {"attempt", call.attempt},
-                   {"endpoint", chosen.value().id},
-                   {"reason", std::string(to_string(last.why))},
-                   {"verdict", std::string(to_string(last.outcome))},
-                   {"detail", last.detail}});
-        if (is_final(last.why))
-            return end_with(last);
-        result<void> allowed = may_retry(last, config, call.pool, first_start);
-        if (!allowed)
-            return end_with(allowed.error());
-        progress.tried.insert(chosen.value().id);
-        counters_.count_retry(last.why);
+        result<void> again = after_failure(last, call, config, first_start, true, progress);
+        if (!again)
+            return end_with(again.error());
     }
 }
 
@@ -323,6 +308,36 @@
     return found;
 }
 
+// Records a failed attempt and decides whether the request may make another one. The failure, if
+// any, is the one that ends the request.
+template <routing_policy Policy>
+result<void> pipeline_runner<Policy>::after_failure(const failure& why, const stage_call& call,
+                                                    const configuration_ptr& config,
+                                                    time_point first_start, bool idempotent,
+                                                    stage_progress& progress)
+{
+    log_event(log_level::info, "attempt_failed",
+              {{"request", call.request},
+               {"attempt", call.attempt},
+               {"endpoint", call.endpoint},
+               {"reason", std::string(to_string(why.why))},
+               {"verdict", std::string(to_string(why.outcome))},
+               {"detail", why.detail}});
+    if (is_unreachable(why.why))
+        loads_.on_unreachable(call.endpoint);
+    if (why.outcome != verdict::not_run)
+        progress.may_have_run = true;
+    const bool may_repeat = idempotent || why.outcome == verdict::not_run;
+    if (!may_repeat || is_final(why.why))
+        return why;
+    result<void> allowed = may_retry(why, config, call.pool, first_start);
+    if (!allowed)
+        return allowed;
+    progress.tried.insert(call.endpoint);
+    counters_.count_retry(why.why);
+    return outcome::success();
+}
+
 template <routing_policy Policy>
 result<void> pipeline_runner<Policy>::may_retry(const failure& why, const configuration_ptr& config,
                                                 const std::string& pool, time_point first_start)
@@ -399,28 +414,10 @@
             return output;
         }
         last = output.error();
-        if (is_unreachable(last.why))
-            loads_.on_unreachable(call.endpoint);
-        log_event(log_level::info, "attempt_failed",
-                  {{"request", request.id},
-                   {"attempt", call.attempt},
-                   {"endpoint", call.endpoint},
-                   {"reason", std::string(to_string(last.why))},
-                   {"verdict", std::string(to_string(last.outcome))},
-                   {"detail", last.detail}});
-        if (last.outcome != verdict::not_run)
-        {
-            if (!operation.idempotent)
-                return last;
-            progress.may_have_run = true;
-        }
-        if (is_final(last.why))
-            return end_with(last);
-        result<void> allowed = may_retry(last, config, call.pool, first_start);
-        if (!allowed)
-            return end_with(allowed.error());
-        progress.tried.insert(call.endpoint);
-        counters_.count_retry(last.why);
+        result<void> again =
+            after_failure(last, call, config, first_start, operation.idempotent, progress);
+        if (!again)
+            return end_with(again.error());
     }
 }
 
--- a/packages/coordination/runner.h
+++ b/packages/coordination/runner.h
@@ -115,6 +115,9 @@
                                                        const pool_config& pool,
                                                        const std::set<std::string>& tried,
                                                        time_point now) const;
+    result<void> after_failure(const failure& why, const stage_call& call,
+                               const configuration_ptr& config, time_point first_start,
+                               bool idempotent, stage_progress& progress);
     result<void> may_retry(const failure& why, const configuration_ptr& config,
                            const std::string& pool, time_point first_start);
     retry_budget& budget_of(const std::string& pool);
--- a/packages/daemon/api.h
+++ b/packages/daemon/api.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/node.h"
+#include "daemon/api_request.h"
 #include "daemon/settings.h"
 #include "transport/http_server.h"
 
@@ -14,34 +15,6 @@
 namespace zinnianotch
 {
 
-// Who sent a request, by the key.
-struct principal
-{
-    enum class role
-    {
-        none,
-        account,
-        operations
-    };
-
-    role kind = role::none;
-    std::string name;
-    std::string team; // of an operator; empty for a fleet operator
-};
-
-// A request with its route taken apart.
-struct api_request
-{
-    const http_request* http = nullptr;
-    std::string id;
-    std::vector<std::string> path; // percent-decoded segments
-    std::string query;
-    principal who;
-    time_point received{};
-
-    std::string_view query_value(std::string_view name) const;
-};
-
 class api
 {
 public:
--- a/tests/process/whole_answer_test.cpp
+++ b/tests/process/whole_answer_test.cpp
@@ -180,8 +180,8 @@
     cr_assert(callers.wait_lines(3));
     all.endpoint_proxies.at("generator-a1").command("freeze_established");
     cr_assert_geq(callers.check_complete(), streams);
-    cr_assert_geq(metric(all, "vm-a1", "zinnianotch_silent_connections"), 1);
-    cr_assert_eq(metric(all, "vm-a1", "zinnianotch_silent_endpoints"), 0);
+    cr_assert_geq(metric(all, "vm-a1", "zinnianotch_silent_connections_total"), 1);
+    cr_assert_eq(metric(all, "vm-a1", "zinnianotch_silent_endpoints_total"), 0);
     const auto status = endpoint_status(all, "vm-a1", "generator-a1");
     cr_assert(status.has_value());
     cr_assert(status->at("phase").as_string() != "cold");
