Look at the reachable flag in the test of a cut-off domain

Cause: the test waited for the other domain's VMs to vanish from the status; since the status lists all VMs heard of with a reachable flag, as the API page says, they stay listed. The check is as strict: no VM of the other domain may be reachable.

--- a/tests/process/outage_test.cpp
+++ b/tests/process/outage_test.cpp
@@ -186,7 +186,7 @@
     {
         const value status = all.admin(all.vms.at("vm-b1"), "GET", "/admin/v1/status").json();
         for (const value& peer : status.at("peers").as_array())
-            if (peer.at("failure_domain").as_string() == "dom-a")
+            if (peer.at("failure_domain").as_string() == "dom-a" && peer.at("reachable").as_bool())
                 return true;
         return false;
     };
