Keep a leaving VM from admitting work after a conflict of its view write

Cause: after a conflict the VM took its endpoints back at once. The conflict can be with its own write, sent twice by the HTTP client; then the new view is in force and its successors do not wait for it. Found by reading. Ruled out: reading the row first, the next poll does that within 1 s.

--- a/packages/coordination/membership.cpp
+++ b/packages/coordination/membership.cpp
@@ -131,7 +131,8 @@
             authority_.on_stopped(stopped, received);
         next = propose_view(view, input);
         // The successors do not wait for a VM that leaves by itself, so it admits nothing from
-        // here on, even if it never learns how the write ended.
+        // here on, whatever it learns of the write: a conflict can be with the own write, when the
+        // HTTP client sent it twice.
         if (next && !input.wants_membership)
             relinquished_ = true;
     }
@@ -192,11 +193,6 @@
                {"outcome", outcome == write_outcome::written    ? "written"
                            : outcome == write_outcome::conflict ? "conflict"
                                                                 : "unknown"}});
-    if (outcome == write_outcome::conflict)
-    {
-        const std::lock_guard lock(mutex_);
-        relinquished_ = false;
-    }
     // Whatever the outcome, the next read tells which view is in force.
     if (outcome != write_outcome::written)
         return;
