--- a/bench/load.h
+++ b/bench/load.h
@@ -29,7 +29,7 @@
     std::string path = "/v1/pipelines/suggest";
     std::string input = "half-hull pennant";
     zinnianotch::milliseconds deadline{5000};
-    std::size_t senders = 128; // requests in flight at the most; later arrivals wait and count it
+    std::size_t senders = 640; // requests in flight at the most; later arrivals wait and count it
 };
 
 // One request and its end.
