Describe the owned endpoints once for each heartbeat

Cause: the heartbeat loop built the summary of the owned endpoints twice every 0.5 s, once for the own load map and once for the message. Now the message's summary goes into the load map. Ruled out: caching it between heartbeats, which would give peers older figures.

--- a/packages/coordination/node.cpp
+++ b/packages/coordination/node.cpp
@@ -238,11 +238,6 @@
     return beat;
 }
 
-void node::gather_loads(time_point now)
-{
-    loads_.on_summaries(dispatcher_->summaries(now), peer_timeout, now);
-}
-
 // Sends heartbeats at a fixed rate. It does no blocking I/O, so that a slow table or peer does not
 // make this VM look dead.
 void node::heartbeat_loop(const std::stop_token& stop)
@@ -257,11 +252,12 @@
     while (!stop.stop_requested())
     {
         const time_point now = steady_clock::now();
-        gather_loads(now);
         const bool tell_partners = now >= partners_at;
         if (tell_partners)
             partners_at = now + partner_summary_interval;
         const heartbeat to_domain = make_heartbeat(summary_scope::owned);
+        // Before the message to the partners, which holds the owned endpoints too.
+        loads_.on_summaries(to_domain.endpoints, peer_timeout, now);
         const heartbeat to_partners =
             make_heartbeat(tell_partners ? summary_scope::domain : summary_scope::none);
         for (const heartbeat_target& target : members_->take_heartbeat_targets(now))
--- a/packages/coordination/node.h
+++ b/packages/coordination/node.h
@@ -119,7 +119,6 @@
     void poll_vm_list(http_client& client);
     void fetch_newer_config(bool table_answered);
     void pause(const std::stop_token& stop, milliseconds time);
-    void gather_loads(time_point now);
 
     node_options options_;
     metrics counters_;
