--- /dev/null
+++ b/packages/coordination/edge.h
@@ -0,0 +1,114 @@
+// The event-driven serving path of one entry VM. The VM that read a request runs its stages, talks
+// to the endpoint and passes the answer on; everything happens on one thread.
+//
+// A request costs two to three milliseconds of a quarter of a core, so there is neither a hand-over
+// between threads nor a hop between VMs on the way of the answer. docs/platform.md has the figures.
+#pragma once
+
+#include "coordination/endpoint_directory.h"
+#include "coordination/serving_call.h"
+#include "coordination/stage_gatherer.h"
+#include "coordination/state_follower.h"
+#include "state/verdict.h"
+#include "transport/metrics.h"
+#include "transport/server_connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace zinnianotch
+{
+
+struct listen_address
+{
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+struct edge_options
+{
+    std::string vm;
+    std::string domain;
+    listen_address callers;
+    listen_address readiness;
+    listen_address peers;
+    listen_address metrics; // port 0: not served
+    std::string store;      // IP:PORT
+    fleet_limits limits;
+    milliseconds stop_grace{8000}; // from the stop signal to the end of the process
+    std::size_t max_connections = 2048;
+};
+
+// Interval of all checks of time. Longer makes timeouts late, shorter costs processor time at rest.
+inline constexpr milliseconds tick_interval{20};
+// The balancer asks once a second and takes a VM out after two misses.
+inline constexpr milliseconds balancer_notice{2500};
+// Part of the grace that is kept for closing what is left.
+inline constexpr milliseconds stop_reserve{400};
+
+template <typename Codec>
+class edge
+{
+public:
+    edge(boost::asio::io_context& io, edge_options options);
+    ~edge();
+
+    edge(const edge&) = delete;
+    edge& operator=(const edge&) = delete;
+
+    void start();
+    // A planned stop began: the balancer is told, work in hand goes on, then the loop ends.
+    void begin_stop();
+    void set_limits(const fleet_limits& limits);
+
+    bool is_ready() const;
+
+private:
+    class exchange;
+    class registration;
+
+    void on_request(const std::shared_ptr<server_connection>& client, client_request&& request);
+    void on_desired(const std::vector<state_record>& records, bool whole);
+    void on_endpoints(const std::vector<state_record>& records, bool whole);
+    void on_vms(const std::vector<state_record>& records, bool whole);
+    void apply_endpoint(const state_record& record, bool whole, time_point now);
+    void refresh_stages();
+    void schedule_tick();
+    void tick();
+    void tick_stop(time_point now);
+    void register_vm(time_point now);
+    void log_bad_record(state_table table, const state_record& record);
+    void serve_status(const std::shared_ptr<server_connection>& client, int status,
+                      const std::string& body);
+
+    boost::asio::io_context& io_;
+    edge_options options_;
+    metrics counters_;
+    endpoint_directory endpoints_;
+    stage_gatherer<Codec> stages_;
+    std::unique_ptr<server_listener> callers_;
+    std::unique_ptr<server_listener> readiness_;
+    std::unique_ptr<server_listener> metrics_listener_;
+    std::unique_ptr<state_follower<Codec>> desired_;
+    std::unique_ptr<state_follower<Codec>> listed_;
+    std::unique_ptr<state_follower<Codec>> vms_;
+    std::shared_ptr<const serving_state> state_;
+    std::map<std::string, vm_record> known_vms_;
+    std::map<std::string, std::uint64_t> bad_records_; // name: revision that was logged
+    std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
+    std::map<std::string, double, std::less<>> first_byte_ms_; // by service, moving average
+    std::unique_ptr<registration> registration_;
+    boost::asio::steady_timer tick_timer_;
+    std::uint64_t ticks_ = 0;
+    bool ready_logged_ = false;
+    bool stopping_ = false;
+    time_point stop_began_{};
+};
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/edge_exchange_impl.h
@@ -0,0 +1,853 @@
+// Definitions of edge::exchange, for the source that instantiates it.
+#pragma once
+
+#include "coordination/edge_exchange.h"
+
+namespace zinnianotch
+{
+
+namespace edge_detail
+{
+
+inline std::string count_text(std::chrono::milliseconds time)
+{
+    return std::to_string(time.count());
+}
+
+// Seconds with milliseconds, as in 0.250.
+inline std::string seconds_text(milliseconds time)
+{
+    std::array<char, 32> text{};
+    (void)std::snprintf(text.data(), text.size(), "%lld.%03lld",
+                        static_cast<long long>(time.count() / 1000),
+                        static_cast<long long>(time.count() % 1000));
+    return text.data();
+}
+
+inline std::string_view phrase_of(int status)
+{
+    switch (status)
+    {
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Error";
+    }
+}
+
+// Statuses by which a caller knows that its request has not run and never will.
+inline bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace edge_detail
+
+template <typename Codec>
+edge<Codec>::exchange::exchange(edge& owner, std::shared_ptr<server_connection> client,
+                                client_call call, bool keep_alive, bool chunked_allowed,
+                                time_point received)
+    : owner_(owner), client_(std::move(client)), call_(std::move(call)), keep_alive_(keep_alive),
+      chunked_allowed_(chunked_allowed), received_(received)
+{
+}
+
+// Checks the request against the desired state and starts its first step.
+template <typename Codec>
+void edge<Codec>::exchange::begin(time_point now)
+{
+    client_->on_left = [self = this->weak_from_this()]
+    {
+        if (const auto alive = self.lock())
+            alive->on_client_left();
+    };
+    if (!admit(now))
+        return;
+    owner_.endpoints_.count_first(service_name_, now);
+    start_stages(now);
+}
+
+template <typename Codec>
+bool edge<Codec>::exchange::admit(time_point now)
+{
+    state_ = owner_.state_;
+    if (!state_)
+    {
+        refuse(reason::not_ready, "no desired state yet", retry_after_not_ready, now);
+        return false;
+    }
+    route_ = find_route(*state_, call_.host, call_.target);
+    if (route_ == nullptr)
+    {
+        fail(reason::not_found, verdict::not_run, "no route", now);
+        return false;
+    }
+    account_ = call_.key.empty() ? nullptr : find_account(*state_, call_.key);
+    if (account_ == nullptr && state_->needs_keys() && !route_->anonymous)
+    {
+        fail(reason::unauthorized, verdict::not_run, "no account has this key", now);
+        return false;
+    }
+    const milliseconds limit = std::min(call_.time_left.value_or(route_->timeout), route_->timeout);
+    deadline_ = received_ + limit;
+    service_name_ = choose_service();
+    service_ = find_service(*state_, service_name_);
+    if (limit.count() <= 0)
+    {
+        refuse(reason::deadline_unreachable, "no time left", retry_after_least, now);
+        return false;
+    }
+    return true;
+}
+
+// Splits requests over the services of the route by their weights; a service without endpoints
+// leaves its part to the others.
+template <typename Codec>
+const std::string& edge<Codec>::exchange::choose_service() const
+{
+    static const std::string none;
+    std::uint64_t sum = 0;
+    for (const weighted_service& entry : route_->services)
+    {
+        if (!owner_.endpoints_.serving(entry.service).empty())
+            sum += entry.weight;
+    }
+    if (sum == 0)
+        return route_->services.empty() ? none : route_->services.front().service;
+    std::uint64_t at = rendezvous_weight(call_.attempt, route_->name) % sum;
+    for (const weighted_service& entry : route_->services)
+    {
+        if (owner_.endpoints_.serving(entry.service).empty())
+            continue;
+        if (at < entry.weight)
+            return entry.service;
+        at -= entry.weight;
+    }
+    return route_->services.front().service;
+}
+
+template <typename Codec>
+std::uint32_t edge<Codec>::exchange::priority() const
+{
+    if (account_ != nullptr && account_->priority)
+        return *account_->priority;
+    return route_->priority;
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::start_stages(time_point now)
+{
+    stages_.assign(route_->stages.size(), {});
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        stages_[i].pieces = i < call_.pieces.size() ? call_.pieces[i] : 0;
+        stages_[i].done = stages_[i].pieces == 0;
+    }
+    submit_ready(now);
+}
+
+template <typename Codec>
+bool edge<Codec>::exchange::stages_done() const
+{
+    return std::all_of(stages_.begin(), stages_.end(),
+                       [](const stage_progress& stage) { return stage.done; });
+}
+
+// Time that a stage takes when its endpoints are free.
+template <typename Codec>
+milliseconds edge<Codec>::exchange::stage_time(std::size_t index) const
+{
+    const service_spec* const service = find_service(*state_, route_->stages[index].service);
+    if (service == nullptr || !service->batch || stages_[index].pieces == 0)
+        return milliseconds(0);
+    const batch_spec& batch = *service->batch;
+    const std::uint32_t pieces = std::min(stages_[index].pieces, batch.batch);
+    const double time = static_cast<double>(batch.call_time.count()) + batch.piece_time_ms * pieces;
+    return milliseconds(static_cast<std::int64_t>(time * queue_allowance));
+}
+
+// Time that the request needs once this stage is done, the first event included.
+template <typename Codec>
+milliseconds edge<Codec>::exchange::time_after(std::size_t index) const
+{
+    milliseconds longest{0};
+    bool followed = false;
+    for (std::size_t i = index + 1; i < stages_.size(); ++i)
+    {
+        const auto& after = route_->stages[i].after;
+        if (stages_[i].pieces == 0 || std::find(after.begin(), after.end(), index) == after.end())
+            continue;
+        followed = true;
+        longest = std::max(longest, stage_time(i) + time_after(i));
+    }
+    if (followed)
+        return longest;
+    const auto found = owner_.first_byte_ms_.find(service_name_);
+    const double first =
+        found == owner_.first_byte_ms_.end() ? first_byte_default_ms : found->second;
+    return milliseconds(static_cast<std::int64_t>(first));
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::submit_ready(time_point now)
+{
+    for (std::size_t i = 0; i < stages_.size() && !closed_; ++i)
+    {
+        if (stages_[i].done || stages_[i].submitted)
+            continue;
+        const auto& after = route_->stages[i].after;
+        const bool ready =
+            std::all_of(after.begin(), after.end(), [&](std::uint32_t before)
+                        { return before >= stages_.size() || stages_[before].done; });
+        if (ready)
+            submit_stage(i, now);
+    }
+    if (!closed_ && stages_done())
+    {
+        stages_done_at_ = now;
+        place(now);
+    }
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::submit_stage(std::size_t index, time_point now)
+{
+    const stage_spec& spec = route_->stages[index];
+    stage_request request;
+    request.attempt = call_.attempt;
+    request.service = spec.service;
+    request.stage = static_cast<std::uint32_t>(index);
+    request.priority = priority();
+    request.pieces = stages_[index].pieces;
+    if (spec.after.empty())
+        request.key = call_.piece_key;
+    else
+        request.inputs = inputs_of(spec.after);
+    const milliseconds rest = time_after(index);
+    const milliseconds goal = route_->goal.count() > 0 ? route_->goal : route_->timeout;
+    request.goal_left = goal - elapsed(now) - rest;
+    request.deadline_left = left(now) - rest;
+    stages_[index].submitted = true;
+    stages_[index].job = owner_.stages_.submit(
+        request,
+        [self = this->weak_from_this(), index](const stage_outcome& outcome)
+        {
+            if (const auto alive = self.lock())
+                alive->on_stage(index, outcome);
+        },
+        now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_stage(std::size_t index, const stage_outcome& outcome)
+{
+    const time_point now = steady_clock::now();
+    if (closed_)
+    {
+        owner_.stages_.release(outcome.handles);
+        return;
+    }
+    if (outcome.done)
+    {
+        stages_[index].handles = outcome.handles;
+        stages_[index].done = true;
+        return submit_ready(now);
+    }
+    const std::string where = "stage " + std::to_string(index);
+    if (outcome.refused)
+        return refuse(reason::overloaded, where + " has no time left in its queue",
+                      outcome.expected / 2, now);
+    if (outcome.why == piece_failure::input_gone && !remade_)
+        return remake_stages(now);
+    const std::string detail = where + ": " + std::string(to_string(outcome.why));
+    refuse(outcome.why == piece_failure::late ? reason::deadline_unreachable
+                                              : reason::endpoint_error,
+           detail, retry_after_least, now);
+}
+
+template <typename Codec>
+std::vector<std::string>
+edge<Codec>::exchange::inputs_of(const std::vector<std::uint32_t>& stages) const
+{
+    std::vector<std::string> inputs;
+    for (const std::uint32_t index : stages)
+    {
+        if (index < stages_.size())
+            inputs.insert(inputs.end(), stages_[index].handles.begin(),
+                          stages_[index].handles.end());
+    }
+    return inputs;
+}
+
+// Stages whose results no other stage takes: the request itself needs them.
+template <typename Codec>
+std::vector<std::uint32_t> edge<Codec>::exchange::last_stages() const
+{
+    std::vector<std::uint32_t> last;
+    for (std::uint32_t i = 0; i < stages_.size(); ++i)
+    {
+        const bool followed = std::any_of(
+            route_->stages.begin(), route_->stages.end(), [&](const stage_spec& stage)
+            { return std::find(stage.after.begin(), stage.after.end(), i) != stage.after.end(); });
+        if (!followed)
+            last.push_back(i);
+    }
+    return last;
+}
+
+// Runs all stages once more after a result was lost with its maker.
+template <typename Codec>
+void edge<Codec>::exchange::remake_stages(time_point now)
+{
+    owner_.counters_.count("stages_remade_total");
+    remade_ = true;
+    release_results();
+    start_stages(now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::release_results()
+{
+    for (stage_progress& stage : stages_)
+    {
+        if (stage.submitted && !stage.done)
+            owner_.stages_.cancel(stage.job);
+        owner_.stages_.release(stage.handles);
+        stage.handles.clear();
+    }
+}
+
+// Failure domain of the makers of most of the results, when these are large.
+template <typename Codec>
+std::string edge<Codec>::exchange::results_domain() const
+{
+    std::map<std::string, std::uint64_t> bytes;
+    for (const std::uint32_t index : last_stages())
+    {
+        for (const std::string& handle : stages_[index].handles)
+        {
+            const endpoint_ptr maker = owner_.endpoints_.find_address(Codec::maker_of(handle));
+            if (maker)
+                bytes[maker->record.domain] += route_->stages[index].result_bytes;
+        }
+    }
+    const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto& a, const auto& b)
+                                       { return a.second < b.second; });
+    return most == bytes.end() || most->second < large_results ? std::string() : most->first;
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::place(time_point now)
+{
+    const std::string domain = results_domain();
+    placement_request request;
+    request.service = service_name_;
+    if (service_ != nullptr && service_->generates)
+        request.affinity = call_.shared_prompt;
+    request.preferred_domain = domain;
+    request.stay_in_preferred = !domain.empty();
+    request.tried = &tried_;
+    const endpoint_ptr endpoint = owner_.endpoints_.take(request, service_, now);
+    if (endpoint)
+    {
+        waiting_for_endpoint_ = false;
+        return send(endpoint, now);
+    }
+    if (!waiting_for_endpoint_)
+    {
+        waiting_for_endpoint_ = true;
+        waiting_since_ = now;
+        return;
+    }
+    if (now - waiting_since_ < placement_wait)
+        return;
+    const std::string detail = owner_.endpoints_.describe(service_name_, now);
+    if (head_sent_)
+        return abort_client("no endpoint to go on with: " + detail, now);
+    if (ever_ran_)
+        return fail(reason::no_endpoint, verdict::may_have_run, detail, now);
+    refuse(reason::no_endpoint, detail, retry_after_not_ready, now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::send(endpoint_ptr endpoint, time_point now)
+{
+    endpoint_ = std::move(endpoint);
+    endpoint_call extra;
+    extra.endpoint = endpoint_->record.id;
+    extra.account = account_ != nullptr ? account_->name : std::string();
+    extra.time_left = std::max(left(now), milliseconds(1));
+    extra.priority = priority();
+    extra.inputs = inputs_of(last_stages());
+    extra.resume_after = events_.last_id() ? events_.last_id() : call_.resume_after;
+    ++attempts_;
+    sent_at_ = now;
+    progress_at_ = now;
+    const bool repeatable = is_repeatable(*route_);
+    upstream_ = endpoint_->pool.start(Codec::encode_call(call_, extra), *this,
+                                      repeatable ? idle_default : unrepeatable_max_idle, now,
+                                      call_.method != "HEAD");
+    owner_.counters_.count("sends_total");
+}
+
+// An answer with another request's id is one that an earlier exchange on the connection was owed.
+template <typename Codec>
+bool edge<Codec>::exchange::owns(const message_head& head)
+{
+    const endpoint_answer answer = Codec::decode_answer(head);
+    if (answer.attempt.empty() || answer.attempt == call_.attempt)
+        return true;
+    owner_.counters_.count("answers_of_other_requests_total");
+    log_event(log_level::warning, "answer_of_other_request",
+              {{"request", call_.attempt},
+               {"answered", answer.attempt},
+               {"endpoint", endpoint_->record.id}});
+    return false;
+}
+
+template <typename Codec>
+typename edge<Codec>::exchange::disposition
+edge<Codec>::exchange::judge(const message_head& head, const endpoint_answer& answer) const
+{
+    constexpr int input_gone_status = 409;
+    constexpr int deadline_status = 504;
+    if (answer.not_run && head.status == input_gone_status && !remade_ && !stages_.empty())
+        return disposition::remake;
+    if (answer.not_run && head.status != 400)
+        return disposition::retry;
+    if (head_sent_)
+        return head.status == 200 ? disposition::forward : disposition::retry;
+    if (head.status >= 500 && head.status != deadline_status && is_repeatable(*route_) &&
+        attempts_ < route_->attempts)
+        return disposition::retry;
+    if (edge_detail::promises_not_run(head.status) && !answer.not_run)
+        return disposition::hide_refusal;
+    const bool streams = route_->kind == call_kind::streaming && head.status == 200;
+    return streams ? disposition::forward : disposition::hold;
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_head(message_head& head, body_framing framing,
+                                    std::optional<std::uint64_t>)
+{
+    const time_point now = steady_clock::now();
+    const endpoint_answer answer = Codec::decode_answer(head);
+    progress_at_ = now;
+    status_ = head.status;
+    ever_ran_ = ever_ran_ || !answer.not_run;
+    if (answer.load)
+        endpoint_->health.on_load(*answer.load, now);
+    if (answer.cold_for)
+        endpoint_->health.set_cold_until(now + *answer.cold_for);
+    disposition_ = judge(head, answer);
+    if (answer.not_run)
+        endpoint_->health.on_full(now);
+    else
+        endpoint_->health.on_answered(head.status < 500, now);
+    if (disposition_ != disposition::forward && disposition_ != disposition::hold)
+        return;
+    phrase_ = head.phrase;
+    if (!head_sent_)
+        answer_fields_ = std::move(head.fields);
+    if (disposition_ == disposition::hold)
+        return;
+    (void)framing;
+    if (first_byte_at_ == time_point{})
+    {
+        first_byte_at_ = now;
+        const double taken = std::chrono::duration<double, std::milli>(now - sent_at_).count();
+        double& average = owner_.first_byte_ms_.try_emplace(service_name_, taken).first->second;
+        average += first_byte_weight * (taken - average);
+    }
+    // The endpoint has read its inputs when it begins to answer.
+    release_results();
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_body(std::string bytes)
+{
+    progress_at_ = steady_clock::now();
+    switch (disposition_)
+    {
+    case disposition::forward:
+        return pass_events(std::move(bytes));
+    case disposition::hold:
+        held_ += bytes;
+        if (held_.size() > held_answer_limit)
+        {
+            // Too large to be held back: from here on it is passed on as it arrives.
+            disposition_ = disposition::forward;
+            send_head(std::nullopt);
+            send_body(std::exchange(held_, {}));
+        }
+        return;
+    case disposition::retry:
+    case disposition::remake:
+    case disposition::hide_refusal:
+        return;
+    }
+}
+
+// Passes on whole events of a stream; other answers go on byte by byte.
+template <typename Codec>
+void edge<Codec>::exchange::pass_events(std::string bytes)
+{
+    if (route_->kind != call_kind::streaming)
+        return send_body(std::move(bytes));
+    std::string whole = events_.feed(bytes);
+    if (events_.has_gap())
+    {
+        drop_upstream();
+        return abort_client("events missing in the stream", steady_clock::now());
+    }
+    if (whole.empty())
+        return;
+    if (!head_sent_)
+        send_head(std::nullopt);
+    send_body(std::move(whole));
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::send_head(std::optional<std::uint64_t> length)
+{
+    const bool has_body = call_.method != "HEAD" && status_ != 204 && status_ != 304;
+    std::string head = "HTTP/1.1 " + std::to_string(status_) + " " + phrase_ + "\r\n";
+    for (const header_field& field : answer_fields_)
+    {
+        if (is_connection_field(field.name) || equal_names(field.name, "Content-Length"))
+            continue;
+        head += field.name + ": " + field.value + "\r\n";
+    }
+    if (length)
+        head += "Content-Length: " + std::to_string(*length) + "\r\n";
+    else if (has_body && chunked_allowed_)
+    {
+        chunked_ = true;
+        head += "Transfer-Encoding: chunked\r\n";
+    }
+    else if (has_body)
+        until_close_ = true;
+    if (owner_.stopping_ || until_close_ || !keep_alive_)
+    {
+        keep_alive_ = false;
+        head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    head_sent_ = true;
+    client_->send(std::move(head));
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::send_body(std::string bytes)
+{
+    if (bytes.empty())
+        return;
+    if (chunked_)
+    {
+        std::array<char, 24> size{};
+        (void)std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+        bytes = size.data() + bytes + "\r\n";
+    }
+    client_->send(std::move(bytes));
+    if (client_->unsent() <= unsent_limit || !upstream_)
+        return;
+    upstream_->set_paused(true);
+    client_->on_writable = [self = this->weak_from_this()]
+    {
+        const auto alive = self.lock();
+        if (alive && alive->upstream_ && alive->client_->unsent() <= unsent_limit)
+            alive->upstream_->set_paused(false);
+    };
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_end()
+{
+    const time_point now = steady_clock::now();
+    upstream_.reset();
+    endpoint_->health.on_finished();
+    switch (disposition_)
+    {
+    case disposition::forward:
+    case disposition::hold:
+        return finish_answer(now);
+    case disposition::remake:
+        return remake_stages(now);
+    case disposition::hide_refusal:
+        return fail(reason::endpoint_error, verdict::may_have_run,
+                    "status " + std::to_string(status_), now);
+    case disposition::retry:
+        tried_.insert(endpoint_->record.id);
+        retry_or_fail(reason::endpoint_overloaded,
+                      ever_ran_ ? verdict::may_have_run : verdict::not_run, now);
+        return;
+    }
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::finish_answer(time_point now)
+{
+    if (disposition_ == disposition::hold)
+    {
+        const bool has_length = status_ != 204 && status_ != 304 && call_.method != "HEAD";
+        send_head(has_length ? std::optional<std::uint64_t>(held_.size()) : std::nullopt);
+        client_->send(std::move(held_));
+    }
+    else
+    {
+        if (!head_sent_)
+            send_head(std::nullopt);
+        send_body(events_.take_rest());
+        if (chunked_)
+            client_->send("0\r\n\r\n");
+    }
+    client_->end(keep_alive_ && !until_close_);
+    owner_.counters_.count("answers_total");
+    close("answered", status_, now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_failure(upstream_failure failure)
+{
+    const time_point now = steady_clock::now();
+    upstream_.reset();
+    endpoint_->health.on_finished();
+    tried_.insert(endpoint_->record.id);
+    const bool dropped = disposition_ != disposition::forward && disposition_ != disposition::hold;
+    if (failure == upstream_failure::connect_failed)
+    {
+        owner_.endpoints_.on_unreachable(*endpoint_, service_, now);
+        --attempts_;
+        ++connect_failures_;
+        log_event(log_level::warning, "connect_failed",
+                  {{"request", call_.attempt}, {"endpoint", endpoint_->record.id}});
+        if (connect_failures_ < connect_attempts)
+            return place(now);
+        if (head_sent_)
+            return abort_client("no endpoint can be reached", now);
+        if (ever_ran_)
+            return fail(reason::connect_failed, verdict::may_have_run, "no endpoint reached", now);
+        return refuse(reason::connect_failed, "no endpoint reached", retry_after_least, now);
+    }
+    if (failure == upstream_failure::broken_before_answer || status_ == 0)
+        endpoint_->health.on_answered(false, now);
+    if (!dropped)
+        ever_ran_ = true;
+    log_event(log_level::warning, "upstream_failed",
+              {{"request", call_.attempt},
+               {"endpoint", endpoint_->record.id},
+               {"why", std::string(to_string(failure))},
+               {"after_ms", edge_detail::count_text(
+                                std::chrono::duration_cast<milliseconds>(now - sent_at_))}});
+    retry_or_fail(reason::connection_broken, ever_ran_ ? verdict::may_have_run : verdict::not_run,
+                  now);
+}
+
+// True when one more endpoint may get the request; takes it from the budget.
+template <typename Codec>
+bool edge<Codec>::exchange::may_repeat(time_point now)
+{
+    if (attempts_ >= std::max(route_->attempts, 1U) || left(now).count() <= 0)
+        return false;
+    if (ever_ran_ && !is_repeatable(*route_))
+        return false;
+    return owner_.endpoints_.try_repeat(service_name_, now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::retry_or_fail(reason why, verdict outcome, time_point now)
+{
+    held_.clear();
+    if (may_repeat(now))
+    {
+        owner_.counters_.count_retry(why);
+        log_event(log_level::info, "retry",
+                  {{"request", call_.attempt},
+                   {"why", std::string(to_string(why))},
+                   {"attempt", std::to_string(attempts_ + 1)},
+                   {"after_event", events_.last_id() ? std::to_string(*events_.last_id()) : "-"}});
+        events_.restart();
+        disposition_ = disposition::forward;
+        status_ = 0;
+        waiting_for_endpoint_ = false;
+        // Its inputs were given back when the first endpoint began to answer.
+        if (head_sent_ && !stages_.empty())
+            return remake_stages(now);
+        return place(now);
+    }
+    if (head_sent_)
+        return abort_client(to_string(why), now);
+    if (outcome == verdict::not_run)
+        return refuse(why, "no further attempt", retry_after_least, now);
+    fail(why, outcome, "no further attempt", now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::drop_upstream()
+{
+    if (!upstream_)
+        return;
+    endpoint_->health.on_finished();
+    upstream_->cancel();
+    upstream_.reset();
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::refuse(reason why, std::string_view detail, milliseconds retry_after,
+                                   time_point now)
+{
+    owner_.counters_.count_refusal(why, verdict::not_run);
+    drop_upstream();
+    answer_error(503, why, verdict::not_run, detail,
+                 std::clamp(retry_after, retry_after_least, retry_after_most));
+    close(std::string(to_string(why)) + ": " + std::string(detail), 503, now);
+}
+
+// Ends the request with a status that promises nothing, or that is final.
+template <typename Codec>
+void edge<Codec>::exchange::fail(reason why, verdict outcome, std::string_view detail,
+                                 time_point now)
+{
+    owner_.counters_.count_refusal(why, outcome);
+    drop_upstream();
+    int status = http_status(why);
+    if (outcome != verdict::not_run && edge_detail::promises_not_run(status))
+        status = 502;
+    answer_error(status, why, outcome, detail, std::nullopt);
+    close(std::string(to_string(why)) + ": " + std::string(detail), status, now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::answer_error(int status, reason why, verdict outcome,
+                                         std::string_view detail,
+                                         std::optional<milliseconds> retry_after)
+{
+    (void)detail;
+    const std::string body = "{\"error\":{\"reason\":\"" + std::string(to_string(why)) +
+                             "\",\"verdict\":\"" + std::string(to_string(outcome)) + "\"}}\n";
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                       std::string(edge_detail::phrase_of(status)) +
+                       "\r\nContent-Type: application/json\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n";
+    if (retry_after)
+        text += "Retry-After: " + edge_detail::seconds_text(*retry_after) + "\r\n";
+    keep_alive_ = keep_alive_ && !owner_.stopping_;
+    if (!keep_alive_)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    if (call_.method != "HEAD")
+        text += body;
+    client_->send(std::move(text));
+    client_->end(keep_alive_);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::abort_client(std::string_view why, time_point now)
+{
+    owner_.counters_.count("answers_broken_off_total");
+    drop_upstream();
+    client_->abort();
+    close("broken off: " + std::string(why), status_, now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_client_left()
+{
+    owner_.counters_.count("callers_left_total");
+    drop_upstream();
+    close("caller left", 0, steady_clock::now());
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::cut(time_point now)
+{
+    if (head_sent_)
+        return abort_client("the VM stops", now);
+    if (ever_ran_ || upstream_)
+        return fail(reason::draining, verdict::may_have_run, "the VM stops", now);
+    refuse(reason::draining, "the VM stops", retry_after_least, now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::tick(time_point now)
+{
+    if (now >= deadline_)
+    {
+        if (head_sent_)
+            return abort_client("deadline", now);
+        if (attempts_ > 0)
+            return fail(reason::deadline_exceeded, verdict::may_have_run, "deadline", now);
+        return refuse(reason::deadline_unreachable, "deadline before an endpoint was free",
+                      retry_after_least, now);
+    }
+    if (waiting_for_endpoint_)
+        return place(now);
+    if (!upstream_ || !is_repeatable(*route_) || attempts_ >= route_->attempts)
+        return;
+    const bool streams = route_->kind == call_kind::streaming;
+    const milliseconds patience = head_sent_ ? event_patience
+                                  : streams  ? stream_patience
+                                             : plain_patience;
+    if (now - progress_at_ < patience || !may_repeat(now))
+        return;
+    log_event(log_level::warning, "endpoint_silent",
+              {{"request", call_.attempt},
+               {"endpoint", endpoint_->record.id},
+               {"silent_ms", edge_detail::count_text(
+                                 std::chrono::duration_cast<milliseconds>(now - progress_at_))}});
+    owner_.counters_.count_retry(reason::silent_connection);
+    endpoint_->health.on_answered(false, now);
+    drop_upstream();
+    tried_.insert(endpoint_->record.id);
+    ever_ran_ = true;
+    held_.clear();
+    events_.restart();
+    if (head_sent_ && !stages_.empty())
+        return remake_stages(now);
+    place(now);
+}
+
+// Ends the exchange: gives results back, writes its log line and lets go of it.
+template <typename Codec>
+void edge<Codec>::exchange::close(std::string_view outcome, int status, time_point now)
+{
+    if (closed_)
+        return;
+    closed_ = true;
+    release_results();
+    const auto since = [&](time_point at)
+    {
+        if (at == time_point{})
+            return std::string("-");
+        return edge_detail::count_text(std::chrono::duration_cast<milliseconds>(at - received_));
+    };
+    log_event(log_level::info, "request",
+              {{"request", call_.attempt},
+               {"route", route_ != nullptr ? route_->name : "-"},
+               {"account", account_ != nullptr ? account_->name : "-"},
+               {"version", state_ ? std::to_string(state_->version) : "-"},
+               {"status", std::to_string(status)},
+               {"outcome", std::string(outcome)},
+               {"endpoint", endpoint_ ? endpoint_->record.id : "-"},
+               {"attempts", std::to_string(attempts_)},
+               {"stages_ms", since(stages_done_at_)},
+               {"first_ms", since(first_byte_at_)},
+               {"total_ms", edge_detail::count_text(elapsed(now))},
+               {"events", std::to_string(events_.events())}});
+    if (route_ != nullptr)
+        owner_.counters_.record_stage(route_->name, "total",
+                                      std::chrono::duration_cast<std::chrono::microseconds>(
+                                          now - received_));
+    const auto keep = this->shared_from_this();
+    owner_.exchanges_.erase(this);
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/edge_impl.h
@@ -0,0 +1,373 @@
+// Definitions of edge, for the source that instantiates it.
+#pragma once
+
+#include "coordination/edge_exchange_impl.h"
+#include "coordination/stage_gatherer_impl.h"
+#include "coordination/state_follower_impl.h"
+
+namespace zinnianotch
+{
+
+namespace edge_detail
+{
+
+// Sweeps of connections and pools happen on every such tick.
+inline constexpr std::uint64_t sweep_ticks = 10;
+// Between two trials to write this VM's own record.
+inline constexpr milliseconds registration_pause{1000};
+
+} // namespace edge_detail
+
+// Writes this VM's record to the store, or removes it before the process ends.
+template <typename Codec>
+class edge<Codec>::registration : private upstream_listener
+{
+public:
+    registration(boost::asio::io_context& io, std::string address)
+        : address_(std::move(address)), pool_(io, *parse_endpoint(address_))
+    {
+    }
+    ~registration() override
+    {
+        if (in_flight_)
+            connection_->cancel();
+    }
+
+    void put(const vm_record& vm, time_point now)
+    {
+        send(Codec::encode_vm_put(address_, vm), now);
+    }
+    void remove(const vm_record& vm, time_point now)
+    {
+        send(Codec::encode_vm_remove(address_, vm), now);
+    }
+    bool in_flight() const { return in_flight_; }
+    void tick(time_point now)
+    {
+        if (in_flight_ && now - sent_at_ > list_timeout)
+        {
+            connection_->cancel();
+            in_flight_ = false;
+        }
+    }
+    bool may_send(time_point now) const
+    {
+        return !in_flight_ && now - sent_at_ >= edge_detail::registration_pause;
+    }
+
+private:
+    void send(std::string text, time_point now)
+    {
+        in_flight_ = true;
+        sent_at_ = now;
+        connection_ = pool_.start(std::move(text), *this, idle_default, now);
+    }
+    bool owns(const message_head&) override { return true; }
+    void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
+    void on_body(std::string) override {}
+    void on_end() override { in_flight_ = false; }
+    void on_failure(upstream_failure) override { in_flight_ = false; }
+
+    std::string address_;
+    upstream_pool pool_;
+    std::shared_ptr<upstream_connection> connection_;
+    bool in_flight_ = false;
+    time_point sent_at_{};
+};
+
+template <typename Codec>
+edge<Codec>::edge(boost::asio::io_context& io, edge_options options)
+    : io_(io), options_(std::move(options)),
+      endpoints_(io, options_.vm, options_.domain, options_.limits),
+      stages_(io, endpoints_, counters_), tick_timer_(io)
+{
+}
+
+template <typename Codec>
+edge<Codec>::~edge() = default;
+
+template <typename Codec>
+void edge<Codec>::start()
+{
+    callers_ = std::make_unique<server_listener>(
+        io_, options_.callers.host, options_.callers.port,
+        [this](const std::shared_ptr<server_connection>& client, client_request&& request)
+        { on_request(client, std::move(request)); });
+    callers_->set_max_connections(options_.max_connections);
+    callers_->on_refused = [this](int status)
+    { counters_.count("requests_malformed_" + std::to_string(status) + "_total"); };
+    readiness_ = std::make_unique<server_listener>(
+        io_, options_.readiness.host, options_.readiness.port,
+        [this](const std::shared_ptr<server_connection>& client, client_request&&)
+        { serve_status(client, is_ready() ? 200 : 503, ""); });
+    if (options_.metrics.port != 0)
+    {
+        metrics_listener_ = std::make_unique<server_listener>(
+            io_, options_.metrics.host, options_.metrics.port,
+            [this](const std::shared_ptr<server_connection>& client, client_request&&)
+            { serve_status(client, 200, counters_.scrape()); });
+    }
+    const auto follow = [this](state_table table, auto handler)
+    {
+        return std::make_unique<state_follower<Codec>>(
+            io_, options_.store, table,
+            [this, handler](const std::vector<state_record>& records, bool whole)
+            { (this->*handler)(records, whole); });
+    };
+    desired_ = follow(state_table::desired, &edge::on_desired);
+    listed_ = follow(state_table::endpoints, &edge::on_endpoints);
+    vms_ = follow(state_table::vms, &edge::on_vms);
+    registration_ = std::make_unique<registration>(io_, options_.store);
+    const time_point now = steady_clock::now();
+    desired_->start(now);
+    listed_->start(now);
+    vms_->start(now);
+    schedule_tick();
+}
+
+template <typename Codec>
+void edge<Codec>::set_limits(const fleet_limits& limits)
+{
+    options_.limits = limits;
+    endpoints_.set_limits(limits);
+}
+
+template <typename Codec>
+bool edge<Codec>::is_ready() const
+{
+    return !stopping_ && state_ && endpoints_.size() > 0;
+}
+
+template <typename Codec>
+void edge<Codec>::serve_status(const std::shared_ptr<server_connection>& client, int status,
+                               const std::string& body)
+{
+    client->send("HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Unavailable") +
+                 "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) +
+                 "\r\n\r\n" + body);
+    client->end(true);
+}
+
+template <typename Codec>
+void edge<Codec>::on_request(const std::shared_ptr<server_connection>& client,
+                             client_request&& request)
+{
+    const time_point now = steady_clock::now();
+    counters_.count("requests_total");
+    const auto connection = find_field(request.head, "Connection");
+    const bool http11 = request.head.version >= 11;
+    const bool keep_alive = http11 ? !(connection && equal_names(*connection, "close"))
+                                   : (connection && equal_names(*connection, "keep-alive"));
+    const auto added = std::make_shared<exchange>(
+        *this, client, Codec::decode_call(request.head, std::move(request.body)), keep_alive,
+        http11, request.received);
+    exchanges_.emplace(added.get(), added);
+    added->begin(now);
+}
+
+template <typename Codec>
+void edge<Codec>::log_bad_record(state_table table, const state_record& record)
+{
+    std::uint64_t& logged = bad_records_[record.name];
+    if (logged == record.revision && logged != 0)
+        return;
+    logged = record.revision;
+    log_event(log_level::warning, "bad_record",
+              {{"table", std::string(to_string(table))},
+               {"name", record.name},
+               {"revision", std::to_string(record.revision)}});
+}
+
+template <typename Codec>
+void edge<Codec>::on_desired(const std::vector<state_record>& records, bool whole)
+{
+    std::set<std::string> out;
+    for (const state_record& record : records)
+    {
+        const auto change = Codec::decode_desired(record);
+        if (!change)
+        {
+            log_bad_record(state_table::desired, record);
+            continue;
+        }
+        if (const auto* domain = std::get_if<domain_out>(&*change))
+        {
+            endpoints_.set_domain_out(domain->domain, !record.deleted);
+            out.insert(domain->domain);
+            continue;
+        }
+        const auto* next = std::get_if<serving_state>(&*change);
+        // Versions only go up: a page may be older than what is in force.
+        if (next == nullptr || (state_ && next->version <= state_->version))
+            continue;
+        state_ = std::make_shared<const serving_state>(*next);
+        const client_limits& limits = state_->limits;
+        callers_->set_limits({limits.header_bytes, limits.body_bytes, limits.header_timeout,
+                              limits.idle_timeout});
+        log_event(log_level::info, "desired_state",
+                  {{"version", std::to_string(state_->version)},
+                   {"revision", std::to_string(record.revision)},
+                   {"routes", std::to_string(state_->routes.size())},
+                   {"services", std::to_string(state_->services.size())},
+                   {"accounts", std::to_string(state_->accounts.size())}});
+    }
+    if (whole)
+        endpoints_.retain_domains_out(out);
+    refresh_stages();
+}
+
+template <typename Codec>
+void edge<Codec>::apply_endpoint(const state_record& record, bool whole, time_point now)
+{
+    if (record.deleted)
+        return endpoints_.remove(record.name);
+    const auto endpoint = Codec::decode_endpoint(record);
+    if (!endpoint)
+    {
+        log_bad_record(state_table::endpoints, record);
+        return endpoints_.remove(record.name);
+    }
+    const service_spec* const service =
+        state_ ? find_service(*state_, endpoint->service) : nullptr;
+    endpoints_.apply(*endpoint, service, !whole, now);
+}
+
+template <typename Codec>
+void edge<Codec>::on_endpoints(const std::vector<state_record>& records, bool whole)
+{
+    const time_point now = steady_clock::now();
+    std::set<std::string> ids;
+    for (const state_record& record : records)
+    {
+        ids.insert(record.name);
+        apply_endpoint(record, whole, now);
+    }
+    if (whole)
+        endpoints_.retain(ids);
+    refresh_stages();
+}
+
+template <typename Codec>
+void edge<Codec>::on_vms(const std::vector<state_record>& records, bool whole)
+{
+    if (whole)
+        known_vms_.clear();
+    for (const state_record& record : records)
+    {
+        const auto vm = record.deleted ? std::nullopt : Codec::decode_vm(record);
+        if (vm)
+            known_vms_[record.name] = *vm;
+        else
+            known_vms_.erase(record.name);
+    }
+    std::vector<std::string> names;
+    for (const auto& [name, vm] : known_vms_)
+        names.push_back(name);
+    endpoints_.set_vms(names);
+}
+
+template <typename Codec>
+void edge<Codec>::refresh_stages()
+{
+    if (state_)
+        stages_.refresh(*state_);
+}
+
+template <typename Codec>
+void edge<Codec>::register_vm(time_point now)
+{
+    registration_->tick(now);
+    if (stopping_ || !vms_->in_touch() || !registration_->may_send(now))
+        return;
+    const vm_record own{options_.vm, options_.domain,
+                        options_.peers.host + ":" + std::to_string(options_.peers.port)};
+    const auto known = known_vms_.find(own.name);
+    if (known == known_vms_.end() || !(known->second == own))
+        registration_->put(own, now);
+}
+
+template <typename Codec>
+void edge<Codec>::schedule_tick()
+{
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+                tick();
+        });
+}
+
+template <typename Codec>
+void edge<Codec>::tick()
+{
+    const time_point now = steady_clock::now();
+    ++ticks_;
+    desired_->tick(now);
+    listed_->tick(now);
+    vms_->tick(now);
+    stages_.tick(now);
+    if (!exchanges_.empty())
+    {
+        std::vector<std::shared_ptr<exchange>> all;
+        all.reserve(exchanges_.size());
+        for (const auto& [pointer, active] : exchanges_)
+            all.push_back(active);
+        for (const auto& active : all)
+            active->tick(now);
+    }
+    if (ticks_ % edge_detail::sweep_ticks == 0)
+    {
+        callers_->sweep(now);
+        readiness_->sweep(now);
+        endpoints_.sweep(now);
+        register_vm(now);
+        if (is_ready() != ready_logged_)
+        {
+            ready_logged_ = !ready_logged_;
+            log_event(log_level::info, ready_logged_ ? "ready" : "not_ready",
+                      {{"version", state_ ? std::to_string(state_->version) : "-"},
+                       {"endpoints", std::to_string(endpoints_.size())}});
+        }
+    }
+    if (stopping_)
+        tick_stop(now);
+    if (!io_.stopped())
+        schedule_tick();
+}
+
+template <typename Codec>
+void edge<Codec>::begin_stop()
+{
+    if (stopping_)
+        return;
+    stopping_ = true;
+    stop_began_ = steady_clock::now();
+    log_event(log_level::info, "stopping",
+              {{"in_flight", std::to_string(exchanges_.size())},
+               {"grace_ms", std::to_string(options_.stop_grace.count())}});
+    registration_->remove({options_.vm, options_.domain, ""}, stop_began_);
+}
+
+// Ends the loop once the balancer has noticed and nothing is in hand, or when the grace is over.
+template <typename Codec>
+void edge<Codec>::tick_stop(time_point now)
+{
+    const auto since = now - stop_began_;
+    const bool grace_over = since >= options_.stop_grace - stop_reserve;
+    if (grace_over)
+    {
+        const auto all = exchanges_;
+        for (const auto& [pointer, active] : all)
+            active->cut(now);
+    }
+    if (since >= balancer_notice)
+        callers_->close_idle();
+    const bool idle = exchanges_.empty() && callers_->busy() == 0;
+    if ((since < balancer_notice || !idle) && !grace_over)
+        return;
+    log_event(log_level::info, "stopped", {{"in_flight", std::to_string(exchanges_.size())}});
+    io_.stop();
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/endpoint_directory.cpp
@@ -0,0 +1,270 @@
+#include "coordination/endpoint_directory.h"
+
+#include "transport/log.h"
+
+#include <algorithm>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+// Connections of one VM to one endpoint, whatever its share: a few VMs may be the only ones left.
+constexpr std::uint32_t least_connections = 8;
+
+void remove_from(std::vector<endpoint_ptr>& list, const endpoint_ptr& endpoint)
+{
+    std::erase(list, endpoint);
+}
+
+} // namespace
+
+known_endpoint::known_endpoint(boost::asio::io_context& io, endpoint_record described,
+                               const boost::asio::ip::tcp::endpoint& peer)
+    : record(std::move(described)), pool(io, peer)
+{
+}
+
+endpoint_directory::endpoint_directory(boost::asio::io_context& io, std::string own_vm,
+                                       std::string own_domain, const fleet_limits& limits)
+    : io_(io), own_vm_(std::move(own_vm)), own_domain_(std::move(own_domain)), limits_(limits),
+      vms_{own_vm_}
+{
+}
+
+void endpoint_directory::set_vms(std::vector<std::string> vms)
+{
+    if (std::find(vms.begin(), vms.end(), own_vm_) == vms.end())
+        vms.push_back(own_vm_);
+    vms_ = std::move(vms);
+}
+
+void endpoint_directory::apply(const endpoint_record& record, const service_spec* service,
+                               bool after_start, time_point now)
+{
+    const auto peer = parse_endpoint(record.address);
+    if (!peer)
+        return;
+    const endpoint_ptr known = find(record.id);
+    const bool same_lifetime = known && known->record.born == record.born &&
+                               known->record.address == record.address &&
+                               known->record.service == record.service;
+    if (same_lifetime)
+    {
+        known->record = record;
+        if (record.cold_for.count() > 0)
+            known->health.set_cold_until(now + record.cold_for);
+        return;
+    }
+    remove(record.id);
+    const auto added = std::make_shared<known_endpoint>(io_, record, *peer);
+    milliseconds cold = record.cold_for;
+    if (after_start && service != nullptr)
+        cold = std::max(cold, service->warm_up);
+    if (cold.count() > 0)
+        added->health.set_cold_until(now + cold);
+    endpoints_[record.id] = added;
+    by_service_[record.service].push_back(added);
+    log_event(log_level::info, "endpoint_added",
+              {{"endpoint", record.id},
+               {"service", record.service},
+               {"address", record.address},
+               {"domain", record.domain},
+               {"draining", record.draining ? "true" : "false"},
+               {"cold_ms", std::to_string(cold.count())}});
+}
+
+void endpoint_directory::remove(const std::string& id)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end())
+        return;
+    const endpoint_ptr endpoint = found->second;
+    endpoint->gone = true;
+    endpoint->pool.close_idle();
+    opened_before_ += endpoint->pool.opened();
+    remove_from(by_service_[endpoint->record.service], endpoint);
+    endpoints_.erase(found);
+    log_event(log_level::info, "endpoint_removed",
+              {{"endpoint", id}, {"service", endpoint->record.service}});
+}
+
+void endpoint_directory::retain(const std::set<std::string>& ids)
+{
+    std::vector<std::string> lost;
+    for (const auto& [id, endpoint] : endpoints_)
+    {
+        if (!ids.contains(id))
+            lost.push_back(id);
+    }
+    for (const std::string& id : lost)
+        remove(id);
+}
+
+void endpoint_directory::set_domain_out(const std::string& domain, bool out)
+{
+    const bool changed = out ? domains_out_.insert(domain).second : domains_out_.erase(domain) > 0;
+    if (changed)
+        log_event(log_level::info, out ? "domain_out" : "domain_in", {{"domain", domain}});
+}
+
+void endpoint_directory::retain_domains_out(const std::set<std::string>& domains)
+{
+    const auto before = domains_out_;
+    for (const std::string& domain : before)
+    {
+        if (!domains.contains(domain))
+            set_domain_out(domain, false);
+    }
+}
+
+bool endpoint_directory::is_domain_out(std::string_view domain) const
+{
+    return domains_out_.contains(domain);
+}
+
+bool endpoint_directory::is_usable(const known_endpoint& endpoint) const
+{
+    return !endpoint.gone && !endpoint.record.draining && !is_domain_out(endpoint.record.domain);
+}
+
+// Connections that this VM may hold to one endpoint: its part of what the endpoint accepts from all.
+std::uint32_t endpoint_directory::connection_share(const service_spec* service) const
+{
+    if (service == nullptr || service->max_connections == 0)
+        return UINT32_MAX;
+    const auto vms = static_cast<std::uint32_t>(std::max<std::size_t>(vms_.size(), 1));
+    // The balancer's spread is uneven: a VM may use twice its even part.
+    return std::max(least_connections, 2 * service->max_connections / vms);
+}
+
+bool endpoint_directory::within_cold_share(known_endpoint& endpoint, const service_spec* service,
+                                           time_point now)
+{
+    if (service == nullptr || service->cold_rate <= 0.0 || !endpoint.health.is_cold(now))
+        return true;
+    const double bound = service->cold_rate * limits_.cold_over + limits_.cold_slack;
+    return endpoint.cold_sends.count(now) < cold_share(endpoint.record.id, own_vm_, vms_, bound);
+}
+
+endpoint_ptr endpoint_directory::take(const placement_request& request,
+                                      const service_spec* service, time_point now)
+{
+    const auto found = by_service_.find(request.service);
+    if (found == by_service_.end())
+        return nullptr;
+    std::vector<placement_candidate> candidates;
+    std::vector<endpoint_ptr> endpoints;
+    const std::uint32_t connections = connection_share(service);
+    for (const endpoint_ptr& endpoint : found->second)
+    {
+        if (!is_usable(*endpoint))
+            continue;
+        if (request.tried != nullptr && request.tried->contains(endpoint->record.id))
+            continue;
+        const bool allowed = endpoint->health.in_flight() < connections &&
+                             within_cold_share(*endpoint, service, now);
+        candidates.push_back({&endpoint->record, &endpoint->health, allowed});
+        endpoints.push_back(endpoint);
+    }
+    placement_query query;
+    query.affinity = request.affinity;
+    query.preferred = request.preferred_domain.empty() ? own_domain_ : request.preferred_domain;
+    query.stay_in_preferred = request.stay_in_preferred;
+    query.default_slots = service != nullptr ? service->slots : 1;
+    query.spread = ++spread_;
+    const auto chosen = choose_endpoint(candidates, query, now);
+    if (!chosen)
+        return nullptr;
+    const endpoint_ptr endpoint = endpoints[*chosen];
+    endpoint->health.on_sent(now);
+    if (service != nullptr && service->cold_rate > 0.0)
+        endpoint->cold_sends.add(now);
+    return endpoint;
+}
+
+std::string endpoint_directory::describe(std::string_view service, time_point now) const
+{
+    std::size_t listed = 0;
+    std::size_t usable = 0;
+    std::size_t cold = 0;
+    for (const auto& [id, endpoint] : endpoints_)
+    {
+        if (endpoint->record.service != service)
+            continue;
+        ++listed;
+        if (is_usable(*endpoint) && endpoint->health.may_try(now))
+            ++usable;
+        if (endpoint->health.is_cold(now))
+            ++cold;
+    }
+    return "listed " + std::to_string(listed) + ", usable " + std::to_string(usable) + ", cold " +
+           std::to_string(cold);
+}
+
+std::vector<endpoint_ptr> endpoint_directory::serving(std::string_view service) const
+{
+    std::vector<endpoint_ptr> list;
+    const auto found = by_service_.find(service);
+    if (found == by_service_.end())
+        return list;
+    for (const endpoint_ptr& endpoint : found->second)
+    {
+        if (is_usable(*endpoint))
+            list.push_back(endpoint);
+    }
+    return list;
+}
+
+endpoint_ptr endpoint_directory::find(std::string_view id) const
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : found->second;
+}
+
+endpoint_ptr endpoint_directory::find_address(std::string_view address) const
+{
+    for (const auto& [id, endpoint] : endpoints_)
+    {
+        if (endpoint->record.address == address)
+            return endpoint;
+    }
+    return nullptr;
+}
+
+void endpoint_directory::count_first(const std::string& service, time_point now)
+{
+    budgets_[service].on_first(limits_.repeats, now);
+}
+
+bool endpoint_directory::try_repeat(const std::string& service, time_point now)
+{
+    return budgets_[service].try_repeat(limits_.repeats, vms_.size(), now);
+}
+
+// No connection: the endpoint may come back cold before its record says so. The time covers the
+// longest pause between two trials and its warm-up.
+void endpoint_directory::on_unreachable(known_endpoint& endpoint, const service_spec* service,
+                                        time_point now)
+{
+    endpoint.health.on_unreachable(now);
+    if (service != nullptr && service->cold_rate > 0.0)
+        endpoint.health.set_cold_until(now + connect_pause_most + service->warm_up);
+}
+
+void endpoint_directory::sweep(time_point now)
+{
+    for (const auto& [id, endpoint] : endpoints_)
+        endpoint->pool.sweep(now);
+}
+
+std::uint64_t endpoint_directory::opened_connections() const
+{
+    std::uint64_t opened = opened_before_;
+    for (const auto& [id, endpoint] : endpoints_)
+        opened += endpoint->pool.opened();
+    return opened;
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/endpoint_directory.h
@@ -0,0 +1,114 @@
+// The endpoints that this VM knows, what it has learned of each, and the limits on sending to them.
+#pragma once
+
+#include "state/placement.h"
+#include "state/serving.h"
+#include "state/shares.h"
+#include "transport/upstream.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinnianotch
+{
+
+// Limits over all VMs that the operators of an installation set.
+struct fleet_limits
+{
+    repeat_limits repeats;
+    double cold_over = 1.5; // a cold endpoint bears cold_rate times this ...
+    double cold_slack = 5;  // ... and so many requests more in a second
+};
+
+// One lifetime of an endpoint. It stays alive as long as an exchange uses it.
+struct known_endpoint
+{
+    known_endpoint(boost::asio::io_context& io, endpoint_record described,
+                   const boost::asio::ip::tcp::endpoint& peer);
+
+    endpoint_record record;
+    endpoint_health health;
+    window_counter cold_sends{cold_window};
+    upstream_pool pool;
+    bool gone = false; // no longer listed: no new request
+};
+
+using endpoint_ptr = std::shared_ptr<known_endpoint>;
+
+struct placement_request
+{
+    std::string_view service;
+    std::string_view affinity;
+    std::string_view preferred_domain;
+    bool stay_in_preferred = false;
+    const std::set<std::string>* tried = nullptr; // endpoint ids to leave out
+};
+
+class endpoint_directory
+{
+public:
+    endpoint_directory(boost::asio::io_context& io, std::string own_vm, std::string own_domain,
+                       const fleet_limits& limits);
+
+    void set_limits(const fleet_limits& limits) { limits_ = limits; }
+    void set_vms(std::vector<std::string> vms);
+    std::size_t vm_count() const { return vms_.size(); }
+
+    // Adds or changes an endpoint. With `after_start`, a lifetime not seen before has just begun
+    // and is cold; otherwise only its record says so.
+    void apply(const endpoint_record& record, const service_spec* service, bool after_start,
+               time_point now);
+    void remove(const std::string& id);
+    // Removes all endpoints whose ids are not in `ids`.
+    void retain(const std::set<std::string>& ids);
+
+    void set_domain_out(const std::string& domain, bool out);
+    // Takes back all failure domains that are not in `domains`.
+    void retain_domains_out(const std::set<std::string>& domains);
+    bool is_domain_out(std::string_view domain) const;
+
+    // Chooses an endpoint and counts the request as sent to it; null when there is none.
+    endpoint_ptr take(const placement_request& request, const service_spec* service,
+                      time_point now);
+    // Why `take` found none, for the log: endpoints listed, usable and within the cold share.
+    std::string describe(std::string_view service, time_point now) const;
+
+    // Endpoints of a service that may get new work.
+    std::vector<endpoint_ptr> serving(std::string_view service) const;
+    endpoint_ptr find(std::string_view id) const;
+    endpoint_ptr find_address(std::string_view address) const;
+    std::size_t size() const { return endpoints_.size(); }
+
+    // A request's first arrival at a service, and whether one more may be sent.
+    void count_first(const std::string& service, time_point now);
+    bool try_repeat(const std::string& service, time_point now);
+
+    void on_unreachable(known_endpoint& endpoint, const service_spec* service, time_point now);
+    void sweep(time_point now);
+    std::uint64_t opened_connections() const;
+
+private:
+    bool is_usable(const known_endpoint& endpoint) const;
+    bool within_cold_share(known_endpoint& endpoint, const service_spec* service, time_point now);
+    std::uint32_t connection_share(const service_spec* service) const;
+
+    boost::asio::io_context& io_;
+    std::string own_vm_;
+    std::string own_domain_;
+    fleet_limits limits_;
+    std::vector<std::string> vms_;
+    std::map<std::string, endpoint_ptr, std::less<>> endpoints_;
+    std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service_;
+    std::set<std::string, std::less<>> domains_out_;
+    std::map<std::string, repeat_budget> budgets_;
+    std::uint64_t spread_ = 0;
+    std::uint64_t opened_before_ = 0; // by endpoints that are gone
+};
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -0,0 +1,438 @@
+// Definitions of stage_gatherer, for the source that instantiates it.
+#pragma once
+
+#include "coordination/stage_gatherer.h"
+#include "transport/log.h"
+
+#include <algorithm>
+
+namespace zinnianotch
+{
+
+// One call to a stage's endpoint.
+template <typename Codec>
+class stage_gatherer<Codec>::batch_call : public upstream_listener
+{
+public:
+    batch_call(stage_gatherer& owner, std::string service, endpoint_ptr endpoint, stage_batch batch,
+               time_point now)
+        : owner_(owner), service_(std::move(service)), endpoint_(std::move(endpoint)),
+          batch_(std::move(batch)), started_(now)
+    {
+    }
+
+    void start(std::string request, time_point now)
+    {
+        // Pieces may be made twice, so a connection that breaks on reuse does no harm.
+        connection_ = endpoint_->pool.start(std::move(request), *this, idle_default, now);
+    }
+
+    bool owns(const message_head&) override { return true; }
+    void on_head(message_head& head, body_framing, std::optional<std::uint64_t>) override
+    {
+        status_ = head.status;
+        answer_ = Codec::decode_answer(head);
+    }
+    void on_body(std::string bytes) override { body_ += bytes; }
+    void on_end() override
+    {
+        const time_point now = steady_clock::now();
+        if (status_ == 200)
+        {
+            if (const auto results = Codec::decode_pieces(body_, batch_.pieces))
+                return owner_.on_results(*this, *results, now);
+        }
+        else if (answer_.not_run)
+            return owner_.on_refused(*this, now);
+        owner_.on_lost(*this, now);
+    }
+    void on_failure(upstream_failure failure) override
+    {
+        failure_ = failure;
+        owner_.on_lost(*this, steady_clock::now());
+    }
+
+    bool is_overdue(time_point now) const
+    {
+        const auto limit = milliseconds(
+            static_cast<std::int64_t>(overdue_ratio * static_cast<double>(batch_.expected.count())));
+        return now - started_ > limit + overdue_least;
+    }
+    void cancel() { connection_->cancel(); }
+
+    const std::string& service() const { return service_; }
+    const endpoint_ptr& endpoint() const { return endpoint_; }
+    const stage_batch& batch() const { return batch_; }
+    milliseconds elapsed(time_point now) const
+    {
+        return std::chrono::duration_cast<milliseconds>(now - started_);
+    }
+    std::string outcome() const
+    {
+        if (failure_)
+            return std::string(to_string(*failure_));
+        return "status " + std::to_string(status_);
+    }
+
+private:
+    stage_gatherer& owner_;
+    std::string service_;
+    endpoint_ptr endpoint_;
+    stage_batch batch_;
+    time_point started_;
+    std::shared_ptr<upstream_connection> connection_;
+    endpoint_answer answer_;
+    int status_ = 0;
+    std::string body_;
+    std::optional<upstream_failure> failure_;
+};
+
+// Gives back results at one endpoint; its outcome changes nothing, results lapse by themselves.
+template <typename Codec>
+class stage_gatherer<Codec>::release_call : public upstream_listener
+{
+public:
+    release_call(stage_gatherer& owner, endpoint_ptr endpoint)
+        : owner_(owner), endpoint_(std::move(endpoint))
+    {
+    }
+    void start(std::string request)
+    {
+        connection_ = endpoint_->pool.start(std::move(request), *this, idle_default,
+                                            steady_clock::now());
+    }
+    bool owns(const message_head&) override { return true; }
+    void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
+    void on_body(std::string) override {}
+    void on_end() override { owner_.release_calls_.erase(this); }
+    void on_failure(upstream_failure) override
+    {
+        owner_.counters_.count("stage_releases_failed_total");
+        owner_.release_calls_.erase(this);
+    }
+
+private:
+    stage_gatherer& owner_;
+    endpoint_ptr endpoint_;
+    std::shared_ptr<upstream_connection> connection_;
+};
+
+template <typename Codec>
+stage_gatherer<Codec>::stage_gatherer(boost::asio::io_context& io, endpoint_directory& endpoints,
+                                      metrics& counters)
+    : io_(io), endpoints_(endpoints), counters_(counters)
+{
+}
+
+template <typename Codec>
+stage_gatherer<Codec>::~stage_gatherer() = default;
+
+template <typename Codec>
+void stage_gatherer<Codec>::refresh(const serving_state& state)
+{
+    for (const auto& [name, service] : state.services)
+    {
+        if (!service.batch)
+            continue;
+        service_queue& entry = queues_[name];
+        entry.spec = *service.batch;
+        entry.queue.set_service(*service.batch);
+        std::vector<std::string> ids;
+        for (const endpoint_ptr& endpoint : endpoints_.serving(name))
+            ids.push_back(endpoint->record.id);
+        entry.queue.set_endpoints(ids);
+    }
+}
+
+// Queues the stage, or refuses it at once when what waits before it leaves no time for it.
+template <typename Codec>
+std::uint64_t stage_gatherer<Codec>::submit(const stage_request& request, stage_done done,
+                                            time_point now)
+{
+    const std::uint64_t id = ++next_job_;
+    service_queue& entry = queues_[request.service];
+    const milliseconds expected =
+        entry.queue.expected_time(request.pieces, request.priority, now);
+    if (!entry.queue.has_endpoints() || expected > request.deadline_left)
+    {
+        stage_outcome outcome;
+        outcome.refused = true;
+        outcome.expected = expected;
+        done(std::move(outcome));
+        return id;
+    }
+    job added;
+    added.request = request;
+    added.queued = {id, request.pieces, request.priority, now + request.goal_left,
+                    now + request.deadline_left};
+    added.handles.resize(request.pieces);
+    added.missing = request.pieces;
+    added.done = std::move(done);
+    entry.queue.add(added.queued);
+    jobs_.emplace(id, std::move(added));
+    endpoints_.count_first(request.service, now);
+    pump(request.service, now);
+    return id;
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::cancel(std::uint64_t id)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return;
+    queues_[found->second.request.service].queue.remove(id);
+    std::vector<std::string> made;
+    for (const std::string& handle : found->second.handles)
+    {
+        if (!handle.empty())
+            made.push_back(handle);
+    }
+    jobs_.erase(found);
+    release(made);
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::release(const std::vector<std::string>& handles)
+{
+    for (const std::string& handle : handles)
+    {
+        const std::string maker = Codec::maker_of(handle);
+        if (!maker.empty())
+            to_release_[maker].push_back(handle);
+    }
+}
+
+// Sends calls while an endpoint is free and pieces wait.
+template <typename Codec>
+void stage_gatherer<Codec>::pump(const std::string& service, time_point now)
+{
+    stage_queue& queue = queues_[service].queue;
+    for (const std::uint64_t id : queue.take_expired(now))
+        fail(id, piece_failure::late);
+    while (auto batch = queue.next(now))
+        send(service, std::move(*batch), now);
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::send(const std::string& service, stage_batch batch, time_point now)
+{
+    const endpoint_ptr endpoint = endpoints_.find(batch.endpoint);
+    if (!endpoint)
+    {
+        for (const batch_part& part : batch.parts)
+            put_back(service, part, false, now);
+        return;
+    }
+    std::vector<stage_piece> pieces;
+    for (const batch_part& part : batch.parts)
+    {
+        const auto found = jobs_.find(part.job);
+        if (found == jobs_.end())
+            continue;
+        const stage_request& request = found->second.request;
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(found->second.queued.deadline_at - now);
+        for (std::uint32_t i = 0; i < part.count; ++i)
+            pieces.push_back({request.attempt, request.stage, part.first + i, left, request.key,
+                              request.inputs});
+    }
+    counters_.count("stage_calls_total");
+    counters_.count("stage_pieces_total", pieces.size());
+    std::string text = Codec::encode_pieces(endpoint->record.address, endpoint->record.id, pieces);
+    const auto call = std::make_shared<batch_call>(*this, service, endpoint, std::move(batch), now);
+    calls_.emplace(call.get(), call);
+    call->start(std::move(text), now);
+}
+
+template <typename Codec>
+std::shared_ptr<typename stage_gatherer<Codec>::batch_call>
+stage_gatherer<Codec>::forget(batch_call& call)
+{
+    const auto found = calls_.find(&call);
+    if (found == calls_.end())
+        return nullptr;
+    const auto kept = found->second;
+    calls_.erase(found);
+    return kept;
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::on_results(batch_call& call, const std::vector<piece_result>& results,
+                                       time_point now)
+{
+    const auto keep = forget(call);
+    stage_queue& queue = queues_[call.service()].queue;
+    queue.on_done(call.endpoint()->record.id, call.batch(), call.elapsed(now), now);
+    std::size_t at = 0;
+    bool full = false;
+    for (const batch_part& part : call.batch().parts)
+    {
+        const auto found = jobs_.find(part.job);
+        if (found == jobs_.end())
+        {
+            std::vector<std::string> unwanted;
+            for (std::uint32_t i = 0; i < part.count; ++i)
+            {
+                if (const auto* handle = std::get_if<std::string>(&results[at + i]))
+                    unwanted.push_back(*handle);
+            }
+            at += part.count;
+            release(unwanted);
+            continue;
+        }
+        job& owner = found->second;
+        std::optional<piece_failure> why;
+        for (std::uint32_t i = 0; i < part.count; ++i, ++at)
+        {
+            const std::uint32_t piece = part.first + i;
+            if (const auto* handle = std::get_if<std::string>(&results[at]))
+            {
+                if (owner.handles[piece].empty())
+                    --owner.missing;
+                owner.handles[piece] = *handle;
+                continue;
+            }
+            const piece_failure failure = std::get<piece_failure>(results[at]);
+            full = full || failure == piece_failure::no_room;
+            if (failure == piece_failure::late || failure == piece_failure::input_gone)
+                why = failure;
+            else
+                put_back(call.service(), {part.job, piece, 1}, true, now);
+        }
+        if (why)
+            fail(part.job, *why);
+        else if (jobs_.contains(part.job) && owner.missing == 0)
+        {
+            stage_outcome outcome;
+            outcome.done = true;
+            outcome.handles = std::move(owner.handles);
+            complete(part.job, std::move(outcome));
+        }
+    }
+    if (full)
+        queue.on_failed(call.endpoint()->record.id, now);
+    pump(call.service(), now);
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::on_refused(batch_call& call, time_point now)
+{
+    const auto keep = forget(call);
+    counters_.count("stage_calls_refused_total");
+    queues_[call.service()].queue.on_failed(call.endpoint()->record.id, now);
+    for (const batch_part& part : call.batch().parts)
+        put_back(call.service(), part, true, now);
+    pump(call.service(), now);
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::on_lost(batch_call& call, time_point now)
+{
+    const auto keep = forget(call);
+    if (!keep)
+        return;
+    counters_.count("stage_calls_lost_total");
+    log_event(log_level::warning, "stage_call_lost",
+              {{"endpoint", call.endpoint()->record.id},
+               {"service", call.service()},
+               {"pieces", std::to_string(call.batch().pieces)},
+               {"elapsed_ms", std::to_string(call.elapsed(now).count())},
+               {"expected_ms", std::to_string(call.batch().expected.count())},
+               {"why", call.outcome()}});
+    queues_[call.service()].queue.on_failed(call.endpoint()->record.id, now);
+    for (const batch_part& part : call.batch().parts)
+        put_back(call.service(), part, true, now);
+    pump(call.service(), now);
+}
+
+// Queues pieces again. A job whose pieces keep failing ends: repeating it would use up the time of
+// the others.
+template <typename Codec>
+void stage_gatherer<Codec>::put_back(const std::string& service, const batch_part& part,
+                                     bool counts, time_point now)
+{
+    const auto found = jobs_.find(part.job);
+    if (found == jobs_.end())
+        return;
+    job& owner = found->second;
+    if (counts)
+    {
+        ++owner.failures;
+        if (owner.failures >= piece_attempts * owner.request.pieces ||
+            !endpoints_.try_repeat(service, now))
+            return fail(part.job, piece_failure::failed);
+    }
+    queues_[service].queue.put_back(owner.queued, part);
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::fail(std::uint64_t id, piece_failure why)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return;
+    queues_[found->second.request.service].queue.remove(id);
+    std::vector<std::string> made;
+    for (const std::string& handle : found->second.handles)
+    {
+        if (!handle.empty())
+            made.push_back(handle);
+    }
+    release(made);
+    stage_outcome outcome;
+    outcome.why = why;
+    complete(id, std::move(outcome));
+}
+
+// Reports from the event loop: the owner may start or end other jobs in answer.
+template <typename Codec>
+void stage_gatherer<Codec>::complete(std::uint64_t id, stage_outcome outcome)
+{
+    const auto found = jobs_.find(id);
+    const stage_done done = std::move(found->second.done);
+    jobs_.erase(found);
+    boost::asio::post(io_, [done, outcome = std::move(outcome)] { done(outcome); });
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::tick(time_point now)
+{
+    std::vector<std::shared_ptr<batch_call>> overdue;
+    for (const auto& [pointer, call] : calls_)
+    {
+        if (call->is_overdue(now))
+            overdue.push_back(call);
+    }
+    for (const auto& call : overdue)
+    {
+        call->cancel();
+        queues_[call->service()].queue.on_done(call->endpoint()->record.id, call->batch(),
+                                               call->elapsed(now), now);
+        on_lost(*call, now);
+    }
+    for (auto& [name, entry] : queues_)
+    {
+        if (entry.queue.waiting_pieces() > 0)
+            pump(name, now);
+    }
+    flush_releases();
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::flush_releases()
+{
+    const auto pending = std::move(to_release_);
+    to_release_.clear();
+    for (const auto& [address, handles] : pending)
+    {
+        const endpoint_ptr endpoint = endpoints_.find_address(address);
+        if (!endpoint)
+            continue; // the results have gone with their maker
+        const auto call = std::make_shared<release_call>(*this, endpoint);
+        release_calls_.emplace(call.get(), call);
+        call->start(Codec::encode_release(address, handles));
+    }
+}
+
+} // namespace zinnianotch
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,6 +1,7 @@
 // zinnianotchd: the process on an entry VM.
 #include "coordination/node.h"
 #include "daemon/api.h"
+#include "daemon/serve_edge.h"
 #include "daemon/settings.h"
 #include "transport/http_server.h"
 #include "transport/log.h"
@@ -186,5 +187,7 @@
     }
     (void)mallopt(M_MMAP_THRESHOLD, return_block_bytes);
     configure_log(config.value().least_level, config.value().vm);
+    if (config.value().serving)
+        return run_edge(config.value(), line.settings_path);
     return run(config.value());
 }
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -40,6 +40,16 @@
     std::string_view unit;
 };
 
+struct decimal_rule
+{
+    double least;
+    double most;
+};
+
+constexpr decimal_rule ratio_rule{0.0, 10.0};
+constexpr decimal_rule window_rule{0.1, 3600.0}; // seconds
+constexpr decimal_rule over_rule{0.0, 100.0};
+constexpr number_rule slack_rule{0, 1000000, "requests"};
 constexpr number_rule connections_rule{1, 65536, "connections"};
 constexpr number_rule workers_rule{1, 4096, "threads"};
 constexpr number_rule queue_rule{1, 65536, "requests"};
@@ -155,6 +165,9 @@
     void read_seeds(const YAML::Node& root, settings& out);
     void read_keys(const YAML::Node& root, settings& out);
     void read_limits(const YAML::Node& root, settings& out);
+    void read_decimal(const YAML::Node& map, const std::string& path, std::string_view key,
+                      const decimal_rule& rule, double& out);
+    void read_serving(const YAML::Node& root, settings& out);
     template <typename Enum>
     void read_enum(const YAML::Node& root, std::string_view key, std::string_view noun,
                    const std::vector<std::string_view>& names, Enum& out);
@@ -461,6 +474,66 @@
     read_number(*limits, "limits", "body_bytes", body_rule, out.limits.body_bytes);
 }
 
+void settings_reader::read_decimal(const YAML::Node& map, const std::string& path,
+                                   std::string_view key, const decimal_rule& rule, double& out)
+{
+    const std::optional<std::string> text = scalar(map, path, key);
+    if (!text)
+        return;
+    double value = 0.0;
+    const char* const end = text->data() + text->size();
+    const auto [stop, error] = std::from_chars(text->data(), end, value);
+    if (error != std::errc{} || stop != end || value < rule.least || value > rule.most)
+    {
+        std::ostringstream wanted;
+        wanted << "write a number from " << rule.least << " to " << rule.most;
+        add(line_of_key(map, key), joined(path, key) + ": " + *text + " is not valid",
+            wanted.str());
+        return;
+    }
+    out = value;
+}
+
+void settings_reader::read_serving(const YAML::Node& root, settings& out)
+{
+    const std::optional<YAML::Node> node = child(root, "", "serving");
+    if (!node || !check_map(*node, "serving", line_of_key(root, "serving"),
+                            {{"readiness"},
+                             {"metrics", false},
+                             {"store"},
+                             {"repeat_ratio", false},
+                             {"repeat_slack", false},
+                             {"repeat_window_s", false},
+                             {"cold_over", false},
+                             {"cold_slack", false},
+                             {"stop_grace_s", false}}))
+        return;
+    serving_settings serving;
+    const auto address = [&](std::string_view key, bool needs_port, socket_address& to)
+    {
+        if (const std::optional<std::string> text = scalar(*node, "serving", key))
+            read_address(*text, joined("serving", key), line_of_key(*node, key), needs_port, to);
+    };
+    address("readiness", false, serving.listen_readiness);
+    address("store", true, serving.store);
+    if (find(*node, "metrics"))
+    {
+        serving.listen_metrics.emplace();
+        address("metrics", false, *serving.listen_metrics);
+    }
+    read_decimal(*node, "serving", "repeat_ratio", ratio_rule, serving.repeat_ratio);
+    read_number(*node, "serving", "repeat_slack", slack_rule, serving.repeat_slack);
+    double window = std::chrono::duration<double>(serving.repeat_window).count();
+    read_decimal(*node, "serving", "repeat_window_s", window_rule, window);
+    serving.repeat_window = milliseconds(static_cast<std::int64_t>(window * 1000.0));
+    read_decimal(*node, "serving", "cold_over", over_rule, serving.cold_over);
+    read_number(*node, "serving", "cold_slack", slack_rule, serving.cold_slack);
+    double grace = std::chrono::duration<double>(serving.stop_grace).count();
+    read_decimal(*node, "serving", "stop_grace_s", window_rule, grace);
+    serving.stop_grace = milliseconds(static_cast<std::int64_t>(grace * 1000.0));
+    out.serving = serving;
+}
+
 template <typename Enum>
 void settings_reader::read_enum(const YAML::Node& root, std::string_view key, std::string_view noun,
                                 const std::vector<std::string_view>& names, Enum& out)
@@ -485,7 +558,8 @@
                     {"limits", false},
                     {"balancer_grace_ms", false},
                     {"log_level", false},
-                    {"routing", false}}))
+                    {"routing", false},
+                    {"serving", false}}))
         return out;
     read_name(root, "", "vm", out.vm);
     read_name(root, "", "failure_domain", out.failure_domain);
@@ -503,6 +577,7 @@
     read_seeds(root, out);
     read_keys(root, out);
     read_limits(root, out);
+    read_serving(root, out);
     std::uint32_t grace = static_cast<std::uint32_t>(out.balancer_grace.count());
     read_number(root, "", "balancer_grace_ms", grace_rule, grace);
     out.balancer_grace = milliseconds(grace);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +54,20 @@
     std::uint32_t body_bytes = 1048576;
 };
 
+// The serving path whose desired state comes from the store; see docs/platform.md.
+struct serving_settings
+{
+    socket_address listen_readiness;
+    std::optional<socket_address> listen_metrics;
+    socket_address store;
+    double repeat_ratio = 0.2;
+    std::uint32_t repeat_slack = 0;
+    milliseconds repeat_window{10000};
+    double cold_over = 1.5;
+    std::uint32_t cold_slack = 0;
+    milliseconds stop_grace{8000};
+};
+
 struct settings
 {
     std::string vm;
@@ -68,6 +83,7 @@
     milliseconds balancer_grace{5000}; // from SIGTERM to the first refused connection
     log_level least_level = log_level::info;
     routing_kind routing = routing_kind::least_load;
+    std::optional<serving_settings> serving; // chooses the serving path over the store's
 };
 
 // One mistake in a settings file. Never holds a key.
--- /dev/null
+++ b/packages/state/event_stream.cpp
@@ -0,0 +1,81 @@
+#include "state/event_stream.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::string_view id_field = "id:";
+
+// Length of the first whole event with its blank line; 0 when there is none.
+std::size_t event_length(std::string_view text)
+{
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t returns = text.find("\r\n\r\n");
+    if (plain == std::string_view::npos && returns == std::string_view::npos)
+        return 0;
+    if (returns == std::string_view::npos || plain < returns)
+        return plain + 2;
+    return returns + 4;
+}
+
+std::optional<std::uint64_t> event_id(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const std::size_t end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(id_field))
+            continue;
+        line.remove_prefix(id_field.size());
+        while (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [stop, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc{} && stop != line.data())
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string event_stream::feed(std::string_view bytes)
+{
+    rest_ += bytes;
+    std::string whole;
+    std::string_view left = rest_;
+    for (std::size_t length = event_length(left); length > 0; length = event_length(left))
+    {
+        const std::string_view event = left.substr(0, length);
+        left.remove_prefix(length);
+        const auto id = event_id(event);
+        if (id && last_id_ && *id <= *last_id_)
+            continue;
+        gap_ = gap_ || (id && last_id_ && *id != *last_id_ + 1);
+        if (id)
+            last_id_ = id;
+        ++events_;
+        whole += event;
+    }
+    rest_ = std::string(left);
+    return whole;
+}
+
+std::string event_stream::take_rest()
+{
+    return std::exchange(rest_, {});
+}
+
+void event_stream::restart()
+{
+    rest_.clear();
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/state/placement.cpp
@@ -0,0 +1,197 @@
+#include "state/placement.h"
+
+#include "state/shares.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+// Weight of the newest answer in the moving share of failures.
+constexpr double failure_weight = 0.12;
+// Own domain's advantage, as a part of the slots: a hop to another one costs a millisecond and the
+// bytes of the request between domains.
+constexpr double own_domain_bonus = 0.1;
+// A domain that holds large inputs counts as full at this part of its slots.
+constexpr double preferred_full = 0.85;
+
+double slots_of(const placement_candidate& candidate, const placement_query& query)
+{
+    std::uint32_t slots = candidate.health->slots();
+    if (slots == 0)
+        slots = candidate.endpoint->slots;
+    if (slots == 0)
+        slots = query.default_slots;
+    return std::max(1.0, static_cast<double>(slots));
+}
+
+double relative_load(const placement_candidate& candidate, const placement_query& query,
+                     time_point now)
+{
+    return candidate.health->load(now) / slots_of(candidate, query);
+}
+
+std::vector<std::size_t> usable(const std::vector<placement_candidate>& candidates, time_point now)
+{
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        if (candidates[i].allowed && candidates[i].health->may_try(now))
+            found.push_back(i);
+    }
+    return found;
+}
+
+// Candidates in the preferred domain while it has room.
+std::vector<std::size_t> in_preferred(const std::vector<placement_candidate>& candidates,
+                                      const std::vector<std::size_t>& from,
+                                      const placement_query& query, time_point now)
+{
+    std::vector<std::size_t> found;
+    for (const std::size_t i : from)
+    {
+        if (candidates[i].endpoint->domain == query.preferred &&
+            relative_load(candidates[i], query, now) < preferred_full)
+            found.push_back(i);
+    }
+    return found;
+}
+
+std::size_t least_loaded(const std::vector<placement_candidate>& candidates,
+                         const std::vector<std::size_t>& from, const placement_query& query,
+                         time_point now)
+{
+    std::size_t best = from.front();
+    double best_load = std::numeric_limits<double>::max();
+    for (std::size_t n = 0; n < from.size(); ++n)
+    {
+        const std::size_t i = from[(n + query.spread) % from.size()];
+        double load = relative_load(candidates[i], query, now);
+        if (candidates[i].endpoint->domain != query.preferred)
+            load += own_domain_bonus;
+        if (candidates[i].health->is_cold(now))
+            load += 1.0;
+        if (load >= best_load)
+            continue;
+        best_load = load;
+        best = i;
+    }
+    return best;
+}
+
+// First endpoint in the rendezvous order of the shared parts whose load is near the average.
+std::size_t with_affinity(const std::vector<placement_candidate>& candidates,
+                          const std::vector<std::size_t>& from, const placement_query& query,
+                          time_point now)
+{
+    double sum = 0.0;
+    for (const std::size_t i : from)
+        sum += relative_load(candidates[i], query, now);
+    const double bound =
+        affinity_slack * sum / static_cast<double>(from.size()) + affinity_slots;
+    std::optional<std::size_t> best;
+    std::uint64_t best_weight = 0;
+    for (const std::size_t i : from)
+    {
+        if (relative_load(candidates[i], query, now) > bound || candidates[i].health->is_cold(now))
+            continue;
+        const std::uint64_t weight = rendezvous_weight(query.affinity, candidates[i].endpoint->id);
+        if (best && weight <= best_weight)
+            continue;
+        best = i;
+        best_weight = weight;
+    }
+    return best ? *best : least_loaded(candidates, from, query, now);
+}
+
+} // namespace
+
+void endpoint_health::on_sent(time_point now)
+{
+    ++in_flight_;
+    last_sent_ = now;
+}
+
+void endpoint_health::on_finished()
+{
+    in_flight_ -= std::min(in_flight_, 1U);
+}
+
+void endpoint_health::on_answered(bool good, time_point now)
+{
+    connect_failures_ = 0;
+    if (now - failed_at_ > failing_forget)
+        failed_share_ = 0.0;
+    failed_share_ += failure_weight * ((good ? 0.0 : 1.0) - failed_share_);
+    failed_at_ = now;
+}
+
+void endpoint_health::on_load(const load_words& load, time_point now)
+{
+    words_ = load;
+    words_at_ = now;
+    in_flight_at_words_ = in_flight_;
+}
+
+void endpoint_health::on_full(time_point now)
+{
+    blocked_until_ = std::max(blocked_until_, now + full_pause);
+}
+
+void endpoint_health::on_unreachable(time_point now)
+{
+    const milliseconds pause = connect_pause * (1U << std::min(connect_failures_, 5U));
+    blocked_until_ = now + std::min(pause, connect_pause_most);
+    ++connect_failures_;
+}
+
+void endpoint_health::set_cold_until(time_point until)
+{
+    cold_until_ = std::max(cold_until_, until);
+}
+
+bool endpoint_health::may_try(time_point now) const
+{
+    if (now < blocked_until_)
+        return false;
+    return !is_failing(now) || now >= last_sent_ + failing_pause;
+}
+
+bool endpoint_health::is_failing(time_point now) const
+{
+    return failed_share_ > failing_share && now - failed_at_ <= failing_forget;
+}
+
+double endpoint_health::load(time_point now) const
+{
+    constexpr milliseconds words_max_age{2000};
+    if (words_.slots == 0 || now - words_at_ > words_max_age)
+        return in_flight_;
+    const double reported = static_cast<double>(words_.running) + words_.waiting;
+    const double since =
+        static_cast<double>(in_flight_) - static_cast<double>(in_flight_at_words_);
+    return std::max<double>(in_flight_, reported + since);
+}
+
+std::optional<std::size_t> choose_endpoint(const std::vector<placement_candidate>& candidates,
+                                           const placement_query& query, time_point now)
+{
+    std::vector<std::size_t> from = usable(candidates, now);
+    if (from.empty())
+        return std::nullopt;
+    if (query.stay_in_preferred)
+    {
+        std::vector<std::size_t> near = in_preferred(candidates, from, query, now);
+        if (!near.empty())
+            from = std::move(near);
+    }
+    if (!query.affinity.empty())
+        return with_affinity(candidates, from, query, now);
+    return least_loaded(candidates, from, query, now);
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/state/shares.cpp
@@ -0,0 +1,116 @@
+#include "state/shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::uint64_t fnv_offset = 14695981039346656037ULL;
+constexpr std::uint64_t fnv_prime = 1099511628211ULL;
+
+std::uint64_t fnv(std::uint64_t hash, std::string_view text)
+{
+    for (const char c : text)
+    {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= fnv_prime;
+    }
+    return hash;
+}
+
+// FNV alone leaves the high bits of short names alike; the finalizer of MurmurHash3 spreads them.
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33);
+}
+
+void drop_before(std::deque<time_point>& times, time_point limit)
+{
+    while (!times.empty() && times.front() <= limit)
+        times.pop_front();
+}
+
+} // namespace
+
+std::uint64_t rendezvous_weight(std::string_view a, std::string_view b)
+{
+    const std::uint64_t first = fnv(fnv_offset, a);
+    return mix(fnv(first * fnv_prime, b));
+}
+
+std::vector<std::string> rendezvous_order(std::string_view key,
+                                          const std::vector<std::string>& names)
+{
+    std::vector<std::string> order = names;
+    std::sort(order.begin(), order.end(),
+              [&](const std::string& a, const std::string& b)
+              {
+                  const std::uint64_t weight_a = rendezvous_weight(key, a);
+                  const std::uint64_t weight_b = rendezvous_weight(key, b);
+                  return weight_a != weight_b ? weight_a > weight_b : a < b;
+              });
+    return order;
+}
+
+std::uint32_t cold_share(std::string_view endpoint, std::string_view own,
+                         const std::vector<std::string>& vms, double bound)
+{
+    const double usable = bound * cold_margin;
+    std::size_t senders = std::min(cold_senders, std::max<std::size_t>(vms.size(), 1));
+    senders = std::min(senders, static_cast<std::size_t>(std::max(1.0, std::floor(usable))));
+    const std::uint64_t own_weight = rendezvous_weight(endpoint, own);
+    std::size_t before = 0;
+    for (const std::string& vm : vms)
+    {
+        if (vm != own && rendezvous_weight(endpoint, vm) > own_weight)
+            ++before;
+    }
+    if (before >= senders)
+        return 0;
+    return static_cast<std::uint32_t>(usable / static_cast<double>(senders));
+}
+
+void window_counter::add(time_point now)
+{
+    times_.push_back(now);
+}
+
+std::size_t window_counter::count(time_point now)
+{
+    drop_before(times_, now - window_);
+    return times_.size();
+}
+
+void repeat_budget::on_first(const repeat_limits& limits, time_point now)
+{
+    forget(limits, now);
+    firsts_.push_back(now);
+}
+
+bool repeat_budget::try_repeat(const repeat_limits& limits, std::size_t vms, time_point now)
+{
+    forget(limits, now);
+    const double share = static_cast<double>(limits.slack) /
+                         static_cast<double>(std::max<std::size_t>(vms, 1));
+    const double allowed = limits.ratio * static_cast<double>(firsts_.size()) + std::floor(share);
+    if (static_cast<double>(repeats_.size() + 1) > allowed)
+        return false;
+    repeats_.push_back(now);
+    return true;
+}
+
+void repeat_budget::forget(const repeat_limits& limits, time_point now)
+{
+    drop_before(firsts_, now - limits.window);
+    drop_before(repeats_, now - limits.window);
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/state/stage_batch.h
@@ -0,0 +1,123 @@
+// Gathers pieces of stages into calls and decides which pieces go first, to which endpoint, and
+// which can no longer be done in time.
+//
+// It answers the load of a service whose calls cost a fixed time whatever they hold, so that many
+// small calls collapse the service. An idle endpoint takes what waits at once; while all endpoints
+// work, the queue fills the next call.
+#pragma once
+
+#include "state/serving.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinnianotch
+{
+
+// All pieces of one stage of one request, as queued at the VM that gathers them.
+struct stage_job
+{
+    std::uint64_t id = 0; // given by the queue's owner
+    std::uint32_t pieces = 0;
+    std::uint32_t priority = 0; // 0 is the most urgent
+    time_point goal_at{};       // done later, the request misses its response-time goal
+    time_point deadline_at{};   // done later, the request cannot be answered in time
+};
+
+// Pieces of one job in one call.
+struct batch_part
+{
+    std::uint64_t job = 0;
+    std::uint32_t first = 0;
+    std::uint32_t count = 0;
+};
+
+struct stage_batch
+{
+    std::string endpoint;
+    std::vector<batch_part> parts;
+    std::uint32_t pieces = 0;
+    milliseconds expected{0}; // time that the call takes at an endpoint of usual speed
+};
+
+// A call that takes this many times what its batch should take shows a slow endpoint.
+inline constexpr double slow_ratio = 2.2;
+// A slow endpoint gets one call after this pause, to see whether it has recovered.
+inline constexpr milliseconds slow_probe_pause{4000};
+// An endpoint that refused a call or failed gets no further one for this long, doubled with each
+// failure in a row.
+inline constexpr milliseconds failure_pause{250};
+inline constexpr milliseconds failure_pause_most{4000};
+// A job is split over two calls only when the first would otherwise be less than half full: its
+// first results would wait, and use memory, for the second call.
+inline constexpr std::uint32_t split_below_percent = 50;
+
+class stage_queue
+{
+public:
+    // Replaces the service's figures and its endpoints; calls in flight at endpoints that are no
+    // longer listed end as they do.
+    void set_service(const batch_spec& spec);
+    void set_endpoints(const std::vector<std::string>& ids);
+
+    void add(const stage_job& job);
+    // Removes the waiting pieces of a job whose request has ended.
+    void remove(std::uint64_t job);
+    // Queues these pieces of a job again after their call failed.
+    void put_back(const stage_job& job, const batch_part& part);
+
+    // Next call to send, or nothing when no endpoint or no piece is ready.
+    std::optional<stage_batch> next(time_point now);
+    // Jobs whose deadline can no longer be met; they are removed.
+    std::vector<std::uint64_t> take_expired(time_point now);
+
+    void on_done(const std::string& endpoint, const stage_batch& batch, milliseconds elapsed,
+                 time_point now);
+    // The endpoint refused the call, or it ended without an answer.
+    void on_failed(const std::string& endpoint, time_point now);
+
+    // Time until a job of so many pieces that arrives now would be done, by what waits before it.
+    milliseconds expected_time(std::uint32_t pieces, std::uint32_t priority, time_point now) const;
+    // Earliest time at which `next` may return something although nothing new happens.
+    std::optional<time_point> wake_at(time_point now) const;
+
+    std::size_t waiting_pieces() const;
+    bool has_endpoints() const { return !endpoints_.empty(); }
+
+private:
+    struct waiting_part
+    {
+        stage_job job;
+        std::uint32_t first = 0;
+        std::uint32_t count = 0;
+    };
+
+    struct endpoint_state
+    {
+        std::uint32_t calls = 0;
+        double ratio = 1.0; // of the time of its calls to the expected one, moving average
+        std::uint32_t failures = 0;
+        time_point blocked_until{};
+        time_point last_sent{};
+        bool listed = true;
+    };
+
+    milliseconds call_time(std::uint32_t pieces) const;
+    bool is_free(const endpoint_state& endpoint, time_point now) const;
+    std::string free_endpoint(time_point now) const;
+    std::size_t usable_endpoints(time_point now) const;
+    void sort_queue(time_point now);
+    void take_whole(std::vector<waiting_part>& rest, stage_batch& batch);
+    void take_split(std::vector<waiting_part>& rest, stage_batch& batch) const;
+
+    batch_spec spec_;
+    std::map<std::string, endpoint_state, std::less<>> endpoints_;
+    std::vector<waiting_part> queue_;
+};
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/transport/message_parser.cpp
@@ -0,0 +1,166 @@
+#include "transport/message_parser.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 9> connection_fields = {
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade",    "proxy-connection"};
+
+boost::beast::string_view to_beast(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+bool equal_names(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals(to_beast(a), to_beast(b));
+}
+
+std::optional<std::string_view> find_field(const message_head& head, std::string_view name)
+{
+    for (const header_field& field : head.fields)
+    {
+        if (equal_names(field.name, name))
+            return field.value;
+    }
+    return std::nullopt;
+}
+
+bool is_connection_field(std::string_view name)
+{
+    for (const std::string_view known : connection_fields)
+    {
+        if (equal_names(name, known))
+            return true;
+    }
+    return false;
+}
+
+template <message_kind Kind>
+message_parser<Kind>::message_parser(std::uint32_t header_limit, std::uint64_t body_limit)
+{
+    this->header_limit(header_limit);
+    this->body_limit(body_limit);
+    this->eager(true);
+}
+
+template <message_kind Kind>
+std::size_t message_parser<Kind>::feed(std::string_view bytes, error_code& error)
+{
+    namespace http = boost::beast::http;
+    std::size_t used = 0;
+    while (used < bytes.size() && !finished_)
+    {
+        const std::size_t count =
+            this->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+        used += count;
+        if (error == http::error::need_more)
+        {
+            error = {};
+            return used;
+        }
+        if (error)
+            return used;
+        if (count == 0)
+            return used;
+    }
+    return used;
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::feed_end(error_code& error)
+{
+    if (finished_)
+        return;
+    if (!this->got_some())
+    {
+        error = boost::beast::http::error::end_of_stream;
+        return;
+    }
+    this->put_eof(error);
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::on_request_impl(boost::beast::http::verb, beast_view method_name,
+                                           beast_view target, int version, error_code&)
+{
+    head.method = std::string(method_name);
+    head.target = std::string(target);
+    head.version = version;
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::on_response_impl(int code, beast_view phrase, int version, error_code&)
+{
+    head.status = code;
+    head.phrase = std::string(phrase);
+    head.version = version;
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::on_field_impl(boost::beast::http::field, beast_view name_text,
+                                         beast_view value, error_code&)
+{
+    head.fields.push_back({std::string(name_text), std::string(value)});
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::on_header_impl(error_code&)
+{
+    head_done_ = true;
+    if (this->chunked())
+        framing_ = body_framing::chunked;
+    else if (const auto length = this->content_length())
+    {
+        framing_ = body_framing::length;
+        length_ = *length;
+    }
+    else if (Kind == message_kind::answer)
+        framing_ = body_framing::until_close;
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&)
+{
+}
+
+template <message_kind Kind>
+std::size_t message_parser<Kind>::on_body_impl(beast_view bytes, error_code&)
+{
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::on_chunk_header_impl(std::uint64_t, beast_view, error_code&)
+{
+}
+
+template <message_kind Kind>
+std::size_t message_parser<Kind>::on_chunk_body_impl(std::uint64_t, beast_view bytes, error_code&)
+{
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+}
+
+template <message_kind Kind>
+void message_parser<Kind>::on_finish_impl(error_code&)
+{
+    finished_ = true;
+}
+
+template class message_parser<message_kind::request>;
+template class message_parser<message_kind::answer>;
+
+} // namespace zinnianotch
