Gather the pieces of a service at one VM

Cause: nine VMs that each sent what they had made 2,400 stage calls of 6 pieces, 549 of them refused; half of the requests spent more than half of their goal in stages. Change: the first VM in a rendezvous order gathers for all (Cap'n Proto frames, vm_link); a call holds no more results than its endpoint has room for; large results are freed as soon as the engine has begun. Ruled out: waiting at each VM for fuller calls, which spends the goal.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -7,7 +7,7 @@
 
 #include "coordination/endpoint_directory.h"
 #include "coordination/serving_call.h"
-#include "coordination/stage_gatherer.h"
+#include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
 #include "state/verdict.h"
 #include "transport/metrics.h"
@@ -16,11 +16,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace zinnianotch
 {
@@ -40,6 +42,7 @@
     listen_address peers;
     listen_address metrics; // port 0: not served
     std::string store;      // IP:PORT
+    std::vector<std::string> seeds; // peer addresses of other VMs
     fleet_limits limits;
     milliseconds stop_grace{8000}; // from the stop signal to the end of the process
     std::size_t max_connections = 2048;
@@ -49,6 +52,8 @@
 inline constexpr milliseconds tick_interval{20};
 // The balancer asks once a second and takes a VM out after two misses.
 inline constexpr milliseconds balancer_notice{2500};
+// A VM that the store does not answer asks another VM so often for changes.
+inline constexpr milliseconds ask_interval{400};
 // Part of the grace that is kept for closing what is left.
 inline constexpr milliseconds stop_reserve{400};
 
@@ -73,12 +78,28 @@
     class exchange;
     class registration;
 
+    // What this VM knows of a table, for VMs that the store does not serve.
+    struct table_copy
+    {
+        std::map<std::string, state_record> records;
+        std::uint64_t revision = 0;
+        bool loaded = false;
+    };
+
     void on_request(const std::shared_ptr<server_connection>& client, client_request&& request);
     void on_desired(const std::vector<state_record>& records, bool whole);
     void on_endpoints(const std::vector<state_record>& records, bool whole);
     void on_vms(const std::vector<state_record>& records, bool whole);
     void apply_endpoint(const state_record& record, bool whole, time_point now);
     void refresh_stages();
+    void keep_copy(state_table table, const std::vector<state_record>& records, bool whole,
+                   std::uint64_t revision);
+    void apply_table(state_table table, const std::vector<state_record>& records, bool whole);
+    void on_vm_message(const std::shared_ptr<vm_channel>& from, vm_message&& message);
+    void answer_query(const std::shared_ptr<vm_channel>& from, const state_query& query);
+    void on_state_answer(const state_answer& answer);
+    void ask_others(time_point now);
+    state_follower<Codec>& follower(state_table table);
     void schedule_tick();
     void tick();
     void tick_stop(time_point now);
@@ -91,7 +112,11 @@
     edge_options options_;
     metrics counters_;
     endpoint_directory endpoints_;
-    stage_gatherer<Codec> stages_;
+    stage_gatherer<Codec> gatherer_;
+    stage_router<Codec> stages_;
+    std::unique_ptr<vm_listener> peers_;
+    std::array<table_copy, state_table_count> copies_;
+    time_point asked_at_{};
     std::unique_ptr<server_listener> callers_;
     std::unique_ptr<server_listener> readiness_;
     std::unique_ptr<server_listener> metrics_listener_;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -93,6 +93,7 @@
     std::vector<std::uint32_t> last_stages() const;
     void remake_stages(time_point now);
     void release_results();
+    void release_used(std::size_t index);
 
     void place(time_point now);
     std::string results_domain() const;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -227,6 +227,7 @@
     request.stage = static_cast<std::uint32_t>(index);
     request.priority = priority();
     request.pieces = stages_[index].pieces;
+    request.result_bytes = spec.result_bytes;
     if (spec.after.empty())
         request.key = call_.piece_key;
     else
@@ -252,17 +253,19 @@
     const time_point now = steady_clock::now();
     if (closed_)
     {
-        owner_.stages_.release(outcome.handles);
+        owner_.stages_.release(route_->stages[index].service, outcome.handles);
         return;
     }
-    if (outcome.done)
+    if (outcome.end == stage_end::done)
     {
         stages_[index].handles = outcome.handles;
         stages_[index].done = true;
+        for (const std::uint32_t before : route_->stages[index].after)
+            release_used(before);
         return submit_ready(now);
     }
     const std::string where = "stage " + std::to_string(index);
-    if (outcome.refused)
+    if (outcome.end == stage_end::refused)
         return refuse(reason::overloaded, where + " has no time left in its queue",
                       outcome.expected / 2, now);
     if (outcome.why == piece_failure::input_gone && !remade_)
@@ -316,13 +319,29 @@
 template <typename Codec>
 void edge<Codec>::exchange::release_results()
 {
-    for (stage_progress& stage : stages_)
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (stages_[i].submitted && !stages_[i].done)
+            owner_.stages_.cancel(stages_[i].job);
+        owner_.stages_.release(route_->stages[i].service, stages_[i].handles);
+        stages_[i].handles.clear();
+    }
+}
+
+// Gives back the results of a stage once all stages that take them are done.
+template <typename Codec>
+void edge<Codec>::exchange::release_used(std::size_t index)
+{
+    if (index >= stages_.size())
+        return;
+    for (std::size_t i = 0; i < stages_.size(); ++i)
     {
-        if (stage.submitted && !stage.done)
-            owner_.stages_.cancel(stage.job);
-        owner_.stages_.release(stage.handles);
-        stage.handles.clear();
+        const auto& after = route_->stages[i].after;
+        if (!stages_[i].done && std::find(after.begin(), after.end(), index) != after.end())
+            return;
     }
+    owner_.stages_.release(route_->stages[index].service, stages_[index].handles);
+    stages_[index].handles.clear();
 }
 
 // Failure domain of the makers of most of the results, when these are large.
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "coordination/edge_exchange_impl.h"
-#include "coordination/stage_gatherer_impl.h"
+#include "coordination/stage_router_impl.h"
 #include "coordination/state_follower_impl.h"
 
 namespace zinnianotch
@@ -79,7 +79,10 @@
 edge<Codec>::edge(boost::asio::io_context& io, edge_options options)
     : io_(io), options_(std::move(options)),
       endpoints_(io, options_.vm, options_.domain, options_.limits),
-      stages_(io, endpoints_, counters_), tick_timer_(io)
+      gatherer_(io, endpoints_, counters_),
+      stages_(io, options_.vm, gatherer_, counters_,
+              [this](const state_answer& answer) { on_state_answer(answer); }),
+      tick_timer_(io)
 {
 }
 
@@ -107,16 +110,25 @@
             [this](const std::shared_ptr<server_connection>& client, client_request&&)
             { serve_status(client, 200, counters_.scrape()); });
     }
-    const auto follow = [this](state_table table, auto handler)
+    peers_ = std::make_unique<vm_listener>(
+        io_, options_.peers.host, options_.peers.port,
+        [this](const std::shared_ptr<vm_channel>& from, vm_message&& message)
+        { on_vm_message(from, std::move(message)); },
+        [this](const std::shared_ptr<vm_channel>& from) { stages_.on_closed(from); });
+    const auto follow = [this](state_table table)
     {
         return std::make_unique<state_follower<Codec>>(
             io_, options_.store, table,
-            [this, handler](const std::vector<state_record>& records, bool whole)
-            { (this->*handler)(records, whole); });
+            [this, table](const std::vector<state_record>& records, bool whole)
+            {
+                keep_copy(table, records, whole, follower(table).revision());
+                apply_table(table, records, whole);
+            });
     };
-    desired_ = follow(state_table::desired, &edge::on_desired);
-    listed_ = follow(state_table::endpoints, &edge::on_endpoints);
-    vms_ = follow(state_table::vms, &edge::on_vms);
+    desired_ = follow(state_table::desired);
+    listed_ = follow(state_table::endpoints);
+    vms_ = follow(state_table::vms);
+    stages_.set_seeds(options_.seeds);
     registration_ = std::make_unique<registration>(io_, options_.store);
     const time_point now = steady_clock::now();
     desired_->start(now);
@@ -264,13 +276,125 @@
     for (const auto& [name, vm] : known_vms_)
         names.push_back(name);
     endpoints_.set_vms(names);
+    stages_.set_vms(known_vms_);
 }
 
 template <typename Codec>
 void edge<Codec>::refresh_stages()
 {
-    if (state_)
-        stages_.refresh(*state_);
+    if (!state_)
+        return;
+    gatherer_.refresh(*state_);
+    std::vector<std::string> services;
+    for (const auto& [name, service] : state_->services)
+    {
+        if (service.batch)
+            services.push_back(name);
+    }
+    stages_.set_services(services);
+}
+
+template <typename Codec>
+state_follower<Codec>& edge<Codec>::follower(state_table table)
+{
+    switch (table)
+    {
+    case state_table::desired:
+        return *desired_;
+    case state_table::endpoints:
+        return *listed_;
+    case state_table::vms:
+        break;
+    }
+    return *vms_;
+}
+
+template <typename Codec>
+void edge<Codec>::keep_copy(state_table table, const std::vector<state_record>& records, bool whole,
+                            std::uint64_t revision)
+{
+    table_copy& copy = copies_[static_cast<std::size_t>(table)];
+    if (whole)
+        copy.records.clear();
+    for (const state_record& record : records)
+    {
+        if (record.deleted)
+            copy.records.erase(record.name);
+        else
+            copy.records[record.name] = record;
+    }
+    copy.revision = revision;
+    copy.loaded = true;
+}
+
+template <typename Codec>
+void edge<Codec>::apply_table(state_table table, const std::vector<state_record>& records,
+                              bool whole)
+{
+    switch (table)
+    {
+    case state_table::desired:
+        return on_desired(records, whole);
+    case state_table::endpoints:
+        return on_endpoints(records, whole);
+    case state_table::vms:
+        return on_vms(records, whole);
+    }
+}
+
+template <typename Codec>
+void edge<Codec>::on_vm_message(const std::shared_ptr<vm_channel>& from, vm_message&& message)
+{
+    if (const auto* query = std::get_if<state_query>(&message))
+        return answer_query(from, *query);
+    stages_.on_message(from, std::move(message));
+}
+
+template <typename Codec>
+void edge<Codec>::answer_query(const std::shared_ptr<vm_channel>& from, const state_query& query)
+{
+    const table_copy& copy = copies_[static_cast<std::size_t>(query.table)];
+    state_answer answer;
+    answer.table = query.table;
+    answer.loaded = copy.loaded;
+    answer.revision = std::max(copy.revision, follower(query.table).revision());
+    if (copy.loaded && copy.revision > query.revision)
+    {
+        for (const auto& [name, record] : copy.records)
+            answer.records.push_back(record);
+    }
+    from->send(answer);
+}
+
+// Adopts what another VM has read from the store, if it is newer than what this one has.
+template <typename Codec>
+void edge<Codec>::on_state_answer(const state_answer& answer)
+{
+    table_copy& copy = copies_[static_cast<std::size_t>(answer.table)];
+    if (!answer.loaded || answer.records.empty() || answer.revision <= copy.revision)
+        return;
+    log_event(log_level::info, "state_from_vm",
+              {{"table", std::string(to_string(answer.table))},
+               {"revision", std::to_string(answer.revision)},
+               {"before", std::to_string(copy.revision)}});
+    keep_copy(answer.table, answer.records, true, answer.revision);
+    follower(answer.table).adopt(answer.revision);
+    apply_table(answer.table, answer.records, true);
+}
+
+// While the store does not serve this VM, another one may hear of changes.
+template <typename Codec>
+void edge<Codec>::ask_others(time_point now)
+{
+    if (now - asked_at_ < ask_interval)
+        return;
+    asked_at_ = now;
+    for (const state_table table :
+         {state_table::desired, state_table::endpoints, state_table::vms})
+    {
+        if (!follower(table).in_touch())
+            stages_.ask_state({table, copies_[static_cast<std::size_t>(table)].revision});
+    }
 }
 
 template <typename Codec>
@@ -306,7 +430,10 @@
     desired_->tick(now);
     listed_->tick(now);
     vms_->tick(now);
+    gatherer_.tick(now);
     stages_.tick(now);
+    peers_->tick(now);
+    ask_others(now);
     if (!exchanges_.empty())
     {
         std::vector<std::shared_ptr<exchange>> all;
@@ -347,6 +474,7 @@
               {{"in_flight", std::to_string(exchanges_.size())},
                {"grace_ms", std::to_string(options_.stop_grace.count())}});
     registration_->remove({options_.vm, options_.domain, ""}, stop_began_);
+    peers_->broadcast(leaving_message{});
 }
 
 // Ends the loop once the balancer has noticed and nothing is in hand, or when the grace is over.
@@ -363,7 +491,8 @@
     }
     if (since >= balancer_notice)
         callers_->close_idle();
-    const bool idle = exchanges_.empty() && callers_->busy() == 0;
+    const bool idle =
+        exchanges_.empty() && callers_->busy() == 0 && stages_.jobs_of_others() == 0;
     if ((since < balancer_notice || !idle) && !grace_over)
         return;
     log_event(log_level::info, "stopped", {{"in_flight", std::to_string(exchanges_.size())}});
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -4,6 +4,7 @@
 
 #include "state/placement.h"
 #include "state/serving.h"
+#include "state/stage_request.h"
 #include "state/time.h"
 #include "transport/message_parser.h"
 
@@ -66,28 +67,9 @@
     std::vector<std::string> inputs; // results of all predecessors, of the others
 };
 
-enum class piece_failure
-{
-    late,       // its time was over when its turn came
-    input_gone, // an input does not exist any more
-    no_room,    // no memory for the result
-    failed
-};
-
-std::string_view to_string(piece_failure value);
-
 // A result's handle, or why there is none.
 using piece_result = std::variant<std::string, piece_failure>;
 
-// One entry of the store.
-struct state_record
-{
-    std::string name;
-    std::string value;
-    std::uint64_t revision = 0;
-    bool deleted = false;
-};
-
 struct record_page
 {
     std::vector<state_record> records;
@@ -95,18 +77,6 @@
     bool more = false;
 };
 
-// What the system keeps in, or reads from, the store.
-enum class state_table
-{
-    desired,   // routes, services and accounts; failure domains that are out
-    endpoints, // written by the endpoints
-    vms        // written by the VMs of the system
-};
-
-inline constexpr std::size_t state_table_count = 3;
-
-std::string_view to_string(state_table value);
-
 // A VM as it is listed in state_table::vms.
 struct vm_record
 {
--- a/packages/coordination/stage_gatherer.h
+++ b/packages/coordination/stage_gatherer.h
@@ -18,34 +18,16 @@
 // A call is given up and its pieces are queued again when it takes this many times what it should.
 inline constexpr double overdue_ratio = 2.6;
 inline constexpr milliseconds overdue_least{300}; // added, for the way there and back
+// Results that have lapsed are looked for so often.
+inline constexpr milliseconds sweep_interval{500};
 // Trials of one piece, the first included.
 inline constexpr std::uint32_t piece_attempts = 3;
 
-// All pieces of one stage of one request.
-struct stage_request
-{
-    std::string attempt;
-    std::string service;
-    std::uint32_t stage = 0;
-    std::uint32_t priority = 0;
-    std::string key;
-    std::vector<std::string> inputs;
-    std::uint32_t pieces = 0;
-    milliseconds goal_left{0};     // until it should be done
-    milliseconds deadline_left{0}; // until it is of no use any more
-};
-
-// Handles in the order of the pieces, or why the stage failed.
-struct stage_outcome
-{
-    std::vector<std::string> handles;
-    bool done = false;
-    bool refused = false;          // not begun: it could not be done in time
-    piece_failure why = piece_failure::failed;
-    milliseconds expected{0};      // time that it would have taken, when refused
-};
+using stage_done = std::function<void(const stage_outcome&)>;
 
-using stage_done = std::function<void(stage_outcome)>;
+// Small results are freed together after so long; large ones at once, because calls wait for room.
+inline constexpr milliseconds release_interval{100};
+inline constexpr std::uint64_t release_at_once_bytes = 100'000;
 
 template <typename Codec>
 class stage_gatherer
@@ -65,7 +47,7 @@
     std::uint64_t submit(const stage_request& request, stage_done done, time_point now);
     void cancel(std::uint64_t job);
 
-    // Gives results back; they are freed in one call for each endpoint soon after.
+    // Gives results back; they are freed in one call for each endpoint.
     void release(const std::vector<std::string>& handles);
 
     void tick(time_point now);
@@ -75,6 +57,13 @@
     class batch_call;
     class release_call;
 
+    // Pieces of one job in a call, with the memory that their results take.
+    struct sent_part
+    {
+        batch_part part;
+        std::uint64_t result_bytes = 0;
+    };
+
     struct job
     {
         stage_request request;
@@ -96,10 +85,14 @@
     void on_results(batch_call& call, const std::vector<piece_result>& results, time_point now);
     void on_refused(batch_call& call, time_point now);
     void on_lost(batch_call& call, time_point now);
+    void requeue(batch_call& call, time_point now);
     void put_back(const std::string& service, const batch_part& part, bool counts, time_point now);
     void fail(std::uint64_t id, piece_failure why);
     void complete(std::uint64_t id, stage_outcome outcome);
     void flush_releases();
+    void hold(const std::string& service, const std::string& endpoint, const std::string& handle,
+              std::uint64_t bytes, time_point now);
+    void give_room(const std::string& handle);
     std::shared_ptr<batch_call> forget(batch_call& call);
 
     boost::asio::io_context& io_;
@@ -109,9 +102,21 @@
     std::map<std::uint64_t, job> jobs_;
     std::map<batch_call*, std::shared_ptr<batch_call>> calls_;
     std::map<release_call*, std::shared_ptr<release_call>> release_calls_;
+    // A result that is kept at its maker.
+    struct held_result
+    {
+        std::string service;
+        std::string endpoint;
+        std::uint64_t bytes = 0;
+        time_point lapses_at{};
+    };
+
+    std::map<std::string, held_result> held_; // by handle
     std::map<std::string, std::vector<std::string>> to_release_; // by the address of the maker
+    bool release_posted_ = false;
+    time_point released_at_{};
+    time_point swept_at_{};
     std::uint64_t next_job_ = 0;
-    bool pumping_ = false;
 };
 
 } // namespace zinnianotch
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -15,9 +15,9 @@
 {
 public:
     batch_call(stage_gatherer& owner, std::string service, endpoint_ptr endpoint, stage_batch batch,
-               time_point now)
+               std::vector<sent_part> parts, time_point now)
         : owner_(owner), service_(std::move(service)), endpoint_(std::move(endpoint)),
-          batch_(std::move(batch)), started_(now)
+          batch_(std::move(batch)), parts_(std::move(parts)), started_(now)
     {
     }
 
@@ -63,6 +63,7 @@
     const std::string& service() const { return service_; }
     const endpoint_ptr& endpoint() const { return endpoint_; }
     const stage_batch& batch() const { return batch_; }
+    const std::vector<sent_part>& parts() const { return parts_; }
     milliseconds elapsed(time_point now) const
     {
         return std::chrono::duration_cast<milliseconds>(now - started_);
@@ -79,6 +80,7 @@
     std::string service_;
     endpoint_ptr endpoint_;
     stage_batch batch_;
+    std::vector<sent_part> parts_;
     time_point started_;
     std::shared_ptr<upstream_connection> connection_;
     endpoint_answer answer_;
@@ -156,14 +158,18 @@
     if (!entry.queue.has_endpoints() || expected > request.deadline_left)
     {
         stage_outcome outcome;
-        outcome.refused = true;
+        outcome.end = stage_end::refused;
         outcome.expected = expected;
         done(std::move(outcome));
         return id;
     }
     job added;
     added.request = request;
-    added.queued = {id, request.pieces, request.priority, now + request.goal_left,
+    added.queued = {id,
+                    request.pieces,
+                    request.priority,
+                    request.result_bytes,
+                    now + request.goal_left,
                     now + request.deadline_left};
     added.handles.resize(request.pieces);
     added.missing = request.pieces;
@@ -195,12 +201,48 @@
 template <typename Codec>
 void stage_gatherer<Codec>::release(const std::vector<std::string>& handles)
 {
+    bool at_once = false;
     for (const std::string& handle : handles)
     {
         const std::string maker = Codec::maker_of(handle);
-        if (!maker.empty())
-            to_release_[maker].push_back(handle);
+        if (maker.empty())
+            continue;
+        const auto found = held_.find(handle);
+        at_once = at_once || (found != held_.end() && found->second.bytes >= release_at_once_bytes);
+        give_room(handle);
+        to_release_[maker].push_back(handle);
     }
+    if (!at_once || release_posted_)
+        return;
+    release_posted_ = true;
+    boost::asio::post(io_,
+                      [this]
+                      {
+                          release_posted_ = false;
+                          flush_releases();
+                          for (auto& [name, entry] : queues_)
+                          {
+                              if (entry.queue.waiting_pieces() > 0)
+                                  pump(name, steady_clock::now());
+                          }
+                      });
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::hold(const std::string& service, const std::string& endpoint,
+                                 const std::string& handle, std::uint64_t bytes, time_point now)
+{
+    held_[handle] = {service, endpoint, bytes, now + queues_[service].spec.result_lifetime};
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::give_room(const std::string& handle)
+{
+    const auto found = held_.find(handle);
+    if (found == held_.end())
+        return;
+    queues_[found->second.service].queue.on_room(found->second.endpoint, found->second.bytes);
+    held_.erase(found);
 }
 
 // Sends calls while an endpoint is free and pieces wait.
@@ -225,6 +267,7 @@
         return;
     }
     std::vector<stage_piece> pieces;
+    std::vector<sent_part> parts;
     for (const batch_part& part : batch.parts)
     {
         const auto found = jobs_.find(part.job);
@@ -233,6 +276,7 @@
         const stage_request& request = found->second.request;
         const auto left =
             std::chrono::duration_cast<milliseconds>(found->second.queued.deadline_at - now);
+        parts.push_back({part, request.result_bytes});
         for (std::uint32_t i = 0; i < part.count; ++i)
             pieces.push_back({request.attempt, request.stage, part.first + i, left, request.key,
                               request.inputs});
@@ -240,7 +284,8 @@
     counters_.count("stage_calls_total");
     counters_.count("stage_pieces_total", pieces.size());
     std::string text = Codec::encode_pieces(endpoint->record.address, endpoint->record.id, pieces);
-    const auto call = std::make_shared<batch_call>(*this, service, endpoint, std::move(batch), now);
+    const auto call = std::make_shared<batch_call>(*this, service, endpoint, std::move(batch),
+                                                   std::move(parts), now);
     calls_.emplace(call.get(), call);
     call->start(std::move(text), now);
 }
@@ -266,33 +311,29 @@
     queue.on_done(call.endpoint()->record.id, call.batch(), call.elapsed(now), now);
     std::size_t at = 0;
     bool full = false;
-    for (const batch_part& part : call.batch().parts)
+    const std::string& maker = call.endpoint()->record.id;
+    for (const sent_part& sent : call.parts())
     {
+        const batch_part& part = sent.part;
         const auto found = jobs_.find(part.job);
-        if (found == jobs_.end())
-        {
-            std::vector<std::string> unwanted;
-            for (std::uint32_t i = 0; i < part.count; ++i)
-            {
-                if (const auto* handle = std::get_if<std::string>(&results[at + i]))
-                    unwanted.push_back(*handle);
-            }
-            at += part.count;
-            release(unwanted);
-            continue;
-        }
-        job& owner = found->second;
+        std::vector<std::string> unwanted;
         std::optional<piece_failure> why;
         for (std::uint32_t i = 0; i < part.count; ++i, ++at)
         {
             const std::uint32_t piece = part.first + i;
             if (const auto* handle = std::get_if<std::string>(&results[at]))
             {
-                if (owner.handles[piece].empty())
-                    --owner.missing;
-                owner.handles[piece] = *handle;
+                hold(call.service(), maker, *handle, sent.result_bytes, now);
+                if (found == jobs_.end() || !found->second.handles[piece].empty())
+                {
+                    unwanted.push_back(*handle);
+                    continue;
+                }
+                --found->second.missing;
+                found->second.handles[piece] = *handle;
                 continue;
             }
+            queue.on_room(maker, sent.result_bytes);
             const piece_failure failure = std::get<piece_failure>(results[at]);
             full = full || failure == piece_failure::no_room;
             if (failure == piece_failure::late || failure == piece_failure::input_gone)
@@ -300,13 +341,15 @@
             else
                 put_back(call.service(), {part.job, piece, 1}, true, now);
         }
+        release(unwanted);
         if (why)
             fail(part.job, *why);
-        else if (jobs_.contains(part.job) && owner.missing == 0)
+        else if (const auto job_now = jobs_.find(part.job);
+                 job_now != jobs_.end() && job_now->second.missing == 0)
         {
             stage_outcome outcome;
-            outcome.done = true;
-            outcome.handles = std::move(owner.handles);
+            outcome.end = stage_end::done;
+            outcome.handles = std::move(job_now->second.handles);
             complete(part.job, std::move(outcome));
         }
     }
@@ -320,10 +363,7 @@
 {
     const auto keep = forget(call);
     counters_.count("stage_calls_refused_total");
-    queues_[call.service()].queue.on_failed(call.endpoint()->record.id, now);
-    for (const batch_part& part : call.batch().parts)
-        put_back(call.service(), part, true, now);
-    pump(call.service(), now);
+    requeue(call, now);
 }
 
 template <typename Codec>
@@ -340,9 +380,21 @@
                {"elapsed_ms", std::to_string(call.elapsed(now).count())},
                {"expected_ms", std::to_string(call.batch().expected.count())},
                {"why", call.outcome()}});
-    queues_[call.service()].queue.on_failed(call.endpoint()->record.id, now);
-    for (const batch_part& part : call.batch().parts)
-        put_back(call.service(), part, true, now);
+    requeue(call, now);
+}
+
+// Queues the pieces of a call that ended without results.
+template <typename Codec>
+void stage_gatherer<Codec>::requeue(batch_call& call, time_point now)
+{
+    stage_queue& queue = queues_[call.service()].queue;
+    const std::string& endpoint = call.endpoint()->record.id;
+    queue.on_failed(endpoint, now);
+    for (const sent_part& sent : call.parts())
+    {
+        queue.on_room(endpoint, sent.part.count * sent.result_bytes);
+        put_back(call.service(), sent.part, true, now);
+    }
     pump(call.service(), now);
 }
 
@@ -416,12 +468,25 @@
         if (entry.queue.waiting_pieces() > 0)
             pump(name, now);
     }
-    flush_releases();
+    if (now - released_at_ >= release_interval)
+        flush_releases();
+    if (now - swept_at_ < sweep_interval)
+        return;
+    swept_at_ = now;
+    std::vector<std::string> lapsed;
+    for (const auto& [handle, result] : held_)
+    {
+        if (now >= result.lapses_at)
+            lapsed.push_back(handle);
+    }
+    for (const std::string& handle : lapsed)
+        give_room(handle);
 }
 
 template <typename Codec>
 void stage_gatherer<Codec>::flush_releases()
 {
+    released_at_ = steady_clock::now();
     const auto pending = std::move(to_release_);
     to_release_.clear();
     for (const auto& [address, handles] : pending)
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -44,6 +44,8 @@
     bool loaded() const { return loaded_; }
     std::uint64_t revision() const { return revision_; }
     std::uint64_t calls() const { return calls_; }
+    // The table is known as of this revision from elsewhere; changes are followed from there.
+    void adopt(std::uint64_t revision);
 
 private:
     bool owns(const message_head&) override { return true; }
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -46,6 +46,14 @@
         send(now);
 }
 
+template <typename Codec>
+void state_follower<Codec>::adopt(std::uint64_t revision)
+{
+    revision_ = std::max(revision_, revision);
+    listing_ = false;
+    loaded_ = true;
+}
+
 template <typename Codec>
 void state_follower<Codec>::send(time_point now)
 {
--- a/packages/daemon/serve_edge.cpp
+++ b/packages/daemon/serve_edge.cpp
@@ -47,6 +47,8 @@
     if (config.serving->listen_metrics)
         options.metrics = to_listen(*config.serving->listen_metrics);
     options.store = to_string(config.serving->store);
+    for (const socket_address& seed : config.seeds)
+        options.seeds.push_back(to_string(seed));
     options.limits = make_limits(*config.serving);
     options.stop_grace = config.serving->stop_grace;
     options.max_connections = config.limits.max_connections;
--- /dev/null
+++ b/packages/protocol/stage.capnp
@@ -0,0 +1,65 @@
+# Messages between the VMs of the serving path: pieces of stages for the VM that gathers them, and
+# the desired state for a VM that the store does not serve.
+@0xe5a87d2b91c4f603;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("zinnianotch::wire");
+
+struct SubmitStage {
+  job @0 :UInt64;             # given by the sender, unique on its connection
+  attempt @1 :Text;
+  service @2 :Text;
+  stage @3 :UInt32;
+  priority @4 :UInt32;
+  pieces @5 :UInt32;
+  resultBytes @6 :UInt64;
+  key @7 :Text;
+  inputs @8 :List(Text);
+  goalLeftMs @9 :Int32;
+  deadlineLeftMs @10 :Int32;
+}
+
+struct StageDone {
+  job @0 :UInt64;
+  end @1 :UInt8;              # stage_end
+  why @2 :UInt8;              # piece_failure
+  expectedMs @3 :Int32;
+  handles @4 :List(Text);
+}
+
+struct ReleaseResults {
+  service @0 :Text;
+  handles @1 :List(Text);
+}
+
+struct Record {
+  name @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct StateQuery {
+  table @0 :UInt8;            # state_table
+  revision @1 :UInt64;        # of the asking VM; an answer without records means nothing newer
+}
+
+struct StateAnswer {
+  table @0 :UInt8;
+  revision @1 :UInt64;
+  loaded @2 :Bool;            # false: the answering VM has not read the table itself
+  records @3 :List(Record);   # the whole table
+}
+
+struct VmMessage {
+  union {
+    ping @0 :Void;
+    pong @1 :Void;
+    submit @2 :SubmitStage;
+    done @3 :StageDone;
+    cancel @4 :UInt64;
+    release @5 :ReleaseResults;
+    query @6 :StateQuery;
+    answer @7 :StateAnswer;
+    leaving @8 :Void;         # the sender stops soon: no new work
+  }
+}
--- /dev/null
+++ b/packages/protocol/vm_message.cpp
@@ -0,0 +1,240 @@
+#include "protocol/vm_message.h"
+
+#include "protocol/stage.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::size_t length_bytes = 4;
+
+std::int32_t to_int32(milliseconds time)
+{
+    using limits = std::numeric_limits<std::int32_t>;
+    return static_cast<std::int32_t>(
+        std::max<std::int64_t>(limits::min(), std::min<std::int64_t>(limits::max(), time.count())));
+}
+
+std::string to_text(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+template <typename Builder>
+void write_texts(Builder list, const std::vector<std::string>& texts)
+{
+    for (std::size_t i = 0; i < texts.size(); ++i)
+        list.set(static_cast<capnp::uint>(i), texts[i]);
+}
+
+std::vector<std::string> read_texts(capnp::List<capnp::Text>::Reader list)
+{
+    std::vector<std::string> texts;
+    for (const auto text : list)
+        texts.push_back(to_text(text));
+    return texts;
+}
+
+// Turns a number from the wire into an enumeration; an unknown number is an invalid message.
+template <typename Enum>
+Enum to_enum(std::uint8_t number, Enum last)
+{
+    KJ_REQUIRE(number <= static_cast<std::uint8_t>(last), "unknown value in a message");
+    return static_cast<Enum>(number);
+}
+
+class writer
+{
+public:
+    explicit writer(wire::VmMessage::Builder out) : out_(out) {}
+
+    void operator()(const ping_message&) { out_.setPing(); }
+    void operator()(const pong_message&) { out_.setPong(); }
+    void operator()(const leaving_message&) { out_.setLeaving(); }
+    void operator()(const cancel_message& message) { out_.setCancel(message.job); }
+    void operator()(const submit_message& message)
+    {
+        auto to = out_.initSubmit();
+        const stage_request& request = message.request;
+        to.setJob(message.job);
+        to.setAttempt(request.attempt);
+        to.setService(request.service);
+        to.setStage(request.stage);
+        to.setPriority(request.priority);
+        to.setPieces(request.pieces);
+        to.setResultBytes(request.result_bytes);
+        to.setKey(request.key);
+        write_texts(to.initInputs(static_cast<capnp::uint>(request.inputs.size())),
+                    request.inputs);
+        to.setGoalLeftMs(to_int32(request.goal_left));
+        to.setDeadlineLeftMs(to_int32(request.deadline_left));
+    }
+    void operator()(const done_message& message)
+    {
+        auto to = out_.initDone();
+        to.setJob(message.job);
+        to.setEnd(static_cast<std::uint8_t>(message.outcome.end));
+        to.setWhy(static_cast<std::uint8_t>(message.outcome.why));
+        to.setExpectedMs(to_int32(message.outcome.expected));
+        write_texts(to.initHandles(static_cast<capnp::uint>(message.outcome.handles.size())),
+                    message.outcome.handles);
+    }
+    void operator()(const release_message& message)
+    {
+        auto to = out_.initRelease();
+        to.setService(message.service);
+        write_texts(to.initHandles(static_cast<capnp::uint>(message.handles.size())),
+                    message.handles);
+    }
+    void operator()(const state_query& message)
+    {
+        auto to = out_.initQuery();
+        to.setTable(static_cast<std::uint8_t>(message.table));
+        to.setRevision(message.revision);
+    }
+    void operator()(const state_answer& message)
+    {
+        auto to = out_.initAnswer();
+        to.setTable(static_cast<std::uint8_t>(message.table));
+        to.setRevision(message.revision);
+        to.setLoaded(message.loaded);
+        auto list = to.initRecords(static_cast<capnp::uint>(message.records.size()));
+        for (capnp::uint i = 0; i < list.size(); ++i)
+        {
+            const state_record& record = message.records[i];
+            list[i].setName(record.name);
+            list[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value.data()),
+                                          record.value.size()));
+            list[i].setRevision(record.revision);
+        }
+    }
+
+private:
+    wire::VmMessage::Builder out_;
+};
+
+submit_message read_submit(wire::SubmitStage::Reader from)
+{
+    submit_message message;
+    message.job = from.getJob();
+    stage_request& request = message.request;
+    request.attempt = to_text(from.getAttempt());
+    request.service = to_text(from.getService());
+    request.stage = from.getStage();
+    request.priority = from.getPriority();
+    request.pieces = from.getPieces();
+    request.result_bytes = from.getResultBytes();
+    request.key = to_text(from.getKey());
+    request.inputs = read_texts(from.getInputs());
+    request.goal_left = milliseconds(from.getGoalLeftMs());
+    request.deadline_left = milliseconds(from.getDeadlineLeftMs());
+    return message;
+}
+
+done_message read_done(wire::StageDone::Reader from)
+{
+    done_message message;
+    message.job = from.getJob();
+    message.outcome.end = to_enum(from.getEnd(), stage_end::lost);
+    message.outcome.why = to_enum(from.getWhy(), piece_failure::failed);
+    message.outcome.expected = milliseconds(from.getExpectedMs());
+    message.outcome.handles = read_texts(from.getHandles());
+    return message;
+}
+
+state_answer read_answer(wire::StateAnswer::Reader from)
+{
+    state_answer message;
+    message.table = to_enum(from.getTable(), state_table::vms);
+    message.revision = from.getRevision();
+    message.loaded = from.getLoaded();
+    for (const auto record : from.getRecords())
+    {
+        const auto value = record.getValue();
+        message.records.push_back({to_text(record.getName()),
+                                   {reinterpret_cast<const char*>(value.begin()), value.size()},
+                                   record.getRevision(),
+                                   false});
+    }
+    return message;
+}
+
+vm_message read_message(wire::VmMessage::Reader from)
+{
+    switch (from.which())
+    {
+    case wire::VmMessage::PING:
+        return ping_message{};
+    case wire::VmMessage::PONG:
+        return pong_message{};
+    case wire::VmMessage::SUBMIT:
+        return read_submit(from.getSubmit());
+    case wire::VmMessage::DONE:
+        return read_done(from.getDone());
+    case wire::VmMessage::CANCEL:
+        return cancel_message{from.getCancel()};
+    case wire::VmMessage::RELEASE:
+        return release_message{to_text(from.getRelease().getService()),
+                               read_texts(from.getRelease().getHandles())};
+    case wire::VmMessage::QUERY:
+        return state_query{to_enum(from.getQuery().getTable(), state_table::vms),
+                           from.getQuery().getRevision()};
+    case wire::VmMessage::ANSWER:
+        return read_answer(from.getAnswer());
+    case wire::VmMessage::LEAVING:
+        return leaving_message{};
+    }
+    KJ_FAIL_REQUIRE("unknown message");
+}
+
+} // namespace
+
+std::string encode_frame(const vm_message& message)
+{
+    capnp::MallocMessageBuilder builder;
+    std::visit(writer(builder.initRoot<wire::VmMessage>()), message);
+    const auto words = capnp::messageToFlatArray(builder);
+    const auto bytes = words.asBytes();
+    const auto length = static_cast<std::uint32_t>(bytes.size());
+    std::string frame(length_bytes + bytes.size(), '\0');
+    std::memcpy(frame.data(), &length, length_bytes);
+    std::memcpy(frame.data() + length_bytes, bytes.begin(), bytes.size());
+    return frame;
+}
+
+frame_state decode_frame(std::string& bytes, vm_message& message)
+{
+    if (bytes.size() < length_bytes)
+        return frame_state::incomplete;
+    std::uint32_t length = 0;
+    std::memcpy(&length, bytes.data(), length_bytes);
+    if (length == 0 || length > frame_limit || length % sizeof(capnp::word) != 0)
+        return frame_state::invalid;
+    if (bytes.size() < length_bytes + length)
+        return frame_state::incomplete;
+    // The reader needs aligned words.
+    auto words = kj::heapArray<capnp::word>(length / sizeof(capnp::word));
+    std::memcpy(words.asBytes().begin(), bytes.data() + length_bytes, length);
+    bytes.erase(0, length_bytes + length);
+    try
+    {
+        capnp::FlatArrayMessageReader reader(words);
+        message = read_message(reader.getRoot<wire::VmMessage>());
+    }
+    catch (const kj::Exception&)
+    {
+        return frame_state::invalid;
+    }
+    return frame_state::complete;
+}
+
+} // namespace zinnianotch
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -49,20 +49,24 @@
 {
     if (queue_.empty())
         return std::nullopt;
-    stage_batch batch;
-    batch.endpoint = free_endpoint(now);
-    if (batch.endpoint.empty())
+    const std::vector<std::string> free = free_endpoints(now);
+    if (free.empty())
         return std::nullopt;
     sort_queue(now);
-    std::vector<waiting_part> rest;
-    take_whole(rest, batch);
-    take_split(rest, batch);
-    queue_ = std::move(rest);
-    batch.expected = call_time(batch.pieces);
-    endpoint_state& endpoint = endpoints_[batch.endpoint];
-    ++endpoint.calls;
-    endpoint.last_sent = now;
-    return batch;
+    for (const std::string& id : free)
+    {
+        stage_batch batch;
+        batch.endpoint = id;
+        fill(batch);
+        if (batch.pieces == 0)
+            continue; // its memory is full of results
+        batch.expected = call_time(batch.pieces);
+        endpoint_state& endpoint = endpoints_[id];
+        ++endpoint.calls;
+        endpoint.last_sent = now;
+        return batch;
+    }
+    return std::nullopt;
 }
 
 std::vector<std::uint64_t> stage_queue::take_expired(time_point now)
@@ -106,6 +110,13 @@
     ++state.failures;
 }
 
+void stage_queue::on_room(const std::string& endpoint, std::uint64_t bytes)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        found->second.held_bytes -= std::min(found->second.held_bytes, bytes);
+}
+
 milliseconds stage_queue::expected_time(std::uint32_t pieces, std::uint32_t priority,
                                         time_point now) const
 {
@@ -166,24 +177,28 @@
     return endpoint.ratio < slow_ratio || now >= endpoint.last_sent + slow_probe_pause;
 }
 
-// The fastest endpoint that is free, the one that rested longest among equals.
-std::string stage_queue::free_endpoint(time_point now) const
+// Free endpoints, the fastest first, and among equals the one that rested longest.
+std::vector<std::string> stage_queue::free_endpoints(time_point now) const
 {
-    const endpoint_state* best = nullptr;
-    std::string best_id;
-    for (const auto& [id, endpoint] : endpoints_)
+    constexpr double ratio_step = 0.25; // smaller differences of speed do not count
+    std::vector<const std::pair<const std::string, endpoint_state>*> free;
+    for (const auto& entry : endpoints_)
     {
-        if (!is_free(endpoint, now))
-            continue;
-        const bool better = best == nullptr || endpoint.ratio + 0.2 < best->ratio ||
-                            (endpoint.ratio < best->ratio + 0.2 &&
-                             endpoint.last_sent < best->last_sent);
-        if (!better)
-            continue;
-        best = &endpoint;
-        best_id = id;
+        if (is_free(entry.second, now))
+            free.push_back(&entry);
     }
-    return best_id;
+    std::sort(free.begin(), free.end(),
+              [&](const auto* a, const auto* b)
+              {
+                  const auto step_a = static_cast<int>(a->second.ratio / ratio_step);
+                  const auto step_b = static_cast<int>(b->second.ratio / ratio_step);
+                  return step_a != step_b ? step_a < step_b
+                                          : a->second.last_sent < b->second.last_sent;
+              });
+    std::vector<std::string> ids;
+    for (const auto* entry : free)
+        ids.push_back(entry->first);
+    return ids;
 }
 
 std::size_t stage_queue::usable_endpoints(time_point now) const
@@ -217,42 +232,57 @@
                      });
 }
 
-// Takes the parts that fit as a whole, in order; the others stay in `rest`. The first one is always
-// begun, however large it is: smaller ones behind it would keep it waiting for ever.
-void stage_queue::take_whole(std::vector<waiting_part>& rest, stage_batch& batch)
+// Pieces of the job that the call and the endpoint's memory still have room for.
+std::uint32_t stage_queue::room_for(const endpoint_state& endpoint, const stage_batch& batch,
+                                    std::uint64_t taken_bytes, const stage_job& job) const
 {
-    for (waiting_part& part : queue_)
-    {
-        if (batch.pieces == 0 && part.count > spec_.batch)
-        {
-            batch.parts.push_back({part.job.id, part.first, spec_.batch});
-            batch.pieces = spec_.batch;
-            part.first += spec_.batch;
-            part.count -= spec_.batch;
-        }
-        if (batch.pieces + part.count > spec_.batch)
-        {
-            rest.push_back(std::move(part));
-            continue;
-        }
-        batch.parts.push_back({part.job.id, part.first, part.count});
-        batch.pieces += part.count;
-    }
+    const std::uint32_t slots = spec_.batch - std::min(batch.pieces, spec_.batch);
+    if (spec_.result_room_bytes == 0 || job.result_bytes == 0)
+        return slots;
+    const std::uint64_t used = endpoint.held_bytes + taken_bytes;
+    if (used == 0)
+        return std::min<std::uint64_t>(
+            slots, std::max<std::uint64_t>(spec_.result_room_bytes / job.result_bytes, 1));
+    const std::uint64_t free = spec_.result_room_bytes - std::min(used, spec_.result_room_bytes);
+    return static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(slots, free / job.result_bytes));
 }
 
-// Fills a call that is less than half full with a part of the first job that did not fit.
-void stage_queue::take_split(std::vector<waiting_part>& rest, stage_batch& batch) const
+// Takes jobs in order, each as a whole if it fits. The first one is begun however large it is:
+// smaller ones behind it would keep it waiting for ever. A call that would be less than half full
+// takes a part of the next one too.
+void stage_queue::fill(stage_batch& batch)
 {
-    if (rest.empty() || batch.pieces * 100 >= spec_.batch * split_below_percent)
-        return;
-    waiting_part& part = rest.front();
-    const std::uint32_t count = std::min(spec_.batch - batch.pieces, part.count);
-    batch.parts.push_back({part.job.id, part.first, count});
-    batch.pieces += count;
-    part.first += count;
-    part.count -= count;
-    if (part.count == 0)
-        rest.erase(rest.begin());
+    endpoint_state& endpoint = endpoints_[batch.endpoint];
+    std::uint64_t bytes = 0;
+    const auto take = [&](waiting_part& part, std::uint32_t count)
+    {
+        batch.parts.push_back({part.job.id, part.first, count});
+        batch.pieces += count;
+        bytes += count * part.job.result_bytes;
+        part.first += count;
+        part.count -= count;
+    };
+    for (waiting_part& part : queue_)
+    {
+        const std::uint32_t room = room_for(endpoint, batch, bytes, part.job);
+        if (room >= part.count)
+            take(part, part.count);
+        else if (room > 0 && batch.pieces == 0)
+            take(part, room);
+        if (batch.pieces >= spec_.batch)
+            break;
+    }
+    for (waiting_part& part : queue_)
+    {
+        if (batch.pieces * 100 >= spec_.batch * split_below_percent)
+            break;
+        const std::uint32_t room = room_for(endpoint, batch, bytes, part.job);
+        if (part.count > 0 && room > 0)
+            take(part, std::min(room, part.count));
+    }
+    endpoint.held_bytes += bytes;
+    std::erase_if(queue_, [](const waiting_part& part) { return part.count == 0; });
 }
 
 } // namespace zinnianotch
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -3,7 +3,8 @@
 //
 // It answers the load of a service whose calls cost a fixed time whatever they hold, so that many
 // small calls collapse the service. An idle endpoint takes what waits at once; while all endpoints
-// work, the queue fills the next call.
+// work, the queue fills the next call. Results take memory at their maker until they are freed, so a
+// call holds no more pieces than their results have room.
 #pragma once
 
 #include "state/serving.h"
@@ -24,7 +25,8 @@
 {
     std::uint64_t id = 0; // given by the queue's owner
     std::uint32_t pieces = 0;
-    std::uint32_t priority = 0; // 0 is the most urgent
+    std::uint32_t priority = 0;     // 0 is the most urgent
+    std::uint64_t result_bytes = 0; // of each piece; held at its maker until it is freed
     time_point goal_at{};       // done later, the request misses its response-time goal
     time_point deadline_at{};   // done later, the request cannot be answered in time
 };
@@ -81,6 +83,9 @@
     // The endpoint refused the call, or it ended without an answer.
     void on_failed(const std::string& endpoint, time_point now);
 
+    // A result at the endpoint was freed, or was not made.
+    void on_room(const std::string& endpoint, std::uint64_t bytes);
+
     // Time until a job of so many pieces that arrives now would be done, by what waits before it.
     milliseconds expected_time(std::uint32_t pieces, std::uint32_t priority, time_point now) const;
     // Earliest time at which `next` may return something although nothing new happens.
@@ -104,16 +109,18 @@
         std::uint32_t failures = 0;
         time_point blocked_until{};
         time_point last_sent{};
+        std::uint64_t held_bytes = 0; // results there, those of calls in progress included
         bool listed = true;
     };
 
     milliseconds call_time(std::uint32_t pieces) const;
     bool is_free(const endpoint_state& endpoint, time_point now) const;
-    std::string free_endpoint(time_point now) const;
+    std::vector<std::string> free_endpoints(time_point now) const;
+    std::uint32_t room_for(const endpoint_state& endpoint, const stage_batch& batch,
+                           std::uint64_t taken_bytes, const stage_job& job) const;
+    void fill(stage_batch& batch);
     std::size_t usable_endpoints(time_point now) const;
     void sort_queue(time_point now);
-    void take_whole(std::vector<waiting_part>& rest, stage_batch& batch);
-    void take_split(std::vector<waiting_part>& rest, stage_batch& batch) const;
 
     batch_spec spec_;
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
--- a/packages/coordination/serving_call.cpp
+++ b/packages/state/stage_request.cpp
@@ -1,4 +1,4 @@
-#include "coordination/serving_call.h"
+#include "state/stage_request.h"
 
 #include "state/enum_names.h"
 
@@ -12,6 +12,7 @@
 
 constexpr std::array<std::string_view, 4> failure_names = {"late", "input_gone", "no_room",
                                                            "failed"};
+constexpr std::array<std::string_view, 4> end_names = {"done", "refused", "failed", "lost"};
 constexpr std::array<std::string_view, state_table_count> table_names = {"desired", "endpoints",
                                                                          "vms"};
 
@@ -22,6 +23,11 @@
     return name_of(failure_names, value);
 }
 
+std::string_view to_string(stage_end value)
+{
+    return name_of(end_names, value);
+}
+
 std::string_view to_string(state_table value)
 {
     return name_of(table_names, value);
