Break off an answer that has begun instead of writing an error behind its head

Ruled out: a chunk written twice (the bytes are the refusal's status line). Change: refuse and fail check in one place whether the head was sent or the request may have run.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -388,12 +388,8 @@
     }
     if (now - waiting_since_ < placement_wait)
         return;
-    const std::string detail = owner_.endpoints_.describe(service_name_, now);
-    if (head_sent_)
-        return abort_client("no endpoint to go on with: " + detail, now);
-    if (ever_ran_)
-        return fail(reason::no_endpoint, verdict::may_have_run, detail, now);
-    refuse(reason::no_endpoint, detail, retry_after_not_ready, now);
+    refuse(reason::no_endpoint, owner_.endpoints_.describe(service_name_, now),
+           retry_after_not_ready, now);
 }
 
 template <typename Codec>
@@ -650,10 +646,6 @@
                   {{"request", call_.attempt}, {"endpoint", endpoint_->record.id}});
         if (connect_failures_ < connect_attempts)
             return place(now);
-        if (head_sent_)
-            return abort_client("no endpoint can be reached", now);
-        if (ever_ran_)
-            return fail(reason::connect_failed, verdict::may_have_run, "no endpoint reached", now);
         return refuse(reason::connect_failed, "no endpoint reached", retry_after_least, now);
     }
     if (failure == upstream_failure::broken_before_answer || status_ == 0)
@@ -702,8 +694,6 @@
             return remake_stages(now);
         return place(now);
     }
-    if (head_sent_)
-        return abort_client(to_string(why), now);
     if (outcome == verdict::not_run)
         return refuse(why, "no further attempt", retry_after_least, now);
     fail(why, outcome, "no further attempt", now);
@@ -719,10 +709,14 @@
     upstream_.reset();
 }
 
+// Refuses a request that has not run: its caller may come back. One that may have run, or whose
+// answer has begun, fails instead.
 template <typename Codec>
 void edge<Codec>::exchange::refuse(reason why, std::string_view detail, milliseconds retry_after,
                                    time_point now)
 {
+    if (ever_ran_ || head_sent_)
+        return fail(why, verdict::may_have_run, detail, now);
     owner_.counters_.count_refusal(why, verdict::not_run);
     drop_upstream();
     answer_error(503, why, verdict::not_run, detail,
@@ -735,6 +729,9 @@
 void edge<Codec>::exchange::fail(reason why, verdict outcome, std::string_view detail,
                                  time_point now)
 {
+    // An error behind the head would become a part of the answer that has begun.
+    if (head_sent_)
+        return abort_client(to_string(why), now);
     owner_.counters_.count_refusal(why, outcome);
     drop_upstream();
     int status = http_status(why);
@@ -788,9 +785,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::cut(time_point now)
 {
-    if (head_sent_)
-        return abort_client("the VM stops", now);
-    if (ever_ran_ || upstream_)
+    if (upstream_)
         return fail(reason::draining, verdict::may_have_run, "the VM stops", now);
     refuse(reason::draining, "the VM stops", retry_after_least, now);
 }
@@ -800,8 +795,6 @@
 {
     if (now >= deadline_)
     {
-        if (head_sent_)
-            return abort_client("deadline", now);
         if (attempts_ > 0)
             return fail(reason::deadline_exceeded, verdict::may_have_run, "deadline", now);
         return refuse(reason::deadline_unreachable, "deadline before an endpoint was free",
