--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -73,6 +73,11 @@
     void set_limits(const fleet_limits& limits);
 
     bool is_ready() const;
+    std::uint16_t callers_port() const { return callers_->port(); }
+    std::size_t known_endpoints() const { return endpoints_.size(); }
+    std::size_t links_up() const { return stages_.links_up(); }
+    // True when this VM gathers the pieces of the service.
+    bool gathers(const std::string& service) { return stages_.gathers(service); }
 
 private:
     class exchange;
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -315,12 +315,13 @@
     for (const sent_part& sent : call.parts())
     {
         const batch_part& part = sent.part;
-        const auto found = jobs_.find(part.job);
         std::vector<std::string> unwanted;
         std::optional<piece_failure> why;
         for (std::uint32_t i = 0; i < part.count; ++i, ++at)
         {
             const std::uint32_t piece = part.first + i;
+            // Looked up for each piece: a failed one may have ended the job.
+            const auto found = jobs_.find(part.job);
             if (const auto* handle = std::get_if<std::string>(&results[at]))
             {
                 hold(call.service(), maker, *handle, sent.result_bytes, now);
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -55,6 +55,8 @@
 
     void tick(time_point now);
     std::size_t jobs_of_others() const;
+    std::size_t links_up() const;
+    bool gathers(const std::string& service) { return gatherer_of(service) == own_vm_; }
 
 private:
     struct link_entry
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -339,6 +339,13 @@
         link->tick(now);
 }
 
+template <typename Codec>
+std::size_t stage_router<Codec>::links_up() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        links_.begin(), links_.end(), [](const auto& entry) { return entry.second.link->is_up(); }));
+}
+
 template <typename Codec>
 std::size_t stage_router<Codec>::jobs_of_others() const
 {
--- /dev/null
+++ b/packages/daemon/platform_edge.cpp
@@ -0,0 +1,13 @@
+// Instantiates the serving path for the platform's words.
+#include "coordination/edge_impl.h"
+#include "platform/codec.h"
+
+namespace zinnianotch
+{
+
+template class state_follower<platform::codec>;
+template class stage_gatherer<platform::codec>;
+template class stage_router<platform::codec>;
+template class edge<platform::codec>;
+
+} // namespace zinnianotch
--- a/packages/daemon/serve_edge.cpp
+++ b/packages/daemon/serve_edge.cpp
@@ -1,6 +1,6 @@
 #include "daemon/serve_edge.h"
 
-#include "coordination/edge_impl.h"
+#include "coordination/edge.h"
 #include "platform/codec.h"
 #include "transport/log.h"
 
