End a VM's lost jobs one by one and judge slow stage endpoints against the fastest

Found beside it by the new tests: a service whose only endpoint is slower than its figures was left alone for 4 s; a pool that is destroyed left its exchanges running. Ruled out: the link itself (the jobs were moved once). Change: refusals are reported from the event loop, jobs are looked up, slow means against the fastest endpoint, pools end their exchanges.

--- a/packages/coordination/stage_gatherer.h
+++ b/packages/coordination/stage_gatherer.h
@@ -42,8 +42,7 @@
     // Adopts figures of the services and the listed endpoints.
     void refresh(const serving_state& state);
 
-    // Runs the stage; `done` is called once unless the job is cancelled first. The answer may come
-    // before the call returns.
+    // Runs the stage; `done` is called once from the event loop unless the job is cancelled first.
     std::uint64_t submit(const stage_request& request, stage_done done, time_point now);
     void cancel(std::uint64_t job);
 
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -160,7 +160,8 @@
         stage_outcome outcome;
         outcome.end = stage_end::refused;
         outcome.expected = expected;
-        done(std::move(outcome));
+        boost::asio::post(io_, [done = std::move(done), outcome = std::move(outcome)]
+                          { done(outcome); });
         return id;
     }
     job added;
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -221,8 +221,11 @@
     }
     for (const std::uint64_t id : ids)
     {
-        remote_job job = std::move(remote_[id]);
-        remote_.erase(id);
+        const auto found = remote_.find(id);
+        if (found == remote_.end())
+            continue; // its request has ended with another of its stages
+        remote_job job = std::move(found->second);
+        remote_.erase(found);
         const auto spent = std::chrono::duration_cast<milliseconds>(now - job.submitted);
         job.request.goal_left -= spent;
         job.request.deadline_left -= spent;
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -60,8 +60,9 @@
         fill(batch);
         if (batch.pieces == 0)
             continue; // its memory is full of results
-        batch.expected = call_time(batch.pieces);
         endpoint_state& endpoint = endpoints_[id];
+        batch.expected = milliseconds(std::llround(
+            static_cast<double>(call_time(batch.pieces).count()) * best_ratio()));
         ++endpoint.calls;
         endpoint.last_sent = now;
         return batch;
@@ -92,7 +93,7 @@
     endpoint_state& state = found->second;
     state.calls -= std::min(state.calls, 1U);
     state.failures = 0;
-    const double expected = std::max(1.0, static_cast<double>(batch.expected.count()));
+    const double expected = std::max(1.0, static_cast<double>(call_time(batch.pieces).count()));
     // Pieces of some stages take less than the service's figure: a fast call says nothing more.
     const double ratio = std::max(1.0, static_cast<double>(elapsed.count()) / expected);
     state.ratio = (1.0 - ratio_weight) * state.ratio + ratio_weight * ratio;
@@ -174,7 +175,18 @@
 {
     if (endpoint.calls >= std::max(spec_.slots, 1U) || now < endpoint.blocked_until)
         return false;
-    return endpoint.ratio < slow_ratio || now >= endpoint.last_sent + slow_probe_pause;
+    return endpoint.ratio < slow_ratio * best_ratio() ||
+           now >= endpoint.last_sent + slow_probe_pause;
+}
+
+// Speed of the fastest endpoint. The service's figures are approximate, so an endpoint is slow only
+// against the others; when all are slow, none is left out.
+double stage_queue::best_ratio() const
+{
+    double best = 0.0;
+    for (const auto& [id, endpoint] : endpoints_)
+        best = best == 0.0 ? endpoint.ratio : std::min(best, endpoint.ratio);
+    return std::max(best, 1.0);
 }
 
 // Free endpoints, the fastest first, and among equals the one that rested longest.
@@ -206,7 +218,7 @@
     std::size_t count = 0;
     for (const auto& [id, endpoint] : endpoints_)
     {
-        if (endpoint.ratio < slow_ratio && now >= endpoint.blocked_until)
+        if (endpoint.ratio < slow_ratio * best_ratio() && now >= endpoint.blocked_until)
             ++count;
     }
     return count;
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -47,7 +47,7 @@
     milliseconds expected{0}; // time that the call takes at an endpoint of usual speed
 };
 
-// A call that takes this many times what its batch should take shows a slow endpoint.
+// An endpoint is slow when its calls take this many times what they take at the fastest one.
 inline constexpr double slow_ratio = 2.2;
 // A slow endpoint gets one call after this pause, to see whether it has recovered.
 inline constexpr milliseconds slow_probe_pause{4000};
@@ -114,6 +114,7 @@
     };
 
     milliseconds call_time(std::uint32_t pieces) const;
+    double best_ratio() const;
     bool is_free(const endpoint_state& endpoint, time_point now) const;
     std::vector<std::string> free_endpoints(time_point now) const;
     std::uint32_t room_for(const endpoint_state& endpoint, const stage_batch& batch,
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -286,11 +286,17 @@
 
 upstream_pool::~upstream_pool()
 {
-    close_idle();
-    for (auto& [connection, reference] : all_)
+    // Exchanges under way end without a word: their listeners go with the owner of the pool.
+    const auto all = std::move(all_);
+    all_.clear();
+    idle_.clear();
+    for (const auto& [connection, reference] : all)
     {
-        if (const auto alive = reference.lock())
-            alive->pool_ = nullptr;
+        const auto alive = reference.lock();
+        if (!alive)
+            continue;
+        alive->pool_ = nullptr;
+        alive->cancel();
     }
 }
 
--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -225,12 +225,21 @@
     accept();
 }
 
+vm_listener::~vm_listener()
+{
+    closed_ = [](const std::shared_ptr<vm_channel>&) {};
+    const auto all = channels_;
+    for (const auto& channel : all)
+        channel->close();
+}
+
 void vm_listener::accept()
 {
     acceptor_.async_accept(
         [this](const boost::system::error_code& error, tcp::socket socket)
         {
-            if (!acceptor_.is_open())
+            // A listener that is gone has aborted this wait.
+            if (error == asio::error::operation_aborted || !acceptor_.is_open())
                 return;
             if (error)
             {
@@ -279,11 +288,4 @@
         channel->tick(now, false);
 }
 
-void vm_listener::close_all()
-{
-    const auto all = channels_;
-    for (const auto& channel : all)
-        channel->close();
-}
-
 } // namespace zinnianotch
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -103,11 +103,14 @@
 
     vm_listener(boost::asio::io_context& io, const std::string& address, std::uint16_t port,
                 on_message message, on_closed closed);
+    ~vm_listener();
+
+    vm_listener(const vm_listener&) = delete;
+    vm_listener& operator=(const vm_listener&) = delete;
 
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
     void broadcast(const vm_message& message);
     void tick(time_point now);
-    void close_all();
 
 private:
     void accept();
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -394,6 +394,31 @@
     cr_assert(got->done && got->body == events_text(5));
 }
 
+// Guards against a process that ends when two stages of one request were with a VM that has died and
+// the first of them ends the request. A scored day ended one with an empty callback.
+Test(edge, gathering_vm_dies_too_late_for_two_stages_request_is_refused)
+{
+    small_deployment served;
+    value stage = value::object();
+    stage["service"] = value::string("encoders");
+    stage["after"] = value::array();
+    stage["bytes"] = value::number(1000);
+    served.routes["/stream/"]["stages"] = value::array({stage, stage});
+    served.routes["/stream/"]["timeout_ms"] = value::number(1300);
+    endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
+    encoder.mute = true;
+    served.start(2);
+    cr_assert(served.run_until([&] { return served.vm(0).links_up() > 0 &&
+                                            served.vm(1).links_up() > 0; }));
+    const std::size_t gatherer = served.vm(0).gathers("encoders") ? 0 : 1;
+    auto got = served.call(1 - gatherer, request_text("POST", "/stream/1", "s1",
+                                                      "Pieces: 2,2\r\nPiece-Key: k1\r\n", "x"));
+    cr_assert(served.run_until([&] { return !encoder.seen.empty(); }));
+    served.kill_vm(gatherer);
+    cr_assert(served.run_until([&] { return got->ended(); }));
+    cr_assert(got->head.status == 503, "status %d", got->head.status);
+}
+
 // Guards against a leaving endpoint that gets new requests.
 Test(edge, draining_endpoint_gets_nothing_new)
 {
