--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -9,6 +9,7 @@
 #include "coordination/serving_call.h"
 #include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
+#include "state/stage_times.h"
 #include "state/verdict.h"
 #include "transport/metrics.h"
 #include "transport/server_connection.h"
@@ -133,6 +134,7 @@
     std::map<std::string, std::uint64_t> bad_records_; // name: revision that was logged
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
     std::map<std::string, double, std::less<>> first_byte_ms_; // by service, moving average
+    observed_stage_times stage_times_;
     std::unique_ptr<registration> registration_;
     boost::asio::steady_timer tick_timer_;
     std::uint64_t ticks_ = 0;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -77,6 +77,8 @@
         bool submitted = false;
         bool done = false;
         std::uint64_t job = 0;
+        time_point submitted_at{};
+        bool in_time = false; // it could still make the goal when it was submitted
         std::vector<std::string> handles;
     };
 
@@ -87,8 +89,8 @@
     void submit_stage(std::size_t index, time_point now);
     void on_stage(std::size_t index, const stage_outcome& outcome);
     bool stages_done() const;
-    milliseconds time_after(std::size_t index) const;
-    milliseconds stage_time(std::size_t index) const;
+    milliseconds time_after(std::size_t index, time_point now) const;
+    milliseconds stage_time(std::size_t index, time_point now) const;
     std::vector<std::string> inputs_of(const std::vector<std::uint32_t>& stages) const;
     std::vector<std::uint32_t> last_stages() const;
     void remake_stages(time_point now);
@@ -164,6 +166,7 @@
     bool until_close_ = false;
     event_stream events_;
     time_point first_byte_at_{};
+    std::string inputs_domain_; // that holds large inputs, as of the last placement
     bool closed_ = false;
 };
 
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -161,9 +161,9 @@
                        [](const stage_progress& stage) { return stage.done; });
 }
 
-// Time that a stage takes when its endpoints are free.
+// Time that a stage takes as things are now.
 template <typename Codec>
-milliseconds edge<Codec>::exchange::stage_time(std::size_t index) const
+milliseconds edge<Codec>::exchange::stage_time(std::size_t index, time_point now) const
 {
     const service_spec* const service = find_service(*state_, route_->stages[index].service);
     if (service == nullptr || !service->batch || stages_[index].pieces == 0)
@@ -171,12 +171,13 @@
     const batch_spec& batch = *service->batch;
     const std::uint32_t pieces = std::min(stages_[index].pieces, batch.batch);
     const double time = static_cast<double>(batch.call_time.count()) + batch.piece_time_ms * pieces;
-    return milliseconds(static_cast<std::int64_t>(time * queue_allowance));
+    return owner_.stage_times_.expected(
+        service->name, milliseconds(static_cast<std::int64_t>(time * queue_allowance)), now);
 }
 
 // Time that the request needs once this stage is done, the first event included.
 template <typename Codec>
-milliseconds edge<Codec>::exchange::time_after(std::size_t index) const
+milliseconds edge<Codec>::exchange::time_after(std::size_t index, time_point now) const
 {
     milliseconds longest{0};
     bool followed = false;
@@ -186,7 +187,7 @@
         if (stages_[i].pieces == 0 || std::find(after.begin(), after.end(), index) == after.end())
             continue;
         followed = true;
-        longest = std::max(longest, stage_time(i) + time_after(i));
+        longest = std::max(longest, stage_time(i, now) + time_after(i, now));
     }
     if (followed)
         return longest;
@@ -232,11 +233,13 @@
         request.key = call_.piece_key;
     else
         request.inputs = inputs_of(spec.after);
-    const milliseconds rest = time_after(index);
+    const milliseconds rest = time_after(index, now);
     const milliseconds goal = route_->goal.count() > 0 ? route_->goal : route_->timeout;
     request.goal_left = goal - elapsed(now) - rest;
     request.deadline_left = left(now) - rest;
     stages_[index].submitted = true;
+    stages_[index].submitted_at = now;
+    stages_[index].in_time = request.goal_left > milliseconds(0);
     stages_[index].job = owner_.stages_.submit(
         request,
         [self = this->weak_from_this(), index](const stage_outcome& outcome)
@@ -258,8 +261,13 @@
     }
     if (outcome.end == stage_end::done)
     {
-        stages_[index].handles = outcome.handles;
-        stages_[index].done = true;
+        stage_progress& stage = stages_[index];
+        stage.handles = outcome.handles;
+        stage.done = true;
+        if (stage.in_time)
+            owner_.stage_times_.record(
+                route_->stages[index].service,
+                std::chrono::duration_cast<milliseconds>(now - stage.submitted_at), now);
         for (const std::uint32_t before : route_->stages[index].after)
             release_used(before);
         return submit_ready(now);
@@ -366,7 +374,8 @@
 template <typename Codec>
 void edge<Codec>::exchange::place(time_point now)
 {
-    const std::string domain = results_domain();
+    inputs_domain_ = results_domain();
+    const std::string& domain = inputs_domain_;
     placement_request request;
     request.service = service_name_;
     if (service_ != nullptr && service_->generates)
@@ -849,6 +858,8 @@
                {"status", std::to_string(status)},
                {"outcome", std::string(outcome)},
                {"endpoint", endpoint_ ? endpoint_->record.id : "-"},
+               {"domain", endpoint_ ? endpoint_->record.domain : "-"},
+               {"inputs_domain", inputs_domain_.empty() ? "-" : inputs_domain_},
                {"attempts", std::to_string(attempts_)},
                {"stages_ms", since(stages_done_at_)},
                {"first_ms", since(first_byte_at_)},
--- /dev/null
+++ b/packages/state/stage_times.cpp
@@ -0,0 +1,28 @@
+#include "state/stage_times.h"
+
+#include <algorithm>
+
+namespace zinnianotch
+{
+
+void observed_stage_times::record(const std::string& service, milliseconds elapsed, time_point now)
+{
+    const auto taken = static_cast<double>(elapsed.count());
+    const auto [entry, added] = averages_.try_emplace(service, average{taken, now});
+    average& known = entry->second;
+    if (!added && now - known.at > stage_time_age)
+        known.ms = taken;
+    known.ms += stage_time_weight * (taken - known.ms);
+    known.at = now;
+}
+
+milliseconds observed_stage_times::expected(std::string_view service, milliseconds usual,
+                                            time_point now) const
+{
+    const auto found = averages_.find(service);
+    if (found == averages_.end() || now - found->second.at > stage_time_age)
+        return usual;
+    return std::max(usual, milliseconds(static_cast<std::int64_t>(found->second.ms)));
+}
+
+} // namespace zinnianotch
--- a/packages/transport/log.cpp
+++ b/packages/transport/log.cpp
@@ -28,9 +28,50 @@
 constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
 
 constexpr const char* default_sink = "DefaultLogDispatchCallback";
-constexpr const char* stderr_sink = "stderr_callback";
+constexpr const char* stream_sink = "stream_callback";
 
 std::atomic<log_level> least_level{log_level::info};
+std::atomic<int> descriptor{STDERR_FILENO};
+
+// Lets a number of lines through in each second and counts the others.
+class line_limiter
+{
+public:
+    void set_limit(std::uint32_t lines) { limit_ = lines; }
+
+    // False when this second's lines are used up. `suppressed` takes the count of the lines that
+    // were held back before this one.
+    bool try_pass(std::chrono::steady_clock::time_point now, std::uint64_t& suppressed)
+    {
+        const std::lock_guard lock(mutex_);
+        if (now - second_began_ >= std::chrono::seconds(1))
+        {
+            second_began_ = now;
+            lines_ = 0;
+        }
+        if (limit_ != unlimited_lines && lines_ >= limit_)
+        {
+            ++suppressed_;
+            return false;
+        }
+        ++lines_;
+        suppressed = std::exchange(suppressed_, 0);
+        return true;
+    }
+
+private:
+    std::mutex mutex_;
+    std::atomic<std::uint32_t> limit_{unlimited_lines};
+    std::uint32_t lines_ = 0;
+    std::uint64_t suppressed_ = 0;
+    std::chrono::steady_clock::time_point second_began_{};
+};
+
+line_limiter& limiter()
+{
+    static line_limiter instance;
+    return instance;
+}
 
 std::mutex vm_mutex;
 std::string& vm_name()
@@ -39,9 +80,9 @@
     return name;
 }
 
-// Writes the message as it is; easylogging++ itself would write to standard output. easylogging++
-// calls it under its lock, so one line is written at a time.
-class stderr_callback : public el::LogDispatchCallback
+// Writes the message as it is and never blocks. easylogging++ calls it under its lock, so one line is
+// written at a time.
+class stream_callback : public el::LogDispatchCallback
 {
 protected:
     void handle(const el::LogDispatchData* data) override
@@ -58,7 +99,7 @@
         std::string_view rest = line;
         while (!rest.empty())
         {
-            const ssize_t count = ::write(STDERR_FILENO, rest.data(), rest.size());
+            const ssize_t count = ::write(descriptor, rest.data(), rest.size());
             if (count < 0 && errno == EINTR)
                 continue;
             if (count <= 0)
@@ -68,19 +109,19 @@
     }
 
 private:
-    // False while the reader of standard error is stuck and its pipe is full. Blocking there would
+    // False while the reader of the stream is stuck and its pipe is full. Blocking there would
     // stop every thread that logs; the lines are counted instead and the next one says how many
     // were lost.
     static bool writable()
     {
-        pollfd descriptor{STDERR_FILENO, POLLOUT, 0};
-        return ::poll(&descriptor, 1, 0) != 0;
+        pollfd polled{descriptor, POLLOUT, 0};
+        return ::poll(&polled, 1, 0) != 0;
     }
 
     std::uint64_t lost_ = 0;
 };
 
-// Makes standard error the only output. The VMs have no disk, so no file is ever opened.
+// Makes the chosen stream the only output. The VMs have no disk, so no file is ever opened.
 void install_sink()
 {
     el::Configurations settings;
@@ -90,7 +131,7 @@
     settings.setGlobally(el::ConfigurationType::Format, "%msg");
     el::Loggers::setDefaultConfigurations(settings, true);
     el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(default_sink);
-    el::Helpers::installLogDispatchCallback<stderr_callback>(stderr_sink);
+    el::Helpers::installLogDispatchCallback<stream_callback>(stream_sink);
 }
 
 // UTC time with milliseconds, as in 2026-01-31T09:30:00.125Z.
@@ -193,9 +234,12 @@
     return value_of(level_names, name, out);
 }
 
-void configure_log(log_level least, std::string vm)
+void configure_log(log_level least, std::string vm, log_stream stream,
+                   std::uint32_t lines_per_second)
 {
     least_level = least;
+    descriptor = stream == log_stream::standard_output ? STDOUT_FILENO : STDERR_FILENO;
+    limiter().set_limit(lines_per_second);
     const std::lock_guard lock(vm_mutex);
     vm_name() = std::move(vm);
 }
@@ -204,6 +248,9 @@
 {
     if (level < least_level)
         return;
+    std::uint64_t suppressed = 0;
+    if (!limiter().try_pass(std::chrono::steady_clock::now(), suppressed))
+        return;
     static std::once_flag installed;
     std::call_once(installed, install_sink);
     std::string line;
@@ -216,6 +263,8 @@
     append_pair(line, "event", event);
     for (const auto& [key, value] : fields)
         append_pair(line, key, value);
+    if (suppressed > 0)
+        append_pair(line, "suppressed_lines", std::to_string(suppressed));
     dispatch(level, line);
 }
 
--- a/packages/transport/log.h
+++ b/packages/transport/log.h
@@ -1,6 +1,7 @@
-// Structured logs on standard error: one line of key=value pairs for each event.
+// Structured logs: one line of key=value pairs for each event.
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -23,8 +24,22 @@
 // One pair of a log line; the value is quoted when it holds spaces, quotes or control characters.
 using log_field = std::pair<std::string_view, std::string>;
 
-// Sets the least level that is written and the VM name that each line carries.
-void configure_log(log_level least, std::string vm);
+enum class log_stream
+{
+    standard_error, // of commands, whose standard output belongs to their result
+    standard_output // of servers
+};
+
+// Most lines a second that a server writes; more are counted and reported with the next line. A
+// request takes one to three lines, so this covers 100 requests a second of one VM.
+inline constexpr std::uint32_t server_lines_per_second = 300;
+inline constexpr std::uint32_t unlimited_lines = 0;
+
+// Sets the least level that is written, the VM name that each line carries, where lines go, and how
+// many are written in a second.
+void configure_log(log_level least, std::string vm,
+                   log_stream stream = log_stream::standard_error,
+                   std::uint32_t lines_per_second = unlimited_lines);
 
 // Writes one line: time, level, vm, event, then the fields in order. Keys of callers and
 // operators must never be passed in.
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -106,6 +106,32 @@
     cr_assert(std::regex_match(written, expected), "%s", written.c_str());
 }
 
+// Guards against server logs that are split over two streams: the platform collects one.
+Test(log, server_event_one_line_on_standard_output)
+{
+    configure_log(log_level::info, "vm-1", log_stream::standard_output);
+    capture standard_output(STDOUT_FILENO);
+    capture standard_error(STDERR_FILENO);
+    log_event(log_level::warning, "endpoint_cold", {{"endpoint", "g1"}});
+    const auto lines = lines_of(standard_output.take());
+    cr_assert(standard_error.take().empty());
+    cr_assert(lines.size() == 1 && lines[0].ends_with("event=endpoint_cold endpoint=g1"));
+}
+
+// Guards against a flood of lines that takes the processor from the requests.
+Test(log, lines_over_limit_are_counted)
+{
+    constexpr std::uint32_t limit = 20;
+    constexpr int events = 500;
+    configure_log(log_level::info, "vm-1", log_stream::standard_error, limit);
+    capture standard_error(STDERR_FILENO);
+    for (int i = 0; i < events; ++i)
+        log_event(log_level::info, "tick", {});
+    // A new second may begin meanwhile, and one more while a busy machine is slow.
+    const std::size_t written = lines_of(standard_error.take()).size();
+    cr_assert(written >= limit && written <= 4 * limit, "%zu lines", written);
+}
+
 // Guards against values from callers that forge log lines or fields of their own.
 Test(log, value_with_special_characters_quoted)
 {
