Run the pieces of a stage beside their large inputs

Change: a job names the domain of its large inputs; free endpoints there are preferred, no piece waits for one.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -27,7 +27,8 @@
 inline constexpr milliseconds stream_patience{2500};
 // A resumable stream without an event for so long goes on at another endpoint.
 inline constexpr milliseconds event_patience{1200};
-// Results of this size are worth an endpoint in the failure domain that holds them.
+// Results of this size, as often as they are read, are worth an endpoint in the failure domain that
+// holds them.
 inline constexpr std::uint64_t large_results = 200'000;
 // Time to the first event of a service that has not served any yet.
 inline constexpr double first_byte_default_ms = 200.0;
@@ -98,7 +99,8 @@
     void release_used(std::size_t index);
 
     void place(time_point now);
-    std::string results_domain() const;
+    std::string results_domain(const std::vector<std::uint32_t>& stages,
+                               std::uint32_t readers) const;
     void send(endpoint_ptr endpoint, time_point now);
     bool may_repeat(time_point now);
     void retry_or_fail(reason why, verdict outcome, time_point now);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -232,7 +232,10 @@
     if (spec.after.empty())
         request.key = call_.piece_key;
     else
+    {
         request.inputs = inputs_of(spec.after);
+        request.inputs_domain = results_domain(spec.after, request.pieces);
+    }
     const milliseconds rest = time_after(index, now);
     const milliseconds goal = route_->goal.count() > 0 ? route_->goal : route_->timeout;
     request.goal_left = goal - elapsed(now) - rest;
@@ -352,18 +355,22 @@
     stages_[index].handles.clear();
 }
 
-// Failure domain of the makers of most of the results, when these are large.
+// Failure domain of the makers of most of the stages' results, when what their readers fetch is
+// large.
 template <typename Codec>
-std::string edge<Codec>::exchange::results_domain() const
+std::string edge<Codec>::exchange::results_domain(const std::vector<std::uint32_t>& stages,
+                                                  std::uint32_t readers) const
 {
     std::map<std::string, std::uint64_t> bytes;
-    for (const std::uint32_t index : last_stages())
+    for (const std::uint32_t index : stages)
     {
+        if (index >= stages_.size())
+            continue;
         for (const std::string& handle : stages_[index].handles)
         {
             const endpoint_ptr maker = owner_.endpoints_.find_address(Codec::maker_of(handle));
             if (maker)
-                bytes[maker->record.domain] += route_->stages[index].result_bytes;
+                bytes[maker->record.domain] += route_->stages[index].result_bytes * readers;
         }
     }
     const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto& a, const auto& b)
@@ -374,7 +381,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::place(time_point now)
 {
-    inputs_domain_ = results_domain();
+    inputs_domain_ = results_domain(last_stages(), 1);
     const std::string& domain = inputs_domain_;
     placement_request request;
     request.service = service_name_;
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -139,10 +139,10 @@
         service_queue& entry = queues_[name];
         entry.spec = *service.batch;
         entry.queue.set_service(*service.batch);
-        std::vector<std::string> ids;
+        std::vector<stage_endpoint> listed;
         for (const endpoint_ptr& endpoint : endpoints_.serving(name))
-            ids.push_back(endpoint->record.id);
-        entry.queue.set_endpoints(ids);
+            listed.push_back({endpoint->record.id, endpoint->record.domain});
+        entry.queue.set_endpoints(listed);
     }
 }
 
@@ -171,7 +171,8 @@
                     request.priority,
                     request.result_bytes,
                     now + request.goal_left,
-                    now + request.deadline_left};
+                    now + request.deadline_left,
+                    request.inputs_domain};
     added.handles.resize(request.pieces);
     added.missing = request.pieces;
     added.done = std::move(done);
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -17,6 +17,7 @@
   inputs @8 :List(Text);
   goalLeftMs @9 :Int32;
   deadlineLeftMs @10 :Int32;
+  inputsDomain @11 :Text;
 }
 
 struct StageDone {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -38,7 +38,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2f244f02d0b756b, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d2f244f02d0b756b, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -191,6 +191,9 @@
 
   inline  ::int32_t getDeadlineLeftMs() const;
 
+  inline bool hasInputsDomain() const;
+  inline  ::capnp::Text::Reader getInputsDomain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -269,6 +272,13 @@
   inline  ::int32_t getDeadlineLeftMs();
   inline void setDeadlineLeftMs( ::int32_t value);
 
+  inline bool hasInputsDomain();
+  inline  ::capnp::Text::Builder getInputsDomain();
+  inline void setInputsDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInputsDomain(unsigned int size);
+  inline void adoptInputsDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInputsDomain();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1163,6 +1173,40 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SubmitStage::Reader::hasInputsDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasInputsDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubmitStage::Reader::getInputsDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::getInputsDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setInputsDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::initInputsDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptInputsDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownInputsDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t StageDone::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -75,6 +75,7 @@
         to.setKey(request.key);
         write_texts(to.initInputs(static_cast<capnp::uint>(request.inputs.size())),
                     request.inputs);
+        to.setInputsDomain(request.inputs_domain);
         to.setGoalLeftMs(to_int32(request.goal_left));
         to.setDeadlineLeftMs(to_int32(request.deadline_left));
     }
@@ -135,6 +136,7 @@
     request.result_bytes = from.getResultBytes();
     request.key = to_text(from.getKey());
     request.inputs = read_texts(from.getInputs());
+    request.inputs_domain = to_text(from.getInputsDomain());
     request.goal_left = milliseconds(from.getGoalLeftMs());
     request.deadline_left = milliseconds(from.getDeadlineLeftMs());
     return message;
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -19,12 +19,15 @@
     spec_ = spec;
 }
 
-void stage_queue::set_endpoints(const std::vector<std::string>& ids)
+void stage_queue::set_endpoints(const std::vector<stage_endpoint>& listed)
 {
     for (auto& [id, endpoint] : endpoints_)
         endpoint.listed = false;
-    for (const std::string& id : ids)
-        endpoints_[id].listed = true;
+    for (const stage_endpoint& endpoint : listed)
+    {
+        endpoints_[endpoint.id].listed = true;
+        endpoints_[endpoint.id].domain = endpoint.domain;
+    }
     std::erase_if(endpoints_, [](const auto& entry) { return !entry.second.listed; });
 }
 
@@ -49,11 +52,8 @@
 {
     if (queue_.empty())
         return std::nullopt;
-    const std::vector<std::string> free = free_endpoints(now);
-    if (free.empty())
-        return std::nullopt;
     sort_queue(now);
-    for (const std::string& id : free)
+    for (const std::string& id : free_endpoints(queue_.front().job.inputs_domain, now))
     {
         stage_batch batch;
         batch.endpoint = id;
@@ -189,8 +189,8 @@
     return std::max(best, 1.0);
 }
 
-// Free endpoints, the fastest first, and among equals the one that rested longest.
-std::vector<std::string> stage_queue::free_endpoints(time_point now) const
+// Free endpoints, the fastest first, then those in the domain, then the one that rested longest.
+std::vector<std::string> stage_queue::free_endpoints(std::string_view domain, time_point now) const
 {
     constexpr double ratio_step = 0.25; // smaller differences of speed do not count
     std::vector<const std::pair<const std::string, endpoint_state>*> free;
@@ -204,8 +204,11 @@
               {
                   const auto step_a = static_cast<int>(a->second.ratio / ratio_step);
                   const auto step_b = static_cast<int>(b->second.ratio / ratio_step);
-                  return step_a != step_b ? step_a < step_b
-                                          : a->second.last_sent < b->second.last_sent;
+                  if (step_a != step_b)
+                      return step_a < step_b;
+                  const bool near_a = a->second.domain == domain;
+                  const bool near_b = b->second.domain == domain;
+                  return near_a != near_b ? near_a : a->second.last_sent < b->second.last_sent;
               });
     std::vector<std::string> ids;
     for (const auto* entry : free)
@@ -278,16 +281,28 @@
         part.first += count;
         part.count -= count;
     };
-    for (waiting_part& part : queue_)
+    const auto take_fitting = [&](auto wanted)
     {
-        const std::uint32_t room = room_for(endpoint, batch, bytes, part.job);
-        if (room >= part.count)
-            take(part, part.count);
-        else if (room > 0 && batch.pieces == 0)
-            take(part, room);
-        if (batch.pieces >= spec_.batch)
-            break;
-    }
+        for (waiting_part& part : queue_)
+        {
+            if (batch.pieces >= spec_.batch)
+                return;
+            if (part.count == 0 || !wanted(part))
+                continue;
+            const std::uint32_t room = room_for(endpoint, batch, bytes, part.job);
+            if (room >= part.count)
+                take(part, part.count);
+            else if (room > 0 && batch.pieces == 0)
+                take(part, room);
+        }
+    };
+    // Each piece reads all inputs of its job, so they should not cross failure domains.
+    const waiting_part& first = queue_.front();
+    take_fitting([&](const waiting_part& part) { return &part == &first; });
+    take_fitting(
+        [&](const waiting_part& part)
+        { return part.job.inputs_domain.empty() || part.job.inputs_domain == endpoint.domain; });
+    take_fitting([](const waiting_part&) { return true; });
     for (waiting_part& part : queue_)
     {
         if (batch.pieces * 100 >= spec_.batch * split_below_percent)
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -29,6 +29,7 @@
     std::uint64_t result_bytes = 0; // of each piece; held at its maker until it is freed
     time_point goal_at{};       // done later, the request misses its response-time goal
     time_point deadline_at{};   // done later, the request cannot be answered in time
+    std::string inputs_domain;  // failure domain that holds its large inputs, or empty
 };
 
 // Pieces of one job in one call.
@@ -39,6 +40,13 @@
     std::uint32_t count = 0;
 };
 
+// An endpoint of the stage's service.
+struct stage_endpoint
+{
+    std::string id;
+    std::string domain;
+};
+
 struct stage_batch
 {
     std::string endpoint;
@@ -65,7 +73,7 @@
     // Replaces the service's figures and its endpoints; calls in flight at endpoints that are no
     // longer listed end as they do.
     void set_service(const batch_spec& spec);
-    void set_endpoints(const std::vector<std::string>& ids);
+    void set_endpoints(const std::vector<stage_endpoint>& listed);
 
     void add(const stage_job& job);
     // Removes the waiting pieces of a job whose request has ended.
@@ -104,6 +112,7 @@
 
     struct endpoint_state
     {
+        std::string domain;
         std::uint32_t calls = 0;
         double ratio = 1.0; // of the time of its calls to the expected one, moving average
         std::uint32_t failures = 0;
@@ -116,7 +125,7 @@
     milliseconds call_time(std::uint32_t pieces) const;
     double best_ratio() const;
     bool is_free(const endpoint_state& endpoint, time_point now) const;
-    std::vector<std::string> free_endpoints(time_point now) const;
+    std::vector<std::string> free_endpoints(std::string_view domain, time_point now) const;
     std::uint32_t room_for(const endpoint_state& endpoint, const stage_batch& batch,
                            std::uint64_t taken_bytes, const stage_job& job) const;
     void fill(stage_batch& batch);
--- a/packages/state/stage_request.h
+++ b/packages/state/stage_request.h
@@ -33,6 +33,7 @@
     std::uint64_t result_bytes = 0;  // of each piece, approximately
     std::string key;                 // of stages without predecessors
     std::vector<std::string> inputs; // results of all predecessors, of the others
+    std::string inputs_domain;       // holds the inputs, when they are large; else empty
     milliseconds goal_left{0};       // until it should be done
     milliseconds deadline_left{0};   // until it is of no use any more
 };
--- a/tests/unit/stage_batch_test.cpp
+++ b/tests/unit/stage_batch_test.cpp
@@ -30,17 +30,17 @@
 stage_job job(std::uint64_t id, std::uint32_t pieces, std::uint32_t priority = 0,
               milliseconds goal = milliseconds(1500), milliseconds deadline = milliseconds(5000))
 {
-    return {id, pieces, priority, 0, start + goal, start + deadline};
+    return {id, pieces, priority, 0, start + goal, start + deadline, ""};
 }
 
 stage_queue queue_of(const batch_spec& figures, std::size_t endpoints)
 {
     stage_queue made;
     made.set_service(figures);
-    std::vector<std::string> ids;
+    std::vector<stage_endpoint> listed;
     for (std::size_t i = 0; i < endpoints; ++i)
-        ids.push_back("e" + std::to_string(i));
-    made.set_endpoints(ids);
+        listed.push_back({"e" + std::to_string(i), "dom-" + std::to_string(i)});
+    made.set_endpoints(listed);
     return made;
 }
 
@@ -105,7 +105,7 @@
         if (ms < seconds * 1000 && random.chance(rate / 1000.0))
         {
             const std::uint64_t id = ++result.jobs;
-            queue.add({id, pieces, 0, 0, now + goal, now + milliseconds(5000)});
+            queue.add({id, pieces, 0, 0, now + goal, now + milliseconds(5000), ""});
             open[id] = {now + goal, pieces};
         }
         pump(now);
@@ -202,6 +202,21 @@
     cr_assert(third && third->pieces == 8);
 }
 
+// Guards against large inputs that cross failure domains while an endpoint beside them is free, and
+// against pieces that wait for one that is not.
+Test(stage_batch, next_free_endpoint_beside_inputs_is_preferred)
+{
+    stage_queue queue = queue_of(spec(8, 21), 3);
+    for (std::uint64_t id = 1; id <= 2; ++id)
+    {
+        stage_job near = job(id, 8);
+        near.inputs_domain = "dom-2";
+        queue.add(near);
+    }
+    cr_assert(queue.next(start)->endpoint == "e2");
+    cr_assert(queue.next(start).has_value());
+}
+
 // Guards against pieces that go to a slow endpoint while the others are as fast as ever.
 Test(stage_batch, next_slow_endpoint_is_left_until_probe)
 {
