--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -9,6 +9,7 @@
 #include "coordination/serving_call.h"
 #include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
+#include "state/stage_shard.h"
 #include "state/stage_times.h"
 #include "state/verdict.h"
 #include "transport/metrics.h"
@@ -41,12 +42,13 @@
     listen_address callers;
     listen_address readiness;
     listen_address peers;
-    listen_address metrics; // port 0: not served
-    std::string store;      // IP:PORT
+    listen_address metrics;         // port 0: not served
+    std::string store;              // IP:PORT
     std::vector<std::string> seeds; // peer addresses of other VMs
     fleet_limits limits;
     milliseconds stop_grace{8000}; // from the stop signal to the end of the process
     std::size_t max_connections = 2048;
+    double capacity = 1.0; // see vm_record
 };
 
 // Interval of all checks of time. Longer makes timeouts late, shorter costs processor time at rest.
@@ -77,6 +79,8 @@
     std::uint16_t callers_port() const { return callers_->port(); }
     std::size_t known_endpoints() const { return endpoints_.size(); }
     std::size_t links_up() const { return stages_.links_up(); }
+    // True while new requests may go to the endpoint.
+    bool uses(const std::string& endpoint) const { return endpoints_.is_serving(endpoint); }
     // True when this VM gathers the pieces of the service.
     bool gathers(const std::string& service) { return stages_.gathers(service); }
 
@@ -98,6 +102,7 @@
     void on_vms(const std::vector<state_record>& records, bool whole);
     void apply_endpoint(const state_record& record, bool whole, time_point now);
     void refresh_stages();
+    const std::vector<std::string>& shards_of(const std::string& service) const;
     void keep_copy(state_table table, const std::vector<state_record>& records, bool whole,
                    std::uint64_t revision);
     void apply_table(state_table table, const std::vector<state_record>& records, bool whole);
@@ -135,6 +140,7 @@
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
     std::map<std::string, double, std::less<>> first_byte_ms_; // by service, moving average
     observed_stage_times stage_times_;
+    std::map<std::string, std::vector<std::string>> shards_; // by service
     std::unique_ptr<registration> registration_;
     boost::asio::steady_timer tick_timer_;
     std::uint64_t ticks_ = 0;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -79,6 +79,7 @@
         bool done = false;
         std::uint64_t job = 0;
         time_point submitted_at{};
+        std::string queue;    // that gathers it
         bool in_time = false; // it could still make the goal when it was submitted
         std::vector<std::string> handles;
     };
@@ -92,6 +93,9 @@
     bool stages_done() const;
     milliseconds time_after(std::size_t index, time_point now) const;
     milliseconds stage_time(std::size_t index, time_point now) const;
+    milliseconds usual_stage_time(std::size_t index) const;
+    std::string choose_stage_shard(std::size_t index, const std::string& inputs_domain,
+                                   time_point now) const;
     std::vector<std::string> inputs_of(const std::vector<std::uint32_t>& stages) const;
     std::vector<std::uint32_t> last_stages() const;
     void remake_stages(time_point now);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -161,9 +161,9 @@
                        [](const stage_progress& stage) { return stage.done; });
 }
 
-// Time that a stage takes as things are now.
+// Time that a stage takes by the figures of its service, with some waiting.
 template <typename Codec>
-milliseconds edge<Codec>::exchange::stage_time(std::size_t index, time_point now) const
+milliseconds edge<Codec>::exchange::usual_stage_time(std::size_t index) const
 {
     const service_spec* const service = find_service(*state_, route_->stages[index].service);
     if (service == nullptr || !service->batch || stages_[index].pieces == 0)
@@ -171,8 +171,37 @@
     const batch_spec& batch = *service->batch;
     const std::uint32_t pieces = std::min(stages_[index].pieces, batch.batch);
     const double time = static_cast<double>(batch.call_time.count()) + batch.piece_time_ms * pieces;
-    return owner_.stage_times_.expected(
-        service->name, milliseconds(static_cast<std::int64_t>(time * queue_allowance)), now);
+    return milliseconds(static_cast<std::int64_t>(time * queue_allowance));
+}
+
+// Time that a stage takes as things are now.
+template <typename Codec>
+milliseconds edge<Codec>::exchange::stage_time(std::size_t index, time_point now) const
+{
+    const std::string& service = route_->stages[index].service;
+    const milliseconds usual = usual_stage_time(index);
+    milliseconds shortest = milliseconds::max();
+    for (const std::string& shard : owner_.shards_of(service))
+        shortest = std::min(shortest,
+                            owner_.stage_times_.expected(queue_name(service, shard), usual, now));
+    return shortest == milliseconds::max() ? usual : shortest;
+}
+
+// Failure domain whose endpoints make the stage's results: beside its inputs if these are large,
+// else beside this VM, unless another one is faster. Empty when all endpoints are one pool.
+template <typename Codec>
+std::string edge<Codec>::exchange::choose_stage_shard(std::size_t index,
+                                                      const std::string& inputs_domain,
+                                                      time_point now) const
+{
+    const std::string& service = route_->stages[index].service;
+    std::vector<shard_option> options;
+    for (const std::string& shard : owner_.shards_of(service))
+        options.push_back({shard, owner_.stage_times_.expected(queue_name(service, shard),
+                                                               usual_stage_time(index), now)});
+    if (options.empty())
+        return {};
+    return choose_shard(options, inputs_domain.empty() ? owner_.options_.domain : inputs_domain);
 }
 
 // Time that the request needs once this stage is done, the first event included.
@@ -205,9 +234,9 @@
         if (stages_[i].done || stages_[i].submitted)
             continue;
         const auto& after = route_->stages[i].after;
-        const bool ready =
-            std::all_of(after.begin(), after.end(), [&](std::uint32_t before)
-                        { return before >= stages_.size() || stages_[before].done; });
+        const bool ready = std::all_of(
+            after.begin(), after.end(),
+            [&](std::uint32_t before) { return before >= stages_.size() || stages_[before].done; });
         if (ready)
             submit_stage(i, now);
     }
@@ -236,6 +265,8 @@
         request.inputs = inputs_of(spec.after);
         request.inputs_domain = results_domain(spec.after, request.pieces);
     }
+    request.shard = choose_stage_shard(index, request.inputs_domain, now);
+    stages_[index].queue = queue_name(request.service, request.shard);
     const milliseconds rest = time_after(index, now);
     const milliseconds goal = route_->goal.count() > 0 ? route_->goal : route_->timeout;
     request.goal_left = goal - elapsed(now) - rest;
@@ -259,7 +290,7 @@
     const time_point now = steady_clock::now();
     if (closed_)
     {
-        owner_.stages_.release(route_->stages[index].service, outcome.handles);
+        owner_.stages_.release(stages_[index].queue, outcome.handles);
         return;
     }
     if (outcome.end == stage_end::done)
@@ -269,8 +300,8 @@
         stage.done = true;
         if (stage.in_time)
             owner_.stage_times_.record(
-                route_->stages[index].service,
-                std::chrono::duration_cast<milliseconds>(now - stage.submitted_at), now);
+                stage.queue, std::chrono::duration_cast<milliseconds>(now - stage.submitted_at),
+                now);
         for (const std::uint32_t before : route_->stages[index].after)
             release_used(before);
         return submit_ready(now);
@@ -309,7 +340,8 @@
     for (std::uint32_t i = 0; i < stages_.size(); ++i)
     {
         const bool followed = std::any_of(
-            route_->stages.begin(), route_->stages.end(), [&](const stage_spec& stage)
+            route_->stages.begin(), route_->stages.end(),
+            [&](const stage_spec& stage)
             { return std::find(stage.after.begin(), stage.after.end(), i) != stage.after.end(); });
         if (!followed)
             last.push_back(i);
@@ -334,7 +366,7 @@
     {
         if (stages_[i].submitted && !stages_[i].done)
             owner_.stages_.cancel(stages_[i].job);
-        owner_.stages_.release(route_->stages[i].service, stages_[i].handles);
+        owner_.stages_.release(stages_[i].queue, stages_[i].handles);
         stages_[i].handles.clear();
     }
 }
@@ -351,7 +383,7 @@
         if (!stages_[i].done && std::find(after.begin(), after.end(), index) != after.end())
             return;
     }
-    owner_.stages_.release(route_->stages[index].service, stages_[index].handles);
+    owner_.stages_.release(stages_[index].queue, stages_[index].handles);
     stages_[index].handles.clear();
 }
 
@@ -373,8 +405,9 @@
                 bytes[maker->record.domain] += route_->stages[index].result_bytes * readers;
         }
     }
-    const auto most = std::max_element(bytes.begin(), bytes.end(), [](const auto& a, const auto& b)
-                                       { return a.second < b.second; });
+    const auto most =
+        std::max_element(bytes.begin(), bytes.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
     return most == bytes.end() || most->second < large_results ? std::string() : most->first;
 }
 
@@ -765,10 +798,10 @@
     (void)detail;
     const std::string body = "{\"error\":{\"reason\":\"" + std::string(to_string(why)) +
                              "\",\"verdict\":\"" + std::string(to_string(outcome)) + "\"}}\n";
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
-                       std::string(edge_detail::phrase_of(status)) +
-                       "\r\nContent-Type: application/json\r\nContent-Length: " +
-                       std::to_string(body.size()) + "\r\n";
+    std::string text =
+        "HTTP/1.1 " + std::to_string(status) + " " + std::string(edge_detail::phrase_of(status)) +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n";
     if (retry_after)
         text += "Retry-After: " + edge_detail::seconds_text(*retry_after) + "\r\n";
     keep_alive_ = keep_alive_ && !owner_.stopping_;
@@ -873,9 +906,9 @@
                {"total_ms", edge_detail::count_text(elapsed(now))},
                {"events", std::to_string(events_.events())}});
     if (route_ != nullptr)
-        owner_.counters_.record_stage(route_->name, "total",
-                                      std::chrono::duration_cast<std::chrono::microseconds>(
-                                          now - received_));
+        owner_.counters_.record_stage(
+            route_->name, "total",
+            std::chrono::duration_cast<std::chrono::microseconds>(now - received_));
     const auto keep = this->shared_from_this();
     owner_.exchanges_.erase(this);
 }
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -33,10 +33,7 @@
             connection_->cancel();
     }
 
-    void put(const vm_record& vm, time_point now)
-    {
-        send(Codec::encode_vm_put(address_, vm), now);
-    }
+    void put(const vm_record& vm, time_point now) { send(Codec::encode_vm_put(address_, vm), now); }
     void remove(const vm_record& vm, time_point now)
     {
         send(Codec::encode_vm_remove(address_, vm), now);
@@ -56,11 +53,11 @@
     }
 
 private:
-    void send(std::string text, time_point now)
+    void send(const std::string& text, time_point now)
     {
         in_flight_ = true;
         sent_at_ = now;
-        connection_ = pool_.start(std::move(text), *this, idle_default, now);
+        connection_ = pool_.start(text, *this, idle_default, now);
     }
     bool owns(const message_head&) override { return true; }
     void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
@@ -115,19 +112,19 @@
         [this](const std::shared_ptr<vm_channel>& from, vm_message&& message)
         { on_vm_message(from, std::move(message)); },
         [this](const std::shared_ptr<vm_channel>& from) { stages_.on_closed(from); });
-    const auto follow = [this](state_table table)
+    const auto follow = [this](state_table table, const follow_pace& pace)
     {
         return std::make_unique<state_follower<Codec>>(
-            io_, options_.store, table,
+            io_, options_.store, table, pace,
             [this, table](const std::vector<state_record>& records, bool whole)
             {
                 keep_copy(table, records, whole, follower(table).revision());
                 apply_table(table, records, whole);
             });
     };
-    desired_ = follow(state_table::desired);
-    listed_ = follow(state_table::endpoints);
-    vms_ = follow(state_table::vms);
+    desired_ = follow(state_table::desired, desired_pace);
+    listed_ = follow(state_table::endpoints, endpoints_pace);
+    vms_ = follow(state_table::vms, vms_pace);
     stages_.set_seeds(options_.seeds);
     registration_ = std::make_unique<registration>(io_, options_.store);
     const time_point now = steady_clock::now();
@@ -214,8 +211,8 @@
             continue;
         state_ = std::make_shared<const serving_state>(*next);
         const client_limits& limits = state_->limits;
-        callers_->set_limits({limits.header_bytes, limits.body_bytes, limits.header_timeout,
-                              limits.idle_timeout});
+        callers_->set_limits(
+            {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
         log_event(log_level::info, "desired_state",
                   {{"version", std::to_string(state_->version)},
                    {"revision", std::to_string(record.revision)},
@@ -239,8 +236,7 @@
         log_bad_record(state_table::endpoints, record);
         return endpoints_.remove(record.name);
     }
-    const service_spec* const service =
-        state_ ? find_service(*state_, endpoint->service) : nullptr;
+    const service_spec* const service = state_ ? find_service(*state_, endpoint->service) : nullptr;
     endpoints_.apply(*endpoint, service, !whole, now);
 }
 
@@ -285,13 +281,27 @@
     if (!state_)
         return;
     gatherer_.refresh(*state_);
-    std::vector<std::string> services;
+    std::vector<gathered_queue> queues;
     for (const auto& [name, service] : state_->services)
     {
-        if (service.batch)
-            services.push_back(name);
+        if (!service.batch)
+            continue;
+        std::map<std::string, std::size_t> endpoints;
+        for (const endpoint_ptr& endpoint : endpoints_.serving(name))
+            ++endpoints[endpoint->record.domain];
+        shards_[name] = stage_shards(endpoints);
+        for (const std::string& shard : shards_[name])
+            queues.push_back({queue_name(name, shard), shard});
     }
-    stages_.set_services(services);
+    stages_.set_queues(queues);
+}
+
+template <typename Codec>
+const std::vector<std::string>& edge<Codec>::shards_of(const std::string& service) const
+{
+    static const std::vector<std::string> none;
+    const auto found = shards_.find(service);
+    return found == shards_.end() ? none : found->second;
 }
 
 template <typename Codec>
@@ -389,8 +399,7 @@
     if (now - asked_at_ < ask_interval)
         return;
     asked_at_ = now;
-    for (const state_table table :
-         {state_table::desired, state_table::endpoints, state_table::vms})
+    for (const state_table table : {state_table::desired, state_table::endpoints, state_table::vms})
     {
         if (!follower(table).in_touch())
             stages_.ask_state({table, copies_[static_cast<std::size_t>(table)].revision});
@@ -404,7 +413,8 @@
     if (stopping_ || !vms_->in_touch() || !registration_->may_send(now))
         return;
     const vm_record own{options_.vm, options_.domain,
-                        options_.peers.host + ":" + std::to_string(peers_->port())};
+                        options_.peers.host + ":" + std::to_string(peers_->port()),
+                        options_.capacity};
     const auto known = known_vms_.find(own.name);
     if (known == known_vms_.end() || !(known->second == own))
         registration_->put(own, now);
@@ -491,8 +501,7 @@
     }
     if (since >= balancer_notice)
         callers_->close_idle();
-    const bool idle =
-        exchanges_.empty() && callers_->busy() == 0 && stages_.jobs_of_others() == 0;
+    const bool idle = exchanges_.empty() && callers_->busy() == 0 && stages_.jobs_of_others() == 0;
     if ((since < balancer_notice || !idle) && !grace_over)
         return;
     log_event(log_level::info, "stopped", {{"in_flight", std::to_string(exchanges_.size())}});
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -10,8 +10,9 @@
 namespace
 {
 
-// Connections of one VM to one endpoint, whatever its share: a few VMs may be the only ones left.
-constexpr std::uint32_t least_connections = 8;
+// Part of the connections that an endpoint accepts which all VMs together use. Beyond its bound it
+// resets connections, and an order that was on its way may have run.
+constexpr std::uint32_t connections_used_percent = 80;
 
 void remove_from(std::vector<endpoint_ptr>& list, const endpoint_ptr& endpoint)
 {
@@ -28,8 +29,8 @@
 
 endpoint_directory::endpoint_directory(boost::asio::io_context& io, std::string own_vm,
                                        std::string own_domain, const fleet_limits& limits)
-    : io_(io), own_vm_(std::move(own_vm)), own_domain_(std::move(own_domain)), limits_(limits),
-      vms_{own_vm_}
+    : io_(io), own_vm_(std::move(own_vm)), own_domain_(std::move(own_domain)),
+      limits_(limits), vms_{own_vm_}
 {
 }
 
@@ -129,14 +130,14 @@
     return !endpoint.gone && !endpoint.record.draining && !is_domain_out(endpoint.record.domain);
 }
 
-// Connections that this VM may hold to one endpoint: its part of what the endpoint accepts from all.
+// Connections that this VM may hold to one endpoint: its part of what the endpoint accepts from
+// all.
 std::uint32_t endpoint_directory::connection_share(const service_spec* service) const
 {
     if (service == nullptr || service->max_connections == 0)
         return UINT32_MAX;
     const auto vms = static_cast<std::uint32_t>(std::max<std::size_t>(vms_.size(), 1));
-    // The balancer's spread is uneven: a VM may use twice its even part.
-    return std::max(least_connections, 2 * service->max_connections / vms);
+    return std::max(1U, service->max_connections * connections_used_percent / 100 / vms);
 }
 
 bool endpoint_directory::within_cold_share(known_endpoint& endpoint, const service_spec* service,
@@ -148,8 +149,8 @@
     return endpoint.cold_sends.count(now) < cold_share(endpoint.record.id, own_vm_, vms_, bound);
 }
 
-endpoint_ptr endpoint_directory::take(const placement_request& request,
-                                      const service_spec* service, time_point now)
+endpoint_ptr endpoint_directory::take(const placement_request& request, const service_spec* service,
+                                      time_point now)
 {
     const auto found = by_service_.find(request.service);
     if (found == by_service_.end())
@@ -177,7 +178,8 @@
     const auto chosen = choose_endpoint(candidates, query, now);
     if (!chosen)
         return nullptr;
-    const endpoint_ptr endpoint = endpoints[*chosen];
+    endpoint_ptr endpoint = endpoints[*chosen];
+    endpoint->pool.set_limit(connections);
     endpoint->health.on_sent(now);
     if (service != nullptr && service->cold_rate > 0.0)
         endpoint->cold_sends.add(now);
@@ -217,6 +219,12 @@
     return list;
 }
 
+bool endpoint_directory::is_serving(std::string_view id) const
+{
+    const endpoint_ptr endpoint = find(id);
+    return endpoint && is_usable(*endpoint);
+}
+
 endpoint_ptr endpoint_directory::find(std::string_view id) const
 {
     const auto found = endpoints_.find(id);
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -81,6 +81,7 @@
 
     // Endpoints of a service that may get new work.
     std::vector<endpoint_ptr> serving(std::string_view service) const;
+    bool is_serving(std::string_view id) const;
     endpoint_ptr find(std::string_view id) const;
     endpoint_ptr find_address(std::string_view address) const;
     std::size_t size() const { return endpoints_.size(); }
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -1,5 +1,5 @@
-// The serving path's own view of what is said to callers, endpoints and the store. A codec turns the
-// words of an interface into these types and back; see the concept edge_codec.
+// The serving path's own view of what is said to callers, endpoints and the store. A codec turns
+// the words of an interface into these types and back; see the concept edge_codec.
 #pragma once
 
 #include "state/placement.h"
@@ -82,7 +82,8 @@
 {
     std::string name;
     std::string domain;
-    std::string address; // IP:PORT for the other VMs
+    std::string address;   // IP:PORT for the other VMs
+    double capacity = 1.0; // against that of other VMs; work that can be anywhere follows it
 
     bool operator==(const vm_record&) const = default;
 };
--- a/packages/coordination/stage_gatherer.h
+++ b/packages/coordination/stage_gatherer.h
@@ -73,23 +73,26 @@
         stage_done done;
     };
 
+    // Pieces that are gathered together: those of a service, or of one of its shards.
     struct service_queue
     {
+        std::string service;
+
         stage_queue queue;
         batch_spec spec;
     };
 
-    void pump(const std::string& service, time_point now);
-    void send(const std::string& service, stage_batch batch, time_point now);
+    void pump(const std::string& key, time_point now);
+    void send(const std::string& key, stage_batch batch, time_point now);
     void on_results(batch_call& call, const std::vector<piece_result>& results, time_point now);
     void on_refused(batch_call& call, time_point now);
     void on_lost(batch_call& call, time_point now);
     void requeue(batch_call& call, time_point now);
-    void put_back(const std::string& service, const batch_part& part, bool counts, time_point now);
+    void put_back(const std::string& key, const batch_part& part, bool counts, time_point now);
     void fail(std::uint64_t id, piece_failure why);
     void complete(std::uint64_t id, stage_outcome outcome);
     void flush_releases();
-    void hold(const std::string& service, const std::string& endpoint, const std::string& handle,
+    void hold(const std::string& key, const std::string& endpoint, const std::string& handle,
               std::uint64_t bytes, time_point now);
     void give_room(const std::string& handle);
     std::shared_ptr<batch_call> forget(batch_call& call);
@@ -97,20 +100,20 @@
     boost::asio::io_context& io_;
     endpoint_directory& endpoints_;
     metrics& counters_;
-    std::map<std::string, service_queue> queues_;
+    std::map<std::string, service_queue> queues_; // by queue_name
     std::map<std::uint64_t, job> jobs_;
     std::map<batch_call*, std::shared_ptr<batch_call>> calls_;
     std::map<release_call*, std::shared_ptr<release_call>> release_calls_;
     // A result that is kept at its maker.
     struct held_result
     {
-        std::string service;
+        std::string queue;
         std::string endpoint;
         std::uint64_t bytes = 0;
         time_point lapses_at{};
     };
 
-    std::map<std::string, held_result> held_; // by handle
+    std::map<std::string, held_result> held_;                    // by handle
     std::map<std::string, std::vector<std::string>> to_release_; // by the address of the maker
     bool release_posted_ = false;
     time_point released_at_{};
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -14,17 +14,17 @@
 class stage_gatherer<Codec>::batch_call : public upstream_listener
 {
 public:
-    batch_call(stage_gatherer& owner, std::string service, endpoint_ptr endpoint, stage_batch batch,
+    batch_call(stage_gatherer& owner, std::string key, endpoint_ptr endpoint, stage_batch batch,
                std::vector<sent_part> parts, time_point now)
-        : owner_(owner), service_(std::move(service)), endpoint_(std::move(endpoint)),
+        : owner_(owner), key_(std::move(key)), endpoint_(std::move(endpoint)),
           batch_(std::move(batch)), parts_(std::move(parts)), started_(now)
     {
     }
 
-    void start(std::string request, time_point now)
+    void start(const std::string& request, time_point now)
     {
         // Pieces may be made twice, so a connection that breaks on reuse does no harm.
-        connection_ = endpoint_->pool.start(std::move(request), *this, idle_default, now);
+        connection_ = endpoint_->pool.start(request, *this, idle_default, now);
     }
 
     bool owns(const message_head&) override { return true; }
@@ -54,13 +54,13 @@
 
     bool is_overdue(time_point now) const
     {
-        const auto limit = milliseconds(
-            static_cast<std::int64_t>(overdue_ratio * static_cast<double>(batch_.expected.count())));
+        const auto limit = milliseconds(static_cast<std::int64_t>(
+            overdue_ratio * static_cast<double>(batch_.expected.count())));
         return now - started_ > limit + overdue_least;
     }
     void cancel() { connection_->cancel(); }
 
-    const std::string& service() const { return service_; }
+    const std::string& key() const { return key_; }
     const endpoint_ptr& endpoint() const { return endpoint_; }
     const stage_batch& batch() const { return batch_; }
     const std::vector<sent_part>& parts() const { return parts_; }
@@ -77,7 +77,7 @@
 
 private:
     stage_gatherer& owner_;
-    std::string service_;
+    std::string key_; // of the queue that the pieces come from
     endpoint_ptr endpoint_;
     stage_batch batch_;
     std::vector<sent_part> parts_;
@@ -98,10 +98,10 @@
         : owner_(owner), endpoint_(std::move(endpoint))
     {
     }
-    void start(std::string request)
+    void start(const std::string& request)
     {
-        connection_ = endpoint_->pool.start(std::move(request), *this, idle_default,
-                                            steady_clock::now());
+        connection_ =
+            endpoint_->pool.start(request, *this, idle_default, steady_clock::now());
     }
     bool owns(const message_head&) override { return true; }
     void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
@@ -136,13 +136,26 @@
     {
         if (!service.batch)
             continue;
-        service_queue& entry = queues_[name];
-        entry.spec = *service.batch;
-        entry.queue.set_service(*service.batch);
-        std::vector<stage_endpoint> listed;
+        std::map<std::string, std::vector<stage_endpoint>> shards;
         for (const endpoint_ptr& endpoint : endpoints_.serving(name))
-            listed.push_back({endpoint->record.id, endpoint->record.domain});
-        entry.queue.set_endpoints(listed);
+        {
+            const endpoint_record& record = endpoint->record;
+            shards[queue_name(name, "")].push_back({record.id, record.domain});
+            shards[queue_name(name, record.domain)].push_back({record.id, record.domain});
+        }
+        for (auto& [key, entry] : queues_)
+        {
+            if (entry.service == name && !shards.contains(key))
+                entry.queue.set_endpoints({});
+        }
+        for (const auto& [key, listed] : shards)
+        {
+            service_queue& entry = queues_[key];
+            entry.service = name;
+            entry.spec = *service.batch;
+            entry.queue.set_service(*service.batch);
+            entry.queue.set_endpoints(listed);
+        }
     }
 }
 
@@ -152,9 +165,9 @@
                                             time_point now)
 {
     const std::uint64_t id = ++next_job_;
-    service_queue& entry = queues_[request.service];
-    const milliseconds expected =
-        entry.queue.expected_time(request.pieces, request.priority, now);
+    const std::string key = queue_name(request.service, request.shard);
+    service_queue& entry = queues_[key];
+    const milliseconds expected = entry.queue.expected_time(request.pieces, request.priority, now);
     if (!entry.queue.has_endpoints() || expected > request.deadline_left)
     {
         stage_outcome outcome;
@@ -179,7 +192,7 @@
     entry.queue.add(added.queued);
     jobs_.emplace(id, std::move(added));
     endpoints_.count_first(request.service, now);
-    pump(request.service, now);
+    pump(key, now);
     return id;
 }
 
@@ -189,7 +202,8 @@
     const auto found = jobs_.find(id);
     if (found == jobs_.end())
         return;
-    queues_[found->second.request.service].queue.remove(id);
+    const stage_request& request = found->second.request;
+    queues_[queue_name(request.service, request.shard)].queue.remove(id);
     std::vector<std::string> made;
     for (const std::string& handle : found->second.handles)
     {
@@ -231,10 +245,10 @@
 }
 
 template <typename Codec>
-void stage_gatherer<Codec>::hold(const std::string& service, const std::string& endpoint,
+void stage_gatherer<Codec>::hold(const std::string& key, const std::string& endpoint,
                                  const std::string& handle, std::uint64_t bytes, time_point now)
 {
-    held_[handle] = {service, endpoint, bytes, now + queues_[service].spec.result_lifetime};
+    held_[handle] = {key, endpoint, bytes, now + queues_[key].spec.result_lifetime};
 }
 
 template <typename Codec>
@@ -243,29 +257,29 @@
     const auto found = held_.find(handle);
     if (found == held_.end())
         return;
-    queues_[found->second.service].queue.on_room(found->second.endpoint, found->second.bytes);
+    queues_[found->second.queue].queue.on_room(found->second.endpoint, found->second.bytes);
     held_.erase(found);
 }
 
 // Sends calls while an endpoint is free and pieces wait.
 template <typename Codec>
-void stage_gatherer<Codec>::pump(const std::string& service, time_point now)
+void stage_gatherer<Codec>::pump(const std::string& key, time_point now)
 {
-    stage_queue& queue = queues_[service].queue;
+    stage_queue& queue = queues_[key].queue;
     for (const std::uint64_t id : queue.take_expired(now))
         fail(id, piece_failure::late);
     while (auto batch = queue.next(now))
-        send(service, std::move(*batch), now);
+        send(key, std::move(*batch), now);
 }
 
 template <typename Codec>
-void stage_gatherer<Codec>::send(const std::string& service, stage_batch batch, time_point now)
+void stage_gatherer<Codec>::send(const std::string& key, stage_batch batch, time_point now)
 {
     const endpoint_ptr endpoint = endpoints_.find(batch.endpoint);
     if (!endpoint)
     {
         for (const batch_part& part : batch.parts)
-            put_back(service, part, false, now);
+            put_back(key, part, false, now);
         return;
     }
     std::vector<stage_piece> pieces;
@@ -285,11 +299,11 @@
     }
     counters_.count("stage_calls_total");
     counters_.count("stage_pieces_total", pieces.size());
-    std::string text = Codec::encode_pieces(endpoint->record.address, endpoint->record.id, pieces);
-    const auto call = std::make_shared<batch_call>(*this, service, endpoint, std::move(batch),
-                                                   std::move(parts), now);
+    const std::string text = Codec::encode_pieces(endpoint->record.address, endpoint->record.id, pieces);
+    const auto call =
+        std::make_shared<batch_call>(*this, key, endpoint, std::move(batch), std::move(parts), now);
     calls_.emplace(call.get(), call);
-    call->start(std::move(text), now);
+    call->start(text, now);
 }
 
 template <typename Codec>
@@ -299,7 +313,7 @@
     const auto found = calls_.find(&call);
     if (found == calls_.end())
         return nullptr;
-    const auto kept = found->second;
+    auto kept = found->second;
     calls_.erase(found);
     return kept;
 }
@@ -309,7 +323,7 @@
                                        time_point now)
 {
     const auto keep = forget(call);
-    stage_queue& queue = queues_[call.service()].queue;
+    stage_queue& queue = queues_[call.key()].queue;
     queue.on_done(call.endpoint()->record.id, call.batch(), call.elapsed(now), now);
     std::size_t at = 0;
     bool full = false;
@@ -326,7 +340,7 @@
             const auto found = jobs_.find(part.job);
             if (const auto* handle = std::get_if<std::string>(&results[at]))
             {
-                hold(call.service(), maker, *handle, sent.result_bytes, now);
+                hold(call.key(), maker, *handle, sent.result_bytes, now);
                 if (found == jobs_.end() || !found->second.handles[piece].empty())
                 {
                     unwanted.push_back(*handle);
@@ -342,7 +356,7 @@
             if (failure == piece_failure::late || failure == piece_failure::input_gone)
                 why = failure;
             else
-                put_back(call.service(), {part.job, piece, 1}, true, now);
+                put_back(call.key(), {part.job, piece, 1}, true, now);
         }
         release(unwanted);
         if (why)
@@ -358,7 +372,7 @@
     }
     if (full)
         queue.on_failed(call.endpoint()->record.id, now);
-    pump(call.service(), now);
+    pump(call.key(), now);
 }
 
 template <typename Codec>
@@ -378,7 +392,7 @@
     counters_.count("stage_calls_lost_total");
     log_event(log_level::warning, "stage_call_lost",
               {{"endpoint", call.endpoint()->record.id},
-               {"service", call.service()},
+               {"queue", call.key()},
                {"pieces", std::to_string(call.batch().pieces)},
                {"elapsed_ms", std::to_string(call.elapsed(now).count())},
                {"expected_ms", std::to_string(call.batch().expected.count())},
@@ -390,22 +404,22 @@
 template <typename Codec>
 void stage_gatherer<Codec>::requeue(batch_call& call, time_point now)
 {
-    stage_queue& queue = queues_[call.service()].queue;
+    stage_queue& queue = queues_[call.key()].queue;
     const std::string& endpoint = call.endpoint()->record.id;
     queue.on_failed(endpoint, now);
     for (const sent_part& sent : call.parts())
     {
         queue.on_room(endpoint, sent.part.count * sent.result_bytes);
-        put_back(call.service(), sent.part, true, now);
+        put_back(call.key(), sent.part, true, now);
     }
-    pump(call.service(), now);
+    pump(call.key(), now);
 }
 
 // Queues pieces again. A job whose pieces keep failing ends: repeating it would use up the time of
 // the others.
 template <typename Codec>
-void stage_gatherer<Codec>::put_back(const std::string& service, const batch_part& part,
-                                     bool counts, time_point now)
+void stage_gatherer<Codec>::put_back(const std::string& key, const batch_part& part, bool counts,
+                                     time_point now)
 {
     const auto found = jobs_.find(part.job);
     if (found == jobs_.end())
@@ -415,10 +429,10 @@
     {
         ++owner.failures;
         if (owner.failures >= piece_attempts * owner.request.pieces ||
-            !endpoints_.try_repeat(service, now))
+            !endpoints_.try_repeat(owner.request.service, now))
             return fail(part.job, piece_failure::failed);
     }
-    queues_[service].queue.put_back(owner.queued, part);
+    queues_[key].queue.put_back(owner.queued, part);
 }
 
 template <typename Codec>
@@ -427,7 +441,8 @@
     const auto found = jobs_.find(id);
     if (found == jobs_.end())
         return;
-    queues_[found->second.request.service].queue.remove(id);
+    const stage_request& request = found->second.request;
+    queues_[queue_name(request.service, request.shard)].queue.remove(id);
     std::vector<std::string> made;
     for (const std::string& handle : found->second.handles)
     {
@@ -462,8 +477,8 @@
     for (const auto& call : overdue)
     {
         call->cancel();
-        queues_[call->service()].queue.on_done(call->endpoint()->record.id, call->batch(),
-                                               call->elapsed(now), now);
+        queues_[call->key()].queue.on_done(call->endpoint()->record.id, call->batch(),
+                                           call->elapsed(now), now);
         on_lost(*call, now);
     }
     for (auto& [name, entry] : queues_)
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -23,6 +23,18 @@
 // Links beside these, so that a VM that the store turns away can ask others for the state.
 inline constexpr std::size_t state_links = 2;
 
+// Pieces that one VM gathers.
+struct gathered_queue
+{
+    std::string name;
+    std::string domain; // failure domain of its endpoints when it is a shard; else empty
+
+    bool operator==(const gathered_queue&) const = default;
+};
+
+// A VM beside the endpoints of a shard gathers for it unless it is weaker by this factor.
+inline constexpr double beside_factor = 50.0;
+
 template <typename Codec>
 class stage_router
 {
@@ -39,12 +51,12 @@
     void set_vms(const std::map<std::string, vm_record>& vms);
     // Addresses to ask for the state while no VM is known.
     void set_seeds(std::vector<std::string> addresses);
-    // Services whose pieces are gathered.
-    void set_services(const std::vector<std::string>& services);
+    // Queues that are gathered: services, or shards of services.
+    void set_queues(const std::vector<gathered_queue>& queues);
 
     std::uint64_t submit(const stage_request& request, stage_done done, time_point now);
     void cancel(std::uint64_t job);
-    void release(const std::string& service, const std::vector<std::string>& handles);
+    void release(const std::string& queue, const std::vector<std::string>& handles);
 
     // A message of another VM about stages.
     void on_message(const std::shared_ptr<vm_channel>& from, vm_message&& message);
@@ -56,7 +68,7 @@
     void tick(time_point now);
     std::size_t jobs_of_others() const;
     std::size_t links_up() const;
-    bool gathers(const std::string& service) { return gatherer_of(service) == own_vm_; }
+    bool gathers(const std::string& queue) { return gatherer_of(queue) == own_vm_; }
 
 private:
     struct link_entry
@@ -79,8 +91,8 @@
         std::uint64_t id = 0;
     };
 
-    // Name of the VM that gathers for the service now; the own name when it is this one.
-    const std::string& gatherer_of(const std::string& service);
+    // Name of the VM that gathers the queue now; the own name when it is this one.
+    const std::string& gatherer_of(const std::string& queue);
     void keep_link(const std::string& name, const std::string& address);
     void update_links();
     void on_link_message(const std::string& vm, vm_message&& message);
@@ -97,13 +109,13 @@
     on_answer answer_;
     std::map<std::string, vm_record> vms_;
     std::vector<std::string> seeds_;
-    std::vector<std::string> services_;
-    std::map<std::string, std::vector<std::string>> orders_; // by service
+    std::vector<gathered_queue> queues_;
+    std::map<std::string, std::vector<std::string>> orders_; // by queue
     std::map<std::string, link_entry> links_;
     std::map<std::uint64_t, remote_job> remote_;
     std::map<std::uint64_t, local_job> own_;
     std::map<vm_channel*, std::map<std::uint64_t, std::uint64_t>> for_others_;
-    std::map<std::string, std::string> logged_; // gatherer of a service as last logged
+    std::map<std::string, std::string> logged_; // gatherer of a queue as last logged
     std::uint64_t next_job_ = 0;
     std::size_t next_asked_ = 0;
 };
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -12,8 +12,7 @@
 
 template <typename Codec>
 stage_router<Codec>::stage_router(boost::asio::io_context& io, std::string own_vm,
-                                  stage_gatherer<Codec>& local, metrics& counters,
-                                  on_answer answer)
+                                  stage_gatherer<Codec>& local, metrics& counters, on_answer answer)
     : io_(io), own_vm_(std::move(own_vm)), local_(local), counters_(counters),
       answer_(std::move(answer))
 {
@@ -37,11 +36,11 @@
 }
 
 template <typename Codec>
-void stage_router<Codec>::set_services(const std::vector<std::string>& services)
+void stage_router<Codec>::set_queues(const std::vector<gathered_queue>& queues)
 {
-    if (services == services_)
+    if (queues == queues_)
         return;
-    services_ = services;
+    queues_ = queues;
     update_links();
 }
 
@@ -57,21 +56,19 @@
     entry.address = address;
     entry.leaving = false;
     entry.link = std::make_unique<vm_link>(
-        io_, *peer, [this, name](vm_message&& message)
-        { on_link_message(name, std::move(message)); },
+        io_, *peer,
+        [this, name](vm_message&& message) { on_link_message(name, std::move(message)); },
         [this, name](bool up) { on_link_changed(name, up); });
 }
 
-// Keeps links to the first VMs in the order of each service and to a few more; the others go, unless
-// jobs are under way on them.
+// Keeps links to the first VMs in the order of each service and to a few more; the others go,
+// unless jobs are under way on them.
 template <typename Codec>
 void stage_router<Codec>::update_links()
 {
     std::vector<std::string> names;
     for (const auto& [name, vm] : vms_)
         names.push_back(name);
-    if (std::find(names.begin(), names.end(), own_vm_) == names.end())
-        names.push_back(own_vm_);
     std::map<std::string, std::string> wanted;
     const auto want_first = [&](const std::vector<std::string>& order, std::size_t count)
     {
@@ -84,10 +81,16 @@
         }
     };
     orders_.clear();
-    for (const std::string& service : services_)
+    for (const gathered_queue& queue : queues_)
     {
-        orders_[service] = rendezvous_order("stage/" + service, names);
-        want_first(orders_[service], kept_links);
+        std::vector<weighted_name> weighted;
+        for (const auto& [name, vm] : vms_)
+        {
+            const bool beside = queue.domain.empty() || vm.domain == queue.domain;
+            weighted.push_back({name, vm.capacity * (beside ? beside_factor : 1.0)});
+        }
+        orders_[queue.name] = rendezvous_order("stage/" + queue.name, weighted);
+        want_first(orders_[queue.name], kept_links);
     }
     std::vector<std::string> others = rendezvous_order("state/" + own_vm_, names);
     std::erase(others, own_vm_);
@@ -107,9 +110,9 @@
 }
 
 template <typename Codec>
-const std::string& stage_router<Codec>::gatherer_of(const std::string& service)
+const std::string& stage_router<Codec>::gatherer_of(const std::string& queue)
 {
-    const auto order = orders_.find(service);
+    const auto order = orders_.find(queue);
     if (order == orders_.end())
         return own_vm_;
     for (const std::string& name : order->second)
@@ -128,11 +131,12 @@
                                           time_point now)
 {
     const std::uint64_t id = ++next_job_;
-    const std::string& vm = gatherer_of(request.service);
-    if (std::string& logged = logged_[request.service]; logged != vm)
+    const std::string queue = queue_name(request.service, request.shard);
+    const std::string& vm = gatherer_of(queue);
+    if (std::string& logged = logged_[queue]; logged != vm)
     {
         log_event(log_level::info, "stage_gatherer",
-                  {{"service", request.service}, {"vm", vm}, {"before", logged}});
+                  {{"queue", queue}, {"vm", vm}, {"before", logged}});
         logged = vm;
     }
     hand_over(id, {vm, request, std::move(done), now}, now);
@@ -157,15 +161,14 @@
 }
 
 template <typename Codec>
-void stage_router<Codec>::release(const std::string& service,
-                                  const std::vector<std::string>& handles)
+void stage_router<Codec>::release(const std::string& queue, const std::vector<std::string>& handles)
 {
     if (handles.empty())
         return;
-    const std::string& vm = gatherer_of(service);
+    const std::string& vm = gatherer_of(queue);
     if (vm == own_vm_)
         return local_.release(handles);
-    links_[vm].link->send(release_message{service, handles});
+    links_[vm].link->send(release_message{handles});
 }
 
 template <typename Codec>
@@ -192,7 +195,7 @@
             return;
         // Cancelled on the way: the results are of no use.
         if (const auto entry = links_.find(vm); entry != links_.end())
-            entry->second.link->send(release_message{"", message.outcome.handles});
+            entry->second.link->send(release_message{message.outcome.handles});
         return;
     }
     const stage_done done = std::move(found->second.done);
@@ -237,7 +240,7 @@
 template <typename Codec>
 void stage_router<Codec>::hand_over(std::uint64_t id, remote_job job, time_point now)
 {
-    const std::string& vm = gatherer_of(job.request.service);
+    const std::string& vm = gatherer_of(queue_name(job.request.service, job.request.shard));
     if (vm != own_vm_)
     {
         job.vm = vm;
@@ -345,8 +348,9 @@
 template <typename Codec>
 std::size_t stage_router<Codec>::links_up() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        links_.begin(), links_.end(), [](const auto& entry) { return entry.second.link->is_up(); }));
+    return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(),
+                                                  [](const auto& entry)
+                                                  { return entry.second.link->is_up(); }));
 }
 
 template <typename Codec>
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -12,9 +12,21 @@
 namespace zinnianotch
 {
 
-// The store answers a call for changes after this time at the latest, with none if there are none.
-// It bounds how long a connection that went silent goes unnoticed.
-inline constexpr milliseconds follow_wait{2000};
+// How a table is followed. Calls to the store cost, and one change may come after another.
+struct follow_pace
+{
+    // The store answers a call for changes after this time at the latest, with none if there are
+    // none. It bounds how long a connection that went silent goes unnoticed.
+    milliseconds wait{0};
+    // Between an answer with changes and the next call; changes meanwhile come together.
+    milliseconds pause{0};
+};
+
+// Changes of the desired state are in force within 2 s, those of endpoints too.
+inline constexpr follow_pace desired_pace{milliseconds(3000), milliseconds(50)};
+inline constexpr follow_pace endpoints_pace{milliseconds(3000), milliseconds(300)};
+// The list of VMs only divides limits and chooses who gathers.
+inline constexpr follow_pace vms_pace{milliseconds(12000), milliseconds(1500)};
 inline constexpr milliseconds follow_slack{600}; // beyond the wait until the call counts as lost
 inline constexpr milliseconds list_timeout{1500};
 inline constexpr milliseconds retry_pause{200};
@@ -29,7 +41,7 @@
     using apply = std::function<void(const std::vector<state_record>&, bool whole)>;
 
     state_follower(boost::asio::io_context& io, std::string address, state_table table,
-                   apply on_records);
+                   const follow_pace& pace, apply on_records);
     ~state_follower() override;
 
     state_follower(const state_follower&) = delete;
@@ -62,6 +74,7 @@
     upstream_pool pool_;
     std::string address_;
     state_table table_;
+    follow_pace pace_;
     apply on_records_;
     std::shared_ptr<upstream_connection> connection_;
     bool in_flight_ = false;
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -11,8 +11,8 @@
 
 template <typename Codec>
 state_follower<Codec>::state_follower(boost::asio::io_context& io, std::string address,
-                                      state_table table, apply on_records)
-    : pool_(io, *parse_endpoint(address)), address_(std::move(address)), table_(table),
+                                      state_table table, const follow_pace& pace, apply on_records)
+    : pool_(io, *parse_endpoint(address)), address_(std::move(address)), table_(table), pace_(pace),
       on_records_(std::move(on_records))
 {
 }
@@ -70,7 +70,7 @@
     else
     {
         // After a failure the first call asks for no wait, so that a regained store shows at once.
-        const milliseconds wait = failures_ > 0 ? milliseconds(1) : follow_wait;
+        const milliseconds wait = failures_ > 0 ? milliseconds(1) : pace_.wait;
         text = Codec::encode_follow(address_, table_, revision_, wait);
         expires_ = now + wait + follow_slack;
     }
@@ -91,9 +91,9 @@
     in_flight_ = false;
     if (status_ == history_gone)
     {
-        log_event(log_level::warning, "store_history_gone",
-                  {{"table", std::string(to_string(table_))},
-                   {"revision", std::to_string(revision_)}});
+        log_event(
+            log_level::warning, "store_history_gone",
+            {{"table", std::string(to_string(table_))}, {"revision", std::to_string(revision_)}});
         listing_ = true;
         listed_.clear();
         return send(now);
@@ -116,9 +116,11 @@
     if (!listing_)
     {
         revision_ = std::max(revision_, page.revision);
-        if (!page.records.empty())
-            on_records_(page.records, false);
-        return send(now);
+        if (page.records.empty())
+            return send(now);
+        on_records_(page.records, false);
+        due_ = now + pace_.pause;
+        return;
     }
     // Changes between two pages are read again afterwards, so the first page's revision counts.
     if (listed_.empty())
@@ -132,7 +134,7 @@
     const std::vector<state_record> records = std::move(listed_);
     listed_.clear();
     on_records_(records, true);
-    send(now);
+    due_ = now + pace_.pause;
 }
 
 template <typename Codec>
--- a/packages/daemon/serve_edge.cpp
+++ b/packages/daemon/serve_edge.cpp
@@ -9,6 +9,7 @@
 
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <system_error>
 
@@ -36,6 +37,14 @@
     return limits;
 }
 
+// Links above this speed no longer limit what a VM can gather.
+constexpr double ample_link_mbps = 100.0;
+
+double capacity_of(const serving_settings& serving)
+{
+    return serving.processor_share * std::min(1.0, serving.link_mbps / ample_link_mbps);
+}
+
 edge_options make_options(const settings& config)
 {
     edge_options options;
@@ -50,6 +59,7 @@
     for (const socket_address& seed : config.seeds)
         options.seeds.push_back(to_string(seed));
     options.limits = make_limits(*config.serving);
+    options.capacity = capacity_of(*config.serving);
     options.stop_grace = config.serving->stop_grace;
     options.max_connections = config.limits.max_connections;
     return options;
@@ -58,7 +68,9 @@
 // Time of the file's last change and its size, to see a change without reading it.
 std::pair<std::int64_t, std::int64_t> file_mark(const std::string& path)
 {
-    struct stat status{};
+    struct stat status
+    {
+    };
     if (::stat(path.c_str(), &status) != 0)
         return {0, 0};
     return {status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec, status.st_size};
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -47,7 +47,9 @@
 };
 
 constexpr decimal_rule ratio_rule{0.0, 10.0};
-constexpr decimal_rule window_rule{0.1, 3600.0}; // seconds
+constexpr decimal_rule window_rule{0.1, 3600.0};     // seconds
+constexpr decimal_rule processor_rule{0.01, 1024.0}; // cores
+constexpr decimal_rule link_rule{0.1, 1000000.0};    // Mbit/s
 constexpr decimal_rule over_rule{0.0, 100.0};
 constexpr number_rule slack_rule{0, 1000000, "requests"};
 constexpr number_rule connections_rule{1, 65536, "connections"};
@@ -506,7 +508,9 @@
                              {"repeat_window_s", false},
                              {"cold_over", false},
                              {"cold_slack", false},
-                             {"stop_grace_s", false}}))
+                             {"stop_grace_s", false},
+                             {"processor_share", false},
+                             {"link_mbps", false}}))
         return;
     serving_settings serving;
     const auto address = [&](std::string_view key, bool needs_port, socket_address& to)
@@ -528,6 +532,8 @@
     serving.repeat_window = milliseconds(static_cast<std::int64_t>(window * 1000.0));
     read_decimal(*node, "serving", "cold_over", over_rule, serving.cold_over);
     read_number(*node, "serving", "cold_slack", slack_rule, serving.cold_slack);
+    read_decimal(*node, "serving", "processor_share", processor_rule, serving.processor_share);
+    read_decimal(*node, "serving", "link_mbps", link_rule, serving.link_mbps);
     double grace = std::chrono::duration<double>(serving.stop_grace).count();
     read_decimal(*node, "serving", "stop_grace_s", window_rule, grace);
     serving.stop_grace = milliseconds(static_cast<std::int64_t>(grace * 1000.0));
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -66,6 +66,8 @@
     double cold_over = 1.5;
     std::uint32_t cold_slack = 0;
     milliseconds stop_grace{8000};
+    double processor_share = 1.0; // of a core
+    double link_mbps = 1000.0;
 };
 
 struct settings
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -18,6 +18,7 @@
   goalLeftMs @9 :Int32;
   deadlineLeftMs @10 :Int32;
   inputsDomain @11 :Text;
+  shard @12 :Text;
 }
 
 struct StageDone {
@@ -29,8 +30,7 @@
 }
 
 struct ReleaseResults {
-  service @0 :Text;
-  handles @1 :List(Text);
+  handles @0 :List(Text);
 }
 
 struct Record {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -38,7 +38,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2f244f02d0b756b, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d2f244f02d0b756b, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -68,7 +68,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4c5a4a8801bfb9a, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f4c5a4a8801bfb9a, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -194,6 +194,9 @@
   inline bool hasInputsDomain() const;
   inline  ::capnp::Text::Reader getInputsDomain() const;
 
+  inline bool hasShard() const;
+  inline  ::capnp::Text::Reader getShard() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -279,6 +282,13 @@
   inline void adoptInputsDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownInputsDomain();
 
+  inline bool hasShard();
+  inline  ::capnp::Text::Builder getShard();
+  inline void setShard( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initShard(unsigned int size);
+  inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownShard();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -424,9 +434,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
   inline bool hasHandles() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
 
@@ -458,13 +465,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
   inline bool hasHandles();
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHandles();
   inline void setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
@@ -1207,6 +1207,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool SubmitStage::Reader::hasShard() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasShard() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubmitStage::Reader::getShard() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::getShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setShard( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::initShard(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptShard(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t StageDone::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1301,76 +1335,42 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ReleaseResults::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ReleaseResults::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ReleaseResults::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ReleaseResults::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ReleaseResults::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ReleaseResults::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ReleaseResults::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ReleaseResults::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline bool ReleaseResults::Reader::hasHandles() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ReleaseResults::Builder::hasHandles() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ReleaseResults::Reader::getHandles() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReleaseResults::Builder::getHandles() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ReleaseResults::Builder::setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline void ReleaseResults::Builder::setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReleaseResults::Builder::initHandles(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ReleaseResults::Builder::adoptHandles(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ReleaseResults::Builder::disownHandles() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Record::Reader::hasName() const {
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -73,9 +73,9 @@
         to.setPieces(request.pieces);
         to.setResultBytes(request.result_bytes);
         to.setKey(request.key);
-        write_texts(to.initInputs(static_cast<capnp::uint>(request.inputs.size())),
-                    request.inputs);
+        write_texts(to.initInputs(static_cast<capnp::uint>(request.inputs.size())), request.inputs);
         to.setInputsDomain(request.inputs_domain);
+        to.setShard(request.shard);
         to.setGoalLeftMs(to_int32(request.goal_left));
         to.setDeadlineLeftMs(to_int32(request.deadline_left));
     }
@@ -92,7 +92,6 @@
     void operator()(const release_message& message)
     {
         auto to = out_.initRelease();
-        to.setService(message.service);
         write_texts(to.initHandles(static_cast<capnp::uint>(message.handles.size())),
                     message.handles);
     }
@@ -137,6 +136,7 @@
     request.key = to_text(from.getKey());
     request.inputs = read_texts(from.getInputs());
     request.inputs_domain = to_text(from.getInputsDomain());
+    request.shard = to_text(from.getShard());
     request.goal_left = milliseconds(from.getGoalLeftMs());
     request.deadline_left = milliseconds(from.getDeadlineLeftMs());
     return message;
@@ -185,8 +185,7 @@
     case wire::VmMessage::CANCEL:
         return cancel_message{from.getCancel()};
     case wire::VmMessage::RELEASE:
-        return release_message{to_text(from.getRelease().getService()),
-                               read_texts(from.getRelease().getHandles())};
+        return release_message{read_texts(from.getRelease().getHandles())};
     case wire::VmMessage::QUERY:
         return state_query{to_enum(from.getQuery().getTable(), state_table::vms),
                            from.getQuery().getRevision()};
--- a/packages/protocol/vm_message.h
+++ b/packages/protocol/vm_message.h
@@ -36,7 +36,6 @@
 };
 struct release_message
 {
-    std::string service;
     std::vector<std::string> handles;
 };
 struct state_query
--- a/packages/state/placement.cpp
+++ b/packages/state/placement.cpp
@@ -91,8 +91,7 @@
     double sum = 0.0;
     for (const std::size_t i : from)
         sum += relative_load(candidates[i], query, now);
-    const double bound =
-        affinity_slack * sum / static_cast<double>(from.size()) + affinity_slots;
+    const double bound = affinity_slack * sum / static_cast<double>(from.size()) + affinity_slots;
     std::optional<std::size_t> best;
     std::uint64_t best_weight = 0;
     for (const std::size_t i : from)
@@ -172,8 +171,7 @@
     if (words_.slots == 0 || now - words_at_ > words_max_age)
         return in_flight_;
     const double reported = static_cast<double>(words_.running) + words_.waiting;
-    const double since =
-        static_cast<double>(in_flight_) - static_cast<double>(in_flight_at_words_);
+    const double since = static_cast<double>(in_flight_) - static_cast<double>(in_flight_at_words_);
     return std::max<double>(in_flight_, reported + since);
 }
 
--- a/packages/state/shares.cpp
+++ b/packages/state/shares.cpp
@@ -60,6 +60,27 @@
     return order;
 }
 
+std::vector<std::string> rendezvous_order(std::string_view key,
+                                          const std::vector<weighted_name>& names)
+{
+    // Hashes become numbers between 0 and 1; -weight / ln(number) gives each name its proportion.
+    constexpr double steps = 9007199254740992.0; // 2 to the 53rd, exact in a double
+    std::vector<std::pair<double, std::string>> scored;
+    for (const weighted_name& entry : names)
+    {
+        const std::uint64_t hash = rendezvous_weight(key, entry.name) >> 11;
+        const double number = (static_cast<double>(hash) + 0.5) / steps;
+        scored.emplace_back(-entry.weight / std::log(number), entry.name);
+    }
+    std::sort(scored.begin(), scored.end(),
+              [](const auto& a, const auto& b)
+              { return a.first != b.first ? a.first > b.first : a.second < b.second; });
+    std::vector<std::string> order;
+    for (auto& [score, name] : scored)
+        order.push_back(std::move(name));
+    return order;
+}
+
 std::uint32_t cold_share(std::string_view endpoint, std::string_view own,
                          const std::vector<std::string>& vms, double bound)
 {
@@ -98,8 +119,8 @@
 bool repeat_budget::try_repeat(const repeat_limits& limits, std::size_t vms, time_point now)
 {
     forget(limits, now);
-    const double share = static_cast<double>(limits.slack) /
-                         static_cast<double>(std::max<std::size_t>(vms, 1));
+    const double share =
+        static_cast<double>(limits.slack) / static_cast<double>(std::max<std::size_t>(vms, 1));
     const double allowed = limits.ratio * static_cast<double>(firsts_.size()) + std::floor(share);
     if (static_cast<double>(repeats_.size() + 1) > allowed)
         return false;
--- a/packages/state/shares.h
+++ b/packages/state/shares.h
@@ -21,6 +21,17 @@
 std::vector<std::string> rendezvous_order(std::string_view key,
                                           const std::vector<std::string>& names);
 
+// A name with its weight in a rendezvous order.
+struct weighted_name
+{
+    std::string name;
+    double weight = 1.0;
+};
+
+// As above; a name comes first for a part of all keys in proportion to its weight.
+std::vector<std::string> rendezvous_order(std::string_view key,
+                                          const std::vector<weighted_name>& names);
+
 // VMs that may send to one cold endpoint. With more of them, a share would fall below one request.
 inline constexpr std::size_t cold_senders = 8;
 // Part of the bound that all shares together use. The rest covers VMs whose lists of VMs differ for
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -61,8 +61,8 @@
         if (batch.pieces == 0)
             continue; // its memory is full of results
         endpoint_state& endpoint = endpoints_[id];
-        batch.expected = milliseconds(std::llround(
-            static_cast<double>(call_time(batch.pieces).count()) * best_ratio()));
+        batch.expected = milliseconds(
+            std::llround(static_cast<double>(call_time(batch.pieces).count()) * best_ratio()));
         ++endpoint.calls;
         endpoint.last_sent = now;
         return batch;
@@ -211,6 +211,7 @@
                   return near_a != near_b ? near_a : a->second.last_sent < b->second.last_sent;
               });
     std::vector<std::string> ids;
+    ids.reserve(free.size());
     for (const auto* entry : free)
         ids.push_back(entry->first);
     return ids;
@@ -262,8 +263,7 @@
         return std::min<std::uint64_t>(
             slots, std::max<std::uint64_t>(spec_.result_room_bytes / job.result_bytes, 1));
     const std::uint64_t free = spec_.result_room_bytes - std::min(used, spec_.result_room_bytes);
-    return static_cast<std::uint32_t>(
-        std::min<std::uint64_t>(slots, free / job.result_bytes));
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(slots, free / job.result_bytes));
 }
 
 // Takes jobs in order, each as a whole if it fits. The first one is begun however large it is:
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -3,8 +3,8 @@
 //
 // It answers the load of a service whose calls cost a fixed time whatever they hold, so that many
 // small calls collapse the service. An idle endpoint takes what waits at once; while all endpoints
-// work, the queue fills the next call. Results take memory at their maker until they are freed, so a
-// call holds no more pieces than their results have room.
+// work, the queue fills the next call. Results take memory at their maker until they are freed, so
+// a call holds no more pieces than their results have room.
 #pragma once
 
 #include "state/serving.h"
@@ -27,9 +27,9 @@
     std::uint32_t pieces = 0;
     std::uint32_t priority = 0;     // 0 is the most urgent
     std::uint64_t result_bytes = 0; // of each piece; held at its maker until it is freed
-    time_point goal_at{};       // done later, the request misses its response-time goal
-    time_point deadline_at{};   // done later, the request cannot be answered in time
-    std::string inputs_domain;  // failure domain that holds its large inputs, or empty
+    time_point goal_at{};           // done later, the request misses its response-time goal
+    time_point deadline_at{};       // done later, the request cannot be answered in time
+    std::string inputs_domain;      // failure domain that holds its large inputs, or empty
 };
 
 // Pieces of one job in one call.
--- a/packages/state/stage_request.cpp
+++ b/packages/state/stage_request.cpp
@@ -23,6 +23,11 @@
     return name_of(failure_names, value);
 }
 
+std::string queue_name(const std::string& service, const std::string& shard)
+{
+    return shard.empty() ? service : service + "@" + shard;
+}
+
 std::string_view to_string(stage_end value)
 {
     return name_of(end_names, value);
--- a/packages/state/stage_request.h
+++ b/packages/state/stage_request.h
@@ -27,6 +27,7 @@
 {
     std::string attempt;
     std::string service;
+    std::string shard; // failure domain whose endpoints make it; empty for all endpoints
     std::uint32_t stage = 0;
     std::uint32_t priority = 0; // 0 is the most urgent
     std::uint32_t pieces = 0;
@@ -38,6 +39,9 @@
     milliseconds deadline_left{0};   // until it is of no use any more
 };
 
+// Name of the queue of a service, or of one of its shards.
+std::string queue_name(const std::string& service, const std::string& shard);
+
 enum class stage_end
 {
     done,
--- a/packages/transport/log.cpp
+++ b/packages/transport/log.cpp
@@ -80,8 +80,8 @@
     return name;
 }
 
-// Writes the message as it is and never blocks. easylogging++ calls it under its lock, so one line is
-// written at a time.
+// Writes the message as it is and never blocks. easylogging++ calls it under its lock, so one line
+// is written at a time.
 class stream_callback : public el::LogDispatchCallback
 {
 protected:
--- a/packages/transport/log.h
+++ b/packages/transport/log.h
@@ -37,8 +37,7 @@
 
 // Sets the least level that is written, the VM name that each line carries, where lines go, and how
 // many are written in a second.
-void configure_log(log_level least, std::string vm,
-                   log_stream stream = log_stream::standard_error,
+void configure_log(log_level least, std::string vm, log_stream stream = log_stream::standard_error,
                    std::uint32_t lines_per_second = unlimited_lines);
 
 // Writes one line: time, level, vm, event, then the fields in order. Keys of callers and
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -198,27 +198,27 @@
     writing_ = std::move(queued_);
     queued_.clear();
     write_progress_at_ = steady_clock::now();
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const boost::system::error_code& error,
-                                                  std::size_t)
-                      {
-                          self->writing_now_ = false;
-                          if (self->closed_)
-                              return;
-                          if (error)
-                          {
-                              self->left();
-                              return self->close();
-                          }
-                          self->unsent_ -= self->writing_.size();
-                          self->writing_.clear();
-                          if (!self->queued_.empty())
-                              return self->write_next();
-                          if (self->ending_)
-                              return self->finish_answer();
-                          if (self->on_writable)
-                              self->on_writable();
-                      });
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+        {
+            self->writing_now_ = false;
+            if (self->closed_)
+                return;
+            if (error)
+            {
+                self->left();
+                return self->close();
+            }
+            self->unsent_ -= self->writing_.size();
+            self->writing_.clear();
+            if (!self->queued_.empty())
+                return self->write_next();
+            if (self->ending_)
+                return self->finish_answer();
+            if (self->on_writable)
+                self->on_writable();
+        });
 }
 
 void server_connection::finish_answer()
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -22,8 +22,8 @@
 constexpr std::uint32_t answer_header_limit = 64 * 1024;
 constexpr std::uint64_t answer_body_limit = 1ULL << 32;
 
-constexpr std::array<std::string_view, 4> failure_names = {
-    "connect_failed", "broken_before_answer", "broken_in_answer", "invalid_answer"};
+constexpr std::array<std::string_view, 4> failure_names = {"connect_failed", "broken_before_answer",
+                                                           "broken_in_answer", "invalid_answer"};
 
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -122,16 +122,16 @@
 void upstream_connection::write()
 {
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(request_),
-                      [self = shared_from_this()](const boost::system::error_code& error,
-                                                  std::size_t)
-                      {
-                          self->writing_ = false;
-                          // A server may answer and close before it has read the whole request:
-                          // the reader decides. Without an open reader nobody else would notice.
-                          if (error && !self->reading_ && !self->closed_)
-                              self->fail(upstream_failure::broken_before_answer);
-                      });
+    asio::async_write(
+        socket_, asio::buffer(request_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+        {
+            self->writing_ = false;
+            // A server may answer and close before it has read the whole request:
+            // the reader decides. Without an open reader nobody else would notice.
+            if (error && !self->reading_ && !self->closed_)
+                self->fail(upstream_failure::broken_before_answer);
+        });
     read();
 }
 
@@ -239,9 +239,9 @@
         idle_limit_ = std::max(milliseconds(0), milliseconds(seconds * 1000) - keep_alive_margin);
 }
 
-// The answer is complete. The connection is not reused when bytes follow, which belong to no request,
-// nor when the server answered before it had the whole request: it would take the next request for
-// the rest of this one.
+// The answer is complete. The connection is not reused when bytes follow, which belong to no
+// request, nor when the server answered before it had the whole request: it would take the next
+// request for the rest of this one.
 void upstream_connection::finish()
 {
     upstream_listener* const listener = listener_;
@@ -318,6 +318,12 @@
     }
     if (!connection)
     {
+        if (connections_ >= limit_ && !idle_.empty())
+        {
+            const auto oldest = idle_.front();
+            idle_.pop_front();
+            oldest->close();
+        }
         connection = std::make_shared<upstream_connection>(io_, this);
         all_.emplace(connection.get(), connection);
         ++connections_;
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -124,6 +124,8 @@
     std::shared_ptr<upstream_connection> start(std::string request, upstream_listener& listener,
                                                milliseconds max_idle, time_point now,
                                                bool answer_has_body = true);
+    // Most connections to keep; an idle one is closed before one more is opened.
+    void set_limit(std::size_t connections) { limit_ = connections; }
     // Closes idle connections that are too old to be reused.
     void sweep(time_point now);
     void close_idle();
@@ -141,6 +143,7 @@
     boost::asio::ip::tcp::endpoint peer_;
     std::deque<std::shared_ptr<upstream_connection>> idle_;
     std::map<upstream_connection*, std::weak_ptr<upstream_connection>> all_;
+    std::size_t limit_ = SIZE_MAX;
     std::size_t connections_ = 0;
     std::uint64_t opened_ = 0;
 };
--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -115,17 +115,17 @@
     writing_now_ = true;
     writing_ = std::move(queued_);
     queued_.clear();
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const boost::system::error_code& error,
-                                                  std::size_t)
-                      {
-                          self->writing_now_ = false;
-                          if (self->closed_)
-                              return;
-                          if (error)
-                              return self->close();
-                          self->write_next();
-                      });
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+        {
+            self->writing_now_ = false;
+            if (self->closed_)
+                return;
+            if (error)
+                return self->close();
+            self->write_next();
+        });
 }
 
 vm_link::vm_link(asio::io_context& io, tcp::endpoint peer, vm_channel::on_message message,
@@ -172,34 +172,35 @@
     connect_began_ = now;
     retry_at_ = now + link_retry_pause;
     connecting_ = std::make_shared<tcp::socket>(io_);
-    connecting_->async_connect(
-        peer_,
-        [this, socket = connecting_](const boost::system::error_code& error)
-        {
-            // A socket that was given up ends here; the link may be gone by then.
-            if (error == asio::error::operation_aborted || !socket->is_open())
-                return;
-            if (connecting_ != socket)
-                return;
-            connecting_.reset();
-            if (error)
-                return;
-            channel_ = std::make_shared<vm_channel>(std::move(*socket));
-            channel_->start(
-                [this](vm_message&& message)
-                {
-                    if (!up_)
-                    {
-                        up_ = true;
-                        if (changed_)
-                            changed_(true);
-                    }
-                    if (!std::holds_alternative<pong_message>(message))
-                        message_(std::move(message));
-                },
-                [this] { down(); }, steady_clock::now());
-            channel_->send(ping_message{});
-        });
+    connecting_->async_connect(peer_,
+                               [this, socket = connecting_](const boost::system::error_code& error)
+                               {
+                                   // A socket that was given up ends here; the link may be gone by
+                                   // then.
+                                   if (error == asio::error::operation_aborted ||
+                                       !socket->is_open())
+                                       return;
+                                   if (connecting_ != socket)
+                                       return;
+                                   connecting_.reset();
+                                   if (error)
+                                       return;
+                                   channel_ = std::make_shared<vm_channel>(std::move(*socket));
+                                   channel_->start(
+                                       [this](vm_message&& message)
+                                       {
+                                           if (!up_)
+                                           {
+                                               up_ = true;
+                                               if (changed_)
+                                                   changed_(true);
+                                           }
+                                           if (!std::holds_alternative<pong_message>(message))
+                                               message_(std::move(message));
+                                       },
+                                       [this] { down(); }, steady_clock::now());
+                                   channel_->send(ping_message{});
+                               });
 }
 
 void vm_link::down()
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -97,8 +97,7 @@
 class vm_listener
 {
 public:
-    using on_message =
-        std::function<void(const std::shared_ptr<vm_channel>&, vm_message&&)>;
+    using on_message = std::function<void(const std::shared_ptr<vm_channel>&, vm_message&&)>;
     using on_closed = std::function<void(const std::shared_ptr<vm_channel>&)>;
 
     vm_listener(boost::asio::io_context& io, const std::string& address, std::uint16_t port,
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -6,8 +6,8 @@
 #include <algorithm>
 
 using namespace serving;
-using zinnianotch::upstream_failure;
 using web::json::value;
+using zinnianotch::upstream_failure;
 
 namespace
 {
@@ -96,6 +96,9 @@
     served.routes["/stream/"]["stages"] = value::array({stage});
 }
 
+// An endpoint that says that it leaves gets nothing new after this time.
+constexpr milliseconds drain_bound{2000};
+
 constexpr const char* two_pieces = "Pieces: 2\r\nPiece-Key: k1\r\n";
 
 } // namespace
@@ -143,8 +146,9 @@
     cr_assert(served.ask(0, request_text("GET", "/read/1", "a2", "Authorization: Bearer x\r\n"))
                   ->head.status == 401);
     cr_assert(served.ask(0, request_text("POST", "/order/1", "a3", "", "x"))->head.status == 200);
-    cr_assert(served.ask(0, request_text("GET", "/none/1", "a4", "Authorization: Bearer secret\r\n"))
-                  ->head.status == 404);
+    cr_assert(
+        served.ask(0, request_text("GET", "/none/1", "a4", "Authorization: Bearer secret\r\n"))
+            ->head.status == 404);
 }
 
 // Guards against a VM that answers 404 or 401 before it has read any desired state.
@@ -167,8 +171,9 @@
     served.plain_1.fail_next = 1;
     served.plain_2.fail_next = 0;
     for (int i = 0; i < 4; ++i)
-        cr_assert(served.ask(0, request_text("GET", "/read/1", "a" + std::to_string(i)))
-                      ->head.status == 200);
+        cr_assert(
+            served.ask(0, request_text("GET", "/read/1", "a" + std::to_string(i)))->head.status ==
+            200);
 }
 
 // Guards against an order that is recorded twice: its connection breaks after it was sent.
@@ -259,8 +264,10 @@
     served.start();
     served.both_engines([](endpoint_standin& engine) { engine.break_after_event = 3; });
     auto got = served.call(0, request_text("POST", "/stream/1", "s1", "", "x"));
-    cr_assert(served.run_until([&] { return served.engine_1.break_after_event < 0 ||
-                                            served.engine_2.break_after_event < 0; }));
+    cr_assert(served.run_until(
+        [&] {
+            return served.engine_1.break_after_event < 0 || served.engine_2.break_after_event < 0;
+        }));
     // The first engine breaks off; the one that goes on must not.
     served.both_engines([](endpoint_standin& engine) { engine.break_after_event = -1; });
     cr_assert(served.run_until([&] { return got->ended(); }));
@@ -324,7 +331,7 @@
     endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
     served.start();
     served.list_endpoint("engines", served.engine_2, "dom-a", "draining");
-    served.run_for(milliseconds(60));
+    cr_assert(served.run_until([&] { return !served.vm(0).uses("engine-2"); }));
     served.engine_1.inputs_gone_once = true;
     const auto got = served.ask(0, request_text("POST", "/stream/1", "s1", two_pieces, "x"));
     cr_assert(got->done && got->body == events_text(5));
@@ -356,18 +363,21 @@
     endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
     encoder.work = milliseconds(150);
     served.start(2);
-    cr_assert(served.run_until([&] { return served.store.has("vms", "vm-0") &&
-                                            served.store.has("vms", "vm-1"); }));
-    cr_assert(served.run_until([&] { return served.vm(0).links_up() > 0 &&
-                                            served.vm(1).links_up() > 0; }));
+    cr_assert(served.run_until(
+        [&] { return served.store.has("vms", "vm-0") && served.store.has("vms", "vm-1"); }));
+    cr_assert(served.run_until(
+        [&] { return served.vm(0).links_up() > 0 && served.vm(1).links_up() > 0; }));
     std::vector<std::unique_ptr<caller>> calls;
+    calls.reserve(7);
     for (int i = 0; i < 7; ++i)
-        calls.push_back(served.call(static_cast<std::size_t>(i % 2),
-                                    request_text("POST", "/stream/1", "s" + std::to_string(i),
-                                                 two_pieces, "x")));
-    cr_assert(served.run_until([&] { return std::all_of(calls.begin(), calls.end(),
-                                                        [](const auto& one)
-                                                        { return one->ended(); }); }));
+        calls.push_back(served.call(
+            static_cast<std::size_t>(i % 2),
+            request_text("POST", "/stream/1", "s" + std::to_string(i), two_pieces, "x")));
+    cr_assert(served.run_until(
+        [&] {
+            return std::all_of(calls.begin(), calls.end(),
+                               [](const auto& one) { return one->ended(); });
+        }));
     for (const auto& one : calls)
         cr_assert(one->done && one->body == events_text(5));
     cr_assert(encoder.seen.size() <= 3, "%zu calls for 14 pieces", encoder.seen.size());
@@ -381,10 +391,10 @@
     endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
     encoder.work = milliseconds(300);
     served.start(2);
-    cr_assert(served.run_until([&] { return served.store.has("vms", "vm-0") &&
-                                            served.store.has("vms", "vm-1"); }));
-    cr_assert(served.run_until([&] { return served.vm(0).links_up() > 0 &&
-                                            served.vm(1).links_up() > 0; }));
+    cr_assert(served.run_until(
+        [&] { return served.store.has("vms", "vm-0") && served.store.has("vms", "vm-1"); }));
+    cr_assert(served.run_until(
+        [&] { return served.vm(0).links_up() > 0 && served.vm(1).links_up() > 0; }));
     const std::size_t gatherer = served.vm(0).gathers("encoders") ? 0 : 1;
     const std::size_t other = 1 - gatherer;
     auto got = served.call(other, request_text("POST", "/stream/1", "s1", two_pieces, "x"));
@@ -394,8 +404,8 @@
     cr_assert(got->done && got->body == events_text(5));
 }
 
-// Guards against a process that ends when two stages of one request were with a VM that has died and
-// the first of them ends the request. A scored day ended one with an empty callback.
+// Guards against a process that ends when two stages of one request were with a VM that has died
+// and the first of them ends the request. A scored day ended one with an empty callback.
 Test(edge, gathering_vm_dies_too_late_for_two_stages_request_is_refused)
 {
     small_deployment served;
@@ -408,8 +418,8 @@
     endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
     encoder.mute = true;
     served.start(2);
-    cr_assert(served.run_until([&] { return served.vm(0).links_up() > 0 &&
-                                            served.vm(1).links_up() > 0; }));
+    cr_assert(served.run_until(
+        [&] { return served.vm(0).links_up() > 0 && served.vm(1).links_up() > 0; }));
     const std::size_t gatherer = served.vm(0).gathers("encoders") ? 0 : 1;
     auto got = served.call(1 - gatherer, request_text("POST", "/stream/1", "s1",
                                                       "Pieces: 2,2\r\nPiece-Key: k1\r\n", "x"));
@@ -425,7 +435,7 @@
     small_deployment served;
     served.start();
     served.list_endpoint("plain", served.plain_1, "dom-a", "draining");
-    served.run_for(milliseconds(60));
+    cr_assert(served.run_until([&] { return !served.vm(0).uses("plain-1"); }, drain_bound));
     const std::size_t before = served.plain_1.seen.size();
     for (int i = 0; i < 6; ++i)
         cr_assert(served.ask(0, request_text("GET", "/read/1", "a" + std::to_string(i)))->done);
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -83,7 +83,7 @@
     std::uint32_t most = 0;
     for (const endpoint_health& health : engines.healths)
         most = std::max(most, health.in_flight());
-    cr_assert(most <= 300 / 9 * 1.3 + 64 * affinity_slots + 2, "fullest engine has %u", most);
+    cr_assert(most <= 300.0 / 9 * 1.3 + 64 * affinity_slots + 2, "fullest engine has %u", most);
 }
 
 // Guards against a request that is tried at an endpoint that refuses connections while others work.
@@ -116,7 +116,8 @@
     cr_assert_not(health.is_failing(start + failing_pause));
 }
 
-// Guards against a share of failures that keeps an endpoint out for ever once nothing is sent to it.
+// Guards against a share of failures that keeps an endpoint out for ever once nothing is sent to
+// it.
 Test(placement, is_failing_old_failures_are_forgotten)
 {
     endpoint_health health;
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -24,8 +24,7 @@
 
 std::string encode(const std::string& bytes)
 {
-    return utility::conversions::to_base64(
-        std::vector<unsigned char>(bytes.begin(), bytes.end()));
+    return utility::conversions::to_base64(std::vector<unsigned char>(bytes.begin(), bytes.end()));
 }
 
 std::string decode(const std::string& text)
@@ -164,8 +163,9 @@
     waiting.timer->async_wait(
         [this, raw = client.get()](const boost::system::error_code& error)
         {
-            const auto found = std::find_if(feeds_.begin(), feeds_.end(), [&](const auto& entry)
-                                            { return entry.client.get() == raw; });
+            const auto found =
+                std::find_if(feeds_.begin(), feeds_.end(),
+                             [&](const auto& entry) { return entry.client.get() == raw; });
             if (error || found == feeds_.end())
                 return;
             const waiting_feed due = *found;
@@ -196,6 +196,7 @@
     std::sort(rows.begin(), rows.end(),
               [](const auto& a, const auto& b) { return a.first < b.first; });
     std::vector<value> list;
+    list.reserve(rows.size());
     for (const auto& [version, row] : rows)
         list.push_back(row);
     value body = value::object();
@@ -256,11 +257,12 @@
 {
     const auto timer = std::make_shared<asio::steady_timer>(io_);
     timer->expires_after(time);
-    timer->async_wait([timer, then = std::move(then)](const boost::system::error_code& error)
-                      {
-                          if (!error)
-                              then();
-                      });
+    timer->async_wait(
+        [timer, then = std::move(then)](const boost::system::error_code& error)
+        {
+            if (!error)
+                then();
+        });
 }
 
 void endpoint_standin::handle(const std::shared_ptr<server_connection>& client,
@@ -332,8 +334,8 @@
     if (fail_next > 0)
     {
         --fail_next;
-        client->send(plain_answer(fail_status,
-                                  fail_says_not_run ? "Not-Executed: 1\r\n" : fields, "failed"));
+        client->send(plain_answer(fail_status, fail_says_not_run ? "Not-Executed: 1\r\n" : fields,
+                                  "failed"));
         return client->end(true);
     }
     if (inputs_gone_once)
@@ -400,8 +402,8 @@
                          const std::string& attempt, const std::string& fields,
                          const std::string& body)
 {
-    std::string text = method + " " + target + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " +
-                       attempt + "\r\n" + fields;
+    std::string text = method + " " + target +
+                       " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + attempt + "\r\n" + fields;
     if (!body.empty())
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     return text + "\r\n" + body;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -116,17 +116,17 @@
     milliseconds work{1};        // before the answer
     milliseconds event_pause{1}; // between events
     // Faults.
-    int fail_next = 0;             // answers so many requests with fail_status
+    int fail_next = 0; // answers so many requests with fail_status
     int fail_status = 500;
     bool fail_says_not_run = false;
-    int break_before_answer = 0;   // closes so many connections instead of answering
-    int break_after_event = -1;    // resets the connection once, in the middle of the next event
+    int break_before_answer = 0;     // closes so many connections instead of answering
+    int break_after_event = -1;      // resets the connection once, in the middle of the next event
     bool stray_answer_first = false; // sends another request's answer before its own
-    bool extra_bytes = false;      // sends bytes behind a whole answer
-    bool unframed = false;         // no length; the answer ends with the connection
-    bool mute = false;             // takes requests and never answers
-    std::string piece_reason;      // every piece fails for this reason
-    bool inputs_gone_once = false; // says once that an input is gone
+    bool extra_bytes = false;        // sends bytes behind a whole answer
+    bool unframed = false;           // no length; the answer ends with the connection
+    bool mute = false;               // takes requests and never answers
+    std::string piece_reason;        // every piece fails for this reason
+    bool inputs_gone_once = false;   // says once that an input is gone
 
     std::vector<seen_request> seen;
     std::vector<std::string> freed;
--- a/tests/unit/stage_batch_test.cpp
+++ b/tests/unit/stage_batch_test.cpp
@@ -233,8 +233,8 @@
     cr_assert(probe && probe->endpoint == slow->endpoint);
 }
 
-// Guards against a service that is left alone because all its endpoints take longer than its figures
-// say.
+// Guards against a service that is left alone because all its endpoints take longer than its
+// figures say.
 Test(stage_batch, next_all_endpoints_slow_none_is_left_out)
 {
     stage_queue queue = queue_of(spec(8, 21), 1);
@@ -288,8 +288,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed)
     {
-        const played result =
-            play(spec(22, 7.8), 5, 25.4, 6, 20, milliseconds(600), seed);
+        const played result = play(spec(22, 7.8), 5, 25.4, 6, 20, milliseconds(600), seed);
         cr_assert(result.in_goal * 100 >= result.jobs * 95, "seed %lu: %zu of %zu in time",
                   static_cast<unsigned long>(seed), result.in_goal, result.jobs);
     }
@@ -302,8 +301,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed)
     {
-        const played result =
-            play(spec(22, 7.8), 5, 63.5, 6, 20, milliseconds(1200), seed);
+        const played result = play(spec(22, 7.8), 5, 63.5, 6, 20, milliseconds(1200), seed);
         const double bound = std::min<double>(static_cast<double>(result.jobs), 49.3 * 20);
         cr_assert(static_cast<double>(result.in_goal) >= 0.8 * bound,
                   "seed %lu: %zu of %zu in time, bound %.0f", static_cast<unsigned long>(seed),
