--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -96,13 +96,13 @@
         bool loaded = false;
     };
 
-    void on_request(const std::shared_ptr<server_connection>& client, client_request&& request);
+    void on_request(const std::shared_ptr<server_connection>& client, received_request&& request);
     void on_desired(const std::vector<state_record>& records, bool whole);
     void on_endpoints(const std::vector<state_record>& records, bool whole);
     void on_vms(const std::vector<state_record>& records, bool whole);
     void apply_endpoint(const state_record& record, bool whole, time_point now);
     void refresh_stages();
-    const std::vector<std::string>& shards_of(const std::string& service) const;
+    const std::vector<stage_shard>& shards_of(const std::string& service) const;
     void keep_copy(state_table table, const std::vector<state_record>& records, bool whole,
                    std::uint64_t revision);
     void apply_table(state_table table, const std::vector<state_record>& records, bool whole);
@@ -140,7 +140,7 @@
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
     std::map<std::string, double, std::less<>> first_byte_ms_; // by service, moving average
     observed_stage_times stage_times_;
-    std::map<std::string, std::vector<std::string>> shards_; // by service
+    std::map<std::string, std::vector<stage_shard>> shards_; // by service
     std::unique_ptr<registration> registration_;
     boost::asio::steady_timer tick_timer_;
     std::uint64_t ticks_ = 0;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -35,6 +35,8 @@
 inline constexpr double first_byte_weight = 0.1;
 // Share of a stage's expected time that is kept for waiting in its queue.
 inline constexpr double queue_allowance = 1.25;
+// A stage that failed counts as one that took so long.
+inline constexpr milliseconds failed_stage_time{3000};
 inline constexpr milliseconds retry_after_least{100};
 inline constexpr milliseconds retry_after_most{2000};
 // Of a VM that has not read the desired state yet.
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -181,14 +181,14 @@
     const std::string& service = route_->stages[index].service;
     const milliseconds usual = usual_stage_time(index);
     milliseconds shortest = milliseconds::max();
-    for (const std::string& shard : owner_.shards_of(service))
-        shortest = std::min(shortest,
-                            owner_.stage_times_.expected(queue_name(service, shard), usual, now));
+    for (const stage_shard& shard : owner_.shards_of(service))
+        shortest = std::min(
+            shortest, owner_.stage_times_.expected(queue_name(service, shard.domain), usual, now));
     return shortest == milliseconds::max() ? usual : shortest;
 }
 
 // Failure domain whose endpoints make the stage's results: beside its inputs if these are large,
-// else beside this VM, unless another one is faster. Empty when all endpoints are one pool.
+// else spread over all, unless another one is faster. Empty when all endpoints are one pool.
 template <typename Codec>
 std::string edge<Codec>::exchange::choose_stage_shard(std::size_t index,
                                                       const std::string& inputs_domain,
@@ -196,12 +196,16 @@
 {
     const std::string& service = route_->stages[index].service;
     std::vector<shard_option> options;
-    for (const std::string& shard : owner_.shards_of(service))
-        options.push_back({shard, owner_.stage_times_.expected(queue_name(service, shard),
-                                                               usual_stage_time(index), now)});
+    for (const stage_shard& shard : owner_.shards_of(service))
+        options.push_back(
+            {shard.domain, owner_.stage_times_.expected(queue_name(service, shard.domain),
+                                                        usual_stage_time(index), now)});
     if (options.empty())
         return {};
-    return choose_shard(options, inputs_domain.empty() ? owner_.options_.domain : inputs_domain);
+    const std::uint64_t hash = rendezvous_weight(call_.attempt, service);
+    return choose_shard(options, inputs_domain.empty()
+                                     ? spread_shard(owner_.shards_of(service), hash)
+                                     : inputs_domain);
 }
 
 // Time that the request needs once this stage is done, the first event included.
@@ -307,6 +311,8 @@
         return submit_ready(now);
     }
     const std::string where = "stage " + std::to_string(index);
+    // A domain that is cut off or overloaded is left alone for a while.
+    owner_.stage_times_.record(stages_[index].queue, failed_stage_time, now);
     if (outcome.end == stage_end::refused)
         return refuse(reason::overloaded, where + " has no time left in its queue",
                       outcome.expected / 2, now);
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -91,20 +91,20 @@
 {
     callers_ = std::make_unique<server_listener>(
         io_, options_.callers.host, options_.callers.port,
-        [this](const std::shared_ptr<server_connection>& client, client_request&& request)
+        [this](const std::shared_ptr<server_connection>& client, received_request&& request)
         { on_request(client, std::move(request)); });
     callers_->set_max_connections(options_.max_connections);
     callers_->on_refused = [this](int status)
     { counters_.count("requests_malformed_" + std::to_string(status) + "_total"); };
     readiness_ = std::make_unique<server_listener>(
         io_, options_.readiness.host, options_.readiness.port,
-        [this](const std::shared_ptr<server_connection>& client, client_request&&)
+        [this](const std::shared_ptr<server_connection>& client, received_request&&)
         { serve_status(client, is_ready() ? 200 : 503, ""); });
     if (options_.metrics.port != 0)
     {
         metrics_listener_ = std::make_unique<server_listener>(
             io_, options_.metrics.host, options_.metrics.port,
-            [this](const std::shared_ptr<server_connection>& client, client_request&&)
+            [this](const std::shared_ptr<server_connection>& client, received_request&&)
             { serve_status(client, 200, counters_.scrape()); });
     }
     peers_ = std::make_unique<vm_listener>(
@@ -159,7 +159,7 @@
 
 template <typename Codec>
 void edge<Codec>::on_request(const std::shared_ptr<server_connection>& client,
-                             client_request&& request)
+                             received_request&& request)
 {
     const time_point now = steady_clock::now();
     counters_.count("requests_total");
@@ -290,16 +290,16 @@
         for (const endpoint_ptr& endpoint : endpoints_.serving(name))
             ++endpoints[endpoint->record.domain];
         shards_[name] = stage_shards(endpoints);
-        for (const std::string& shard : shards_[name])
-            queues.push_back({queue_name(name, shard), shard});
+        for (const stage_shard& shard : shards_[name])
+            queues.push_back({queue_name(name, shard.domain), shard.domain});
     }
     stages_.set_queues(queues);
 }
 
 template <typename Codec>
-const std::vector<std::string>& edge<Codec>::shards_of(const std::string& service) const
+const std::vector<stage_shard>& edge<Codec>::shards_of(const std::string& service) const
 {
-    static const std::vector<std::string> none;
+    static const std::vector<stage_shard> none;
     const auto found = shards_.find(service);
     return found == shards_.end() ? none : found->second;
 }
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -24,7 +24,7 @@
 
 // Changes of the desired state are in force within 2 s, those of endpoints too.
 inline constexpr follow_pace desired_pace{milliseconds(3000), milliseconds(50)};
-inline constexpr follow_pace endpoints_pace{milliseconds(3000), milliseconds(300)};
+inline constexpr follow_pace endpoints_pace{milliseconds(3000), milliseconds(600)};
 // The list of VMs only divides limits and chooses who gathers.
 inline constexpr follow_pace vms_pace{milliseconds(12000), milliseconds(1500)};
 inline constexpr milliseconds follow_slack{600}; // beyond the wait until the call counts as lost
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -11,6 +11,8 @@
 
 // Weight of the newest call in the moving average of an endpoint's speed.
 constexpr double ratio_weight = 0.5;
+// Part of an endpoint's memory that is planned with: the size of a result is known approximately.
+constexpr std::uint64_t room_used_percent = 90;
 
 } // namespace
 
@@ -258,11 +260,11 @@
     const std::uint32_t slots = spec_.batch - std::min(batch.pieces, spec_.batch);
     if (spec_.result_room_bytes == 0 || job.result_bytes == 0)
         return slots;
+    const std::uint64_t room = spec_.result_room_bytes * room_used_percent / 100;
     const std::uint64_t used = endpoint.held_bytes + taken_bytes;
     if (used == 0)
-        return std::min<std::uint64_t>(
-            slots, std::max<std::uint64_t>(spec_.result_room_bytes / job.result_bytes, 1));
-    const std::uint64_t free = spec_.result_room_bytes - std::min(used, spec_.result_room_bytes);
+        return std::min<std::uint64_t>(slots, std::max<std::uint64_t>(room / job.result_bytes, 1));
+    const std::uint64_t free = room - std::min(used, room);
     return static_cast<std::uint32_t>(std::min<std::uint64_t>(slots, free / job.result_bytes));
 }
 
--- a/packages/state/stage_shard.cpp
+++ b/packages/state/stage_shard.cpp
@@ -3,19 +3,34 @@
 namespace zinnianotch
 {
 
-std::vector<std::string> stage_shards(const std::map<std::string, std::size_t>& endpoints)
+std::vector<stage_shard> stage_shards(const std::map<std::string, std::size_t>& endpoints)
 {
     std::size_t sum = 0;
-    std::vector<std::string> domains;
+    std::vector<stage_shard> shards;
     for (const auto& [domain, count] : endpoints)
     {
         sum += count;
         if (count > 0)
-            domains.push_back(domain);
+            shards.push_back({domain, count});
     }
-    if (domains.size() < 2 || sum < shard_endpoints * domains.size())
-        return {std::string()};
-    return domains;
+    if (shards.size() < 2 || sum < shard_endpoints * shards.size())
+        return {{std::string(), sum}};
+    return shards;
+}
+
+const std::string& spread_shard(const std::vector<stage_shard>& shards, std::uint64_t hash)
+{
+    std::size_t sum = 0;
+    for (const stage_shard& shard : shards)
+        sum += shard.endpoints;
+    std::uint64_t at = sum == 0 ? 0 : hash % sum;
+    for (const stage_shard& shard : shards)
+    {
+        if (at < shard.endpoints)
+            return shard.domain;
+        at -= shard.endpoints;
+    }
+    return shards.front().domain;
 }
 
 const std::string& choose_shard(const std::vector<shard_option>& options,
--- a/packages/state/stage_shard.h
+++ b/packages/state/stage_shard.h
@@ -8,6 +8,7 @@
 #include "state/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -16,14 +17,26 @@
 namespace zinnianotch
 {
 
-// A service is gathered by failure domain when its domains have so many endpoints on average.
-inline constexpr std::size_t shard_endpoints = 3;
+// A service is gathered by failure domain when its domains have so many endpoints on average. Below
+// that the larger pool matters more: bursts use nine tenths of all endpoints.
+inline constexpr std::size_t shard_endpoints = 12;
 // A stage goes to another domain when that saves this much time.
 inline constexpr milliseconds shard_away{80};
 
-// Failure domains that gather for themselves, or one empty name when all endpoints are one pool.
-// `endpoints` counts the usable endpoints of each domain.
-std::vector<std::string> stage_shards(const std::map<std::string, std::size_t>& endpoints);
+// Endpoints that are gathered together.
+struct stage_shard
+{
+    std::string domain; // empty when all endpoints of the service are one pool
+    std::size_t endpoints = 0;
+};
+
+// Failure domains that gather for themselves, or one pool of all endpoints. `endpoints` counts the
+// usable endpoints of each domain.
+std::vector<stage_shard> stage_shards(const std::map<std::string, std::size_t>& endpoints);
+
+// Shard of a request by its hash, in proportion to the endpoints: the callers of a failure domain
+// may be more than its endpoints can serve. `shards` is never empty.
+const std::string& spread_shard(const std::vector<stage_shard>& shards, std::uint64_t hash);
 
 struct shard_option
 {
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -172,7 +172,7 @@
         return;
     busy_ = true;
     keep_alive_ = parser_->keep_alive();
-    client_request request{std::move(parser_->head), std::move(parser_->body), first_byte_at_};
+    received_request request{std::move(parser_->head), std::move(parser_->body), first_byte_at_};
     parser_.reset();
     owner_.on_request_(shared_from_this(), std::move(request));
 }
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -39,7 +39,7 @@
 // A caller that takes none of these bytes for so long is given up.
 inline constexpr milliseconds write_timeout{10000};
 
-struct client_request
+struct received_request
 {
     message_head head;
     std::string body;
@@ -116,7 +116,7 @@
 {
 public:
     using handler =
-        std::function<void(const std::shared_ptr<server_connection>&, client_request&&)>;
+        std::function<void(const std::shared_ptr<server_connection>&, received_request&&)>;
 
     server_listener(boost::asio::io_context& io, const std::string& address, std::uint16_t port,
                     handler on_request);
