--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -439,12 +439,15 @@
     {
         waiting_for_endpoint_ = true;
         waiting_since_ = now;
-        return;
     }
-    if (now - waiting_since_ < placement_wait)
+    // Waiting is of use only when an endpoint may be tried before the wait ends.
+    const auto chance = owner_.endpoints_.next_chance(request, now);
+    if (chance && *chance < waiting_since_ + placement_wait &&
+        now - waiting_since_ < placement_wait)
         return;
-    refuse(reason::no_endpoint, owner_.endpoints_.describe(service_name_, now),
-           retry_after_not_ready, now);
+    const milliseconds retry_after =
+        chance ? std::chrono::duration_cast<milliseconds>(*chance - now) : retry_after_not_ready;
+    refuse(reason::no_endpoint, owner_.endpoints_.describe(service_name_, now), retry_after, now);
 }
 
 template <typename Codec>
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -186,6 +186,25 @@
     return endpoint;
 }
 
+std::optional<time_point> endpoint_directory::next_chance(const placement_request& request,
+                                                          time_point now) const
+{
+    std::optional<time_point> earliest;
+    const auto found = by_service_.find(request.service);
+    if (found == by_service_.end())
+        return earliest;
+    for (const endpoint_ptr& endpoint : found->second)
+    {
+        if (!is_usable(*endpoint) ||
+            (request.tried != nullptr && request.tried->contains(endpoint->record.id)))
+            continue;
+        const time_point at = endpoint->health.try_at(now);
+        if (!earliest || at < *earliest)
+            earliest = at;
+    }
+    return earliest;
+}
+
 std::string endpoint_directory::describe(std::string_view service, time_point now) const
 {
     std::size_t listed = 0;
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -76,6 +77,9 @@
     // Chooses an endpoint and counts the request as sent to it; null when there is none.
     endpoint_ptr take(const placement_request& request, const service_spec* service,
                       time_point now);
+    // Earliest time at which `take` may find an endpoint; nothing when none is listed that may get
+    // new work.
+    std::optional<time_point> next_chance(const placement_request& request, time_point now) const;
     // Why `take` found none, for the log: endpoints listed, usable and within the cold share.
     std::string describe(std::string_view service, time_point now) const;
 
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -68,6 +68,7 @@
     {
         return std::chrono::duration_cast<milliseconds>(now - started_);
     }
+    bool was_unreachable() const { return failure_ == upstream_failure::connect_failed; }
     std::string outcome() const
     {
         if (failure_)
@@ -100,8 +101,7 @@
     }
     void start(const std::string& request)
     {
-        connection_ =
-            endpoint_->pool.start(request, *this, idle_default, steady_clock::now());
+        connection_ = endpoint_->pool.start(request, *this, idle_default, steady_clock::now());
     }
     bool owns(const message_head&) override { return true; }
     void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
@@ -299,7 +299,8 @@
     }
     counters_.count("stage_calls_total");
     counters_.count("stage_pieces_total", pieces.size());
-    const std::string text = Codec::encode_pieces(endpoint->record.address, endpoint->record.id, pieces);
+    const std::string text =
+        Codec::encode_pieces(endpoint->record.address, endpoint->record.id, pieces);
     const auto call =
         std::make_shared<batch_call>(*this, key, endpoint, std::move(batch), std::move(parts), now);
     calls_.emplace(call.get(), call);
@@ -407,10 +408,12 @@
     stage_queue& queue = queues_[call.key()].queue;
     const std::string& endpoint = call.endpoint()->record.id;
     queue.on_failed(endpoint, now);
+    // Without a connection nothing has arrived: that is no repeat.
+    const bool arrived = !call.was_unreachable();
     for (const sent_part& sent : call.parts())
     {
         queue.on_room(endpoint, sent.part.count * sent.result_bytes);
-        put_back(call.key(), sent.part, true, now);
+        put_back(call.key(), sent.part, arrived, now);
     }
     pump(call.key(), now);
 }
--- a/packages/state/placement.cpp
+++ b/packages/state/placement.cpp
@@ -155,9 +155,13 @@
 
 bool endpoint_health::may_try(time_point now) const
 {
-    if (now < blocked_until_)
-        return false;
-    return !is_failing(now) || now >= last_sent_ + failing_pause;
+    return try_at(now) <= now;
+}
+
+time_point endpoint_health::try_at(time_point now) const
+{
+    const time_point unblocked = std::max(now, blocked_until_);
+    return is_failing(now) ? std::max(unblocked, last_sent_ + failing_pause) : unblocked;
 }
 
 bool endpoint_health::is_failing(time_point now) const
--- a/packages/state/placement.h
+++ b/packages/state/placement.h
@@ -53,6 +53,8 @@
 
     bool is_cold(time_point now) const { return now < cold_until_; }
     bool may_try(time_point now) const;
+    // Earliest time at which may_try holds, if nothing new is learned.
+    time_point try_at(time_point now) const;
     bool is_failing(time_point now) const;
     std::uint32_t in_flight() const { return in_flight_; }
     // Requests at the endpoint as far as this VM can tell: its last word and own sends since.
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -429,6 +429,24 @@
     cr_assert(got->head.status == 503, "status %d", got->head.status);
 }
 
+// Guards against a request that is held although no endpoint may be tried in time: the caller is
+// told at once when to come back.
+Test(edge, all_endpoints_leaving_request_is_refused_at_once)
+{
+    small_deployment served;
+    served.start();
+    served.list_endpoint("plain", served.plain_1, "dom-a", "draining");
+    served.list_endpoint("plain", served.plain_2, "dom-a", "draining");
+    cr_assert(served.run_until(
+        [&] { return !served.vm(0).uses("plain-1") && !served.vm(0).uses("plain-2"); },
+        drain_bound));
+    const auto sent = std::chrono::steady_clock::now();
+    const auto got = served.ask(0, request_text("POST", "/order/1", "o1", "", "x"));
+    cr_assert(got->head.status == 503);
+    cr_assert(zinnianotch::find_field(got->head, "Retry-After").has_value());
+    cr_assert(std::chrono::steady_clock::now() - sent < zinnianotch::milliseconds(200));
+}
+
 // Guards against a leaving endpoint that gets new requests.
 Test(edge, draining_endpoint_gets_nothing_new)
 {
--- /dev/null
+++ b/tests/unit/platform_codec_test.cpp
@@ -0,0 +1,162 @@
+// The platform's words, decoded once at the boundary.
+#include "platform/codec.h"
+
+#include "seeds.h"
+
+#include <criterion/criterion.h>
+
+using namespace zinnianotch;
+using platform::codec;
+using zinnianotch::testing::random_source;
+
+namespace
+{
+
+message_head request_head(std::vector<header_field> fields)
+{
+    message_head head;
+    head.method = "POST";
+    head.target = "/a/b?c=d";
+    head.fields = std::move(fields);
+    return head;
+}
+
+state_record record(const std::string& value)
+{
+    return {"i-1", value, 7, false};
+}
+
+constexpr const char* good_entry =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready",)"
+    R"("cold_ms":1200,"born":1781000000000,"sequence":4})";
+
+} // namespace
+
+// Guards against header words that lose their meaning on the way in.
+Test(platform_codec, decode_call_reads_fields)
+{
+    message_head head = request_head({{"Host", "h"},
+                                      {"attempt-id", "9c41"},
+                                      {"Deadline-Ms", "900"},
+                                      {"Authorization", "Bearer k"},
+                                      {"Last-Event-Id", "12"},
+                                      {"Pieces", "2,0,7"},
+                                      {"Piece-Key", "p"},
+                                      {"Prompt-Prefix", "aa:800,bb:410,cc:250"}});
+    const client_call call = codec::decode_call(head, "body");
+    cr_assert(call.attempt == "9c41" && call.host == "h" && call.key == "k");
+    cr_assert(call.time_left == milliseconds(900));
+    cr_assert(call.resume_after == 12);
+    const std::vector<std::uint32_t> pieces = {2, 0, 7};
+    cr_assert(call.pieces == pieces);
+    cr_assert(call.piece_key == "p" && call.shared_prompt == "bb");
+}
+
+// Guards against a request line or body that changes, and against a second Content-Length or a
+// Transfer-Encoding that would let another request be smuggled in the body.
+Test(platform_codec, encode_call_frames_the_body_once)
+{
+    message_head head = request_head({{"Host", "h"},
+                                      {"Content-Length", "999"},
+                                      {"Transfer-Encoding", "chunked"},
+                                      {"Expect", "100-continue"}});
+    const client_call call = codec::decode_call(head, "GET / HTTP/1.1\r\n\r\n");
+    endpoint_call extra;
+    extra.endpoint = "i-1";
+    extra.time_left = milliseconds(40);
+    const std::string text = codec::encode_call(call, extra);
+    cr_assert(text.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+    cr_assert(text.ends_with("Content-Length: 18\r\n\r\nGET / HTTP/1.1\r\n\r\n"));
+    cr_assert(text.find("999") == std::string::npos);
+    cr_assert(text.find("chunked") == std::string::npos);
+    cr_assert(text.find("Expect-Instance: i-1\r\n") != std::string::npos);
+}
+
+// Guards against an answer that is taken for "not run" although the endpoint did not say so.
+Test(platform_codec, decode_answer_not_run_only_when_said)
+{
+    message_head head;
+    head.status = 503;
+    cr_assert_not(codec::decode_answer(head).not_run);
+    head.fields = {{"Not-Executed", "1"}, {"Instance-Load", "3,1,8"}, {"Cold-Ms", "700"}};
+    const endpoint_answer answer = codec::decode_answer(head);
+    cr_assert(answer.not_run && answer.load && answer.load->waiting == 1);
+    cr_assert(answer.cold_for == milliseconds(700));
+    head = {};
+    head.status = 421;
+    cr_assert(codec::decode_answer(head).not_run);
+}
+
+// Guards against results that are given to the wrong pieces when a call's answer is short.
+Test(platform_codec, decode_pieces_other_count_is_rejected)
+{
+    const std::string body = R"({"items":[{"handle":"10.0.0.1:80/a"},{"reason":"gone"}]})";
+    const auto results = codec::decode_pieces(body, 2);
+    cr_assert(results.has_value());
+    cr_assert(std::get<std::string>((*results)[0]) == "10.0.0.1:80/a");
+    cr_assert(std::get<piece_failure>((*results)[1]) == piece_failure::input_gone);
+    cr_assert_not(codec::decode_pieces(body, 3).has_value());
+    cr_assert_not(codec::decode_pieces("{", 2).has_value());
+    cr_assert_not(codec::decode_pieces(R"({"items":[{},{}]})", 2).has_value());
+    cr_assert(codec::maker_of("10.0.0.1:80/a") == "10.0.0.1:80");
+}
+
+// Guards against entries of other writers that name an endpoint to use.
+Test(platform_codec, decode_endpoint_other_writers_are_rejected)
+{
+    const auto good = codec::decode_endpoint(record(good_entry));
+    cr_assert(good && good->born == 1781000000000 && good->cold_for == milliseconds(1200));
+    for (const std::string& bad :
+         {std::string("[]"), std::string("{}"), std::string("\xff\xfe"),
+          std::string(R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"warm"})"),
+          std::string(R"({"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready"})"),
+          std::string(
+              R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","born":"x"})"),
+          std::string(
+              R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","born":1.5})")})
+        cr_assert_not(codec::decode_endpoint(record(bad)).has_value(), "%s", bad.c_str());
+}
+
+// Guards against bytes in the store that end the process.
+Test(platform_codec, decode_mutated_entries_never_throw)
+{
+    const std::string page = R"({"rows":[{"key":"a","value":"e30=","ver":3}],"ver":9})";
+    for (std::uint64_t seed = 1; seed <= 4000; ++seed)
+    {
+        random_source random(seed);
+        std::string entry = good_entry;
+        std::string rows = page;
+        for (std::uint64_t i = 0; i <= random.below(5); ++i)
+        {
+            entry[random.below(entry.size())] = static_cast<char>(random.below(256));
+            rows[random.below(rows.size())] = static_cast<char>(random.below(256));
+        }
+        (void)codec::decode_endpoint(record(entry));
+        (void)codec::decode_vm(record(entry));
+        state_record desired = record(entry);
+        desired.name = "config";
+        (void)codec::decode_desired(desired);
+        (void)codec::decode_page(rows);
+    }
+}
+
+// Guards against a desired state whose fields of another type take the whole state with them.
+Test(platform_codec, decode_desired_reads_routes_services_and_keys)
+{
+    state_record row = record(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"streaming",)"
+        R"("timeout_ms":6000,"slo_ms":1000,"priority":1,"attempts":2,"resumable":true,)"
+        R"("backends":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
+        R"("stages":[{"service":"e","after":[],"bytes":1500000}]}],)"
+        R"("services":[{"name":"e","pieces":{"batch":8,"call_ms":200.0,"item_ms":21.0,"room_mb":18.0}}],)"
+        R"("limits":{"idle_timeout_ms":9000},"tenants":[{"name":"a","api_keys":["k1","k2"],"priority":1}]})");
+    row.name = "config";
+    const auto change = codec::decode_desired(row);
+    cr_assert(change.has_value());
+    const auto& state = std::get<serving_state>(*change);
+    cr_assert(state.version == 7 && state.routes.size() == 1);
+    cr_assert(state.routes[0].services.size() == 2 && is_repeatable(state.routes[0]));
+    cr_assert(state.services.at("e").batch->result_room_bytes == 18'000'000);
+    cr_assert(find_account(state, "k2")->priority == 1);
+    cr_assert(state.limits.idle_timeout == milliseconds(9000));
+}
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -237,3 +237,37 @@
               wrong.error().detail.c_str());
     cr_assert(right.has_value());
 }
+
+// Guards against a section of the serving path whose mistakes are found one by one, or not at all.
+Test(settings, serving_section_all_mistakes_are_reported)
+{
+    std::vector<settings_problem> problems;
+    const std::string text = "vm: vm-1\nfailure_domain: dom-a\n"
+                             "listen: {callers: \"127.0.0.1:1\", peers: \"127.0.0.1:2\"}\n"
+                             "platform: {table: \"http://127.0.0.1:3\"}\n"
+                             "keys: {accounts: [], operators: []}\n"
+                             "serving:\n"
+                             "  readiness: nowhere\n"
+                             "  store: \"127.0.0.1:3\"\n"
+                             "  repeat_ratio: many\n"
+                             "  cold_sack: 5\n";
+    (void)parse_settings(text, problems);
+    cr_assert(problems.size() == 3, "%zu problems", problems.size());
+    cr_assert(problems[0].line == 7 && problems[1].line == 9 && problems[2].line == 10);
+}
+
+// Guards against fractions, as the platform writes them, that are refused or cut off.
+Test(settings, serving_section_fractions_are_kept)
+{
+    std::vector<settings_problem> problems;
+    const std::string text = "vm: vm-1\nfailure_domain: dom-a\n"
+                             "listen: {callers: \"127.0.0.1:1\", peers: \"127.0.0.1:2\"}\n"
+                             "platform: {table: \"http://127.0.0.1:3\"}\n"
+                             "keys: {accounts: [], operators: []}\n"
+                             "serving: {readiness: \"127.0.0.1:4\", store: \"127.0.0.1:3\", "
+                             "repeat_ratio: 0.25, repeat_window_s: 7.6, cold_over: 1.5}\n";
+    const settings parsed = parse_settings(text, problems);
+    cr_assert(problems.empty() && parsed.serving.has_value());
+    cr_assert(parsed.serving->repeat_window == milliseconds(7600));
+    cr_assert_float_eq(parsed.serving->repeat_ratio, 0.25, 1e-9);
+}
