Wait for conditions in the edge tests instead of short times

Cause: edge/domain_out_gets_nothing_until_taken_back failed once after the store's calls were paced: the test gave a change 60 ms; the stated bound is 2 s. Ruled out: the change itself (in force after 52 ms in that run). Change: the tests wait until the VM has adopted the change, for the stated bound at most.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -79,6 +79,8 @@
     std::uint16_t callers_port() const { return callers_->port(); }
     std::size_t known_endpoints() const { return endpoints_.size(); }
     std::size_t links_up() const { return stages_.links_up(); }
+    // Version of the desired state in force; 0 while there is none.
+    std::uint64_t desired_version() const { return state_ ? state_->version : 0; }
     // True while new requests may go to the endpoint.
     bool uses(const std::string& endpoint) const { return endpoints_.is_serving(endpoint); }
     // True when this VM gathers the pieces of the service.
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -98,6 +98,8 @@
 
 // An endpoint that says that it leaves gets nothing new after this time.
 constexpr milliseconds drain_bound{2000};
+// A change of the desired state is in force after this time.
+constexpr milliseconds config_bound{2000};
 
 constexpr const char* two_pieces = "Pieces: 2\r\nPiece-Key: k1\r\n";
 
@@ -468,7 +470,7 @@
     endpoint_standin& far = served.add_endpoint("plain", "plain-3", "dom-b");
     served.start();
     served.store.put("op", "evacuate/dom-a", value::object());
-    served.run_for(milliseconds(60));
+    cr_assert(served.run_until([&] { return !served.vm(0).uses("plain-1"); }, config_bound));
     const std::size_t before = served.plain_1.seen.size() + served.plain_2.seen.size();
     for (int i = 0; i < 4; ++i)
         cr_assert(served.ask(0, request_text("GET", "/read/1", "a" + std::to_string(i)))->done);
@@ -504,13 +506,13 @@
     small_deployment served;
     served.start();
     served.configure(5);
-    served.run_for(milliseconds(100));
+    cr_assert(served.run_until([&] { return served.vm(0).desired_version() == 5; }, config_bound));
     served.routes.erase("/read/");
     served.configure(4);
     served.run_for(milliseconds(100));
     cr_assert(served.ask(0, request_text("GET", "/read/1", "a1"))->head.status == 200);
     served.configure(6);
-    served.run_for(milliseconds(100));
+    cr_assert(served.run_until([&] { return served.vm(0).desired_version() == 6; }, config_bound));
     cr_assert(served.ask(0, request_text("GET", "/read/1", "a2"))->head.status == 404);
 }
 
