Keep one copy of the hash and of the release of a job's results

Cause: the duplicates report: FNV-1a stood in view.cpp, api.cpp and shares.cpp, and two ends of a job gave back its results in the same words. Ruled out: std::hash, which is not the same on every VM. Change: state/hash.h; stage_gatherer::release_made. The hashes' values stay.

--- a/packages/coordination/stage_gatherer.h
+++ b/packages/coordination/stage_gatherer.h
@@ -91,6 +91,7 @@
     void put_back(const std::string& key, const batch_part& part, bool counts, time_point now);
     void fail(std::uint64_t id, piece_failure why);
     void complete(std::uint64_t id, stage_outcome outcome);
+    void release_made(const job& ended);
     void flush_releases();
     void hold(const std::string& key, const std::string& endpoint, const std::string& handle,
               std::uint64_t bytes, time_point now);
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -204,13 +204,20 @@
         return;
     const stage_request& request = found->second.request;
     queues_[queue_name(request.service, request.shard)].queue.remove(id);
+    release_made(found->second);
+    jobs_.erase(found);
+}
+
+// Gives back what a job has so far when it ends without its results.
+template <typename Codec>
+void stage_gatherer<Codec>::release_made(const job& ended)
+{
     std::vector<std::string> made;
-    for (const std::string& handle : found->second.handles)
+    for (const std::string& handle : ended.handles)
     {
         if (!handle.empty())
             made.push_back(handle);
     }
-    jobs_.erase(found);
     release(made);
 }
 
@@ -446,13 +453,7 @@
         return;
     const stage_request& request = found->second.request;
     queues_[queue_name(request.service, request.shard)].queue.remove(id);
-    std::vector<std::string> made;
-    for (const std::string& handle : found->second.handles)
-    {
-        if (!handle.empty())
-            made.push_back(handle);
-    }
-    release(made);
+    release_made(found->second);
     stage_outcome outcome;
     outcome.why = why;
     complete(id, std::move(outcome));
--- a/packages/daemon/api.cpp
+++ b/packages/daemon/api.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/random_id.h"
 #include "protocol/codec.h"
+#include "state/hash.h"
 #include "transport/log.h"
 
 #include <cpprest/base_uri.h>
@@ -53,14 +54,7 @@
 std::string order_digest(const std::string& service, const std::string& operation,
                          const std::string& body)
 {
-    constexpr std::uint64_t fnv_offset_basis = 14695981039346656037ULL;
-    constexpr std::uint64_t fnv_prime = 1099511628211ULL;
-    std::uint64_t hash = fnv_offset_basis;
-    for (const char byte : body)
-    {
-        hash ^= static_cast<unsigned char>(byte);
-        hash *= fnv_prime;
-    }
+    const std::uint64_t hash = fnv_1a(fnv_offset_basis, body);
     return service + "/" + operation + "/" + std::to_string(body.size()) + "/" +
            std::to_string(hash);
 }
--- /dev/null
+++ b/packages/state/hash.h
@@ -0,0 +1,35 @@
+// Hashes that are the same on every VM and in every version, unlike std::hash.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace zinnianotch
+{
+
+inline constexpr std::uint64_t fnv_offset_basis = 14695981039346656037ULL;
+inline constexpr std::uint64_t fnv_prime = 1099511628211ULL;
+
+constexpr std::uint64_t fnv_1a(std::uint64_t hash, std::string_view bytes)
+{
+    for (const char byte : bytes)
+    {
+        hash ^= static_cast<unsigned char>(byte);
+        hash *= fnv_prime;
+    }
+    return hash;
+}
+
+// Finalizer of MurmurHash3. FNV-1a alone changes the high bits little when only the last bytes
+// differ, which would give one VM most of the endpoints with consecutive ids.
+constexpr std::uint64_t avalanche(std::uint64_t hash)
+{
+    hash ^= hash >> 33;
+    hash *= 0xFF51AFD7ED558CCDULL;
+    hash ^= hash >> 33;
+    hash *= 0xC4CEB9FE1A85EC53ULL;
+    hash ^= hash >> 33;
+    return hash;
+}
+
+} // namespace zinnianotch
--- a/packages/state/shares.cpp
+++ b/packages/state/shares.cpp
@@ -1,5 +1,7 @@
 #include "state/shares.h"
 
+#include "state/hash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -9,29 +11,6 @@
 namespace
 {
 
-constexpr std::uint64_t fnv_offset = 14695981039346656037ULL;
-constexpr std::uint64_t fnv_prime = 1099511628211ULL;
-
-std::uint64_t fnv(std::uint64_t hash, std::string_view text)
-{
-    for (const char c : text)
-    {
-        hash ^= static_cast<unsigned char>(c);
-        hash *= fnv_prime;
-    }
-    return hash;
-}
-
-// FNV alone leaves the high bits of short names alike; the finalizer of MurmurHash3 spreads them.
-std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 33;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33);
-}
-
 void drop_before(std::deque<time_point>& times, time_point limit)
 {
     while (!times.empty() && times.front() <= limit)
@@ -42,8 +21,9 @@
 
 std::uint64_t rendezvous_weight(std::string_view a, std::string_view b)
 {
-    const std::uint64_t first = fnv(fnv_offset, a);
-    return mix(fnv(first * fnv_prime, b));
+    // A zero byte separates the names.
+    const std::uint64_t first = fnv_1a(fnv_1a(fnv_offset_basis, a), std::string_view("\0", 1));
+    return avalanche(fnv_1a(first, b));
 }
 
 std::vector<std::string> rendezvous_order(std::string_view key,
@@ -66,6 +46,7 @@
     // Hashes become numbers between 0 and 1; -weight / ln(number) gives each name its proportion.
     constexpr double steps = 9007199254740992.0; // 2 to the 53rd, exact in a double
     std::vector<std::pair<double, std::string>> scored;
+    scored.reserve(names.size());
     for (const weighted_name& entry : names)
     {
         const std::uint64_t hash = rendezvous_weight(key, entry.name) >> 11;
@@ -76,6 +57,7 @@
               [](const auto& a, const auto& b)
               { return a.first != b.first ? a.first > b.first : a.second < b.second; });
     std::vector<std::string> order;
+    order.reserve(scored.size());
     for (auto& [score, name] : scored)
         order.push_back(std::move(name));
     return order;
--- a/packages/state/view.cpp
+++ b/packages/state/view.cpp
@@ -1,5 +1,7 @@
 #include "state/view.h"
 
+#include "state/hash.h"
+
 #include <algorithm>
 
 namespace zinnianotch
@@ -8,21 +10,8 @@
 namespace
 {
 
-constexpr std::uint64_t fnv_offset_basis = 14695981039346656037ULL;
-constexpr std::uint64_t fnv_prime = 1099511628211ULL;
-
-std::uint64_t fnv_1a(std::uint64_t hash, std::string_view bytes)
-{
-    for (const char byte : bytes)
-    {
-        hash ^= static_cast<unsigned char>(byte);
-        hash *= fnv_prime;
-    }
-    return hash;
-}
-
 // Adds the number byte by byte from the lowest, so that the result does not depend on the machine.
-std::uint64_t fnv_1a(std::uint64_t hash, std::uint64_t number)
+std::uint64_t fnv_1a_number(std::uint64_t hash, std::uint64_t number)
 {
     for (int shift = 0; shift < 64; shift += 8)
     {
@@ -32,23 +21,11 @@
     return hash;
 }
 
-// Finalizer of MurmurHash3. FNV-1a alone changes the high bits little when only the last bytes
-// differ, which would give one VM most of the endpoints with consecutive ids.
-std::uint64_t avalanche(std::uint64_t hash)
-{
-    hash ^= hash >> 33;
-    hash *= 0xFF51AFD7ED558CCDULL;
-    hash ^= hash >> 33;
-    hash *= 0xC4CEB9FE1A85EC53ULL;
-    hash ^= hash >> 33;
-    return hash;
-}
-
 // The incarnation has a fixed length and separates the two names.
 std::uint64_t rendezvous_hash(const vm_id& vm, std::string_view endpoint)
 {
     std::uint64_t hash = fnv_1a(fnv_offset_basis, vm.name);
-    hash = fnv_1a(hash, vm.incarnation);
+    hash = fnv_1a_number(hash, vm.incarnation);
     return avalanche(fnv_1a(hash, endpoint));
 }
 
