Leave no bound in platform/ and no unused argument on the path

Cause: reading the diff as a newcomer: the codec clipped a priority, which is a decision of the caller of the codec; two functions took arguments that they did not use. Ruled out: clipping in the desired state (another interface may know more priorities).

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -120,7 +120,7 @@
 
     void refuse(reason why, std::string_view detail, milliseconds retry_after, time_point now);
     void fail(reason why, verdict outcome, std::string_view detail, time_point now);
-    void answer_error(int status, reason why, verdict outcome, std::string_view detail,
+    void answer_error(int status, reason why, verdict outcome,
                       std::optional<milliseconds> retry_after);
     void abort_client(std::string_view why, time_point now);
     void on_client_left();
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -458,7 +458,7 @@
     extra.endpoint = endpoint_->record.id;
     extra.account = account_ != nullptr ? account_->name : std::string();
     extra.time_left = std::max(left(now), milliseconds(1));
-    extra.priority = priority();
+    extra.priority = std::min(priority(), least_urgent_call);
     extra.inputs = inputs_of(last_stages());
     extra.resume_after = events_.last_id() ? events_.last_id() : call_.resume_after;
     ++attempts_;
@@ -508,8 +508,7 @@
 }
 
 template <typename Codec>
-void edge<Codec>::exchange::on_head(message_head& head, body_framing framing,
-                                    std::optional<std::uint64_t>)
+void edge<Codec>::exchange::on_head(message_head& head, body_framing, std::optional<std::uint64_t>)
 {
     const time_point now = steady_clock::now();
     const endpoint_answer answer = Codec::decode_answer(head);
@@ -532,7 +531,6 @@
         answer_fields_ = std::move(head.fields);
     if (disposition_ == disposition::hold)
         return;
-    (void)framing;
     if (first_byte_at_ == time_point{})
     {
         first_byte_at_ = now;
@@ -777,7 +775,7 @@
         return fail(why, verdict::may_have_run, detail, now);
     owner_.counters_.count_refusal(why, verdict::not_run);
     drop_upstream();
-    answer_error(503, why, verdict::not_run, detail,
+    answer_error(503, why, verdict::not_run,
                  std::clamp(retry_after, retry_after_least, retry_after_most));
     close(std::string(to_string(why)) + ": " + std::string(detail), 503, now);
 }
@@ -795,16 +793,14 @@
     int status = http_status(why);
     if (outcome != verdict::not_run && edge_detail::promises_not_run(status))
         status = 502;
-    answer_error(status, why, outcome, detail, std::nullopt);
+    answer_error(status, why, outcome, std::nullopt);
     close(std::string(to_string(why)) + ": " + std::string(detail), status, now);
 }
 
 template <typename Codec>
 void edge<Codec>::exchange::answer_error(int status, reason why, verdict outcome,
-                                         std::string_view detail,
                                          std::optional<milliseconds> retry_after)
 {
-    (void)detail;
     const std::string body = "{\"error\":{\"reason\":\"" + std::string(to_string(why)) +
                              "\",\"verdict\":\"" + std::string(to_string(outcome)) + "\"}}\n";
     std::string text =
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -36,13 +36,16 @@
     std::string shared_prompt;                 // names the parts of the prompt shared with others
 };
 
+// Endpoints know the priorities 0 to 9; 0 is the most urgent.
+inline constexpr std::uint32_t least_urgent_call = 9;
+
 // What the system adds when it sends a request to an endpoint.
 struct endpoint_call
 {
     std::string endpoint; // the endpoint's id: another one at the same address must not run it
     std::string account;
     milliseconds time_left{0};
-    std::uint32_t priority = 0;
+    std::uint32_t priority = 0; // at most least_urgent_call
     std::vector<std::string> inputs;
     std::optional<std::uint64_t> resume_after;
 };
