--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -57,7 +57,6 @@
     std::uint64_t revision() const { return revision_; }
     // When the store answered again after it had been lost; the epoch if it never was.
     time_point regained_at() const { return regained_at_; }
-    std::uint64_t calls() const { return calls_; }
     // The table is known as of this revision from elsewhere; changes are followed from there.
     void adopt(std::uint64_t revision);
 
@@ -87,7 +86,6 @@
     std::uint64_t list_revision_ = 0;
     std::uint64_t revision_ = 0;
     std::uint32_t failures_ = 0;
-    std::uint64_t calls_ = 0;
     time_point due_{};
     time_point expires_{};
     time_point regained_at_{};
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -57,7 +57,6 @@
 template <typename Codec>
 void state_follower<Codec>::send(time_point now)
 {
-    ++calls_;
     in_flight_ = true;
     body_.clear();
     std::string text;
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -307,20 +307,11 @@
                     std::make_shared<server_connection>(std::move(socket), *this);
                 connections_.insert(connection);
                 connection->start(steady_clock::now());
-                if (!accepting_)
-                    connection->close_when_idle();
             }
             accept();
         });
 }
 
-void server_listener::stop_accepting()
-{
-    accepting_ = false;
-    boost::system::error_code ignored;
-    (void)acceptor_.close(ignored);
-}
-
 void server_listener::close_idle()
 {
     const std::vector<std::shared_ptr<server_connection>> all(connections_.begin(),
@@ -329,14 +320,6 @@
         connection->close_when_idle();
 }
 
-void server_listener::close_all()
-{
-    const std::vector<std::shared_ptr<server_connection>> all(connections_.begin(),
-                                                              connections_.end());
-    for (const auto& connection : all)
-        connection->abort();
-}
-
 void server_listener::sweep(time_point now)
 {
     const std::vector<std::shared_ptr<server_connection>> all(connections_.begin(),
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -126,10 +126,8 @@
     const server_limits_now& limits() const { return limits_; }
     void set_max_connections(std::size_t count) { max_connections_ = count; }
 
-    // Accepts no more connections; open ones close once they are idle.
-    void stop_accepting();
+    // Each connection closes once no request is in hand.
     void close_idle();
-    void close_all();
     void sweep(time_point now);
     std::size_t busy() const;
     std::size_t connections() const { return connections_.size(); }
@@ -147,7 +145,6 @@
     server_limits_now limits_;
     std::size_t max_connections_ = 2048;
     std::set<std::shared_ptr<server_connection>> connections_;
-    bool accepting_ = true;
     boost::asio::steady_timer retry_timer_;
 };
 
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -63,7 +63,6 @@
     head_delivered_ = false;
     skipping_ = false;
     paused_ = false;
-    ++exchanges_;
     parser_.emplace(answer_header_limit, answer_body_limit);
     if (!answer_has_body_)
         parser_->expect_no_body();
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -69,7 +69,6 @@
     void cancel();
     void set_paused(bool paused);
 
-    bool is_reused() const { return exchanges_ > 1; }
     time_point idle_since() const { return idle_since_; }
     bool is_open() const { return open_ && !closed_; }
     milliseconds idle_limit() const { return idle_limit_; }
@@ -105,7 +104,6 @@
     bool paused_ = false;
     bool writing_ = false;
     bool server_closes_ = false;
-    std::uint32_t exchanges_ = 0;
     time_point idle_since_{};
     milliseconds idle_limit_ = idle_default;
 };
@@ -130,7 +128,6 @@
     void sweep(time_point now);
     void close_idle();
 
-    std::size_t open_connections() const { return connections_; }
     std::uint64_t opened() const { return opened_; }
 
 private:
