Answer operators' questions at the metrics address of a VM

Cause: the command line had no question for VMs that serve over the platform's store; what one request went through was to be found in collected logs only, and the bound on output holds lines back in a busy second. Ruled out: one VM asking all others for an operator (a VM that is cut off would be missing just when it is looked for). Change: the metrics address serves /vm/status (desired state in force, tables, endpoints with how each is used, refusals and retries) and /vm/requests/ID (the latest 256 KB of lines that name a request, kept before the bound on output); zinnianotch vm status and vm request ask one or more VMs. stage_router's wrapper of one number is gone.

--- a/packages/cli/arguments.cpp
+++ b/packages/cli/arguments.cpp
@@ -155,6 +155,20 @@
          {option_id::state, option_id::reason},
          {option_id::dry_run},
          "settle an order left without a known result"},
+        {command_id::vm_status,
+         "vm status",
+         "",
+         {},
+         {},
+         "show what VMs on the platform believe: desired state, endpoints, refusals; --server "
+         "takes "
+         "metrics addresses separated by commas"},
+        {command_id::vm_request,
+         "vm request",
+         "ID",
+         {},
+         {},
+         "show what a request went through, by its id; --server as for vm status"},
     };
     return table;
 }
@@ -485,6 +499,24 @@
     return {};
 }
 
+// Takes the list of servers apart; false when one is not valid.
+bool take_servers(command_line& line)
+{
+    std::istringstream list(line.server);
+    std::vector<std::string> servers;
+    for (std::string server; std::getline(list, server, ',');)
+    {
+        if (!normalise_server(server))
+            return false;
+        servers.push_back(server);
+    }
+    if (servers.empty())
+        return false;
+    line.server = servers.front();
+    line.more_servers.assign(servers.begin() + 1, servers.end());
+    return true;
+}
+
 // Checks what concerns several options or the environment; returns the complaint or nothing.
 std::string check_line(command_line& line, const environment& env)
 {
@@ -498,7 +530,7 @@
         return {};
     if (line.server.empty())
         return "no server given: use --server URL or set ZINNIANOTCH_SERVER";
-    if (!normalise_server(line.server))
+    if (asks_operations(line.command) ? !take_servers(line) : !normalise_server(line.server))
         return "the server must have the form http://HOST:PORT";
     return {};
 }
@@ -537,6 +569,11 @@
     return {std::move(line), {}, exit_code::done};
 }
 
+bool asks_operations(command_id command)
+{
+    return command == command_id::vm_status || command == command_id::vm_request;
+}
+
 result<std::string> load_key(const command_line& line, const environment& env)
 {
     std::string key = env.key;
--- a/packages/cli/arguments.h
+++ b/packages/cli/arguments.h
@@ -36,7 +36,9 @@
     domain_out,
     domain_in,
     status,
-    orders_settle
+    orders_settle,
+    vm_status,
+    vm_request
 };
 
 enum class output_format
@@ -48,8 +50,9 @@
 struct command_line
 {
     command_id command = command_id::status;
-    std::vector<std::string> operands; // names, keys and files after the command's words
-    std::string server;                // http://HOST:PORT without a trailing slash, or empty
+    std::vector<std::string> operands;     // names, keys and files after the command's words
+    std::string server;                    // http://HOST:PORT without a trailing slash, or empty
+    std::vector<std::string> more_servers; // of the commands that ask several VMs
     std::string key_file;
     output_format output = output_format::human;
     bool dry_run = false;
@@ -85,6 +88,9 @@
 // Parses the arguments after the program's name.
 invocation parse_arguments(const std::vector<std::string>& arguments, const environment& env);
 
+// True for commands that ask VMs at their metrics address, which takes no key.
+bool asks_operations(command_id command);
+
 // The key of --key-file, else that of the environment. A failure is a usage error.
 result<std::string> load_key(const command_line& line, const environment& env);
 
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -109,6 +109,12 @@
     case command_id::orders_settle:
         to.out << format_settled(body);
         return;
+    case command_id::vm_status:
+        to.out << format_vm_status(body);
+        return;
+    case command_id::vm_request:
+        to.out << reply.body;
+        return;
     default:
         to.out << format_change(body);
         return;
@@ -124,6 +130,8 @@
     case command_id::config_check:
     case command_id::config_history:
     case command_id::status:
+    case command_id::vm_status:
+    case command_id::vm_request:
         return true;
     default:
         return line.dry_run;
@@ -351,8 +359,44 @@
                     });
 }
 
+// A VM answers 404 when it has no line about the request.
+exit_code ask_vm(const command_line& line, api_client& client, const console& to, bool& known)
+{
+    const result<client_reply> reply =
+        client.send(make_request(line, {}), admin_deadline + answer_margin);
+    if (reply.has_error())
+        return report_failed(read_error(reply.error(), request_effect::reads), line, to);
+    constexpr int not_found = 404;
+    if (line.command == command_id::vm_request && reply.value().status == not_found)
+        return exit_code::done;
+    if (!is_success(reply.value()))
+        return report_failed(read_error(reply.value(), request_effect::reads), line, to);
+    known = true;
+    print_answer(line.command, reply.value(), to);
+    return exit_code::done;
+}
+
 } // namespace
 
+exit_code run_vm_command(const command_line& line, const std::vector<api_client*>& clients,
+                         std::ostream& out, std::ostream& err)
+{
+    const console to{out, err, line.output};
+    exit_code code = exit_code::done;
+    bool known = false;
+    for (api_client* const client : clients)
+    {
+        const exit_code one = ask_vm(line, *client, to, known);
+        if (one != exit_code::done)
+            code = one;
+    }
+    if (line.command != command_id::vm_request || known || code != exit_code::done)
+        return code;
+    err << "no VM that was asked has a line about this request: it is older than their last lines, "
+           "was at another VM, or its VM has ended\n";
+    return exit_code::not_run;
+}
+
 client_request make_request(const command_line& line, const std::string& key)
 {
     const std::string query = dry_run_query(line.dry_run);
@@ -413,6 +457,12 @@
                 segment(line.operands.at(1)) + query,
             key, object_of({{"state", line.state}, {"reason", line.reason}}).serialize());
         break;
+    case command_id::vm_status:
+        request.path = "/vm/status";
+        break;
+    case command_id::vm_request:
+        request.path = "/vm/requests/" + segment(line.operands.at(0));
+        break;
     }
     if (line.deadline_ms)
         request.headers["Deadline-Ms"] = std::to_string(*line.deadline_ms);
--- a/packages/cli/commands.h
+++ b/packages/cli/commands.h
@@ -6,6 +6,7 @@
 
 #include <iosfwd>
 #include <string>
+#include <vector>
 
 namespace zinnianotch
 {
@@ -35,4 +36,9 @@
 exit_code run_command(const command_line& line, const std::string& key, api_client* client,
                       std::ostream& out, std::ostream& err);
 
+// Runs a command that asks VMs at their metrics addresses, one after the other. The exit code is
+// that of the last VM that failed.
+exit_code run_vm_command(const command_line& line, const std::vector<api_client*>& clients,
+                         std::ostream& out, std::ostream& err);
+
 } // namespace zinnianotch
--- a/packages/cli/format.cpp
+++ b/packages/cli/format.cpp
@@ -200,4 +200,28 @@
     return text + format_counts("retries", child(answer, "retries"));
 }
 
+std::string format_vm_status(const web::json::value& answer)
+{
+    std::string text = "vm " + member(answer, "vm") + ", " + member(answer, "state") +
+                       ", failure domain " + member(answer, "failure_domain") + ", in hand " +
+                       member(answer, "requests_in_hand") + "\n";
+    text += "desired state version " + member(answer, "desired_version") + " in force for " +
+            member(answer, "desired_ms") + " ms, domains out " +
+            joined(items(answer, "domains_out"), " ") + "\n";
+    text += "VMs listed " + joined(items(answer, "vms"), " ") + ", links up " +
+            member(answer, "links_up") + ", gathers " + joined(items(answer, "gathers"), " ") +
+            "\n\n";
+    std::vector<std::vector<std::string>> tables = {
+        {"TABLE", "REVISION", "STORE ANSWERS", "LAST ANSWER MS AGO"}};
+    for (const web::json::value& table : items(answer, "tables"))
+        tables.push_back({member(table, "name"), member(table, "revision"),
+                          flag(table, "in_touch", "yes", "NO"), member(table, "answered_ms_ago")});
+    text += format_table(tables) + "\n";
+    text += format_rows(items(answer, "endpoints"),
+                        {"ENDPOINT", "SERVICE", "DOMAIN", "ADDRESS", "USE", "IN FLIGHT", "LOAD"},
+                        {"id", "service", "failure_domain", "address", "use", "in_flight", "load"});
+    text += "\n" + format_counts("refusals", child(answer, "refusals"));
+    return text + format_counts("retries", child(answer, "retries"));
+}
+
 } // namespace zinnianotch
--- a/packages/cli/format.h
+++ b/packages/cli/format.h
@@ -19,5 +19,6 @@
 std::string format_order(const web::json::value& answer);
 std::string format_settled(const web::json::value& answer);
 std::string format_status(const web::json::value& answer);
+std::string format_vm_status(const web::json::value& answer);
 
 } // namespace zinnianotch
--- a/packages/cli/main.cpp
+++ b/packages/cli/main.cpp
@@ -5,9 +5,11 @@
 #include <cpprest/json.h>
 
 #include <cstdlib>
+#include <deque>
 #include <exception>
 #include <iostream>
 #include <memory>
+#include <vector>
 
 namespace
 {
@@ -46,6 +48,19 @@
     return value ? value : "";
 }
 
+exit_code ask_vms(const command_line& line)
+{
+    std::deque<http_api_client> clients;
+    clients.emplace_back(line.server);
+    for (const std::string& server : line.more_servers)
+        clients.emplace_back(server);
+    std::vector<api_client*> asked;
+    asked.reserve(clients.size());
+    for (http_api_client& client : clients)
+        asked.push_back(&client);
+    return run_vm_command(line, asked, std::cout, std::cerr);
+}
+
 exit_code run(const std::vector<std::string>& arguments)
 {
     // Documents are printed in the order in which the server sends their keys.
@@ -59,6 +74,8 @@
     }
     if (asked.run->server.empty())
         return run_command(*asked.run, {}, nullptr, std::cout, std::cerr);
+    if (asks_operations(asked.run->command))
+        return ask_vms(*asked.run);
     const result<std::string> key = load_key(*asked.run, env);
     if (key.has_error())
     {
--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -42,7 +42,7 @@
     listen_address callers;
     listen_address readiness;
     listen_address peers;
-    listen_address metrics;         // port 0: not served
+    listen_address metrics;         // no host: not served
     std::string store;              // IP:PORT
     std::vector<std::string> seeds; // peer addresses of other VMs
     fleet_limits limits;
@@ -79,7 +79,10 @@
     void set_limits(const fleet_limits& limits);
 
     bool is_ready() const;
+    // What this VM believes and does, for operators.
+    vm_report report(time_point now);
     std::uint16_t callers_port() const { return callers_->port(); }
+    std::uint16_t metrics_port() const { return metrics_listener_->port(); }
     std::size_t known_endpoints() const { return endpoints_.size(); }
     std::size_t links_up() const { return stages_.links_up(); }
     // Version of the desired state in force; 0 while there is none.
@@ -125,6 +128,9 @@
     void log_bad_record(state_table table, const state_record& record);
     void serve_status(const std::shared_ptr<server_connection>& client, int status,
                       const std::string& body);
+    void serve_operations(const std::shared_ptr<server_connection>& client,
+                          const std::string& target);
+    std::vector<std::string> gathered_queues();
 
     boost::asio::io_context& io_;
     edge_options options_;
@@ -142,6 +148,7 @@
     std::unique_ptr<state_follower<Codec>> listed_;
     std::unique_ptr<state_follower<Codec>> vms_;
     std::shared_ptr<const serving_state> state_;
+    time_point state_since_{};
     std::map<std::string, time_point> lapsing_; // endpoints without an entry, until then
     std::map<std::string, vm_record> known_vms_;
     std::map<std::string, std::uint64_t> bad_records_; // name: revision that was logged
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -28,6 +28,8 @@
 {
     switch (status)
     {
+    case 200:
+        return "OK";
     case 401:
         return "Unauthorized";
     case 404:
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/edge_exchange_impl.h"
+#include "coordination/edge_report_impl.h"
 #include "coordination/stage_router_impl.h"
 #include "coordination/state_follower_impl.h"
 
@@ -100,12 +101,12 @@
         io_, options_.readiness.host, options_.readiness.port,
         [this](const std::shared_ptr<server_connection>& client, received_request&&)
         { serve_status(client, is_ready() ? 200 : 503, ""); });
-    if (options_.metrics.port != 0)
+    if (!options_.metrics.host.empty())
     {
         metrics_listener_ = std::make_unique<server_listener>(
             io_, options_.metrics.host, options_.metrics.port,
-            [this](const std::shared_ptr<server_connection>& client, received_request&&)
-            { serve_status(client, 200, counters_.scrape()); });
+            [this](const std::shared_ptr<server_connection>& client, received_request&& request)
+            { serve_operations(client, request.head.target); });
     }
     peers_ = std::make_unique<vm_listener>(
         io_, options_.peers.host, options_.peers.port,
@@ -151,7 +152,8 @@
 void edge<Codec>::serve_status(const std::shared_ptr<server_connection>& client, int status,
                                const std::string& body)
 {
-    client->send("HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Unavailable") +
+    client->send("HTTP/1.1 " + std::to_string(status) + " " +
+                 std::string(edge_detail::phrase_of(status)) +
                  "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) +
                  "\r\n\r\n" + body);
     client->end(true);
@@ -210,6 +212,7 @@
         if (next == nullptr || (state_ && next->version <= state_->version))
             continue;
         state_ = std::make_shared<const serving_state>(*next);
+        state_since_ = steady_clock::now();
         const client_limits& limits = state_->limits;
         callers_->set_limits(
             {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
--- /dev/null
+++ b/packages/coordination/edge_report_impl.h
@@ -0,0 +1,106 @@
+// Answers of edge to operators: metrics, what the VM believes, what a request went through.
+#pragma once
+
+#include "coordination/edge.h"
+#include "protocol/vm_report_codec.h"
+#include "transport/log.h"
+
+namespace zinnianotch
+{
+
+namespace edge_detail
+{
+
+// Paths on the metrics address; any other one gets the metrics.
+inline constexpr std::string_view status_path = "/vm/status";
+inline constexpr std::string_view request_path = "/vm/requests/";
+
+template <typename Count>
+std::map<std::string, std::uint64_t> counts_by_reason(Count count)
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (std::size_t i = 0; i < reason_count; ++i)
+    {
+        const auto why = static_cast<reason>(i);
+        if (const std::uint64_t found = count(why); found > 0)
+            counts[std::string(to_string(why))] = found;
+    }
+    return counts;
+}
+
+inline milliseconds since(time_point earlier, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - earlier);
+}
+
+} // namespace edge_detail
+
+template <typename Codec>
+std::vector<std::string> edge<Codec>::gathered_queues()
+{
+    std::vector<std::string> queues;
+    for (const auto& [service, shards] : shards_)
+    {
+        for (const stage_shard& shard : shards)
+        {
+            const std::string queue = queue_name(service, shard.domain);
+            if (stages_.gathers(queue))
+                queues.push_back(queue);
+        }
+    }
+    return queues;
+}
+
+template <typename Codec>
+vm_report edge<Codec>::report(time_point now)
+{
+    vm_report found;
+    found.vm = options_.vm;
+    found.domain = options_.domain;
+    found.state = is_ready() ? "ready" : "starting";
+    if (stopping_)
+        found.state = "stopping";
+    found.desired_version = desired_version();
+    if (state_)
+        found.desired_for = edge_detail::since(state_since_, now);
+    for (const auto& [name, vm] : known_vms_)
+        found.vms.push_back(name);
+    found.gathers = gathered_queues();
+    found.links_up = links_up();
+    found.requests_in_hand = exchanges_.size();
+    found.domains_out = endpoints_.domains_out();
+    for (const state_table table : {state_table::desired, state_table::endpoints, state_table::vms})
+    {
+        const state_follower<Codec>& followed = follower(table);
+        found.tables.push_back({std::string(to_string(table)), followed.revision(),
+                                followed.in_touch(),
+                                edge_detail::since(followed.answered_at(), now)});
+    }
+    found.endpoints = endpoints_.report(now);
+    for (endpoint_report& endpoint : found.endpoints)
+    {
+        if (lapsing_.contains(endpoint.id))
+            endpoint.use = endpoint_use::lapsed;
+    }
+    found.refusals =
+        edge_detail::counts_by_reason([this](reason why) { return counters_.refusals(why); });
+    found.retries =
+        edge_detail::counts_by_reason([this](reason why) { return counters_.retries(why); });
+    return found;
+}
+
+template <typename Codec>
+void edge<Codec>::serve_operations(const std::shared_ptr<server_connection>& client,
+                                   const std::string& target)
+{
+    if (target == edge_detail::status_path)
+        return serve_status(client, 200, encode_report(report(steady_clock::now())));
+    if (!target.starts_with(edge_detail::request_path))
+        return serve_status(client, 200, counters_.scrape());
+    std::string body;
+    for (const std::string& line : request_lines(target.substr(edge_detail::request_path.size())))
+        body += line + "\n";
+    serve_status(client, body.empty() ? 404 : 200, body);
+}
+
+} // namespace zinnianotch
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -293,4 +293,27 @@
     return opened;
 }
 
+std::vector<endpoint_report> endpoint_directory::report(time_point now) const
+{
+    std::vector<endpoint_report> list;
+    list.reserve(endpoints_.size());
+    for (const auto& [id, endpoint] : endpoints_)
+    {
+        const endpoint_record& record = endpoint->record;
+        endpoint_use use = endpoint->health.use(now);
+        if (record.draining)
+            use = endpoint_use::draining;
+        else if (is_domain_out(record.domain))
+            use = endpoint_use::domain_out;
+        list.push_back({id, record.service, record.domain, record.address, use,
+                        endpoint->health.in_flight(), endpoint->health.load(now)});
+    }
+    return list;
+}
+
+std::vector<std::string> endpoint_directory::domains_out() const
+{
+    return {domains_out_.begin(), domains_out_.end()};
+}
+
 } // namespace zinnianotch
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -97,6 +97,8 @@
     void on_unreachable(known_endpoint& endpoint, const service_spec* service, time_point now);
     void sweep(time_point now);
     std::uint64_t opened_connections() const;
+    std::vector<endpoint_report> report(time_point now) const;
+    std::vector<std::string> domains_out() const;
 
 private:
     bool is_usable(const known_endpoint& endpoint) const;
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -86,11 +86,6 @@
         time_point submitted{};
     };
 
-    struct local_job
-    {
-        std::uint64_t id = 0;
-    };
-
     // Name of the VM that gathers the queue now; the own name when it is this one.
     const std::string& gatherer_of(const std::string& queue);
     void keep_link(const std::string& name, const std::string& address);
@@ -113,7 +108,7 @@
     std::map<std::string, std::vector<std::string>> orders_; // by queue
     std::map<std::string, link_entry> links_;
     std::map<std::uint64_t, remote_job> remote_;
-    std::map<std::uint64_t, local_job> own_;
+    std::map<std::uint64_t, std::uint64_t> own_; // jobs at the own gatherer
     std::map<vm_channel*, std::map<std::uint64_t, std::uint64_t>> for_others_;
     std::map<std::string, std::string> logged_; // gatherer of a queue as last logged
     std::uint64_t next_job_ = 0;
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -148,7 +148,7 @@
 {
     if (const auto found = own_.find(job); found != own_.end())
     {
-        const std::uint64_t local = found->second.id;
+        const std::uint64_t local = found->second;
         own_.erase(found);
         return local_.cancel(local);
     }
@@ -249,7 +249,7 @@
         remote_[id] = std::move(job);
         return;
     }
-    own_[id] = {};
+    own_[id] = 0;
     const std::uint64_t local = local_.submit(
         job.request,
         [this, id, done = std::move(job.done)](const stage_outcome& outcome)
@@ -259,7 +259,7 @@
         },
         now);
     if (const auto found = own_.find(id); found != own_.end())
-        found->second.id = local;
+        found->second = local;
 }
 
 template <typename Codec>
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -57,6 +57,8 @@
     std::uint64_t revision() const { return revision_; }
     // When the store answered again after it had been lost; the epoch if it never was.
     time_point regained_at() const { return regained_at_; }
+    // When the store last answered a call; the epoch if it never did.
+    time_point answered_at() const { return answered_at_; }
     // The table is known as of this revision from elsewhere; changes are followed from there.
     void adopt(std::uint64_t revision);
 
@@ -89,6 +91,7 @@
     time_point due_{};
     time_point expires_{};
     time_point regained_at_{};
+    time_point answered_at_{};
     int status_ = 0;
     std::string body_;
 };
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -100,6 +100,7 @@
     const auto page = status_ == 200 ? Codec::decode_page(body_) : std::nullopt;
     if (!page)
         return lost("status " + std::to_string(status_), now);
+    answered_at_ = now;
     if (failures_ > 0 && loaded_)
         regained_at_ = now;
     if (failures_ > 0)
--- /dev/null
+++ b/packages/protocol/vm_report_codec.cpp
@@ -0,0 +1,95 @@
+#include "protocol/vm_report_codec.h"
+
+#include <cpprest/json.h>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+using web::json::value;
+
+value text(std::string_view content)
+{
+    return value::string(std::string(content));
+}
+
+value number(std::uint64_t content)
+{
+    return value::number(content);
+}
+
+value texts(const std::vector<std::string>& list)
+{
+    std::vector<value> items;
+    items.reserve(list.size());
+    for (const std::string& item : list)
+        items.push_back(text(item));
+    return value::array(items);
+}
+
+value counts(const std::map<std::string, std::uint64_t>& by_reason)
+{
+    value object = value::object();
+    for (const auto& [why, count] : by_reason)
+        object[why] = number(count);
+    return object;
+}
+
+value encode_table(const table_report& table)
+{
+    value object = value::object();
+    object["name"] = text(table.name);
+    object["revision"] = number(table.revision);
+    object["in_touch"] = value::boolean(table.in_touch);
+    object["answered_ms_ago"] = value::number(std::int64_t{table.answered_ago.count()});
+    return object;
+}
+
+value encode_endpoint(const endpoint_report& endpoint)
+{
+    value object = value::object();
+    object["id"] = text(endpoint.id);
+    object["service"] = text(endpoint.service);
+    object["failure_domain"] = text(endpoint.domain);
+    object["address"] = text(endpoint.address);
+    object["use"] = text(to_string(endpoint.use));
+    object["in_flight"] = number(endpoint.in_flight);
+    object["load"] = value::number(endpoint.load);
+    return object;
+}
+
+template <typename Item, typename Encode>
+value encode_all(const std::vector<Item>& list, Encode encode)
+{
+    std::vector<value> items;
+    items.reserve(list.size());
+    for (const Item& item : list)
+        items.push_back(encode(item));
+    return value::array(items);
+}
+
+} // namespace
+
+std::string encode_report(const vm_report& report)
+{
+    value object = value::object();
+    object["vm"] = text(report.vm);
+    object["failure_domain"] = text(report.domain);
+    object["state"] = text(report.state);
+    object["desired_version"] = number(report.desired_version);
+    object["desired_ms"] = value::number(std::int64_t{report.desired_for.count()});
+    object["vms"] = texts(report.vms);
+    object["gathers"] = texts(report.gathers);
+    object["links_up"] = number(report.links_up);
+    object["requests_in_hand"] = number(report.requests_in_hand);
+    object["domains_out"] = texts(report.domains_out);
+    object["tables"] = encode_all(report.tables, encode_table);
+    object["endpoints"] = encode_all(report.endpoints, encode_endpoint);
+    object["refusals"] = counts(report.refusals);
+    object["retries"] = counts(report.retries);
+    return object.serialize();
+}
+
+} // namespace zinnianotch
--- a/packages/state/placement.cpp
+++ b/packages/state/placement.cpp
@@ -169,6 +169,15 @@
     return failed_share_ > failing_share && now - failed_at_ <= failing_forget;
 }
 
+endpoint_use endpoint_health::use(time_point now) const
+{
+    if (is_failing(now))
+        return endpoint_use::failing;
+    if (!may_try(now))
+        return connect_failures_ > 0 ? endpoint_use::unreachable : endpoint_use::full;
+    return is_cold(now) ? endpoint_use::cold : endpoint_use::used;
+}
+
 double endpoint_health::load(time_point now) const
 {
     constexpr milliseconds words_max_age{2000};
--- a/packages/state/placement.h
+++ b/packages/state/placement.h
@@ -7,6 +7,7 @@
 
 #include "state/serving.h"
 #include "state/time.h"
+#include "state/vm_report.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -56,6 +57,8 @@
     // Earliest time at which may_try holds, if nothing new is learned.
     time_point try_at(time_point now) const;
     bool is_failing(time_point now) const;
+    // What the endpoint's own answers make of it, for reports.
+    endpoint_use use(time_point now) const;
     std::uint32_t in_flight() const { return in_flight_; }
     // Requests at the endpoint as far as this VM can tell: its last word and own sends since.
     double load(time_point now) const;
--- /dev/null
+++ b/packages/state/vm_report.cpp
@@ -0,0 +1,21 @@
+#include "state/vm_report.h"
+
+#include "state/enum_names.h"
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 8> use_names = {
+    "used", "cold", "full", "failing", "unreachable", "lapsed", "draining", "domain_out"};
+
+} // namespace
+
+std::string_view to_string(endpoint_use value)
+{
+    return name_of(use_names, value);
+}
+
+} // namespace zinnianotch
--- a/packages/transport/log.cpp
+++ b/packages/transport/log.cpp
@@ -1,6 +1,7 @@
 #include "transport/log.h"
 
 #include "state/enum_names.h"
+#include "transport/request_trail.h"
 
 #include <easylogging++.h>
 
@@ -73,6 +74,23 @@
     return instance;
 }
 
+request_trail& trail()
+{
+    static request_trail instance(0);
+    return instance;
+}
+
+// Value of the field `request`; empty when there is none.
+std::string_view request_of(std::initializer_list<log_field> fields)
+{
+    for (const auto& [key, value] : fields)
+    {
+        if (key == "request")
+            return value;
+    }
+    return {};
+}
+
 std::mutex vm_mutex;
 std::string& vm_name()
 {
@@ -240,6 +258,7 @@
     least_level = least;
     descriptor = stream == log_stream::standard_output ? STDOUT_FILENO : STDERR_FILENO;
     limiter().set_limit(lines_per_second);
+    trail().set_limit(stream == log_stream::standard_output ? trail_bytes : 0);
     const std::lock_guard lock(vm_mutex);
     vm_name() = std::move(vm);
 }
@@ -249,7 +268,10 @@
     if (level < least_level)
         return;
     std::uint64_t suppressed = 0;
-    if (!limiter().try_pass(std::chrono::steady_clock::now(), suppressed))
+    const bool passes = limiter().try_pass(std::chrono::steady_clock::now(), suppressed);
+    const std::string_view request = request_of(fields);
+    const bool kept = !request.empty() && trail().is_on();
+    if (!passes && !kept)
         return;
     static std::once_flag installed;
     std::call_once(installed, install_sink);
@@ -263,9 +285,18 @@
     append_pair(line, "event", event);
     for (const auto& [key, value] : fields)
         append_pair(line, key, value);
+    if (kept)
+        trail().keep(request, line);
+    if (!passes)
+        return;
     if (suppressed > 0)
         append_pair(line, "suppressed_lines", std::to_string(suppressed));
     dispatch(level, line);
 }
 
+std::vector<std::string> request_lines(std::string_view request)
+{
+    return trail().find(request);
+}
+
 } // namespace zinnianotch
--- a/packages/transport/log.h
+++ b/packages/transport/log.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace zinnianotch
 {
@@ -34,6 +35,9 @@
 // request takes one to three lines, so this covers 100 requests a second of one VM.
 inline constexpr std::uint32_t server_lines_per_second = 300;
 inline constexpr std::uint32_t unlimited_lines = 0;
+// Room for the latest lines that name a request, for request_lines(). At 400 bytes a line and two
+// lines a request it covers about 20 s of a VM's even share of a burst.
+inline constexpr std::size_t trail_bytes = 256 * 1024;
 
 // Sets the least level that is written, the VM name that each line carries, where lines go, and how
 // many are written in a second.
@@ -44,4 +48,8 @@
 // operators must never be passed in.
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
+// The latest lines with the field `request` of this value, also those that the bound on output held
+// back. Servers keep them, commands do not.
+std::vector<std::string> request_lines(std::string_view request);
+
 } // namespace zinnianotch
--- a/tests/unit/cli_test.cpp
+++ b/tests/unit/cli_test.cpp
@@ -4,6 +4,7 @@
 #include "cli/commands.h"
 #include "cli/document.h"
 #include "cli/format.h"
+#include "protocol/vm_report_codec.h"
 
 #include <criterion/criterion.h>
 
@@ -535,3 +536,82 @@
           "refusals: draining 11, busy 2\n", "retries: none\n"})
         cr_assert(text.find(part) != std::string::npos, "%s not in:\n%s", part, text.c_str());
 }
+
+namespace
+{
+
+const words three_vms = {"vm", "request", "r 1", "--server",
+                         "http://10.0.0.1:9464,http://10.0.0.2:9464,http://10.0.0.3:9464"};
+
+run_result ask_three(fake_client& first, fake_client& second, fake_client& third)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const exit_code code = run_vm_command(parsed(three_vms), {&first, &second, &third}, out, err);
+    return {code, out.str(), err.str()};
+}
+
+} // namespace
+
+// Guards against a list of servers that is cut or accepted where one server is meant.
+Test(cli, vm_commands_take_several_servers)
+{
+    const command_line line = parsed(three_vms);
+    cr_assert(line.server == "http://10.0.0.1:9464");
+    cr_assert(line.more_servers == (words{"http://10.0.0.2:9464", "http://10.0.0.3:9464"}));
+    cr_assert(make_request(line, {}).path == "/vm/requests/r%201");
+    expect_usage({"vm", "status", "--server", "http://10.0.0.1:9464,10.0.0.2"}, "http://HOST:PORT");
+    expect_usage({"status", "--server", "http://10.0.0.1:1,http://10.0.0.2:1"}, "http://HOST:PORT");
+}
+
+// Guards against a search that stops at the first VM without the request.
+Test(cli, vm_request_one_of_three_knows_it_prints_its_lines)
+{
+    fake_client first;
+    fake_client second;
+    fake_client third;
+    first.replies.push_back(reply_of(404, ""));
+    second.replies.push_back(reply_of(200, "event=request request=1\n"));
+    third.replies.push_back(reply_of(404, ""));
+    const run_result found = ask_three(first, second, third);
+    cr_assert(found.code == exit_code::done);
+    cr_assert(found.out == "event=request request=1\n");
+}
+
+// Guards against "no VM knows it" being told when a VM could not be asked.
+Test(cli, vm_request_unknown_or_vm_away_exit_codes_differ)
+{
+    fake_client first;
+    fake_client second;
+    fake_client third;
+    for (fake_client* client : {&first, &second, &third})
+        client->replies.push_back(reply_of(404, ""));
+    const run_result unknown = ask_three(first, second, third);
+    cr_assert(unknown.code == exit_code::not_run);
+    cr_assert(unknown.err.find("no VM that was asked") != std::string::npos);
+    fake_client away;
+    away.replies.emplace_back(not_run(reason::connect_failed, "refused"));
+    fake_client fresh_first;
+    fake_client fresh_second;
+    fresh_first.replies.push_back(reply_of(404, ""));
+    fresh_second.replies.push_back(reply_of(404, ""));
+    cr_assert(ask_three(fresh_first, away, fresh_second).code == exit_code::unreachable);
+}
+
+// Guards against a status that leaves out why an endpoint gets no work.
+Test(cli, vm_status_shows_state_and_use)
+{
+    vm_report report;
+    report.vm = "front-1";
+    report.state = "ready";
+    report.desired_version = 7;
+    report.tables.push_back({"endpoints", 12, false, milliseconds(900)});
+    report.endpoints.push_back(
+        {"e-1", "engines", "dom-a", "10.0.0.9:1", endpoint_use::failing, 3, 4.5});
+    report.refusals["overloaded"] = 4;
+    const std::string text = format_vm_status(web::json::value::parse(encode_report(report)));
+    cr_assert(text.find("desired state version 7") != std::string::npos);
+    cr_assert(text.find("failing") != std::string::npos);
+    cr_assert(text.find("NO") != std::string::npos);
+    cr_assert(text.find("refusals: overloaded 4") != std::string::npos);
+}
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1,6 +1,8 @@
 // The serving path from caller to endpoint, with stand-ins for the store and the endpoints.
 #include "serving_fixture.h"
 
+#include "transport/log.h"
+
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -592,3 +594,69 @@
         [&] { return served.ask(0, request_text("GET", "/read/1", "x"))->head.status == 404; },
         milliseconds(6000)));
 }
+
+namespace
+{
+
+std::string use_of(const value& status, const std::string& endpoint)
+{
+    for (const value& entry : status.at("endpoints").as_array())
+    {
+        if (entry.at("id").as_string() == endpoint)
+            return entry.at("use").as_string();
+    }
+    return "missing";
+}
+
+} // namespace
+
+// Guards against a status that hides from the night shift which endpoints get no work, and why.
+Test(edge, status_endpoints_leave_and_fail_says_how_each_is_used)
+{
+    small_deployment served;
+    served.start();
+    served.list_endpoint("plain", served.plain_1, "dom-a", "draining");
+    cr_assert(served.run_until([&] { return !served.vm(0).uses("plain-1"); }));
+    const value status = value::parse(served.ask_operations(0, "/vm/status")->body);
+    cr_assert(status.at("desired_version").as_integer() == 1);
+    cr_assert(status.at("state").as_string() == "ready");
+    cr_assert(use_of(status, "plain-1") == "draining");
+    cr_assert(use_of(status, "plain-2") == "used");
+    cr_assert(status.at("tables").size() == 3);
+    cr_assert(status.at("tables").at(0).at("in_touch").as_bool());
+}
+
+// Guards against a request of which a VM can't say what it went through.
+Test(edge, request_lines_request_was_served_and_refused_tell_its_end)
+{
+    small_deployment served;
+    served.start();
+    zinnianotch::configure_log(zinnianotch::log_level::info, "vm-0",
+                               zinnianotch::log_stream::standard_output, 1);
+    (void)served.ask(0, request_text("GET", "/read/1", "attempt-7"));
+    (void)served.ask(0, request_text("GET", "/nothing/1", "attempt-8"));
+    const auto answered = served.ask_operations(0, "/vm/requests/attempt-7");
+    cr_assert(answered->head.status == 200);
+    cr_assert(answered->body.find("event=request ") != std::string::npos);
+    cr_assert(answered->body.find("request=attempt-7") != std::string::npos);
+    cr_assert(answered->body.find("attempt-8") == std::string::npos);
+    cr_assert(served.ask_operations(0, "/vm/requests/attempt-8")->body.find("status=404") !=
+              std::string::npos);
+    cr_assert(served.ask_operations(0, "/vm/requests/attempt-9")->head.status == 404);
+}
+
+// Guards against a metrics page without the refusals that callers got.
+Test(edge, metrics_page_request_refused_counts_it)
+{
+    small_deployment served;
+    served.start();
+    served.list_endpoint("plain", served.plain_1, "dom-a", "draining");
+    served.list_endpoint("plain", served.plain_2, "dom-a", "draining");
+    cr_assert(served.run_until(
+        [&] { return !served.vm(0).uses("plain-1") && !served.vm(0).uses("plain-2"); }));
+    cr_assert(served.ask(0, request_text("GET", "/read/1", "x"))->head.status == 503);
+    const auto page = served.ask_operations(0, "/metrics");
+    cr_assert(page->body.find("zinnianotch_requests_total 1") != std::string::npos);
+    cr_assert(page->body.find("zinnianotch_refusals_total{reason=\"no_endpoint\"") !=
+              std::string::npos);
+}
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -1,5 +1,6 @@
 // Log lines stay one line each, on standard error only, whatever their values hold.
 #include "transport/log.h"
+#include "transport/request_trail.h"
 
 #include <criterion/criterion.h>
 
@@ -236,3 +237,37 @@
     cr_assert(second.ends_with("event=after lost_lines=" + std::to_string(events - kept) + "\n"),
               "%zu kept, %s", kept, second.c_str());
 }
+
+// Guards against memory that grows with the number of requests.
+Test(request_trail, keep_no_room_oldest_lines_go)
+{
+    request_trail trail(100);
+    for (int i = 0; i < 50; ++i)
+        trail.keep("r" + std::to_string(i), "a line of twenty byte");
+    cr_assert(trail.find("r0").empty());
+    cr_assert(trail.find("r49").size() == 1);
+    cr_assert(trail.find("r45").empty());
+}
+
+// Guards against the lines of a request coming in another order or from another request.
+Test(request_trail, find_two_requests_own_lines_in_order)
+{
+    request_trail trail(1000);
+    trail.keep("a", "first");
+    trail.keep("b", "other");
+    trail.keep("a", "second");
+    cr_assert(trail.find("a") == (std::vector<std::string>{"first", "second"}));
+    cr_assert(trail.find("").empty());
+}
+
+// Guards against an explanation that is lost just in the busiest second.
+Test(log, request_lines_output_is_bounded_kept_all_the_same)
+{
+    capture output(STDOUT_FILENO);
+    configure_log(log_level::info, "vm-1", log_stream::standard_output, 1);
+    for (int i = 0; i < 3; ++i)
+        log_event(log_level::info, "retry", {{"request", "r-1"}, {"attempt", std::to_string(i)}});
+    cr_assert(request_lines("r-1").size() == 3);
+    cr_assert(request_lines("r-2").empty());
+    (void)output.take();
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -474,6 +474,7 @@
     options.callers = {loopback, 0};
     options.readiness = {loopback, 0};
     options.peers = {loopback, 0};
+    options.metrics = {loopback, 0};
     options.store = store.address(store.add_door());
     options.limits = limits;
     vms_.push_back(std::make_unique<edge<platform::codec>>(io, options));
@@ -486,6 +487,15 @@
     return std::string(loopback) + ":" + std::to_string(vms_[vm]->callers_port());
 }
 
+std::unique_ptr<caller> deployment::ask_operations(std::size_t vm, const std::string& target)
+{
+    auto asked =
+        std::make_unique<caller>(io, loopback + (":" + std::to_string(vms_[vm]->metrics_port())),
+                                 request_text("GET", target, "operator"));
+    (void)run_until([&] { return asked->ended(); });
+    return asked;
+}
+
 void deployment::configure(std::uint64_t version)
 {
     value state = value::object();
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -211,6 +211,8 @@
     std::unique_ptr<caller> call(std::size_t vm, const std::string& request);
     // Sends a request and waits for its end.
     std::unique_ptr<caller> ask(std::size_t vm, const std::string& request);
+    // Asks a VM at its metrics address.
+    std::unique_ptr<caller> ask_operations(std::size_t vm, const std::string& target);
 
     // Runs the loop until the condition holds; false when it does not in time.
     bool run_until(const std::function<bool()>& condition, milliseconds limit = patience);
