Count room for stage results as free only when their maker has freed them

Ruled out: small calls (67 to 100 % of the room was in use when they were sent), processor of the gathering VM (calls took what was expected), the engine's first event (120 ms after the stages). Change: room is given back when the maker has answered the release; results are released at once while pieces wait in their queue. edge/results_fill_endpoint* failed first (23 pieces without room), then passed.

--- a/packages/coordination/stage_gatherer.h
+++ b/packages/coordination/stage_gatherer.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,9 +26,8 @@
 
 using stage_done = std::function<void(const stage_outcome&)>;
 
-// Small results are freed together after so long; large ones at once, because calls wait for room.
+// Results are freed together after so long; at once while pieces wait, because calls may lack room.
 inline constexpr milliseconds release_interval{100};
-inline constexpr std::uint64_t release_at_once_bytes = 100'000;
 
 template <typename Codec>
 class stage_gatherer
@@ -93,9 +93,12 @@
     void complete(std::uint64_t id, stage_outcome outcome);
     void release_made(const job& ended);
     void flush_releases();
+    // The maker has freed the results: their room may be used.
+    void on_released(const std::vector<std::string>& handles, time_point now);
     void hold(const std::string& key, const std::string& endpoint, const std::string& handle,
               std::uint64_t bytes, time_point now);
-    void give_room(const std::string& handle);
+    // Queue whose endpoint has room again; nothing when the result was not known.
+    std::optional<std::string> give_room(const std::string& handle);
     std::shared_ptr<batch_call> forget(batch_call& call);
 
     boost::asio::io_context& io_;
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -5,6 +5,7 @@
 #include "transport/log.h"
 
 #include <algorithm>
+#include <set>
 
 namespace zinnianotch
 {
@@ -95,8 +96,8 @@
 class stage_gatherer<Codec>::release_call : public upstream_listener
 {
 public:
-    release_call(stage_gatherer& owner, endpoint_ptr endpoint)
-        : owner_(owner), endpoint_(std::move(endpoint))
+    release_call(stage_gatherer& owner, endpoint_ptr endpoint, std::vector<std::string> handles)
+        : owner_(owner), endpoint_(std::move(endpoint)), handles_(std::move(handles))
     {
     }
     void start(const std::string& request)
@@ -106,7 +107,11 @@
     bool owns(const message_head&) override { return true; }
     void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
     void on_body(std::string) override {}
-    void on_end() override { owner_.release_calls_.erase(this); }
+    void on_end() override
+    {
+        const auto keep = owner_.release_calls_.extract(this);
+        owner_.on_released(handles_, steady_clock::now());
+    }
     void on_failure(upstream_failure) override
     {
         owner_.counters_.count("stage_releases_failed_total");
@@ -116,6 +121,7 @@
 private:
     stage_gatherer& owner_;
     endpoint_ptr endpoint_;
+    std::vector<std::string> handles_;
     std::shared_ptr<upstream_connection> connection_;
 };
 
@@ -231,8 +237,7 @@
         if (maker.empty())
             continue;
         const auto found = held_.find(handle);
-        at_once = at_once || (found != held_.end() && found->second.bytes >= release_at_once_bytes);
-        give_room(handle);
+        at_once = at_once || (found != held_.end() && queues_[found->second.queue].queue.waits());
         to_release_[maker].push_back(handle);
     }
     if (!at_once || release_posted_)
@@ -243,11 +248,6 @@
                       {
                           release_posted_ = false;
                           flush_releases();
-                          for (auto& [name, entry] : queues_)
-                          {
-                              if (entry.queue.waiting_pieces() > 0)
-                                  pump(name, steady_clock::now());
-                          }
                       });
 }
 
@@ -259,13 +259,28 @@
 }
 
 template <typename Codec>
-void stage_gatherer<Codec>::give_room(const std::string& handle)
+std::optional<std::string> stage_gatherer<Codec>::give_room(const std::string& handle)
 {
     const auto found = held_.find(handle);
     if (found == held_.end())
-        return;
-    queues_[found->second.queue].queue.on_room(found->second.endpoint, found->second.bytes);
+        return std::nullopt;
+    const held_result freed = std::move(found->second);
     held_.erase(found);
+    queues_[freed.queue].queue.on_room(freed.endpoint, freed.bytes);
+    return freed.queue;
+}
+
+template <typename Codec>
+void stage_gatherer<Codec>::on_released(const std::vector<std::string>& handles, time_point now)
+{
+    std::set<std::string> with_room;
+    for (const std::string& handle : handles)
+    {
+        if (const auto queue = give_room(handle))
+            with_room.insert(*queue);
+    }
+    for (const std::string& queue : with_room)
+        pump(queue, now);
 }
 
 // Sends calls while an endpoint is free and pieces wait.
@@ -502,7 +517,7 @@
             lapsed.push_back(handle);
     }
     for (const std::string& handle : lapsed)
-        give_room(handle);
+        (void)give_room(handle);
 }
 
 template <typename Codec>
@@ -516,7 +531,7 @@
         const endpoint_ptr endpoint = endpoints_.find_address(address);
         if (!endpoint)
             continue; // the results have gone with their maker
-        const auto call = std::make_shared<release_call>(*this, endpoint);
+        const auto call = std::make_shared<release_call>(*this, endpoint, handles);
         release_calls_.emplace(call.get(), call);
         call->start(Codec::encode_release(address, handles));
     }
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -100,6 +100,7 @@
     std::optional<time_point> wake_at(time_point now) const;
 
     std::size_t waiting_pieces() const;
+    bool waits() const { return !queue_.empty(); }
     bool has_endpoints() const { return !endpoints_.empty(); }
 
 private:
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -327,6 +327,33 @@
     cr_assert(served.run_until([&] { return encoder.freed.size() == 2; }));
 }
 
+// Guards against calls that are sent while their endpoint still keeps the results of earlier ones.
+Test(edge, results_fill_endpoint_next_call_waits_until_they_are_freed)
+{
+    constexpr int requests = 20;
+    constexpr double bytes = 99'000;
+    small_deployment served;
+    add_stage(served);
+    served.routes["/stream/"]["stages"][0]["bytes"] = value::number(bytes);
+    served.stage_room_mb = 1.0;
+    endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
+    encoder.result_limit = 9;
+    served.start();
+    std::vector<std::unique_ptr<caller>> calls;
+    calls.reserve(requests);
+    for (int i = 0; i < requests; ++i)
+        calls.push_back(served.call(
+            0, request_text("POST", "/stream/1", "s" + std::to_string(i), two_pieces, "x")));
+    cr_assert(served.run_until(
+        [&] {
+            return std::all_of(calls.begin(), calls.end(),
+                               [](const auto& one) { return one->ended(); });
+        }));
+    for (const auto& one : calls)
+        cr_assert(one->done && one->body == events_text(5));
+    cr_assert(encoder.pieces_without_room == 0, "%zu pieces", encoder.pieces_without_room);
+}
+
 // Guards against a request that fails because a result was gone by the time its engine asked.
 Test(edge, input_gone_stages_run_again)
 {
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -314,13 +314,17 @@
     for (std::size_t i = 0; i < parsed.at("items").size(); ++i)
     {
         value item = value::object();
-        if (piece_reason.empty())
+        const bool has_room = pieces_made - freed.size() < result_limit;
+        if (piece_reason.empty() && has_room)
         {
             ++pieces_made;
             item["handle"] = value::string(address() + "/" + std::to_string(++next_handle_));
         }
         else
-            item["reason"] = value::string(piece_reason);
+        {
+            pieces_without_room += piece_reason.empty() ? 1 : 0;
+            item["reason"] = value::string(piece_reason.empty() ? "room" : piece_reason);
+        }
         made.push_back(item);
     }
     value answered = value::object();
@@ -525,7 +529,7 @@
     stage["pieces"]["slots"] = value::number(1);
     stage["pieces"]["call_ms"] = value::number(20);
     stage["pieces"]["item_ms"] = value::number(1.0);
-    stage["pieces"]["room_mb"] = value::number(10.0);
+    stage["pieces"]["room_mb"] = value::number(stage_room_mb);
     stage["pieces"]["handle_s"] = value::number(4.0);
     state["services"] = value::array({service("plain"), engines, stage});
     state["tenants"] = accounts;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -127,11 +127,13 @@
     bool mute = false;               // takes requests and never answers
     std::string piece_reason;        // every piece fails for this reason
     bool inputs_gone_once = false;   // says once that an input is gone
+    std::size_t result_limit = SIZE_MAX; // results that it keeps until they are freed
 
     std::vector<seen_request> seen;
     std::map<std::string, int> ran; // runs by attempt; refused ones do not count
     std::vector<std::string> freed;
     std::size_t pieces_made = 0;
+    std::size_t pieces_without_room = 0;
     std::size_t left = 0; // callers that closed their connection before the answer
 
 private:
@@ -224,6 +226,7 @@
     std::map<std::string, web::json::value> routes;
     web::json::value accounts = web::json::value::array();
     zinnianotch::fleet_limits limits;
+    double stage_room_mb = 10.0; // for results at each endpoint of a stage
 
 private:
     std::deque<std::unique_ptr<endpoint_standin>> endpoints_;
