Make the tests of two crashes fail on the code that had them

Change: stages_piece_fails_for_good_others_results_are_freed shows the job that is used after its end by a result that is never freed; gathering_vm_dies_too_late* takes the endpoint away first, so that the hand-over is refused.

--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -385,6 +385,22 @@
     cr_assert(served.arrivals("s1") == 0);
 }
 
+// Guards against a result that nobody frees, and against use of a job that is gone: the first piece
+// ends the job, the second one of the same call was made.
+Test(edge, stages_piece_fails_for_good_others_results_are_freed)
+{
+    small_deployment served;
+    add_stage(served);
+    endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
+    encoder.first_piece_fails = true;
+    served.limits.repeats = {0.0, 0, milliseconds(10000)};
+    served.start();
+    const auto got = served.ask(0, request_text("POST", "/stream/1", "s1", two_pieces, "x"));
+    cr_assert(got->head.status == 503, "status %d", got->head.status);
+    cr_assert(encoder.pieces_made == 1);
+    cr_assert(served.run_until([&] { return encoder.freed.size() == 1; }, milliseconds(2000)));
+}
+
 // Guards against VMs that each send small calls: both send their pieces to one VM, and while the
 // endpoint works, they meet in one call.
 Test(edge, two_vms_pieces_meet_in_one_call)
@@ -455,9 +471,13 @@
     auto got = served.call(1 - gatherer, request_text("POST", "/stream/1", "s1",
                                                       "Pieces: 2,2\r\nPiece-Key: k1\r\n", "x"));
     cr_assert(served.run_until([&] { return !encoder.seen.empty(); }));
+    // Without an endpoint the stages are refused as soon as they are handed over.
+    served.list_endpoint("encoders", encoder, "dom-a", "draining");
+    cr_assert(served.run_until([&] { return !served.vm(1 - gatherer).uses("encoder-1"); }));
     served.kill_vm(gatherer);
     cr_assert(served.run_until([&] { return got->ended(); }));
     cr_assert(got->head.status == 503, "status %d", got->head.status);
+    served.run_for(milliseconds(50));
 }
 
 // Guards against a VM that drops all endpoints when the store comes back, because their entries
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -315,7 +315,9 @@
     {
         value item = value::object();
         const bool has_room = pieces_made - freed.size() < result_limit;
-        if (piece_reason.empty() && has_room)
+        if (first_piece_fails && i == 0)
+            item["reason"] = value::string("error");
+        else if (piece_reason.empty() && has_room)
         {
             ++pieces_made;
             item["handle"] = value::string(address() + "/" + std::to_string(++next_handle_));
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -126,6 +126,7 @@
     bool unframed = false;           // no length; the answer ends with the connection
     bool mute = false;               // takes requests and never answers
     std::string piece_reason;        // every piece fails for this reason
+    bool first_piece_fails = false;  // of each call, for the reason "error"
     bool inputs_gone_once = false;   // says once that an input is gone
     std::size_t result_limit = SIZE_MAX; // results that it keeps until they are freed
 
