Keep one acceptor and one type of address

Cause: the last read of the diff: server_listener and vm_listener had the same accept loop, daemon and coordination the same pair of host and port, and stage_queue::on_done took a time that it does not use. Ruled out: a common base class of the listeners (they share nothing but the accepting). Change: transport/socket_acceptor, state/socket_address; the argument is gone.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -9,6 +9,7 @@
 #include "coordination/serving_call.h"
 #include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
+#include "state/socket_address.h"
 #include "state/stage_shard.h"
 #include "state/stage_times.h"
 #include "state/verdict.h"
@@ -29,20 +30,14 @@
 namespace zinnianotch
 {
 
-struct listen_address
-{
-    std::string host;
-    std::uint16_t port = 0;
-};
-
 struct edge_options
 {
     std::string vm;
     std::string domain;
-    listen_address callers;
-    listen_address readiness;
-    listen_address peers;
-    listen_address metrics;         // no host: not served
+    socket_address callers;
+    socket_address readiness;
+    socket_address peers;
+    socket_address metrics;         // no host: not served
     std::string store;              // IP:PORT
     std::vector<std::string> seeds; // peer addresses of other VMs
     fleet_limits limits;
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -347,7 +347,7 @@
 {
     const auto keep = forget(call);
     stage_queue& queue = queues_[call.key()].queue;
-    queue.on_done(call.endpoint()->record.id, call.batch(), call.elapsed(now), now);
+    queue.on_done(call.endpoint()->record.id, call.batch(), call.elapsed(now));
     std::size_t at = 0;
     bool full = false;
     const std::string& maker = call.endpoint()->record.id;
@@ -497,7 +497,7 @@
     {
         call->cancel();
         queues_[call->key()].queue.on_done(call->endpoint()->record.id, call->batch(),
-                                           call->elapsed(now), now);
+                                           call->elapsed(now));
         on_lost(*call, now);
     }
     for (auto& [name, entry] : queues_)
--- a/packages/daemon/serve_edge.cpp
+++ b/packages/daemon/serve_edge.cpp
@@ -23,11 +23,6 @@
 // The file may change without a signal; a look costs one system call.
 constexpr milliseconds settings_interval{1000};
 
-listen_address to_listen(const socket_address& address)
-{
-    return {address.host, address.port};
-}
-
 fleet_limits make_limits(const serving_settings& serving)
 {
     fleet_limits limits;
@@ -50,11 +45,11 @@
     edge_options options;
     options.vm = config.vm;
     options.domain = config.failure_domain;
-    options.callers = to_listen(config.listen_callers);
-    options.peers = to_listen(config.listen_peers);
-    options.readiness = to_listen(config.serving->listen_readiness);
+    options.callers = config.listen_callers;
+    options.peers = config.listen_peers;
+    options.readiness = config.serving->listen_readiness;
     if (config.serving->listen_metrics)
-        options.metrics = to_listen(*config.serving->listen_metrics);
+        options.metrics = *config.serving->listen_metrics;
     options.store = to_string(config.serving->store);
     for (const socket_address& seed : config.seeds)
         options.seeds.push_back(to_string(seed));
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/routing.h"
+#include "state/socket_address.h"
 #include "state/time.h"
 #include "state/verdict.h"
 #include "transport/log.h"
@@ -16,14 +17,6 @@
 namespace zinnianotch
 {
 
-struct socket_address
-{
-    std::string host; // IP address, an IPv6 address without brackets
-    std::uint16_t port = 0;
-
-    bool operator==(const socket_address&) const = default;
-};
-
 // Inverse of the parser: IP:PORT, with brackets around an IPv6 address.
 std::string to_string(const socket_address& value);
 
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -112,9 +112,8 @@
 }
 
 void stage_queue::on_done(const std::string& endpoint, const stage_batch& batch,
-                          milliseconds elapsed, time_point now)
+                          milliseconds elapsed)
 {
-    (void)now;
     const auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end())
         return;
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -87,8 +87,7 @@
     // Jobs whose deadline can no longer be met; they are removed.
     std::vector<std::uint64_t> take_expired(time_point now);
 
-    void on_done(const std::string& endpoint, const stage_batch& batch, milliseconds elapsed,
-                 time_point now);
+    void on_done(const std::string& endpoint, const stage_batch& batch, milliseconds elapsed);
     // The endpoint refused the call, or it ended without an answer.
     void on_failed(const std::string& endpoint, time_point now);
 
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -268,48 +268,18 @@
 
 server_listener::server_listener(asio::io_context& io, const std::string& address,
                                  std::uint16_t port, handler on_request)
-    : acceptor_(io), on_request_(std::move(on_request)), retry_timer_(io)
+    : on_request_(std::move(on_request)),
+      acceptor_(io, address, port, [this](tcp::socket socket) { add(std::move(socket)); })
 {
-    const tcp::endpoint endpoint(asio::ip::make_address(address), port);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen();
-    accept();
 }
 
-std::uint16_t server_listener::port() const
+void server_listener::add(tcp::socket socket)
 {
-    return acceptor_.local_endpoint().port();
-}
-
-void server_listener::accept()
-{
-    acceptor_.async_accept(
-        [this](const boost::system::error_code& error, tcp::socket socket)
-        {
-            if (error == asio::error::operation_aborted || !acceptor_.is_open())
-                return;
-            if (error)
-            {
-                retry_timer_.expires_after(accept_pause);
-                retry_timer_.async_wait(
-                    [this](const boost::system::error_code& cancelled)
-                    {
-                        if (!cancelled && acceptor_.is_open())
-                            accept();
-                    });
-                return;
-            }
-            if (connections_.size() < max_connections_)
-            {
-                const auto connection =
-                    std::make_shared<server_connection>(std::move(socket), *this);
-                connections_.insert(connection);
-                connection->start(steady_clock::now());
-            }
-            accept();
-        });
+    if (connections_.size() >= max_connections_)
+        return;
+    const auto connection = std::make_shared<server_connection>(std::move(socket), *this);
+    connections_.insert(connection);
+    connection->start(steady_clock::now());
 }
 
 void server_listener::close_idle()
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -4,6 +4,7 @@
 
 #include "state/time.h"
 #include "transport/message_parser.h"
+#include "transport/socket_acceptor.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -46,9 +47,6 @@
     time_point received{}; // arrival of its first byte
 };
 
-// Pause after a failed accept, as with no free descriptor: an immediate retry would fail again.
-inline constexpr milliseconds accept_pause{50};
-
 class server_listener;
 
 class server_connection : public std::enable_shared_from_this<server_connection>
@@ -121,7 +119,7 @@
     server_listener(boost::asio::io_context& io, const std::string& address, std::uint16_t port,
                     handler on_request);
 
-    std::uint16_t port() const;
+    std::uint16_t port() const { return acceptor_.port(); }
     void set_limits(const server_limits_now& limits) { limits_ = limits; }
     const server_limits_now& limits() const { return limits_; }
     void set_max_connections(std::size_t count) { max_connections_ = count; }
@@ -138,14 +136,13 @@
 private:
     friend class server_connection;
 
-    void accept();
+    void add(boost::asio::ip::tcp::socket socket);
 
-    boost::asio::ip::tcp::acceptor acceptor_;
     handler on_request_;
     server_limits_now limits_;
     std::size_t max_connections_ = 2048;
     std::set<std::shared_ptr<server_connection>> connections_;
-    boost::asio::steady_timer retry_timer_;
+    socket_acceptor acceptor_;
 };
 
 } // namespace zinnianotch
--- /dev/null
+++ b/packages/transport/socket_acceptor.cpp
@@ -0,0 +1,46 @@
+#include "transport/socket_acceptor.h"
+
+#include <utility>
+
+namespace zinnianotch
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+socket_acceptor::socket_acceptor(asio::io_context& io, const std::string& address,
+                                 std::uint16_t port, handler on_socket)
+    : acceptor_(io), retry_timer_(io), on_socket_(std::move(on_socket))
+{
+    const tcp::endpoint endpoint(asio::ip::make_address(address), port);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(asio::socket_base::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen();
+    accept();
+}
+
+void socket_acceptor::accept()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, tcp::socket socket)
+        {
+            // An acceptor that is gone has aborted this wait.
+            if (error == asio::error::operation_aborted || !acceptor_.is_open())
+                return;
+            if (!error)
+            {
+                on_socket_(std::move(socket));
+                return accept();
+            }
+            retry_timer_.expires_after(accept_pause);
+            retry_timer_.async_wait(
+                [this](const boost::system::error_code& cancelled)
+                {
+                    if (!cancelled)
+                        accept();
+                });
+        });
+}
+
+} // namespace zinnianotch
--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -14,8 +14,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr milliseconds accept_retry{50};
-
 } // namespace
 
 vm_channel::vm_channel(tcp::socket socket) : socket_(std::move(socket))
@@ -216,14 +214,9 @@
 
 vm_listener::vm_listener(asio::io_context& io, const std::string& address, std::uint16_t port,
                          on_message message, on_closed closed)
-    : acceptor_(io), retry_timer_(io), message_(std::move(message)), closed_(std::move(closed))
+    : message_(std::move(message)), closed_(std::move(closed)),
+      acceptor_(io, address, port, [this](tcp::socket socket) { add(std::move(socket)); })
 {
-    const tcp::endpoint endpoint(asio::ip::make_address(address), port);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen();
-    accept();
 }
 
 vm_listener::~vm_listener()
@@ -234,45 +227,26 @@
         channel->close();
 }
 
-void vm_listener::accept()
+void vm_listener::add(tcp::socket socket)
 {
-    acceptor_.async_accept(
-        [this](const boost::system::error_code& error, tcp::socket socket)
+    const auto channel = std::make_shared<vm_channel>(std::move(socket));
+    channels_.insert(channel);
+    const std::weak_ptr<vm_channel> weak = channel;
+    channel->start(
+        [this, weak](vm_message&& message)
         {
-            // A listener that is gone has aborted this wait.
-            if (error == asio::error::operation_aborted || !acceptor_.is_open())
-                return;
-            if (error)
+            if (const auto alive = weak.lock())
+                message_(alive, std::move(message));
+        },
+        [this, weak]
+        {
+            if (const auto alive = weak.lock())
             {
-                retry_timer_.expires_after(accept_retry);
-                retry_timer_.async_wait(
-                    [this](const boost::system::error_code& cancelled)
-                    {
-                        if (!cancelled)
-                            accept();
-                    });
-                return;
+                closed_(alive);
+                channels_.erase(alive);
             }
-            const auto channel = std::make_shared<vm_channel>(std::move(socket));
-            channels_.insert(channel);
-            const std::weak_ptr<vm_channel> weak = channel;
-            channel->start(
-                [this, weak](vm_message&& message)
-                {
-                    if (const auto alive = weak.lock())
-                        message_(alive, std::move(message));
-                },
-                [this, weak]
-                {
-                    if (const auto alive = weak.lock())
-                    {
-                        closed_(alive);
-                        channels_.erase(alive);
-                    }
-                },
-                steady_clock::now());
-            accept();
-        });
+        },
+        steady_clock::now());
 }
 
 void vm_listener::broadcast(const vm_message& message)
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -4,6 +4,7 @@
 
 #include "protocol/vm_message.h"
 #include "state/time.h"
+#include "transport/socket_acceptor.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -107,18 +108,17 @@
     vm_listener(const vm_listener&) = delete;
     vm_listener& operator=(const vm_listener&) = delete;
 
-    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    std::uint16_t port() const { return acceptor_.port(); }
     void broadcast(const vm_message& message);
     void tick(time_point now);
 
 private:
-    void accept();
+    void add(boost::asio::ip::tcp::socket socket);
 
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer retry_timer_;
     on_message message_;
     on_closed closed_;
     std::set<std::shared_ptr<vm_channel>> channels_;
+    socket_acceptor acceptor_;
 };
 
 } // namespace zinnianotch
--- a/tests/unit/stage_batch_test.cpp
+++ b/tests/unit/stage_batch_test.cpp
@@ -92,7 +92,7 @@
         {
             const running_call done = running.top();
             running.pop();
-            queue.on_done(done.batch.endpoint, done.batch, done.batch.expected, now);
+            queue.on_done(done.batch.endpoint, done.batch, done.batch.expected);
             for (const batch_part& part : done.batch.parts)
             {
                 const auto found = open.find(part.job);
@@ -146,7 +146,7 @@
     for (std::uint64_t id = 2; id <= 9; ++id)
         queue.add(job(id, 1));
     cr_assert_not(queue.next(start).has_value());
-    queue.on_done(first->endpoint, *first, first->expected, start + first->expected);
+    queue.on_done(first->endpoint, *first, first->expected);
     const auto second = queue.next(start + first->expected);
     cr_assert(second && second->pieces == 8);
 }
@@ -183,7 +183,7 @@
         cr_assert(batch.has_value());
         for (const batch_part& part : batch->parts)
             done += part.job == 1 ? part.count : 0;
-        queue.on_done(batch->endpoint, *batch, batch->expected, start);
+        queue.on_done(batch->endpoint, *batch, batch->expected);
     }
     cr_assert(done == 10);
 }
@@ -203,10 +203,10 @@
     }
     const auto first = queue.next(start);
     cr_assert(first && first->pieces == 8);
-    queue.on_done(first->endpoint, *first, first->expected, start);
+    queue.on_done(first->endpoint, *first, first->expected);
     const auto second = queue.next(start);
     cr_assert(second && second->pieces == 4, "12 MB of 18 are taken");
-    queue.on_done(second->endpoint, *second, second->expected, start);
+    queue.on_done(second->endpoint, *second, second->expected);
     cr_assert_not(queue.next(start).has_value());
     queue.on_room("e0", 12'000'000);
     const auto third = queue.next(start);
@@ -234,7 +234,7 @@
     stage_queue queue = queue_of(spec(8, 21), 2);
     queue.add(job(1, 1));
     const auto slow = queue.next(start);
-    queue.on_done(slow->endpoint, *slow, slow->expected * 6, start + milliseconds(1300));
+    queue.on_done(slow->endpoint, *slow, slow->expected * 6);
     queue.add(job(2, 8));
     const auto fast = queue.next(start + milliseconds(1300));
     cr_assert(fast && fast->endpoint != slow->endpoint);
@@ -251,7 +251,7 @@
     stage_queue queue = queue_of(spec(8, 21), 1);
     queue.add(job(1, 1));
     const auto first = queue.next(start);
-    queue.on_done("e0", *first, first->expected * 6, start + milliseconds(1300));
+    queue.on_done("e0", *first, first->expected * 6);
     queue.add(job(2, 1));
     const auto second = queue.next(start + milliseconds(1300));
     cr_assert(second && second->expected > first->expected * 3);
