Keep the room of results whose release was refused

Cause: reading the diff: an endpoint that answers a release with an error has freed nothing, yet its room counted as free. Ruled out: trying the release again at once (the endpoint is in trouble; the results lapse by themselves). Change: only an answer of 2xx gives the room back; other ends are counted as failed releases.

--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -91,7 +91,8 @@
     std::optional<upstream_failure> failure_;
 };
 
-// Gives back results at one endpoint; its outcome changes nothing, results lapse by themselves.
+// Gives back results at one endpoint. Their room counts as free when the endpoint has freed them;
+// after a failure, when they lapse.
 template <typename Codec>
 class stage_gatherer<Codec>::release_call : public upstream_listener
 {
@@ -105,23 +106,29 @@
         connection_ = endpoint_->pool.start(request, *this, idle_default, steady_clock::now());
     }
     bool owns(const message_head&) override { return true; }
-    void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
+    void on_head(message_head& head, body_framing, std::optional<std::uint64_t>) override
+    {
+        status_ = head.status;
+    }
     void on_body(std::string) override {}
     void on_end() override
     {
         const auto keep = owner_.release_calls_.extract(this);
-        owner_.on_released(handles_, steady_clock::now());
+        if (status_ / 100 == 2)
+            return owner_.on_released(handles_, steady_clock::now());
+        owner_.counters_.count("stage_releases_failed_total");
     }
     void on_failure(upstream_failure) override
     {
+        const auto keep = owner_.release_calls_.extract(this);
         owner_.counters_.count("stage_releases_failed_total");
-        owner_.release_calls_.erase(this);
     }
 
 private:
     stage_gatherer& owner_;
     endpoint_ptr endpoint_;
     std::vector<std::string> handles_;
+    int status_ = 0;
     std::shared_ptr<upstream_connection> connection_;
 };
 
