Show no age for a table that was never read

Cause: trying zinnianotch vm status on a VM without a store: the last answer was shown as 4,140,390 ms ago. Ruled out: leaving the member out of the JSON (scripts would have to know about it).

--- a/packages/cli/format.cpp
+++ b/packages/cli/format.cpp
@@ -214,8 +214,12 @@
     std::vector<std::vector<std::string>> tables = {
         {"TABLE", "REVISION", "STORE ANSWERS", "LAST ANSWER MS AGO"}};
     for (const web::json::value& table : items(answer, "tables"))
-        tables.push_back({member(table, "name"), member(table, "revision"),
-                          flag(table, "in_touch", "yes", "NO"), member(table, "answered_ms_ago")});
+    {
+        const std::string revision = member(table, "revision");
+        const bool never_read = revision == "0"; // the time of the last answer means nothing yet
+        tables.push_back({member(table, "name"), revision, flag(table, "in_touch", "yes", "NO"),
+                          never_read ? "-" : member(table, "answered_ms_ago")});
+    }
     text += format_table(tables) + "\n";
     text += format_rows(items(answer, "endpoints"),
                         {"ENDPOINT", "SERVICE", "DOMAIN", "ADDRESS", "USE", "IN FLIGHT", "LOAD"},
