Write lists, counts by reason and the set-up of two VMs once

Cause: reading the whole change again: vm_report_codec wrote JSON lists as codec.cpp does, edge and the admin API had the same loop over the reasons, a refused stage had its expected time computed twice, every server kept lines of requests although only VMs with a metrics address can be asked for them, three edge tests repeated their set-up. Ruled out: one read loop for server_connection, upstream and vm_channel (six equal lines; when they read and what an error means differ), and the reasons' loop in scrape(), which writes zeros too.

--- a/packages/coordination/edge_report_impl.h
+++ b/packages/coordination/edge_report_impl.h
@@ -15,19 +15,6 @@
 inline constexpr std::string_view status_path = "/vm/status";
 inline constexpr std::string_view request_path = "/vm/requests/";
 
-template <typename Count>
-std::map<std::string, std::uint64_t> counts_by_reason(Count count)
-{
-    std::map<std::string, std::uint64_t> counts;
-    for (std::size_t i = 0; i < reason_count; ++i)
-    {
-        const auto why = static_cast<reason>(i);
-        if (const std::uint64_t found = count(why); found > 0)
-            counts[std::string(to_string(why))] = found;
-    }
-    return counts;
-}
-
 inline milliseconds since(time_point earlier, time_point now)
 {
     return std::chrono::duration_cast<milliseconds>(now - earlier);
@@ -82,10 +69,8 @@
         if (lapsing_.contains(endpoint.id))
             endpoint.use = endpoint_use::lapsed;
     }
-    found.refusals =
-        edge_detail::counts_by_reason([this](reason why) { return counters_.refusals(why); });
-    found.retries =
-        edge_detail::counts_by_reason([this](reason why) { return counters_.retries(why); });
+    found.refusals = counters_.refusals_by_reason();
+    found.retries = counters_.retries_by_reason();
     return found;
 }
 
--- a/packages/coordination/stage_gatherer_impl.h
+++ b/packages/coordination/stage_gatherer_impl.h
@@ -187,11 +187,12 @@
                            now + request.goal_left,
                            now + request.deadline_left,
                            request.inputs_domain};
-    if (!entry.queue.admits(queued, now))
+    const milliseconds expected = entry.queue.expected_time(queued, now);
+    if (!entry.queue.admits(queued, expected, now))
     {
         stage_outcome outcome;
         outcome.end = stage_end::refused;
-        outcome.expected = entry.queue.expected_time(queued, now);
+        outcome.expected = expected;
         boost::asio::post(io_, [done = std::move(done), outcome = std::move(outcome)]
                           { done(outcome); });
         return id;
--- a/packages/daemon/admin_api.cpp
+++ b/packages/daemon/admin_api.cpp
@@ -3,6 +3,7 @@
 #include "daemon/api.h"
 #include "protocol/codec.h"
 #include "protocol/config_diff.h"
+#include "protocol/json_list.h"
 #include "transport/log.h"
 
 #include <algorithm>
@@ -389,25 +390,14 @@
         }
     }
 
-    json refusals = json::object();
-    json retries = json::object();
-    for (std::size_t i = 0; i < reason_count; ++i)
-    {
-        const auto why = static_cast<reason>(i);
-        const std::string name(to_string(why));
-        if (node_.counters().refusals(why) > 0)
-            refusals[name] = json::number(node_.counters().refusals(why));
-        if (node_.counters().retries(why) > 0)
-            retries[name] = json::number(node_.counters().retries(why));
-    }
     json body = json::object();
     body["vm"] = vm;
     body["configuration"] = in_effect;
     body["view"] = view_part;
     body["peers"] = peer_list;
     body["endpoints"] = endpoints;
-    body["refusals"] = refusals;
-    body["retries"] = retries;
+    body["refusals"] = write_counts(node_.counters().refusals_by_reason());
+    body["retries"] = write_counts(node_.counters().retries_by_reason());
     send_json(request, response, body);
 }
 
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -1,5 +1,7 @@
 #include "protocol/codec.h"
 
+#include "protocol/json_list.h"
+
 #include <charconv>
 #include <initializer_list>
 #include <limits>
@@ -124,16 +126,6 @@
     std::vector<std::string>& problems_;
 };
 
-// Writes a list with one JSON object for each item.
-template <typename Item, typename WriteItem>
-json write_list(const std::vector<Item>& items, WriteItem write_item)
-{
-    json list = json::array(items.size());
-    for (std::size_t i = 0; i < items.size(); ++i)
-        list[i] = write_item(items[i]);
-    return list;
-}
-
 void read_defaults(const json& value, defaults_config& out, std::vector<std::string>& problems)
 {
     object_reader reader(value, "defaults", problems);
--- a/packages/protocol/vm_report_codec.cpp
+++ b/packages/protocol/vm_report_codec.cpp
@@ -1,6 +1,6 @@
 #include "protocol/vm_report_codec.h"
 
-#include <cpprest/json.h>
+#include "protocol/json_list.h"
 
 namespace zinnianotch
 {
@@ -22,19 +22,7 @@
 
 value texts(const std::vector<std::string>& list)
 {
-    std::vector<value> items;
-    items.reserve(list.size());
-    for (const std::string& item : list)
-        items.push_back(text(item));
-    return value::array(items);
-}
-
-value counts(const std::map<std::string, std::uint64_t>& by_reason)
-{
-    value object = value::object();
-    for (const auto& [why, count] : by_reason)
-        object[why] = number(count);
-    return object;
+    return write_list(list, text);
 }
 
 value encode_table(const table_report& table)
@@ -60,16 +48,6 @@
     return object;
 }
 
-template <typename Item, typename Encode>
-value encode_all(const std::vector<Item>& list, Encode encode)
-{
-    std::vector<value> items;
-    items.reserve(list.size());
-    for (const Item& item : list)
-        items.push_back(encode(item));
-    return value::array(items);
-}
-
 } // namespace
 
 std::string encode_report(const vm_report& report)
@@ -85,10 +63,10 @@
     object["links_up"] = number(report.links_up);
     object["requests_in_hand"] = number(report.requests_in_hand);
     object["domains_out"] = texts(report.domains_out);
-    object["tables"] = encode_all(report.tables, encode_table);
-    object["endpoints"] = encode_all(report.endpoints, encode_endpoint);
-    object["refusals"] = counts(report.refusals);
-    object["retries"] = counts(report.retries);
+    object["tables"] = write_list(report.tables, encode_table);
+    object["endpoints"] = write_list(report.endpoints, encode_endpoint);
+    object["refusals"] = write_counts(report.refusals);
+    object["retries"] = write_counts(report.retries);
     return object.serialize();
 }
 
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -175,11 +175,10 @@
 
 // Jobs in time go first, so one that is late gets its turn only when the others leave room. While
 // more comes than can be done they leave none, and a late job would wait in vain for its turn.
-bool stage_queue::admits(const stage_job& job, time_point now) const
+bool stage_queue::admits(const stage_job& job, milliseconds expected, time_point now) const
 {
     if (endpoints_.empty())
         return false;
-    const milliseconds expected = expected_time(job, now);
     if (now + expected > job.deadline_at)
         return false;
     if (now + expected * expected_margin_percent / 100 <= job.goal_at)
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -96,9 +96,9 @@
 
     // Time until the job would be done if it were added now, by what goes before it.
     milliseconds expected_time(const stage_job& job, time_point now) const;
-    // False when the job can't be done before its deadline, or would miss its goal while more waits
-    // than the next calls can do.
-    bool admits(const stage_job& job, time_point now) const;
+    // False when the job, of this expected time, can't be done before its deadline, or would miss
+    // its goal while more waits than the next calls can do.
+    bool admits(const stage_job& job, milliseconds expected, time_point now) const;
     // Earliest time at which `next` may return something although nothing new happens.
     std::optional<time_point> wake_at(time_point now) const;
 
--- a/packages/transport/log.cpp
+++ b/packages/transport/log.cpp
@@ -258,7 +258,6 @@
     least_level = least;
     descriptor = stream == log_stream::standard_output ? STDOUT_FILENO : STDERR_FILENO;
     limiter().set_limit(lines_per_second);
-    trail().set_limit(stream == log_stream::standard_output ? trail_bytes : 0);
     const std::lock_guard lock(vm_mutex);
     vm_name() = std::move(vm);
 }
@@ -294,6 +293,11 @@
     dispatch(level, line);
 }
 
+void keep_request_lines(std::size_t most_bytes)
+{
+    trail().set_limit(most_bytes);
+}
+
 std::vector<std::string> request_lines(std::string_view request)
 {
     return trail().find(request);
--- a/packages/transport/log.h
+++ b/packages/transport/log.h
@@ -1,6 +1,7 @@
 // Structured logs: one line of key=value pairs for each event.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -48,8 +49,11 @@
 // operators must never be passed in.
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
-// The latest lines with the field `request` of this value, also those that the bound on output held
-// back. Servers keep them, commands do not.
+// Keeps the latest lines that name a request, up to so many bytes; at the start none are kept.
+void keep_request_lines(std::size_t most_bytes);
+
+// The latest kept lines with the field `request` of this value, also those that the bound on output
+// held back.
 std::vector<std::string> request_lines(std::string_view request);
 
 } // namespace zinnianotch
--- a/packages/transport/metrics.cpp
+++ b/packages/transport/metrics.cpp
@@ -224,6 +224,19 @@
     out << prefix << name << "_count{" << labels << "} " << below << '\n';
 }
 
+template <typename Count>
+std::map<std::string, std::uint64_t> counts_by_reason(Count count)
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (std::size_t i = 0; i < reason_count; ++i)
+    {
+        const auto why = static_cast<reason>(i);
+        if (const std::uint64_t found = count(why); found > 0)
+            counts[std::string(to_string(why))] = found;
+    }
+    return counts;
+}
+
 } // namespace
 
 class metrics::impl
@@ -284,6 +297,16 @@
     return impl_->retries[static_cast<std::size_t>(why)];
 }
 
+std::map<std::string, std::uint64_t> metrics::refusals_by_reason() const
+{
+    return counts_by_reason([this](reason why) { return refusals(why); });
+}
+
+std::map<std::string, std::uint64_t> metrics::retries_by_reason() const
+{
+    return counts_by_reason([this](reason why) { return retries(why); });
+}
+
 // Reasons are written from the start with zero, so that a rate exists before the first event.
 std::string metrics::scrape() const
 {
--- a/packages/transport/metrics.h
+++ b/packages/transport/metrics.h
@@ -5,6 +5,7 @@
 #include "state/verdict.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -40,6 +41,9 @@
     std::uint64_t counter(std::string_view name) const;
     std::uint64_t refusals(reason why) const;
     std::uint64_t retries(reason why) const;
+    // Counts above zero by the reason's name.
+    std::map<std::string, std::uint64_t> refusals_by_reason() const;
+    std::map<std::string, std::uint64_t> retries_by_reason() const;
 
     // All values in the Prometheus text format, names prefixed with "zinnianotch_".
     std::string scrape() const;
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -45,6 +45,14 @@
             }));
     }
 
+    // Two VMs that have found each other.
+    void start_linked()
+    {
+        start(2);
+        cr_assert(run_until([&] { return store.has("vms", "vm-0") && store.has("vms", "vm-1"); }));
+        cr_assert(run_until([&] { return vm(0).links_up() > 0 && vm(1).links_up() > 0; }));
+    }
+
     std::size_t arrivals(const std::string& attempt) const
     {
         std::size_t count = 0;
@@ -409,11 +417,7 @@
     add_stage(served);
     endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
     encoder.work = milliseconds(150);
-    served.start(2);
-    cr_assert(served.run_until(
-        [&] { return served.store.has("vms", "vm-0") && served.store.has("vms", "vm-1"); }));
-    cr_assert(served.run_until(
-        [&] { return served.vm(0).links_up() > 0 && served.vm(1).links_up() > 0; }));
+    served.start_linked();
     std::vector<std::unique_ptr<caller>> calls;
     calls.reserve(7);
     for (int i = 0; i < 7; ++i)
@@ -437,11 +441,7 @@
     add_stage(served);
     endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
     encoder.work = milliseconds(300);
-    served.start(2);
-    cr_assert(served.run_until(
-        [&] { return served.store.has("vms", "vm-0") && served.store.has("vms", "vm-1"); }));
-    cr_assert(served.run_until(
-        [&] { return served.vm(0).links_up() > 0 && served.vm(1).links_up() > 0; }));
+    served.start_linked();
     const std::size_t gatherer = served.vm(0).gathers("encoders") ? 0 : 1;
     const std::size_t other = 1 - gatherer;
     auto got = served.call(other, request_text("POST", "/stream/1", "s1", two_pieces, "x"));
@@ -464,9 +464,7 @@
     served.routes["/stream/"]["timeout_ms"] = value::number(1300);
     endpoint_standin& encoder = served.add_endpoint("encoders", "encoder-1");
     encoder.mute = true;
-    served.start(2);
-    cr_assert(served.run_until(
-        [&] { return served.vm(0).links_up() > 0 && served.vm(1).links_up() > 0; }));
+    served.start_linked();
     const std::size_t gatherer = served.vm(0).gathers("encoders") ? 0 : 1;
     auto got = served.call(1 - gatherer, request_text("POST", "/stream/1", "s1",
                                                       "Pieces: 2,2\r\nPiece-Key: k1\r\n", "x"));
@@ -680,6 +678,7 @@
     served.start();
     zinnianotch::configure_log(zinnianotch::log_level::info, "vm-0",
                                zinnianotch::log_stream::standard_output, 1);
+    zinnianotch::keep_request_lines(zinnianotch::trail_bytes);
     (void)served.ask(0, request_text("GET", "/read/1", "attempt-7"));
     (void)served.ask(0, request_text("GET", "/nothing/1", "attempt-8"));
     const auto answered = served.ask_operations(0, "/vm/requests/attempt-7");
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -265,6 +265,7 @@
 {
     capture output(STDOUT_FILENO);
     configure_log(log_level::info, "vm-1", log_stream::standard_output, 1);
+    keep_request_lines(trail_bytes);
     for (int i = 0; i < 3; ++i)
         log_event(log_level::info, "retry", {{"request", "r-1"}, {"attempt", std::to_string(i)}});
     cr_assert(request_lines("r-1").size() == 3);
--- a/tests/unit/stage_batch_test.cpp
+++ b/tests/unit/stage_batch_test.cpp
@@ -44,6 +44,11 @@
     return made;
 }
 
+bool admits(const stage_queue& queue, const stage_job& added, time_point now)
+{
+    return queue.admits(added, queue.expected_time(added, now), now);
+}
+
 // What a played load gave.
 struct played
 {
@@ -111,7 +116,7 @@
         {
             const std::uint64_t id = ++result.jobs;
             const stage_job added{id, pieces, 0, 0, now + goal, now + milliseconds(5000), ""};
-            if (queue.admits(added, now))
+            if (admits(queue, added, now))
             {
                 queue.add(added);
                 open[id] = {now + goal, pieces};
@@ -342,9 +347,9 @@
 Test(stage_batch, admits_late_job_idle_endpoints_is_queued)
 {
     stage_queue queue = queue_of(spec(8, 21), 1);
-    cr_assert(queue.admits(job(1, 3, 0, milliseconds(-500)), start));
+    cr_assert(admits(queue, job(1, 3, 0, milliseconds(-500)), start));
     for (std::uint64_t id = 1; id <= 3; ++id)
         queue.add(job(id, 8, 0, milliseconds(-500)));
-    cr_assert_not(queue.admits(job(9, 3, 0, milliseconds(-500)), start));
-    cr_assert(queue.admits(job(9, 3), start));
+    cr_assert_not(admits(queue, job(9, 3, 0, milliseconds(-500)), start));
+    cr_assert(admits(queue, job(9, 3), start));
 }
