Log when a request arrived relative to the stop signal and how many are given up

The line of a request had its duration but neither when it arrived within a planned stop nor that the VM was stopping, so a request accepted late, one that lasted and one whose answer was not written could not be told apart. stopped now counts the requests that are given up; before, it counted what was left after they had ended, always 0.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -994,6 +994,10 @@
         return edge_detail::milliseconds_text(
             std::chrono::duration_cast<milliseconds>(at - received_));
     };
+    const std::string since_stop =
+        owner_.stopping_ ? edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(
+                               received_ - owner_.stop_began_))
+                         : "-";
     log_event(log_level::info, "request",
               {{"request", call_.attempt},
                {"route", route_ != nullptr ? route_->name : "-"},
@@ -1008,6 +1012,7 @@
                {"stages_ms", since(stages_done_at_)},
                {"first_ms", since(first_byte_at_)},
                {"total_ms", edge_detail::milliseconds_text(elapsed(now))},
+               {"since_stop_ms", since_stop},
                {"events", std::to_string(events_.events())}});
     if (route_ != nullptr)
         owner_.counters_.record_stage_time(
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -822,6 +822,7 @@
 {
     const auto since = now - stop_began_;
     const bool grace_over = since >= options_.stop_grace - stop_reserve;
+    const std::size_t given_up = exchanges_.size();
     if (grace_over)
     {
         const auto all = exchanges_;
@@ -834,7 +835,11 @@
         exchanges_.empty() && callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0;
     if ((since < balancer_detection_time || !idle) && !grace_over)
         return;
-    log_event(log_level::info, "stopped", {{"in_flight", std::to_string(exchanges_.size())}});
+    log_event(log_level::info, "stopped",
+              {{"given_up", std::to_string(given_up)},
+               {"after_ms", edge_detail::milliseconds_text(
+                                std::chrono::duration_cast<milliseconds>(since))},
+               {"open_responses", std::to_string(callers_->busy_count())}});
     io_.stop();
 }
 
