Refuse at once what a stopping VM may not complete

Callers saw: a request accepted seconds after SIGTERM was broken off when the VM's grace period ended (LOST).

Cause: a stopping VM served every request that reached it until it exited. The load balancer sends requests to a VM that is not ready for 2.5 s, and for longer while fewer than half of the VMs of a failure domain are ready; a stream that takes longer than what is left of the grace period was given up. Class of fault: work is accepted without checking that it can end before a known stop.

Change: state/stop_schedule decides. While the load balancer still uses the VM, a request is served that usually (mean plus 2.5 mean deviations of its route's complete responses) completes; later only one whose own deadline ends before the requests in flight are ended. Others get 503 with Retry-After at once; they have not run, and their callers have time for another VM.

Ruled out: refusing everything from the signal on (costs each caller of the first 2.5 s a retry), closing the listening socket (requests in transit get no answer).

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -14,6 +14,7 @@
 #include "state/stage_shard.h"
 #include "state/stage_times.h"
 #include "state/state_source.h"
+#include "state/stop_schedule.h"
 #include "state/verdict.h"
 #include "transport/metrics.h"
 #include "transport/server_connection.h"
@@ -54,9 +55,6 @@
 // Interval at which all timeouts are checked. A longer one fires timeouts late, a shorter one costs
 // CPU time when idle.
 inline constexpr milliseconds tick_interval{20};
-// Time after which the load balancer no longer sends requests to a VM that is not ready: it probes
-// readiness once per second and removes a VM after two failed probes.
-inline constexpr milliseconds balancer_detection_time{2500};
 // Interval at which a VM that neither reaches the store nor a VM that does asks its peers for table
 // changes.
 inline constexpr milliseconds peer_query_interval{400};
@@ -65,8 +63,6 @@
 inline constexpr milliseconds lapse_grace{2300};
 // Longest time that requests wait after a pause until the state is confirmed.
 inline constexpr milliseconds confirmation_timeout{500};
-// Part of stop_grace that is reserved for ending the requests still in flight.
-inline constexpr milliseconds stop_reserve{400};
 
 template <typename Codec>
 class edge
@@ -204,14 +200,15 @@
     std::map<std::pair<state_table, std::string>, std::uint64_t> logged_bad_records_;
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
     std::map<std::string, time_estimate, std::less<>> first_byte_times_; // by service
+    std::map<std::string, time_estimate, std::less<>> response_times_;   // by route
     observed_stage_times stage_times_;
     std::map<std::string, std::vector<stage_shard>> shards_; // by service
     std::unique_ptr<registration> registration_;
     boost::asio::steady_timer tick_timer_;
     std::uint64_t ticks_ = 0;
     bool ready_logged_ = false;
-    bool stopping_ = false;
-    time_point stop_began_{};
+    std::optional<stop_schedule> stop_; // set while this VM is stopping
+    std::size_t requests_given_up_ = 0; // at the end of the stop's grace period
 };
 
 } // namespace zinnianotch
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -97,6 +97,7 @@
     };
 
     bool admit(time_point now);
+    std::optional<milliseconds> expected_time() const;
     const std::string& choose_service() const;
     void start_stages(time_point now);
     void submit_ready(time_point now);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -108,9 +108,24 @@
                now);
         return false;
     }
+    if (owner_.stop_ && !owner_.stop_->accepts(remaining(now), expected_time(), now))
+    {
+        refuse(reason::draining, "VM is stopping", retry_after_min, now);
+        return false;
+    }
     return true;
 }
 
+// Duration of recent complete responses of the route; nothing if there was none.
+template <typename Codec>
+std::optional<milliseconds> edge<Codec>::exchange::expected_time() const
+{
+    const auto found = owner_.response_times_.find(route_->name);
+    if (found == owner_.response_times_.end())
+        return std::nullopt;
+    return found->second.upper_bound();
+}
+
 // Distributes requests over the services of the route by weight. A service without endpoints gets
 // none; its share goes to the others.
 template <typename Codec>
@@ -652,7 +667,7 @@
     }
     else if (has_body)
         close_delimited_ = true;
-    if (owner_.stopping_ || close_delimited_ || !keep_alive_)
+    if (owner_.stop_ || close_delimited_ || !keep_alive_)
     {
         keep_alive_ = false;
         head += "Connection: close\r\n";
@@ -737,6 +752,7 @@
     }
     client_->end(keep_alive_ && !close_delimited_);
     owner_.counters_.count("answers_total");
+    owner_.response_times_[route_->name].record(elapsed(now));
     close("answered", status_, now);
 }
 
@@ -883,7 +899,7 @@
         "\r\n";
     if (retry_after)
         text += "Retry-After: " + edge_detail::seconds_text(*retry_after) + "\r\n";
-    keep_alive_ = keep_alive_ && !owner_.stopping_;
+    keep_alive_ = keep_alive_ && !owner_.stop_;
     if (!keep_alive_)
         text += "Connection: close\r\n";
     text += "\r\n";
@@ -995,9 +1011,9 @@
             std::chrono::duration_cast<milliseconds>(at - received_));
     };
     const std::string since_stop =
-        owner_.stopping_ ? edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(
-                               received_ - owner_.stop_began_))
-                         : "-";
+        owner_.stop_ ? edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(
+                           received_ - owner_.stop_->began()))
+                     : "-";
     log_event(log_level::info, "request",
               {{"request", call_.attempt},
                {"route", route_ != nullptr ? route_->name : "-"},
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -162,7 +162,7 @@
 template <typename Codec>
 bool edge<Codec>::is_ready() const
 {
-    return !stopping_ && state_ && endpoints_.size() > 0;
+    return !stop_ && state_ && endpoints_.size() > 0;
 }
 
 template <typename Codec>
@@ -271,6 +271,8 @@
             continue;
         state_ = std::make_shared<const serving_state>(*next);
         state_since_ = steady_clock::now();
+        std::erase_if(response_times_,
+                      [&](const auto& entry) { return !has_route(*state_, entry.first); });
         const client_limits& limits = state_->limits;
         callers_->set_limits(
             {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
@@ -655,7 +657,7 @@
 {
     const bool reads = std::any_of(reading_.begin(), reading_.end(),
                                    [](const table_reading& table) { return table.reads(); });
-    if (!reads || stopping_)
+    if (!reads || stop_)
         return;
     const table_copies own = copies(now);
     bool changed = false;
@@ -725,7 +727,7 @@
 void edge<Codec>::register_vm(time_point now)
 {
     registration_->tick(now);
-    if (stopping_ || !is_current(state_table::vms, now) || !registration_->may_send(now))
+    if (stop_ || !is_current(state_table::vms, now) || !registration_->may_send(now))
         return;
     const vm_record own{options_.vm, options_.domain,
                         options_.peers.host + ":" + std::to_string(peers_->port()),
@@ -797,21 +799,21 @@
                        {"endpoints", std::to_string(endpoints_.size())}});
         }
     }
-    if (stopping_)
+    if (stop_)
         tick_stop(now);
 }
 
 template <typename Codec>
 void edge<Codec>::begin_stop()
 {
-    if (stopping_)
+    if (stop_)
         return;
-    stopping_ = true;
-    stop_began_ = steady_clock::now();
+    const time_point now = steady_clock::now();
+    stop_.emplace(now, options_.stop_grace);
     log_event(log_level::info, "stopping",
               {{"in_flight", std::to_string(exchanges_.size())},
                {"grace_ms", std::to_string(options_.stop_grace.count())}});
-    registration_->remove({options_.vm, options_.domain, ""}, stop_began_);
+    registration_->remove({options_.vm, options_.domain, ""}, now);
     peers_->broadcast(leaving_message{});
 }
 
@@ -820,25 +822,23 @@
 template <typename Codec>
 void edge<Codec>::tick_stop(time_point now)
 {
-    const auto since = now - stop_began_;
-    const bool grace_over = since >= options_.stop_grace - stop_reserve;
-    const std::size_t given_up = exchanges_.size();
-    if (grace_over)
+    if (now >= stop_->requests_end_at())
     {
         const auto all = exchanges_;
+        requests_given_up_ += all.size();
         for (const auto& [pointer, active] : all)
             active->end_on_stop(now);
     }
-    if (since >= balancer_detection_time)
+    if (!stop_->in_rotation(now))
         callers_->close_connections_when_idle();
     const bool idle =
         exchanges_.empty() && callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0;
-    if ((since < balancer_detection_time || !idle) && !grace_over)
+    if ((stop_->in_rotation(now) || !idle) && now < stop_->requests_end_at())
         return;
     log_event(log_level::info, "stopped",
-              {{"given_up", std::to_string(given_up)},
+              {{"given_up", std::to_string(requests_given_up_)},
                {"after_ms", edge_detail::milliseconds_text(
-                                std::chrono::duration_cast<milliseconds>(since))},
+                                std::chrono::duration_cast<milliseconds>(now - stop_->began()))},
                {"open_responses", std::to_string(callers_->busy_count())}});
     io_.stop();
 }
--- a/packages/coordination/edge_report_impl.h
+++ b/packages/coordination/edge_report_impl.h
@@ -45,7 +45,7 @@
     result.vm = options_.vm;
     result.domain = options_.domain;
     result.state = is_ready() ? "ready" : "starting";
-    if (stopping_)
+    if (stop_)
         result.state = "stopping";
     result.desired_version = desired_version();
     if (state_)
--- a/packages/state/serving.cpp
+++ b/packages/state/serving.cpp
@@ -2,6 +2,7 @@
 
 #include "state/enum_names.h"
 
+#include <algorithm>
 #include <array>
 
 namespace zinnianotch
@@ -46,6 +47,12 @@
     return best;
 }
 
+bool has_route(const serving_state& state, std::string_view name)
+{
+    return std::any_of(state.routes.begin(), state.routes.end(),
+                       [&](const route_spec& route) { return route.name == name; });
+}
+
 const client_account* find_account(const serving_state& state, std::string_view key)
 {
     const auto found = state.account_by_key.find(key);
--- a/packages/state/serving.h
+++ b/packages/state/serving.h
@@ -111,6 +111,7 @@
 // include a query string.
 const route_spec* find_route(const serving_state& state, std::string_view host,
                              std::string_view target);
+bool has_route(const serving_state& state, std::string_view name);
 const client_account* find_account(const serving_state& state, std::string_view key);
 const service_spec* find_service(const serving_state& state, std::string_view name);
 
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -823,3 +823,100 @@
     }
     cr_assert(answered > 100, "%zu answered", answered);
 }
+
+namespace
+{
+
+// A deployment whose VM is stopping and stays until its grace period ends, because of an order that
+// takes longer.
+struct stopping_deployment : small_deployment
+{
+    std::unique_ptr<client_exchange> long_order;
+
+    void start_and_stop()
+    {
+        stop_grace = milliseconds(4000);
+        for (const char* prefix : {"/order/", "/once/"})
+            routes[prefix]["timeout_ms"] = value::number(20000);
+        start();
+        for_both_plain([](fake_endpoint& endpoint)
+                       { endpoint.processing_time = milliseconds(6000); });
+        for_both_engines(
+            [](fake_endpoint& engine)
+            {
+                engine.event_count = 30;
+                engine.event_interval = milliseconds(200);
+            });
+        long_order = start_request(0, request_text("POST", "/order/1", "long", "", "x"));
+        cr_assert(run_until([&] { return count_requests("long") == 1; }));
+        stop_vm(0);
+    }
+
+    // True if all exchanges have ended when the VM exits.
+    bool end_before_exit(const std::vector<const client_exchange*>& exchanges)
+    {
+        bool exited = false;
+        const auto ended = [&]
+        {
+            return std::all_of(exchanges.begin(), exchanges.end(),
+                               [](const client_exchange* exchange) { return exchange->ended(); });
+        };
+        return run_until(
+                   [&]
+                   {
+                       exited = exited || io.stopped();
+                       return exited || ended();
+                   }) &&
+               ended();
+    }
+};
+
+} // namespace
+
+// Guards against a request that a stopping VM accepts late and breaks off when its grace period
+// ends.
+Test(edge, planned_stop_late_stream_is_refused_at_once)
+{
+    stopping_deployment harness;
+    harness.start_and_stop();
+    harness.run_for(milliseconds(2700));
+    const auto late = harness.start_request(0, request_text("POST", "/once/1", "late", "", "x"));
+    cr_assert(harness.end_before_exit({late.get()}));
+    cr_assert(late->done && late->head.status == 503);
+    cr_assert(zinnianotch::find_field(late->head, "Retry-After").has_value());
+    cr_assert(zinnianotch::find_field(late->head, "Connection").value_or("") == "close");
+    cr_assert(harness.count_requests("late") == 0);
+}
+
+// Guards against refusing a request that ends before the stopping VM exits whatever happens.
+Test(edge, planned_stop_late_request_with_near_deadline_is_served)
+{
+    stopping_deployment harness;
+    harness.start_and_stop();
+    harness.for_both_plain([](fake_endpoint& endpoint)
+                           { endpoint.processing_time = milliseconds(20); });
+    harness.run_for(milliseconds(2700));
+    const auto late =
+        harness.send_and_wait(0, request_text("GET", "/read/1", "late", "Deadline-Ms: 500\r\n"));
+    cr_assert(late->done && late->head.status == 200);
+}
+
+// Guards against accepting a stream that usually takes longer than the stopping VM has left.
+Test(edge, planned_stop_stream_longer_than_grace_is_refused_at_once)
+{
+    small_deployment harness;
+    harness.stop_grace = milliseconds(4000);
+    harness.routes["/once/"]["timeout_ms"] = value::number(20000);
+    harness.start();
+    harness.for_both_engines(
+        [](fake_endpoint& engine)
+        {
+            engine.event_count = 10;
+            engine.event_interval = milliseconds(500);
+        });
+    cr_assert(harness.send_and_wait(0, request_text("POST", "/once/1", "s1", "", "x"))->done);
+    harness.stop_vm(0);
+    const auto next = harness.send_and_wait(0, request_text("POST", "/once/1", "s2", "", "x"));
+    cr_assert(next->done && next->head.status == 503);
+    cr_assert(harness.count_requests("s2") == 0);
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -571,6 +571,7 @@
     options.metrics = {loopback, 0};
     options.store = store.address(store.add_listener());
     options.limits = limits;
+    options.stop_grace = stop_grace;
     vms_.push_back(std::make_unique<edge<platform::codec>>(io, options));
     vms_.back()->start();
     return vms_.size() - 1;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -266,6 +266,7 @@
     std::map<std::string, web::json::value> routes;
     web::json::value accounts = web::json::value::array();
     zinnianotch::fleet_limits limits;
+    milliseconds stop_grace{8000};
     double result_memory_mb = 10.0; // per endpoint of a stage
 
 private:
