Write the last answers before a stopping VM exits

Callers saw: no answer to requests in flight at the end of a stopping VM's grace period, nor to those that waited for the state to be confirmed after a pause.

Change: requests end 0.4 s before the process is killed, deferred ones too; the process exits when all responses are written and acknowledged by the callers' close, at the latest 0.15 s before it is killed.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -126,6 +126,8 @@
     // After a pause of the process: confirms the state before more requests are served.
     void check_pause(time_point now);
     void serve_deferred_requests(time_point now);
+    // Serves them whether or not the state is confirmed.
+    void end_deferral();
     void on_desired(const std::vector<state_record>& records, bool is_snapshot);
     void on_endpoints(const std::vector<state_record>& records, bool is_snapshot);
     void on_vms(const std::vector<state_record>& records, bool is_snapshot);
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -210,6 +210,12 @@
         is_current(state_table::desired, now) && is_current(state_table::endpoints, now);
     if (!confirmed && now - *paused_until_ < confirmation_timeout)
         return;
+    end_deferral();
+}
+
+template <typename Codec>
+void edge<Codec>::end_deferral()
+{
     paused_until_.reset();
     auto requests = std::move(deferred_requests_);
     deferred_requests_.clear();
@@ -818,12 +824,13 @@
 }
 
 // Stops the event loop once the load balancer has removed this VM and no work is in flight, or when
-// the grace period is over.
+// the grace period is over and the last responses are written.
 template <typename Codec>
 void edge<Codec>::tick_stop(time_point now)
 {
     if (now >= stop_->requests_end_at())
     {
+        end_deferral();
         const auto all = exchanges_;
         requests_given_up_ += all.size();
         for (const auto& [pointer, active] : all)
@@ -831,9 +838,9 @@
     }
     if (!stop_->in_rotation(now))
         callers_->close_connections_when_idle();
-    const bool idle =
-        exchanges_.empty() && callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0;
-    if ((stop_->in_rotation(now) || !idle) && now < stop_->requests_end_at())
+    const bool idle = exchanges_.empty() && deferred_requests_.empty() &&
+                      callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0;
+    if ((stop_->in_rotation(now) || !idle) && now < stop_->exit_at())
         return;
     log_event(log_level::info, "stopped",
               {{"given_up", std::to_string(requests_given_up_)},
--- a/packages/state/stop_schedule.h
+++ b/packages/state/stop_schedule.h
@@ -18,6 +18,8 @@
 inline constexpr milliseconds balancer_detection_time{2500};
 // Part of the grace period that is reserved for ending the requests still in flight.
 inline constexpr milliseconds stop_reserve{400};
+// Part of it that is left when the process exits, whether or not all responses have been written.
+inline constexpr milliseconds exit_reserve{150};
 
 class stop_schedule
 {
@@ -30,6 +32,7 @@
     bool in_rotation(time_point now) const { return now - began_ < balancer_detection_time; }
     // Requests in flight at this time are ended with an error.
     time_point requests_end_at() const { return began_ + grace_ - stop_reserve; }
+    time_point exit_at() const { return began_ + grace_ - exit_reserve; }
 
     // True if a new request is to be served. `limit` is the time until its deadline, `expected` an
     // estimate of its duration. While the VM is in rotation a request is served that probably
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -920,3 +920,36 @@
     cr_assert(next->done && next->head.status == 503);
     cr_assert(harness.count_requests("s2") == 0);
 }
+
+// Guards against answers that are lost because the process exits before they are written.
+Test(edge, planned_stop_grace_over_requests_are_answered_before_exit)
+{
+    stopping_deployment harness;
+    harness.start_and_stop();
+    cr_assert(harness.end_before_exit({harness.long_order.get()}));
+    cr_assert(harness.long_order->done && harness.long_order->head.status == 502);
+}
+
+// Guards against requests that wait for the state after a pause and are lost at the exit.
+Test(edge, planned_stop_requests_waiting_after_pause_are_answered_before_exit)
+{
+    small_deployment harness;
+    harness.stop_grace = milliseconds(600);
+    harness.start();
+    harness.run_for(milliseconds(100));
+    harness.store.unresponsive = true;
+    const auto paused_until = zinnianotch::steady_clock::now() + milliseconds(1100);
+    while (zinnianotch::steady_clock::now() < paused_until)
+    {
+    }
+    harness.stop_vm(0);
+    const auto exchange = harness.start_request(0, request_text("GET", "/read/1", "a1"));
+    bool exited = false;
+    cr_assert(harness.run_until(
+        [&]
+        {
+            exited = exited || harness.io.stopped();
+            return exited || exchange->ended();
+        }));
+    cr_assert(exchange->done);
+}
--- a/tests/unit/stop_schedule_test.cpp
+++ b/tests/unit/stop_schedule_test.cpp
@@ -45,3 +45,10 @@
     cr_assert(vm.accepts_at(milliseconds(2000), milliseconds(20000), milliseconds(5600)));
     cr_assert_not(vm.accepts_at(milliseconds(2000), milliseconds(20000), milliseconds(5601)));
 }
+
+Test(stop_schedule, requests_end_before_exit_and_exit_before_kill)
+{
+    const stopping_vm vm;
+    cr_assert(vm.schedule.requests_end_at() < vm.schedule.exit_at());
+    cr_assert(vm.schedule.exit_at() < vm.began + milliseconds(8000));
+}
