Serve a pipelined request that was read before the connection closes

Callers saw: a request sent behind a stream on the same connection got no answer when its VM stopped during the stream, although the stream's response had promised to keep the connection.

Cause: once connections were to close when idle, the end of a response closed its connection and dropped what had been read after it.

Change: the connection closes after the requests that have been read. Responses of a stopping VM announce the close, so no further one follows.

Before: edge/planned_stop_pipelined_request_is_answered fails (no second response). After: it passes.

--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -58,7 +58,7 @@
 void server_connection::end(bool keep_alive)
 {
     response_ended_ = true;
-    keep_alive_ = keep_alive && !close_when_idle_;
+    keep_alive_ = keep_alive;
     on_disconnect = nullptr;
     on_writable = nullptr;
     if (!write_pending_ && write_queue_.empty())
@@ -241,7 +241,8 @@
 {
     response_ended_ = false;
     const time_point now = steady_clock::now();
-    if (!keep_alive_ || close_when_idle_)
+    // A request that has been read already is served before the connection closes.
+    if (!keep_alive_ || (close_when_idle_ && unparsed_.empty()))
         return start_linger(now);
     busy_ = false;
     idle_since_ = now;
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -5,7 +5,11 @@
 
 #include <criterion/criterion.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 #include <algorithm>
+#include <array>
 
 using namespace serving;
 using web::json::value;
@@ -953,3 +957,63 @@
         }));
     cr_assert(exchange->done);
 }
+
+namespace
+{
+
+// Sends requests without waiting for the responses.
+struct pipelining_client
+{
+    pipelining_client(boost::asio::io_context& io, const std::string& address) : socket(io)
+    {
+        socket.connect(*zinnianotch::parse_socket_address(address));
+        read();
+    }
+
+    void send(const std::string& text) { boost::asio::write(socket, boost::asio::buffer(text)); }
+
+    void read()
+    {
+        socket.async_read_some(boost::asio::buffer(buffer),
+                               [this](const boost::system::error_code& error, std::size_t count)
+                               {
+                                   received.append(buffer.data(), count);
+                                   closed = closed || error;
+                                   if (!error)
+                                       read();
+                               });
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 4096> buffer{};
+    std::string received;
+    bool closed = false;
+};
+
+} // namespace
+
+// Guards against a request that was read while a response was written and is dropped at the stop,
+// although that response promised to keep the connection.
+Test(edge, planned_stop_pipelined_request_is_answered)
+{
+    small_deployment harness;
+    harness.routes["/once/"]["timeout_ms"] = value::number(20000);
+    harness.start();
+    harness.for_both_engines(
+        [](fake_endpoint& engine)
+        {
+            engine.event_count = 10;
+            engine.event_interval = milliseconds(300);
+        });
+    pipelining_client client(harness.io, harness.address(0));
+    client.send(request_text("POST", "/once/1", "s1", "", "x"));
+    cr_assert(
+        harness.run_until([&] { return client.received.find("id: 1") != std::string::npos; }));
+    client.send(request_text("GET", "/read/1", "a2"));
+    harness.stop_vm(0);
+    cr_assert(harness.run_until([&] { return client.closed; }));
+    cr_assert(client.received.find("id: 10") != std::string::npos);
+    const std::size_t second = client.received.find("HTTP/1.1 ", 1);
+    cr_assert(second != std::string::npos);
+    cr_assert(client.received.find("Connection: close", second) != std::string::npos);
+}
