Answer connections that were just made when a VM stops

Callers saw: connections to a stopping VM closed right after they were established, before the first request on them was read; those still waiting to be accepted at the exit were reset.

Cause: connections closed at the next tick whenever no request was being received, although the first request of a new connection is normally in transit; the listening socket stayed open until the process ended.

Change: a connection without a request so far stays open for 0.5 s. Before the exit the VM accepts what the kernel has established, stops listening, so that later callers are refused before they send anything, and exits when all connections have closed.

Before: edge/planned_stop_request_on_new_connection_is_answered fails (closed within 100 ms).

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -836,11 +836,14 @@
         for (const auto& [pointer, active] : all)
             active->end_on_stop(now);
     }
-    if (!stop_->in_rotation(now))
-        callers_->close_connections_when_idle();
+    if (stop_->in_rotation(now) && now < stop_->requests_end_at())
+        return;
+    callers_->close_connections_when_idle(now);
     const bool idle = exchanges_.empty() && deferred_requests_.empty() &&
                       callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0;
-    if ((stop_->in_rotation(now) || !idle) && now < stop_->exit_at())
+    if (idle || now >= stop_->requests_end_at())
+        callers_->stop_accepting();
+    if ((!idle || callers_->connections() > 0) && now < stop_->exit_at())
         return;
     log_event(log_level::info, "stopped",
               {{"given_up", std::to_string(requests_given_up_)},
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -76,9 +76,11 @@
     close();
 }
 
-void server_connection::close_when_idle()
+void server_connection::close_when_idle(time_point now)
 {
     close_when_idle_ = true;
+    if (!request_received_ && now - idle_since_ < first_request_time)
+        return;
     if (!busy_ && !has_partial_request() && unparsed_.empty())
         close();
 }
@@ -174,6 +176,7 @@
     if (!parser_->done())
         return;
     busy_ = true;
+    request_received_ = true;
     keep_alive_ = parser_->keep_alive();
     received_request request{std::move(parser_->head), std::move(parser_->body), first_byte_at_};
     parser_.reset();
@@ -299,12 +302,12 @@
     connection->start(steady_clock::now());
 }
 
-void server_listener::close_connections_when_idle()
+void server_listener::close_connections_when_idle(time_point now)
 {
     const std::vector<std::shared_ptr<server_connection>> all(connections_.begin(),
                                                               connections_.end());
     for (const auto& connection : all)
-        connection->close_when_idle();
+        connection->close_when_idle(now);
 }
 
 void server_listener::sweep(time_point now)
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -35,6 +35,9 @@
 // How long input is read and discarded after the last response on a connection. Closing a socket
 // with unread bytes resets the connection, and the caller may lose the response.
 inline constexpr milliseconds linger_time{1000};
+// A connection on which no request was received yet is kept open for this long when connections
+// close: its first request is probably in transit.
+inline constexpr milliseconds first_request_time{500};
 // Bytes waiting to be sent to a slow caller above which the source of the response is paused.
 inline constexpr std::size_t unsent_bytes_limit = 256 * 1024;
 // A connection is closed when one write to the socket does not complete within this time.
@@ -62,8 +65,8 @@
     void end(bool keep_alive);
     // Resets the connection, so that a partial response does not look complete.
     void abort();
-    // Closes the connection as soon as no request is being received or served.
-    void close_when_idle();
+    // Closes the connection as soon as no request is being received, served or likely to arrive.
+    void close_when_idle(time_point now);
     // Applies the timeouts; called periodically.
     void sweep(time_point now);
 
@@ -103,6 +106,7 @@
     bool response_ended_ = false;
     bool keep_alive_ = true;
     bool close_when_idle_ = false;
+    bool request_received_ = false;
     bool lingering_ = false;
     bool closed_ = false;
     time_point first_byte_at_{};
@@ -127,8 +131,10 @@
     const connection_limits& limits() const { return limits_; }
     void set_max_connections(std::size_t count) { max_connections_ = count; }
 
-    // Closes each connection as soon as no request is being received or served on it.
-    void close_connections_when_idle();
+    // Closes each connection as soon as no request is being received, served or likely to arrive.
+    void close_connections_when_idle(time_point now);
+    // Accepts no new connections.
+    void stop_accepting() { acceptor_.close(); }
     void sweep(time_point now);
     // Number of connections on which a request is being received or served.
     std::size_t busy_count() const;
--- a/packages/transport/socket_acceptor.cpp
+++ b/packages/transport/socket_acceptor.cpp
@@ -17,6 +17,7 @@
     acceptor_.set_option(asio::socket_base::reuse_address(true));
     acceptor_.bind(endpoint);
     acceptor_.listen();
+    port_ = acceptor_.local_endpoint().port();
     accept();
 }
 
@@ -43,4 +44,22 @@
         });
 }
 
+void socket_acceptor::close()
+{
+    boost::system::error_code error;
+    if (!acceptor_.is_open())
+        return;
+    (void)acceptor_.cancel(error);
+    retry_timer_.cancel();
+    (void)acceptor_.non_blocking(true, error);
+    while (!error)
+    {
+        tcp::socket socket(acceptor_.get_executor());
+        (void)acceptor_.accept(socket, error);
+        if (!error)
+            on_socket_(std::move(socket));
+    }
+    (void)acceptor_.close(error);
+}
+
 } // namespace zinnianotch
--- a/packages/transport/socket_acceptor.h
+++ b/packages/transport/socket_acceptor.h
@@ -27,7 +27,11 @@
     socket_acceptor(boost::asio::io_context& io, const std::string& address, std::uint16_t port,
                     handler on_socket);
 
-    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    // Passes the connections that are established already to the handler, and listens no longer.
+    // Later ones are refused.
+    void close();
+
+    std::uint16_t port() const { return port_; }
 
 private:
     void accept();
@@ -35,6 +39,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_timer_;
     handler on_socket_;
+    std::uint16_t port_ = 0;
 };
 
 } // namespace zinnianotch
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1017,3 +1017,19 @@
     cr_assert(second != std::string::npos);
     cr_assert(client.received.find("Connection: close", second) != std::string::npos);
 }
+
+// Guards against a stopping VM that closes a connection before its first request has arrived.
+Test(edge, planned_stop_request_on_new_connection_is_answered)
+{
+    stopping_deployment harness;
+    harness.start_and_stop();
+    harness.for_both_plain([](fake_endpoint& endpoint)
+                           { endpoint.processing_time = milliseconds(20); });
+    harness.run_for(milliseconds(2700));
+    pipelining_client client(harness.io, harness.address(0));
+    harness.run_for(milliseconds(100));
+    cr_assert_not(client.closed);
+    client.send(request_text("GET", "/read/1", "a1", "Deadline-Ms: 300\r\n"));
+    cr_assert(harness.run_until([&] { return client.closed; }));
+    cr_assert(client.received.starts_with("HTTP/1.1 200 "));
+}
