Tell VMs that connect to a stopping VM that it is leaving

The leaving message went to the connections that existed at the stop signal. A VM that connected later, because it had just started or had lost its link, did not learn of the stop and submitted stage jobs to the VM until that exited; a reconnect also reset what the peer had known. Its callers waited for jobs that a closing connection sent back late, or ran out of time.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -88,6 +88,7 @@
     // Snapshot of this VM's view and activity, for operators.
     vm_report report(time_point now);
     std::uint16_t callers_port() const { return callers_->port(); }
+    std::uint16_t peers_port() const { return peers_->port(); }
     std::uint16_t metrics_port() const { return metrics_listener_->port(); }
     std::size_t known_endpoints() const { return endpoints_.size(); }
     std::size_t links_up() const { return stage_router_.links_up(); }
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -812,7 +812,7 @@
               {{"in_flight", std::to_string(exchanges_.size())},
                {"grace_ms", std::to_string(options_.stop_grace.count())}});
     registration_->remove({options_.vm, options_.domain, ""}, stop_began_);
-    peers_->broadcast(leaving_message{});
+    peers_->announce(leaving_message{});
 }
 
 // Stops the event loop once the load balancer has removed this VM and no work is in flight, or when
--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -249,6 +249,8 @@
             }
         },
         steady_clock::now());
+    if (announcement_)
+        channel->send(*announcement_);
 }
 
 void vm_listener::broadcast(const vm_message& message)
@@ -258,6 +260,12 @@
         channel->send(message);
 }
 
+void vm_listener::announce(const vm_message& message)
+{
+    announcement_ = message;
+    broadcast(message);
+}
+
 void vm_listener::tick(time_point now)
 {
     const auto channels_copy = channels_;
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -115,6 +115,8 @@
 
     std::uint16_t port() const { return acceptor_.port(); }
     void broadcast(const vm_message& message);
+    // Sends the message on all open connections, and first on each connection accepted from now on.
+    void announce(const vm_message& message);
     // To be called periodically: closes connections after link_idle_timeout.
     void tick(time_point now);
 
@@ -124,6 +126,7 @@
     message_handler on_message_;
     closed_handler on_closed_;
     std::set<std::shared_ptr<vm_channel>> channels_;
+    std::optional<vm_message> announcement_;
     socket_acceptor acceptor_;
 };
 
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -80,6 +80,50 @@
     }
 };
 
+// Another VM as seen by a VM of the deployment: keeps what it receives.
+class fake_peer
+{
+public:
+    fake_peer(small_deployment& harness, std::size_t vm)
+        : harness_(harness),
+          link_(
+              harness.io, {boost::asio::ip::make_address(loopback), harness.vm(vm).peers_port()},
+              [this](zinnianotch::vm_message&& message)
+              { received_.push_back(std::move(message)); },
+              [](bool) {})
+    {
+    }
+
+    // Runs the event loop until the connection is open and the VM has sent something.
+    bool connect()
+    {
+        return run_until([this] { return link_.is_up(); });
+    }
+    bool run_until(const std::function<bool()>& condition)
+    {
+        return harness_.run_until(
+            [&]
+            {
+                link_.tick(zinnianotch::steady_clock::now());
+                return condition();
+            });
+    }
+    void send(const zinnianotch::vm_message& message) { link_.send(message); }
+
+    template <typename Message>
+    bool has_received() const
+    {
+        return std::any_of(received_.begin(), received_.end(),
+                           [](const auto& message)
+                           { return std::holds_alternative<Message>(message); });
+    }
+
+private:
+    small_deployment& harness_;
+    std::vector<zinnianotch::vm_message> received_;
+    zinnianotch::vm_link link_;
+};
+
 value account(const std::string& name, const std::string& key)
 {
     value tenant = value::object();
@@ -682,6 +726,18 @@
     cr_assert(exchange->done && exchange->body == events_text(5));
 }
 
+// Guards against stage jobs that are sent to a stopping VM by VMs that connect after the stop
+// began.
+Test(edge, planned_stop_vm_connects_later_learns_of_it)
+{
+    small_deployment harness;
+    harness.start();
+    harness.stop_vm(0);
+    fake_peer late(harness, 0);
+    cr_assert(late.connect());
+    cr_assert(late.run_until([&] { return late.has_received<zinnianotch::leaving_message>(); }));
+}
+
 // Guards against a VM that never receives a change of the desired state because the store fails for
 // this VM only.
 Test(edge, store_rejects_requests_of_vm_state_comes_from_other_vm)
