Return waiting stage jobs to their VMs when the batching VM stops

A VM that stopped went on batching: jobs of other VMs that waited in its queues stayed there until its calls in progress ended, and a job that was sent before its sender learned of the stop was queued too. Their requests lost that time, up to the grace period, and learned of the exit only by the closed connection.

The stopping VM now returns every job of another VM of which no piece is in a call or has a result (new message returned), at the signal, when it is submitted later, and when its calls come back without results. The owner submits it to the next VM with the time that is left, as after a lost connection; a sender of returned counts as leaving, so the job does not go back to it. Jobs that have begun are completed.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -813,6 +813,7 @@
                {"grace_ms", std::to_string(options_.stop_grace.count())}});
     registration_->remove({options_.vm, options_.domain, ""}, stop_began_);
     peers_->announce(leaving_message{});
+    stage_router_.begin_stop();
 }
 
 // Stops the event loop once the load balancer has removed this VM and no work is in flight, or when
@@ -837,8 +838,8 @@
         return;
     log_event(log_level::info, "stopped",
               {{"given_up", std::to_string(given_up)},
-               {"after_ms", edge_detail::milliseconds_text(
-                                std::chrono::duration_cast<milliseconds>(since))},
+               {"after_ms",
+                edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(since))},
                {"open_responses", std::to_string(callers_->busy_count())}});
     io_.stop();
 }
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -62,6 +62,8 @@
     // unless the job is cancelled first.
     std::uint64_t submit(const stage_request& request, stage_callback done, time_point now);
     void cancel(std::uint64_t job);
+    // Cancels the job unless a piece of it has a result or is in a call; true if cancelled.
+    bool cancel_if_waiting(std::uint64_t job);
 
     // Releases results that are no longer needed, in one call for each endpoint.
     void release(const std::vector<std::string>& handles);
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -243,6 +243,20 @@
     jobs_.erase(found);
 }
 
+template <typename Codec>
+bool stage_batcher<Codec>::cancel_if_waiting(std::uint64_t id)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return false;
+    const stage_request& request = found->second.request;
+    const stage_queue& queue = queues_[queue_name(request.service, request.shard)].queue;
+    if (queue.waiting_pieces(id) != request.pieces)
+        return false;
+    cancel(id);
+    return true;
+}
+
 // Releases the results that a job has so far when it ends without completing.
 template <typename Codec>
 void stage_batcher<Codec>::release_results(const job& ended)
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -72,6 +72,10 @@
     // Sends the query to one of the reachable VMs, in turn; false when there is none.
     bool query_state(const state_query& query);
 
+    // From now on, jobs of other VMs that have not begun go back to them; those that have begun are
+    // completed.
+    void begin_stop();
+
     void tick(time_point now);
     std::size_t peer_job_count() const;
     std::size_t links_up() const;
@@ -102,6 +106,11 @@
     void on_done(const std::string& vm, const done_message& message);
     // Sends a job to the VM that batches its queue now, and keeps the id that `submit` returned.
     void route_job(std::uint64_t id, remote_job job, time_point now);
+    // Routes the job again after the VM that batched it has given it up.
+    void reroute(std::uint64_t id, time_point now);
+    void on_returned(const std::string& vm, std::uint64_t job);
+    // Gives the jobs of other VMs that have not begun back to them.
+    void return_waiting_jobs();
     void submit_for_peer(const std::shared_ptr<vm_channel>& from, const submit_message& message);
 
     boost::asio::io_context& io_;
@@ -122,6 +131,7 @@
     std::map<std::string, std::string> logged_batchers_; // batching VM by queue, as last logged
     std::uint64_t next_job_ = 0;
     std::size_t next_state_peer_ = 0;
+    bool stopping_ = false;
 };
 
 } // namespace zinnianotch
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -183,6 +183,8 @@
 {
     if (const auto* done = std::get_if<done_message>(&message))
         return on_done(vm, *done);
+    if (const auto* returned = std::get_if<returned_message>(&message))
+        return on_returned(vm, returned->job);
     if (std::holds_alternative<leaving_message>(message))
         links_[vm].leaving = true;
     on_state_(vm, message);
@@ -228,19 +230,34 @@
     }
     for (const std::uint64_t id : ids)
     {
-        const auto found = remote_jobs_.find(id);
-        if (found == remote_jobs_.end())
-            continue; // another stage of its request has ended, and the request with it
-        remote_job job = std::move(found->second);
-        remote_jobs_.erase(found);
-        const auto spent = std::chrono::duration_cast<milliseconds>(now - job.submitted);
-        job.request.goal_left -= spent;
-        job.request.deadline_left -= spent;
-        counters_.count("stage_jobs_moved_total");
-        route_job(id, std::move(job), now);
+        // Not there if another stage of its request has ended, and the request with it.
+        if (remote_jobs_.contains(id))
+            reroute(id, now);
     }
 }
 
+template <typename Codec>
+void stage_router<Codec>::reroute(std::uint64_t id, time_point now)
+{
+    const auto found = remote_jobs_.find(id);
+    remote_job job = std::move(found->second);
+    remote_jobs_.erase(found);
+    const auto spent = std::chrono::duration_cast<milliseconds>(now - job.submitted);
+    job.request.goal_left -= spent;
+    job.request.deadline_left -= spent;
+    counters_.count("stage_jobs_moved_total");
+    route_job(id, std::move(job), now);
+}
+
+template <typename Codec>
+void stage_router<Codec>::on_returned(const std::string& vm, std::uint64_t job)
+{
+    links_[vm].leaving = true; // the job must not go there again
+    const auto found = remote_jobs_.find(job);
+    if (found != remote_jobs_.end() && found->second.vm == vm)
+        reroute(job, steady_clock::now());
+}
+
 template <typename Codec>
 void stage_router<Codec>::route_job(std::uint64_t id, remote_job job, time_point now)
 {
@@ -270,6 +287,8 @@
 void stage_router<Codec>::submit_for_peer(const std::shared_ptr<vm_channel>& from,
                                           const submit_message& message)
 {
+    if (stopping_)
+        return from->send(returned_message{message.job});
     const std::weak_ptr<vm_channel> weak = from;
     vm_channel* const key = from.get();
     peer_jobs_[key][message.job] = 0;
@@ -346,9 +365,39 @@
     return true;
 }
 
+template <typename Codec>
+void stage_router<Codec>::begin_stop()
+{
+    stopping_ = true;
+    return_waiting_jobs();
+}
+
+template <typename Codec>
+void stage_router<Codec>::return_waiting_jobs()
+{
+    // Sent after the loop: a failing connection changes peer_jobs_.
+    std::vector<std::pair<std::shared_ptr<vm_channel>, std::uint64_t>> returned;
+    for (auto& [channel, jobs] : peer_jobs_)
+    {
+        std::erase_if(jobs,
+                      [&, owner = channel](const auto& entry)
+                      {
+                          if (!batcher_.cancel_if_waiting(entry.second))
+                              return false;
+                          returned.emplace_back(owner->shared_from_this(), entry.first);
+                          return true;
+                      });
+    }
+    for (const auto& [channel, job] : returned)
+        channel->send(returned_message{job});
+    counters_.count("stage_jobs_returned_total", returned.size());
+}
+
 template <typename Codec>
 void stage_router<Codec>::tick(time_point now)
 {
+    if (stopping_)
+        return_waiting_jobs();
     std::vector<vm_link*> links;
     for (const auto& [name, entry] : links_)
         links.push_back(entry.link.get());
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -78,5 +78,6 @@
     answer @7 :StateAnswer;
     leaving @8 :Void;         # the sender is shutting down: send it no new work
     notice @9 :StateNotice;   # from a VM that reads the store
+    returned @10 :UInt64;     # a submitted job that the sender has not begun and gives up: submit it elsewhere
   }
 }
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -169,6 +169,7 @@
     ANSWER,
     LEAVING,
     NOTICE,
+    RETURNED,
   };
 
   struct _capnpPrivate {
@@ -1051,6 +1052,9 @@
   inline bool hasNotice() const;
   inline  ::zinnianotch::wire::StateNotice::Reader getNotice() const;
 
+  inline bool isReturned() const;
+  inline  ::uint64_t getReturned() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1144,6 +1148,10 @@
   inline void adoptNotice(::capnp::Orphan< ::zinnianotch::wire::StateNotice>&& value);
   inline ::capnp::Orphan< ::zinnianotch::wire::StateNotice> disownNotice();
 
+  inline bool isReturned();
+  inline  ::uint64_t getReturned();
+  inline void setReturned( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2379,6 +2387,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool VmMessage::Reader::isReturned() const {
+  return which() == VmMessage::RETURNED;
+}
+inline bool VmMessage::Builder::isReturned() {
+  return which() == VmMessage::RETURNED;
+}
+inline  ::uint64_t VmMessage::Reader::getReturned() const {
+  KJ_IREQUIRE((which() == VmMessage::RETURNED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VmMessage::Builder::getReturned() {
+  KJ_IREQUIRE((which() == VmMessage::RETURNED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VmMessage::Builder::setReturned( ::uint64_t value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::RETURNED);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -63,6 +63,7 @@
     void operator()(const pong_message&) { out_.setPong(); }
     void operator()(const leaving_message&) { out_.setLeaving(); }
     void operator()(const cancel_message& message) { out_.setCancel(message.job); }
+    void operator()(const returned_message& message) { out_.setReturned(message.job); }
     void operator()(const submit_message& message)
     {
         auto to = out_.initSubmit();
@@ -233,6 +234,8 @@
         return leaving_message{};
     case wire::VmMessage::NOTICE:
         return read_notice(from.getNotice());
+    case wire::VmMessage::RETURNED:
+        return returned_message{from.getReturned()};
     }
     KJ_FAIL_REQUIRE("unknown VM message type");
 }
--- a/packages/protocol/vm_message.h
+++ b/packages/protocol/vm_message.h
@@ -64,10 +64,15 @@
 struct leaving_message
 {
 };
+// A stopping VM has not begun the job and gives it up; the receiver submits it to another VM.
+struct returned_message
+{
+    std::uint64_t job = 0;
+};
 
-using vm_message =
-    std::variant<ping_message, pong_message, submit_message, done_message, cancel_message,
-                 release_message, state_query, state_answer, leaving_message, state_notice>;
+using vm_message = std::variant<ping_message, pong_message, submit_message, done_message,
+                                cancel_message, release_message, state_query, state_answer,
+                                leaving_message, state_notice, returned_message>;
 
 // Largest accepted message in bytes, without the length prefix.
 inline constexpr std::size_t frame_limit = 16 * 1024 * 1024;
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -108,6 +108,14 @@
                   });
 }
 
+std::uint32_t stage_queue::waiting_pieces(std::uint64_t job) const
+{
+    std::uint32_t waiting = 0;
+    for (const waiting_part& part : queue_)
+        waiting += part.job.id == job ? part.count : 0;
+    return waiting;
+}
+
 void stage_queue::requeue(const stage_job& job, const batch_part& part)
 {
     // Not delayed again: its time is short.
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -109,6 +109,8 @@
     // jobs on time leave would not finish it by its deadline either.
     bool admits(const stage_job& job, milliseconds expected, time_point now) const;
     std::size_t waiting_pieces() const { return waiting_pieces_; }
+    // Pieces of the job that are in no call.
+    std::uint32_t waiting_pieces(std::uint64_t job) const;
     bool has_waiting_pieces() const { return !queue_.empty(); }
     bool has_endpoints() const { return !endpoints_.empty(); }
 
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -738,6 +738,57 @@
     cr_assert(late.run_until([&] { return late.has_received<zinnianotch::leaving_message>(); }));
 }
 
+// Guards against stage jobs that wait at a stopping VM until its calls in progress end.
+Test(edge, batching_vm_stops_waiting_job_runs_at_other_vm)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    encoder.never_responds = true;
+    harness.start_linked();
+    const std::size_t batching_vm = harness.vm(0).is_batcher_of("encoders") ? 0 : 1;
+    const std::size_t other = 1 - batching_vm;
+    auto begun =
+        harness.start_request(other, request_text("POST", "/stream/1", "s1", two_pieces, "x"));
+    cr_assert(harness.run_until([&] { return !encoder.requests.empty(); }));
+    auto waiting =
+        harness.start_request(other, request_text("POST", "/stream/1", "s2", two_pieces, "x"));
+    harness.run_for(milliseconds(50));
+    harness.stop_vm(batching_vm);
+    cr_assert(harness.run_until([&] { return encoder.requests.size() > 1; }));
+    const std::string& next_call = encoder.requests[1].body;
+    cr_assert(next_call.find("s2") != std::string::npos, "%s", next_call.c_str());
+    cr_assert(next_call.find("s1") == std::string::npos, "%s", next_call.c_str());
+    encoder.never_responds = false;
+    cr_assert(harness.run_until([&] { return begun->ended() && waiting->ended(); }));
+    cr_assert(begun->done && begun->body == events_text(5));
+    cr_assert(waiting->done && waiting->body == events_text(5));
+}
+
+// Guards against a stopping VM that takes a stage job which was sent before its sender learned of
+// the stop.
+Test(edge, planned_stop_job_crosses_message_is_returned)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    encoder.never_responds = true;
+    harness.start();
+    fake_peer peer(harness, 0);
+    cr_assert(peer.connect());
+    harness.stop_vm(0);
+    zinnianotch::submit_message job;
+    job.job = 7;
+    job.request.attempt = "s1";
+    job.request.service = "encoders";
+    job.request.pieces = 2;
+    job.request.key = "k1";
+    job.request.goal_left = job.request.deadline_left = milliseconds(5000);
+    peer.send(job);
+    cr_assert(peer.run_until([&] { return peer.has_received<zinnianotch::returned_message>(); }));
+    cr_assert(encoder.requests.empty());
+}
+
 // Guards against a VM that never receives a change of the desired state because the store fails for
 // this VM only.
 Test(edge, store_rejects_requests_of_vm_state_comes_from_other_vm)
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -53,6 +53,15 @@
     cr_assert(std::get<done_message>(second).outcome.expected == milliseconds(900));
 }
 
+// Guards against a job that is taken for another one when a VM gives it back.
+Test(vm_message, returned_message_round_trip)
+{
+    std::string frame = encode_frame(returned_message{0xFFFFFFFFFFULL});
+    vm_message message;
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    cr_assert(std::get<returned_message>(message).job == 0xFFFFFFFFFFULL);
+}
+
 // Guards against a frame being decoded before all of its bytes have been received.
 Test(vm_message, decode_frame_every_prefix_is_incomplete)
 {
