Repeat the removal of a stopping VM's record until the store confirms it

The removal was sent once. When the store answered 503 or 429 or did not answer, the record stayed: until a VM of that name started again, the others kept connecting to its address and divided the limits of endpoints by one VM too many. A removal sent while the registration was still in flight could also take effect before it.

The removal now waits for a registration in flight and is repeated every second, while the VM runs, until it is confirmed; also when the list shows this process's record again, because a registration without a response can take effect late. A record of a new process of that name has another address and is left alone. The stop does not wait for the confirmation.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -44,12 +44,19 @@
             connection_->cancel();
     }
 
-    void put(const vm_record& vm, time_point now) { send(Codec::encode_vm_put(address_, vm), now); }
+    void put(const vm_record& vm, time_point now)
+    {
+        removes_ = false;
+        send(Codec::encode_vm_put(address_, vm), now);
+    }
     void remove(const vm_record& vm, time_point now)
     {
+        removes_ = true;
         send(Codec::encode_vm_remove(address_, vm), now);
     }
     bool in_flight() const { return in_flight_; }
+    // True once the store has confirmed the removal.
+    bool is_removed() const { return removed_; }
     void tick(time_point now)
     {
         if (in_flight_ && now - sent_at_ > list_timeout)
@@ -71,15 +78,25 @@
         connection_ = pool_.start(text, *this, default_idle_timeout, now);
     }
     bool matches_request(const message_head&) override { return true; }
-    void on_head(message_head&, body_framing, std::optional<std::uint64_t>) override {}
+    void on_head(message_head& head, body_framing, std::optional<std::uint64_t>) override
+    {
+        status_ = head.status;
+    }
     void on_body(std::string) override {}
-    void on_end() override { in_flight_ = false; }
+    void on_end() override
+    {
+        in_flight_ = false;
+        removed_ = removes_ && status_ / 100 == 2;
+    }
     void on_failure(upstream_failure) override { in_flight_ = false; }
 
     std::string address_;
     upstream_pool pool_;
     std::shared_ptr<upstream_connection> connection_;
     bool in_flight_ = false;
+    bool removes_ = false; // the last call
+    bool removed_ = false;
+    int status_ = 0;
     time_point sent_at_{};
 };
 
@@ -725,13 +742,22 @@
 void edge<Codec>::register_vm(time_point now)
 {
     registration_->tick(now);
-    if (stopping_ || !is_current(state_table::vms, now) || !registration_->may_send(now))
+    if (!registration_->may_send(now))
         return;
     const vm_record own{options_.vm, options_.domain,
                         options_.peers.host + ":" + std::to_string(peers_->port()),
                         options_.capacity};
+    const bool is_list_current = is_current(state_table::vms, now);
     const auto known = known_vms_.find(own.name);
-    if (known == known_vms_.end() || !(known->second == own))
+    const bool is_listed = known != known_vms_.end() && known->second == own;
+    if (stopping_)
+    {
+        // A registration that had no response may take effect after the removal.
+        if (!registration_->is_removed() || (is_list_current && is_listed))
+            registration_->remove(own, now);
+        return;
+    }
+    if (is_list_current && !is_listed)
         registration_->put(own, now);
 }
 
@@ -811,7 +837,9 @@
     log_event(log_level::info, "stopping",
               {{"in_flight", std::to_string(exchanges_.size())},
                {"grace_ms", std::to_string(options_.stop_grace.count())}});
-    registration_->remove({options_.vm, options_.domain, ""}, stop_began_);
+    // Otherwise register_vm removes the record once the registration in flight has ended.
+    if (!registration_->in_flight())
+        registration_->remove({options_.vm, options_.domain, ""}, stop_began_);
     peers_->announce(leaving_message{});
     stage_router_.begin_stop();
 }
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -789,6 +789,34 @@
     cr_assert(encoder.requests.empty());
 }
 
+// Guards against the record of a VM that is gone, when the store rejects its first removal.
+Test(edge, planned_stop_store_rejects_removal_is_repeated)
+{
+    small_deployment harness;
+    harness.start();
+    cr_assert(harness.run_until([&] { return harness.store.has("vms", "vm-0"); }));
+    harness.store.fail_listener(0);
+    const std::uint64_t writes = harness.store.writes;
+    harness.stop_vm(0);
+    cr_assert(harness.run_until([&] { return harness.store.writes > writes; }));
+    harness.store.restore_listener(0);
+    cr_assert(harness.run_until([&] { return !harness.store.has("vms", "vm-0"); }));
+}
+
+// Guards against the record of a VM that is gone, when its registration takes effect after the
+// stop signal.
+Test(edge, planned_stop_registration_in_flight_record_is_removed)
+{
+    small_deployment harness;
+    harness.store.next_write_delay = milliseconds(400);
+    harness.configure(1);
+    harness.add_vm();
+    cr_assert(harness.run_until([&] { return harness.store.writes > 0; }));
+    harness.stop_vm(0);
+    cr_assert(harness.run_until([&] { return harness.store.has("vms", "vm-0"); }));
+    cr_assert(harness.run_until([&] { return !harness.store.has("vms", "vm-0"); }));
+}
+
 // Guards against a VM that never receives a change of the desired state because the store fails for
 // this VM only.
 Test(edge, store_rejects_requests_of_vm_state_comes_from_other_vm)
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
+#include <utility>
 
 namespace serving
 {
@@ -107,18 +108,31 @@
 {
     ++calls;
     ++calls_at_[listener];
+    const web::uri uri(request.head.target);
+    if (uri.path() == "/rows-tx")
+        ++writes;
     if (unresponsive || silent_listeners_.contains(listener))
         return;
     if (refuse_status != 0 || failing_listeners_.contains(listener))
         return respond(client, refuse_status != 0 ? refuse_status : 503, "{}");
-    const web::uri uri(request.head.target);
     const auto query = web::uri::split_query(uri.query());
     if (uri.path() == "/rows-get")
         return list(client, query);
     if (uri.path() == "/rows-feed")
         return feed(listener, client, query);
     if (uri.path() == "/rows-tx")
-        return apply_transaction(client, request.body);
+    {
+        const milliseconds delay = std::exchange(next_write_delay, milliseconds(0));
+        if (delay == milliseconds(0))
+            return apply_transaction(client, request.body);
+        const auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+        return timer->async_wait(
+            [this, timer, client, body = request.body](const boost::system::error_code& error)
+            {
+                if (!error)
+                    apply_transaction(client, body);
+            });
+    }
     respond(client, 404, "{}");
 }
 
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -44,6 +44,8 @@
     std::string address(std::size_t listener) const;
     // Calls at this address get status 503 from now on.
     void fail_listener(std::size_t listener) { failing_listeners_.insert(listener); }
+    // Ends the effect of fail_listener.
+    void restore_listener(std::size_t listener) { failing_listeners_.erase(listener); }
     // Calls at this address get no response from now on, nor do those in progress.
     void silence_listener(std::size_t listener) { silent_listeners_.insert(listener); }
     std::uint64_t calls_at(std::size_t listener) const { return calls_at_[listener]; }
@@ -58,6 +60,8 @@
     int refuse_status = 0;     // status of the response to every call; 0: calls are served
     bool unresponsive = false; // accepts calls and never responds
     std::uint64_t calls = 0;
+    std::uint64_t writes = 0;         // received, including refused ones
+    milliseconds next_write_delay{0}; // before the next write takes effect
 
 private:
     struct row
