--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -84,6 +84,50 @@
     }
 };
 
+// Another VM as seen by a VM of the deployment: keeps what it receives.
+class fake_peer
+{
+public:
+    fake_peer(small_deployment& harness, std::size_t vm)
+        : harness_(harness),
+          link_(
+              harness.io, {boost::asio::ip::make_address(loopback), harness.vm(vm).peers_port()},
+              [this](zinnianotch::vm_message&& message)
+              { received_.push_back(std::move(message)); },
+              [](bool) {})
+    {
+    }
+
+    // Runs the event loop until the connection is open and the VM has sent something.
+    bool connect()
+    {
+        return run_until([this] { return link_.is_up(); });
+    }
+    bool run_until(const std::function<bool()>& condition)
+    {
+        return harness_.run_until(
+            [&]
+            {
+                link_.tick(zinnianotch::steady_clock::now());
+                return condition();
+            });
+    }
+    void send(const zinnianotch::vm_message& message) { link_.send(message); }
+
+    template <typename Message>
+    bool has_received() const
+    {
+        return std::any_of(received_.begin(), received_.end(),
+                           [](const auto& message)
+                           { return std::holds_alternative<Message>(message); });
+    }
+
+private:
+    small_deployment& harness_;
+    std::vector<zinnianotch::vm_message> received_;
+    zinnianotch::vm_link link_;
+};
+
 value account(const std::string& name, const std::string& key)
 {
     value tenant = value::object();
@@ -686,6 +730,97 @@
     cr_assert(exchange->done && exchange->body == events_text(5));
 }
 
+// Guards against stage jobs that are sent to a stopping VM by VMs that connect after the stop
+// began.
+Test(edge, planned_stop_vm_connects_later_learns_of_it)
+{
+    small_deployment harness;
+    harness.start();
+    harness.stop_vm(0);
+    fake_peer late(harness, 0);
+    cr_assert(late.connect());
+    cr_assert(late.run_until([&] { return late.has_received<zinnianotch::leaving_message>(); }));
+}
+
+// Guards against stage jobs that wait at a stopping VM until its calls in progress end.
+Test(edge, batching_vm_stops_waiting_job_runs_at_other_vm)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    encoder.never_responds = true;
+    harness.start_linked();
+    const std::size_t batching_vm = harness.vm(0).is_batcher_of("encoders") ? 0 : 1;
+    const std::size_t other = 1 - batching_vm;
+    auto begun =
+        harness.start_request(other, request_text("POST", "/stream/1", "s1", two_pieces, "x"));
+    cr_assert(harness.run_until([&] { return !encoder.requests.empty(); }));
+    auto waiting =
+        harness.start_request(other, request_text("POST", "/stream/1", "s2", two_pieces, "x"));
+    harness.run_for(milliseconds(50));
+    harness.stop_vm(batching_vm);
+    cr_assert(harness.run_until([&] { return encoder.requests.size() > 1; }));
+    const std::string& next_call = encoder.requests[1].body;
+    cr_assert(next_call.find("s2") != std::string::npos, "%s", next_call.c_str());
+    cr_assert(next_call.find("s1") == std::string::npos, "%s", next_call.c_str());
+    encoder.never_responds = false;
+    cr_assert(harness.run_until([&] { return begun->ended() && waiting->ended(); }));
+    cr_assert(begun->done && begun->body == events_text(5));
+    cr_assert(waiting->done && waiting->body == events_text(5));
+}
+
+// Guards against a stopping VM that takes a stage job which was sent before its sender learned of
+// the stop.
+Test(edge, planned_stop_job_crosses_message_is_returned)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    encoder.never_responds = true;
+    harness.start();
+    fake_peer peer(harness, 0);
+    cr_assert(peer.connect());
+    harness.stop_vm(0);
+    zinnianotch::submit_message job;
+    job.job = 7;
+    job.request.attempt = "s1";
+    job.request.service = "encoders";
+    job.request.pieces = 2;
+    job.request.key = "k1";
+    job.request.goal_left = job.request.deadline_left = milliseconds(5000);
+    peer.send(job);
+    cr_assert(peer.run_until([&] { return peer.has_received<zinnianotch::returned_message>(); }));
+    cr_assert(encoder.requests.empty());
+}
+
+// Guards against the record of a VM that is gone, when the store rejects its first removal.
+Test(edge, planned_stop_store_rejects_removal_is_repeated)
+{
+    small_deployment harness;
+    harness.start();
+    cr_assert(harness.run_until([&] { return harness.store.has("vms", "vm-0"); }));
+    harness.store.fail_listener(0);
+    const std::uint64_t writes = harness.store.writes;
+    harness.stop_vm(0);
+    cr_assert(harness.run_until([&] { return harness.store.writes > writes; }));
+    harness.store.restore_listener(0);
+    cr_assert(harness.run_until([&] { return !harness.store.has("vms", "vm-0"); }));
+}
+
+// Guards against the record of a VM that is gone, when its registration takes effect after the
+// stop signal.
+Test(edge, planned_stop_registration_in_flight_record_is_removed)
+{
+    small_deployment harness;
+    harness.store.next_write_delay = milliseconds(400);
+    harness.configure(1);
+    harness.add_vm();
+    cr_assert(harness.run_until([&] { return harness.store.writes > 0; }));
+    harness.stop_vm(0);
+    cr_assert(harness.run_until([&] { return harness.store.has("vms", "vm-0"); }));
+    cr_assert(harness.run_until([&] { return !harness.store.has("vms", "vm-0"); }));
+}
+
 // Guards against a VM that never receives a change of the desired state because the store fails for
 // this VM only.
 Test(edge, store_rejects_requests_of_vm_state_comes_from_other_vm)
