Check again before sending whether a stopping VM can complete a request

Change: before each attempt of a request without a response so far, the time that responses of its route take after the stages must fit into what is left; otherwise it is refused at once and has not run.

Before, with the check disabled: edge/planned_stop_stage_ends_late_request_is_refused_unsent fails, outcome "broken off: draining" 3.6 s after the signal. After: it is refused at 2.4 s, when its stage ends, and was not sent.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -106,6 +106,13 @@
     class exchange;
     class registration;
 
+    // Duration of the complete responses of a route.
+    struct response_estimate
+    {
+        time_estimate total;
+        time_estimate after_stages;
+    };
+
     // Last known content of a store table and its recent changes, for VMs that take them from here.
     struct table_cache
     {
@@ -202,8 +209,8 @@
     // Last revision logged, by table and name; entries of deleted records are removed.
     std::map<std::pair<state_table, std::string>, std::uint64_t> logged_bad_records_;
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
-    std::map<std::string, time_estimate, std::less<>> first_byte_times_; // by service
-    std::map<std::string, time_estimate, std::less<>> response_times_;   // by route
+    std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
+    std::map<std::string, response_estimate, std::less<>> response_times_; // by route
     observed_stage_times stage_times_;
     std::map<std::string, std::vector<stage_shard>> shards_; // by service
     std::unique_ptr<registration> registration_;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -98,6 +98,7 @@
 
     bool admit(time_point now);
     std::optional<milliseconds> expected_time() const;
+    std::optional<milliseconds> expected_time_after_stages() const;
     const std::string& choose_service() const;
     void start_stages(time_point now);
     void submit_ready(time_point now);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -123,7 +123,17 @@
     const auto found = owner_.response_times_.find(route_->name);
     if (found == owner_.response_times_.end())
         return std::nullopt;
-    return found->second.upper_bound();
+    return found->second.total.upper_bound();
+}
+
+// The same from the end of its stages on.
+template <typename Codec>
+std::optional<milliseconds> edge<Codec>::exchange::expected_time_after_stages() const
+{
+    const auto found = owner_.response_times_.find(route_->name);
+    if (found == owner_.response_times_.end())
+        return std::nullopt;
+    return found->second.after_stages.upper_bound();
 }
 
 // Distributes requests over the services of the route by weight. A service without endpoints gets
@@ -455,6 +465,9 @@
 template <typename Codec>
 void edge<Codec>::exchange::place(time_point now)
 {
+    if (owner_.stop_ && !head_sent_ &&
+        !owner_.stop_->completes(remaining(now), expected_time_after_stages(), now))
+        return refuse(reason::draining, "VM is stopping", retry_after_min, now);
     inputs_domain_ = results_domain(last_stages(), 1);
     const std::string& domain = inputs_domain_;
     placement_request request;
@@ -752,7 +765,9 @@
     }
     client_->end(keep_alive_ && !close_delimited_);
     owner_.counters_.count("answers_total");
-    owner_.response_times_[route_->name].record(elapsed(now));
+    response_estimate& times = owner_.response_times_[route_->name];
+    times.total.record(elapsed(now));
+    times.after_stages.record(std::chrono::duration_cast<milliseconds>(now - stages_done_at_));
     close("answered", status_, now);
 }
 
--- a/packages/state/stop_schedule.cpp
+++ b/packages/state/stop_schedule.cpp
@@ -1,15 +1,20 @@
 #include "state/stop_schedule.h"
 
+#include <algorithm>
+
 namespace zinnianotch
 {
 
+bool stop_schedule::completes(milliseconds limit, std::optional<milliseconds> expected,
+                              time_point now) const
+{
+    return std::min(limit, expected.value_or(milliseconds(0))) <= requests_end_at() - now;
+}
+
 bool stop_schedule::accepts(milliseconds limit, std::optional<milliseconds> expected,
                             time_point now) const
 {
-    const auto left = requests_end_at() - now;
-    if (limit <= left)
-        return true;
-    return in_rotation(now) && expected.value_or(milliseconds(0)) <= left;
+    return completes(limit, in_rotation(now) ? expected : limit, now);
 }
 
 } // namespace zinnianotch
--- a/packages/state/stop_schedule.h
+++ b/packages/state/stop_schedule.h
@@ -34,9 +34,11 @@
     time_point requests_end_at() const { return began_ + grace_ - stop_reserve; }
     time_point exit_at() const { return began_ + grace_ - exit_reserve; }
 
-    // True if a new request is to be served. `limit` is the time until its deadline, `expected` an
-    // estimate of its duration. While the VM is in rotation a request is served that probably
-    // completes; after that only one that ends by its own deadline.
+    // True if a request probably ends before the requests in flight are ended. `limit` is the time
+    // until its deadline, `expected` an estimate of the time that it still takes.
+    bool completes(milliseconds limit, std::optional<milliseconds> expected, time_point now) const;
+    // True if a new request is to be served: while the VM is in rotation one that probably
+    // completes, after that only one that ends by its own deadline.
     bool accepts(milliseconds limit, std::optional<milliseconds> expected, time_point now) const;
 
 private:
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1168,3 +1168,30 @@
     cr_assert(harness.run_until([&] { return client.closed; }));
     cr_assert(client.received.starts_with("HTTP/1.1 200 "));
 }
+
+// Guards against sending a request whose stages took so long that its VM stops before it ends.
+Test(edge, planned_stop_stage_ends_late_request_is_refused_unsent)
+{
+    small_deployment harness;
+    harness.stop_grace = milliseconds(4000);
+    harness.routes["/stream/"]["timeout_ms"] = value::number(20000);
+    harness.routes["/stream/"]["slo_ms"] = value::number(20000);
+    harness.add_stage();
+    harness.stage_call_time = milliseconds(2400);
+    harness.add_endpoint("encoders", "encoder-1").processing_time = milliseconds(2400);
+    harness.start();
+    harness.for_both_engines(
+        [](fake_endpoint& engine)
+        {
+            engine.event_count = 4;
+            engine.event_interval = milliseconds(350);
+        });
+    const auto first =
+        harness.send_and_wait(0, request_text("POST", "/stream/1", "s1", "Pieces: 0\r\n", "x"));
+    cr_assert(first->done && first->head.status == 200);
+    harness.stop_vm(0);
+    const auto second =
+        harness.send_and_wait(0, request_text("POST", "/stream/1", "s2", two_pieces, "x"));
+    cr_assert(second->done && second->head.status == 503, "%d", second->head.status);
+    cr_assert(harness.count_requests("s2") == 0);
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -642,7 +642,7 @@
     stage["pieces"] = value::object();
     stage["pieces"]["batch"] = value::number(8);
     stage["pieces"]["slots"] = value::number(1);
-    stage["pieces"]["call_ms"] = value::number(20);
+    stage["pieces"]["call_ms"] = value::number(static_cast<std::int64_t>(stage_call_time.count()));
     stage["pieces"]["item_ms"] = value::number(1.0);
     stage["pieces"]["room_mb"] = value::number(result_memory_mb);
     stage["pieces"]["handle_s"] = value::number(4.0);
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -272,6 +272,7 @@
     zinnianotch::fleet_limits limits;
     milliseconds stop_grace{8000};
     double result_memory_mb = 10.0; // per endpoint of a stage
+    milliseconds stage_call_time{20};
 
 private:
     std::deque<std::unique_ptr<fake_endpoint>> endpoints_;
--- a/tests/unit/stop_schedule_test.cpp
+++ b/tests/unit/stop_schedule_test.cpp
@@ -52,3 +52,12 @@
     cr_assert(vm.schedule.requests_end_at() < vm.schedule.exit_at());
     cr_assert(vm.schedule.exit_at() < vm.began + milliseconds(8000));
 }
+
+Test(stop_schedule, accepted_request_completes_by_deadline_or_expected_time)
+{
+    const stopping_vm vm;
+    const time_point late = vm.began + milliseconds(6000);
+    cr_assert(vm.schedule.completes(milliseconds(9000), milliseconds(1600), late));
+    cr_assert(vm.schedule.completes(milliseconds(1600), milliseconds(9000), late));
+    cr_assert_not(vm.schedule.completes(milliseconds(9000), milliseconds(1601), late));
+}
