--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -137,6 +137,7 @@
     void on_discarded_end(time_point now);
     milliseconds progress_timeout() const;
     void retry_after_break(std::string_view why, time_point now);
+    void log_upstream_failure(std::string_view why, time_point now) const;
     void abandon_attempt(time_point now);
     void start_next_attempt(time_point now);
 
@@ -185,7 +186,9 @@
     time_point waiting_since_{};
     time_point sent_at_{};
     time_point progress_at_{};
-    bool may_have_run_ = false; // an endpoint may have run the request
+    time_point head_at_{};                    // of the current attempt, set if status_ is
+    std::uint64_t events_before_attempt_ = 0; // events of earlier attempts
+    bool may_have_run_ = false;               // an endpoint may have run the request
 
     disposition disposition_ = disposition::forward;
     int status_ = 0;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -522,6 +522,7 @@
     ++attempts_;
     sent_at_ = now;
     progress_at_ = now;
+    events_before_attempt_ = events_.events();
     disposition_ = disposition::forward;
     status_ = 0;
     const bool repeatable = is_repeatable(*route_);
@@ -574,6 +575,7 @@
     const time_point now = steady_clock::now();
     const endpoint_answer metadata = Codec::decode_answer(head);
     progress_at_ = now;
+    head_at_ = now;
     status_ = head.status;
     may_have_run_ = may_have_run_ || !metadata.not_run;
     if (metadata.load)
@@ -795,14 +797,27 @@
         endpoint_->health.on_outcome(false, now);
     if (!discarded)
         may_have_run_ = true;
+    log_upstream_failure(to_string(failure), now);
+    retry_or_fail(reason::connection_broken,
+                  may_have_run_ ? verdict::may_have_run : verdict::not_run, now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::log_upstream_failure(std::string_view why, time_point now) const
+{
+    const auto since = [&](time_point at)
+    { return edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(now - at)); };
+    std::string parts;
+    for (const std::string& part : call_.prompt_parts)
+        parts += (parts.empty() ? "" : ",") + part;
     log_event(log_level::warning, "upstream_failed",
               {{"request", call_.attempt},
                {"endpoint", endpoint_->record.id},
-               {"why", std::string(to_string(failure))},
-               {"after_ms", edge_detail::milliseconds_text(
-                                std::chrono::duration_cast<milliseconds>(now - sent_at_))}});
-    retry_or_fail(reason::connection_broken,
-                  may_have_run_ ? verdict::may_have_run : verdict::not_run, now);
+               {"why", std::string(why)},
+               {"after_ms", since(sent_at_)},
+               {"since_head_ms", status_ != 0 ? since(head_at_) : "-"},
+               {"events", std::to_string(events_.events() - events_before_attempt_)},
+               {"prompt_parts", parts.empty() ? "-" : parts}});
 }
 
 // Returns true if the request may be sent once more, and then takes the retry from the budget.
@@ -999,12 +1014,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::retry_after_break(std::string_view why, time_point now)
 {
-    log_event(log_level::warning, "upstream_failed",
-              {{"request", call_.attempt},
-               {"endpoint", endpoint_->record.id},
-               {"why", std::string(why)},
-               {"after_ms", edge_detail::milliseconds_text(
-                                std::chrono::duration_cast<milliseconds>(now - sent_at_))}});
+    log_upstream_failure(why, now);
     abandon_attempt(now);
     retry_or_fail(reason::connection_broken, verdict::may_have_run, now);
 }
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -34,6 +34,9 @@
     std::vector<std::uint32_t> pieces;         // number of pieces per stage; 0 skips the stage
     std::string piece_key;                     // input key of stages without predecessors
     std::string prompt_prefix; // identifies the prompt parts shared with other requests
+    // Ids of the parts of the prompt in their order, without the last one, which only requests of
+    // the same session have.
+    std::vector<std::string> prompt_parts;
 };
 
 // Endpoints accept priorities 0 to 9; 0 is the most urgent.
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -50,6 +50,7 @@
     const std::vector<std::uint32_t> pieces = {2, 0, 7};
     cr_assert(call.pieces == pieces);
     cr_assert(call.piece_key == "p" && call.prompt_prefix == "bb");
+    cr_assert(call.prompt_parts == std::vector<std::string>({"aa", "bb"}));
 }
 
 // Guards against changes to the request line or body, and against request smuggling through a
