Show with a test that requests with a crashing prompt part reach engines without end

Three VMs, six engines that crash under one part, 10 such requests a second beside 50 sound ones that share their first part.

--- /dev/null
+++ b/tests/unit/edge_crashing_prompt_test.cpp
@@ -0,0 +1,149 @@
+// Engines that crash under one part of a prompt, seen by several VMs.
+#include "serving_fixture.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace serving;
+using web::json::value;
+using zinnianotch::steady_clock;
+
+namespace
+{
+
+// VMs have this long to hear of the fifth crash; sound requests are served again after twice that.
+constexpr milliseconds contact{3000};
+constexpr milliseconds engine_down_time{600};
+constexpr const char* crashing_part = "badc0de1";
+
+// Three VMs before six engines that crash under `crashing_part`. Requests with and without it share
+// their first part, and come at all VMs.
+struct crashing_deployment : deployment
+{
+    std::vector<fake_endpoint*> engines;
+    std::map<std::string, std::int64_t> starts;
+    std::vector<time_point> crashes;
+    std::vector<std::pair<time_point, std::unique_ptr<client_exchange>>> sound;
+    std::vector<std::unique_ptr<client_exchange>> guilty;
+    std::size_t sent = 0;
+
+    crashing_deployment()
+    {
+        for (int i = 0; i < 6; ++i)
+        {
+            fake_endpoint& engine = add_endpoint("engines", "engine-" + std::to_string(i),
+                                                 i % 2 == 0 ? "dom-a" : "dom-b");
+            engine.event_count = 5;
+            engine.event_interval = milliseconds(20);
+            engine.crash_part = crashing_part;
+            engine.on_crash = [this, &engine, i] { handle_crash(engine, i); };
+            engines.push_back(&engine);
+        }
+        configure(1);
+        for (std::size_t i = 0; i < 3; ++i)
+            add_vm();
+        cr_assert(run_until(
+            [&]
+            {
+                for (std::size_t i = 0; i < 3; ++i)
+                {
+                    if (!is_ready(i) || vm(i).known_endpoints() < 6 || vm(i).links_up() < 2)
+                        return false;
+                }
+                return true;
+            }));
+    }
+
+    // The engine returns as a new lifetime under its id.
+    void handle_crash(fake_endpoint& engine, int number)
+    {
+        crashes.push_back(steady_clock::now());
+        const auto timer = std::make_shared<boost::asio::steady_timer>(io);
+        timer->expires_after(engine_down_time);
+        timer->async_wait(
+            [this, timer, &engine, number](const boost::system::error_code&)
+            {
+                engine.restart();
+                publish_endpoint("engines", engine, number % 2 == 0 ? "dom-a" : "dom-b", "ready",
+                                 2 + starts[engine.id()]++);
+            });
+    }
+
+    std::unique_ptr<client_exchange> start_prompt(std::size_t at_vm, const std::string& part,
+                                                  const std::string& prefix)
+    {
+        const std::string attempt = part + "-" + std::to_string(++sent);
+        return start_request(at_vm, request_text("POST", "/" + prefix + "/1", attempt,
+                                                 "Prompt-Prefix: 0007:800," + part + ":400,own" +
+                                                     std::to_string(sent) + ":90\r\n",
+                                                 "x"));
+    }
+
+    // 50 sound requests a second, and 10 with the crashing part if `with_crashing`.
+    void run_load(milliseconds time, bool with_crashing)
+    {
+        const time_point end = steady_clock::now() + time;
+        for (std::size_t i = 0; steady_clock::now() < end; ++i)
+        {
+            sound.emplace_back(steady_clock::now(),
+                               start_prompt(i % 3, "50f" + std::to_string(i % 8), "stream"));
+            if (with_crashing && i % 5 == 0)
+                guilty.push_back(start_prompt(i / 5 % 3, crashing_part, "once"));
+            run_for(milliseconds(20));
+        }
+    }
+
+    std::size_t crashing_arrivals_after(time_point from) const
+    {
+        std::size_t count = 0;
+        for (const fake_endpoint* engine : engines)
+            count += std::count_if(engine->requests.begin(), engine->requests.end(),
+                                   [&](const recorded_request& request) {
+                                       return request.received_at > from &&
+                                              request.attempt.starts_with(crashing_part);
+                                   });
+        return count;
+    }
+
+    // Part of the sound requests sent in a span that were answered.
+    double answered(time_point from, time_point to) const
+    {
+        double count = 0.0;
+        double all = 0.0;
+        for (const auto& [at, exchange] : sound)
+        {
+            if (at < from || at >= to)
+                continue;
+            all += 1.0;
+            count += exchange->done && exchange->head.status == 200 ? 1.0 : 0.0;
+        }
+        return all > 0.0 ? count / all : 0.0;
+    }
+};
+
+} // namespace
+
+TestSuite(edge_crashing_prompt, .timeout = 60);
+
+// Guards against requests with a part that crashes engines which VMs send to one engine after the
+// other.
+Test(edge_crashing_prompt, part_crashes_engines_it_is_held_on_all_vms_and_sound_requests_go_on)
+{
+    crashing_deployment harness;
+    const time_point begin = steady_clock::now();
+    harness.run_load(milliseconds(1000), false);
+    const time_point calm_end = steady_clock::now() - milliseconds(200);
+    harness.run_load(milliseconds(8500), true);
+    const std::size_t bounding = std::min<std::size_t>(harness.crashes.size(), 5);
+    cr_assert(bounding > 0);
+    const time_point known = harness.crashes[bounding - 1];
+    harness.run_for(milliseconds(500));
+    const double calm = harness.answered(begin, calm_end);
+    const double later = harness.answered(known + 2 * contact, steady_clock::now());
+    const std::size_t arrivals = harness.crashing_arrivals_after(known + contact);
+    cr_assert(arrivals <= 3, "%zu arrivals, %zu crashes", arrivals, harness.crashes.size());
+    cr_assert(calm > 0.9 && later >= 0.5 * calm, "%f of %f answered", later, calm);
+    cr_assert(std::all_of(harness.guilty.begin(), harness.guilty.end(),
+                          [](const auto& exchange) { return exchange->ended(); }));
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -288,7 +288,12 @@
 void fake_endpoint::handle(const std::shared_ptr<server_connection>& client,
                            const received_request& request)
 {
+    if (is_crashed_)
+        return client->abort();
+    std::erase_if(clients_, [](const auto& known) { return known.expired(); });
+    clients_.push_back(client);
     recorded_request recorded;
+    recorded.received_at = steady_clock::now();
     recorded.method = request.head.method;
     recorded.target = request.head.target;
     recorded.body = request.body;
@@ -329,6 +334,19 @@
     run_after(processing_time, [this, client, recorded] { respond(client, recorded); });
 }
 
+void fake_endpoint::crash()
+{
+    is_crashed_ = true;
+    ++crashes;
+    for (const auto& known : std::exchange(clients_, {}))
+    {
+        if (const auto client = known.lock())
+            client->abort();
+    }
+    if (on_crash)
+        on_crash();
+}
+
 void fake_endpoint::send_endless(const std::shared_ptr<server_connection>& client)
 {
     const auto filler = [this]() -> std::string
@@ -458,6 +476,10 @@
     const int first = resumed == request.fields.end() ? 1 : std::stoi(resumed->second) + 1;
     client->send("HTTP/1.1 200 OK\r\n" + fields +
                  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto prompt = request.fields.find("prompt-prefix");
+    if (!crash_part.empty() && prompt != request.fields.end() &&
+        prompt->second.find(crash_part) != std::string::npos)
+        return run_after(milliseconds(5), [this] { crash(); });
     stream(client, request.attempt, first);
 }
 
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -111,6 +111,7 @@
     std::string attempt;
     std::map<std::string, std::string> fields; // names in lower case
     std::string body;
+    time_point received_at{};
 };
 
 // Where an endpoint sends bytes that never end.
@@ -157,6 +158,8 @@
     bool first_piece_fails = false;      // of each call, with the reason "error"
     bool inputs_gone_once = false;       // reports once that an input is gone (409)
     std::size_t result_limit = SIZE_MAX; // maximum of results held until they are freed
+    std::string crash_part;              // crashes as it begins to answer a prompt with this part
+    std::function<void()> on_crash;
 
     std::vector<recorded_request> requests;
     std::map<std::string, int> executions; // by attempt; without refused ones
@@ -167,6 +170,11 @@
     std::size_t endless_closed = 0;      // of these, closed by the client
     std::size_t endless_bytes_sent = 0;
     std::size_t disconnects = 0; // connections closed by the client before the response
+    std::size_t crashes = 0;
+
+    // Breaks all connections, and every later one until restart().
+    void crash();
+    void restart() { is_crashed_ = false; }
 
 private:
     void handle(const std::shared_ptr<zinnianotch::server_connection>& client,
@@ -186,6 +194,8 @@
     zinnianotch::server_listener listener_;
     int next_handle_ = 0;
     std::string last_answer_;
+    bool is_crashed_ = false;
+    std::vector<std::weak_ptr<zinnianotch::server_connection>> clients_;
 };
 
 // One request of a client and its response.
