--- /dev/null
+++ b/packages/state/crash_suspects.cpp
@@ -0,0 +1,709 @@
+#include "state/crash_suspects.h"
+
+#include "state/enum_names.h"
+#include "state/shares.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <span>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> progress_names = {"no_head", "head", "first_event",
+                                                            "events"};
+constexpr std::array<std::string_view, 3> kind_names = {"crash", "sound", "probe"};
+
+// Part of a crash that another part may miss and still explain the same crashes.
+constexpr double combination_slack = 0.75;
+// Fraction of the crashes of a held part at which another part makes it ambiguous.
+constexpr double ambiguity_ratio = 0.5;
+constexpr std::size_t max_holds = 64;
+constexpr std::size_t max_sound_parts = 64; // per crash
+constexpr std::size_t max_pending_reports = 1024;
+constexpr std::uint32_t max_probe_growth_steps = 8;
+constexpr milliseconds expiry_interval{1000};
+
+template <typename Range, typename Value>
+bool contains(const Range& range, const Value& value)
+{
+    return std::find(range.begin(), range.end(), value) != range.end();
+}
+
+bool contains_all(const std::vector<std::string>& parts, const std::vector<std::string>& wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(),
+                       [&](const std::string& part) { return contains(parts, part); });
+}
+
+bool contains_any(const std::vector<std::string>& parts, const std::vector<std::string>& wanted)
+{
+    return std::any_of(wanted.begin(), wanted.end(),
+                       [&](const std::string& part) { return contains(parts, part); });
+}
+
+// A request that may be the cause of a crash, with the parts not shown sound since.
+struct candidate
+{
+    std::vector<std::string_view> parts;
+    double weight = 0.0;
+};
+
+// A crash as it is evaluated. The weights of its candidates sum to 1 at most.
+struct crash_case
+{
+    const engine_lifetime* engine = nullptr;
+    std::string_view domain;
+    time_point at{};
+    std::size_t cause = 0; // equal for crashes with a common cause
+    std::vector<candidate> candidates;
+    std::map<std::string_view, double> weights; // by part
+    bool is_explained = false;                  // by a held part
+};
+
+// Weights of the candidates that have all the given parts.
+double joint_weight(const crash_case& of, std::string_view a, std::string_view b)
+{
+    double sum = 0.0;
+    for (const candidate& each : of.candidates)
+    {
+        if (contains(each.parts, a) && contains(each.parts, b))
+            sum += each.weight;
+    }
+    return sum;
+}
+
+void assign_weights(crash_case& of, bool has_head)
+{
+    double total = 0.0;
+    for (const candidate& each : of.candidates)
+        total += each.weight;
+    const double divisor = std::max(1.0, total);
+    for (candidate& each : of.candidates)
+    {
+        each.weight /= divisor;
+        for (const std::string_view part : each.parts)
+            of.weights[part] += each.weight;
+    }
+    if (!has_head || of.candidates.empty())
+        return;
+    // The sole suspect among the requests that the engine had begun to answer.
+    const std::string_view first = of.candidates.front().parts.front();
+    for (const candidate& each : of.candidates)
+    {
+        if (each.weight * divisor < 0.5)
+            continue;
+        if (each.parts.size() != 1 || each.parts.front() != first)
+            return;
+    }
+    of.weights[first] *= sole_suspect_weight;
+}
+
+// Numbers the common causes of crashes, which are sorted by time.
+void assign_causes(std::vector<crash_case>& crashes)
+{
+    std::vector<std::size_t> first_of_cause;
+    for (std::size_t i = 0; i < crashes.size(); ++i)
+    {
+        crash_case& each = crashes[i];
+        each.cause = first_of_cause.size();
+        for (std::size_t cause = first_of_cause.size(); cause-- > 0;)
+        {
+            const crash_case& first = crashes[first_of_cause[cause]];
+            const milliseconds window = !each.domain.empty() && first.domain == each.domain
+                                            ? domain_cause_window
+                                            : common_cause_window;
+            if (each.at - first.at > domain_cause_window)
+                break;
+            if (each.at - first.at <= window)
+                each.cause = cause;
+        }
+        if (each.cause == first_of_cause.size())
+            first_of_cause.push_back(i);
+    }
+}
+
+// Sum over the causes of the largest weight that `weight` gives to one of its crashes.
+template <typename Weight>
+double sum_over_causes(const std::vector<crash_case>& crashes, std::span<const std::size_t> indices,
+                       Weight weight)
+{
+    std::map<std::size_t, double> by_cause;
+    for (const std::size_t i : indices)
+    {
+        double& largest = by_cause[crashes[i].cause];
+        largest = std::max(largest, weight(crashes[i]));
+    }
+    double sum = 0.0;
+    for (const auto& [cause, largest] : by_cause)
+        sum += largest;
+    return sum;
+}
+
+std::vector<std::size_t> unexplained(const std::vector<crash_case>& crashes,
+                                     const std::vector<std::size_t>& indices)
+{
+    std::vector<std::size_t> found;
+    for (const std::size_t i : indices)
+    {
+        if (!crashes[i].is_explained)
+            found.push_back(i);
+    }
+    return found;
+}
+
+double score_of(const std::vector<crash_case>& crashes, std::string_view part,
+                std::span<const std::size_t> indices)
+{
+    return sum_over_causes(crashes, indices,
+                           [&](const crash_case& of) { return of.weights.at(part); });
+}
+
+} // namespace
+
+std::string_view to_string(answer_progress value)
+{
+    return name_of(progress_names, value);
+}
+
+bool parse(std::string_view name, answer_progress& out)
+{
+    return value_of(progress_names, name, out);
+}
+
+std::string_view to_string(crash_report_kind value)
+{
+    return name_of(kind_names, value);
+}
+
+bool parse(std::string_view name, crash_report_kind& out)
+{
+    return value_of(kind_names, name, out);
+}
+
+void crash_suspects::on_crash(const engine_lifetime& engine, const std::string& domain,
+                              const std::vector<std::string>& parts, answer_progress progress,
+                              time_point now)
+{
+    if (parts.empty() || progress == answer_progress::events)
+        return;
+    crash_report report;
+    report.kind = crash_report_kind::crash;
+    report.origin = origin_;
+    report.sequence = next_sequence_++;
+    report.engines = {engine};
+    report.domain = domain;
+    report.parts = parts;
+    report.progress = progress;
+    if (add_crash(report, now))
+        emit(std::move(report), now);
+}
+
+void crash_suspects::on_sound(const std::vector<std::string>& parts, time_point sent_at,
+                              time_point now)
+{
+    update(now);
+    crash_report report;
+    report.kind = crash_report_kind::sound;
+    for (const std::string& part : parts)
+    {
+        if (scores_.contains(part))
+            report.parts.push_back(part);
+    }
+    if (report.parts.empty())
+        return;
+    for (const auto& [engine, record] : crashes_)
+    {
+        if (record.at < sent_at)
+            report.engines.push_back(engine);
+    }
+    if (add_sound(report, now))
+        emit(std::move(report), now);
+}
+
+bool crash_suspects::on_report(const crash_report& report, time_point now)
+{
+    if (report.age > hold_idle_max || report.age < milliseconds(0))
+        return false;
+    switch (report.kind)
+    {
+    case crash_report_kind::crash:
+        return add_crash(report, now);
+    case crash_report_kind::sound:
+        return add_sound(report, now);
+    case crash_report_kind::probe:
+        return add_probe(report, now);
+    }
+    return false;
+}
+
+std::vector<crash_report> crash_suspects::take_reports(time_point now)
+{
+    std::vector<crash_report> reports;
+    reports.reserve(pending_.size());
+    for (pending_report& each : pending_)
+    {
+        each.report.age = std::chrono::duration_cast<milliseconds>(now - each.at);
+        reports.push_back(std::move(each.report));
+    }
+    pending_.clear();
+    return reports;
+}
+
+std::vector<crash_report> crash_suspects::snapshot(time_point now)
+{
+    update(now);
+    std::vector<crash_report> reports;
+    for (const auto& [engine, record] : crashes_)
+    {
+        crash_report report;
+        report.engines = {engine};
+        report.domain = record.domain;
+        report.age = std::chrono::duration_cast<milliseconds>(now - record.at);
+        if (!record.sound.empty())
+        {
+            report.kind = crash_report_kind::sound;
+            report.parts = record.sound;
+            reports.push_back(report);
+        }
+        report.kind = crash_report_kind::crash;
+        for (const broken_request& request : record.requests)
+        {
+            report.origin = request.origin;
+            report.sequence = request.sequence;
+            report.progress = request.progress;
+            report.parts.clear();
+            std::copy_if(request.parts.begin(), request.parts.end(),
+                         std::back_inserter(report.parts),
+                         [&](const std::string& part) { return !contains(record.sound, part); });
+            if (!report.parts.empty())
+                reports.push_back(report);
+        }
+    }
+    for (const auto& [part, state] : probes_)
+    {
+        crash_report report;
+        report.kind = crash_report_kind::probe;
+        report.parts = {part};
+        report.probes = state.count;
+        report.age = std::chrono::duration_cast<milliseconds>(now - state.last_at);
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+std::optional<held_request> crash_suspects::held(const std::vector<std::string>& parts,
+                                                 time_point now)
+{
+    update(now);
+    const std::string* const part = find_held(parts);
+    if (part == nullptr)
+        return std::nullopt;
+    asked_at_[*part] = now;
+    const auto wait = std::chrono::ceil<milliseconds>(probe_due(*part) - now);
+    return held_request{*part, std::max(wait, probe_rank_delay)};
+}
+
+bool crash_suspects::may_probe(const std::vector<std::string>& parts, std::string_view own,
+                               const std::vector<std::string>& vms, time_point now)
+{
+    update(now);
+    const std::string* const part = find_held(parts);
+    if (part == nullptr || now < probe_due(*part))
+        return false;
+    if (contains_any(parts, holds_.find(*part)->second.without))
+        return false;
+    const auto is_also_held = [&](const std::string& other)
+    { return other != *part && find_held({other}) != nullptr; };
+    if (std::any_of(parts.begin(), parts.end(), is_also_held))
+        return false;
+    const auto state = probes_.find(*part);
+    const std::uint32_t count = state == probes_.end() ? 0 : state->second.count;
+    const std::uint64_t key = rendezvous_weight(*part, std::to_string(count));
+    const std::uint64_t own_weight = rendezvous_weight(std::to_string(key), own);
+    const auto before = std::count_if(
+        vms.begin(), vms.end(),
+        [&](const std::string& vm)
+        { return vm != own && rendezvous_weight(std::to_string(key), vm) > own_weight; });
+    return now >= probe_due(*part) + before * probe_rank_delay;
+}
+
+void crash_suspects::on_probe(const std::vector<std::string>& parts, time_point now)
+{
+    update(now);
+    const std::string* const part = find_held(parts);
+    if (part == nullptr)
+        return;
+    const auto state = probes_.find(*part);
+    crash_report report;
+    report.kind = crash_report_kind::probe;
+    report.parts = {*part};
+    report.probes = (state == probes_.end() ? 0 : state->second.count) + 1;
+    if (add_probe(report, now))
+        emit(std::move(report), now);
+}
+
+std::optional<std::string> crash_suspects::suspect(const std::vector<std::string>& parts,
+                                                   time_point now)
+{
+    update(now);
+    const std::string* most = nullptr;
+    double most_score = 0.0;
+    for (const std::string& part : parts)
+    {
+        const auto found = scores_.find(part);
+        if (found == scores_.end() || found->second <= most_score)
+            continue;
+        most = &part;
+        most_score = found->second;
+    }
+    if (most == nullptr)
+        return std::nullopt;
+    return *most;
+}
+
+std::vector<std::string> crash_suspects::held_parts(time_point now)
+{
+    update(now);
+    std::vector<std::string> parts;
+    parts.reserve(holds_.size());
+    for (const auto& [part, each] : holds_)
+        parts.push_back(part);
+    return parts;
+}
+
+std::size_t crash_suspects::suspect_count(time_point now)
+{
+    update(now);
+    return scores_.size();
+}
+
+bool crash_suspects::add_crash(const crash_report& report, time_point now)
+{
+    if (report.engines.size() != 1 || report.parts.empty() ||
+        report.progress == answer_progress::events)
+        return false;
+    const time_point at = now - report.age;
+    const auto existing = crashes_.find(report.engines.front());
+    if (existing == crashes_.end() || existing->second.requests.empty())
+    {
+        const auto same_cause =
+            std::count_if(crashes_.begin(), crashes_.end(),
+                          [&](const auto& entry)
+                          {
+                              return !entry.second.requests.empty() &&
+                                     std::chrono::abs(entry.second.at - at) <= common_cause_window;
+                          });
+        if (static_cast<std::size_t>(same_cause) >= max_crashes_per_cause)
+            return false;
+    }
+    broken_request request{report.origin, report.sequence, report.parts, report.progress};
+    if (request.parts.size() > max_parts_per_request)
+        request.parts.resize(max_parts_per_request);
+    crash* const record = find_or_add(report.engines.front(), at);
+    if (record == nullptr)
+        return false;
+    const bool is_known =
+        std::any_of(record->requests.begin(), record->requests.end(),
+                    [&](const broken_request& known) {
+                        return known.origin == request.origin && known.sequence == request.sequence;
+                    });
+    if (is_known)
+        return false;
+    if (record->requests.size() >= max_requests_per_crash)
+    {
+        // One that the engine had begun to answer takes the place of one that it had not.
+        const auto least = std::find_if(record->requests.begin(), record->requests.end(),
+                                        [](const broken_request& known)
+                                        { return known.progress == answer_progress::no_head; });
+        if (request.progress == answer_progress::no_head || least == record->requests.end())
+            return false;
+        part_count_ -= least->parts.size();
+        record->requests.erase(least);
+    }
+    part_count_ += request.parts.size();
+    record->domain = report.domain;
+    record->at = std::min(record->at, at);
+    record->requests.push_back(std::move(request));
+    is_changed_ = true;
+    make_room(0, time_point::max());
+    return true;
+}
+
+bool crash_suspects::add_sound(const crash_report& report, time_point now)
+{
+    bool is_news = false;
+    for (const engine_lifetime& engine : report.engines)
+    {
+        crash* const record = find_or_add(engine, now - report.age);
+        if (record == nullptr)
+            continue;
+        for (const std::string& part : report.parts)
+        {
+            if (contains(record->sound, part) || record->sound.size() >= max_sound_parts)
+                continue;
+            record->sound.push_back(part);
+            is_news = true;
+        }
+    }
+    if (!is_news)
+        return false;
+    for (const std::string& part : report.parts)
+        probes_.erase(part);
+    is_changed_ = true;
+    return true;
+}
+
+bool crash_suspects::add_probe(const crash_report& report, time_point now)
+{
+    if (report.parts.size() != 1 || report.probes == 0)
+        return false;
+    const std::string& part = report.parts.front();
+    if (!probes_.contains(part) && probes_.size() >= max_holds)
+    {
+        const auto oldest = std::min_element(probes_.begin(), probes_.end(),
+                                             [](const auto& a, const auto& b)
+                                             { return a.second.last_at < b.second.last_at; });
+        probes_.erase(oldest);
+    }
+    probe_state& state = probes_[part];
+    if (report.probes <= state.count)
+        return false;
+    state.count = report.probes;
+    state.last_at = now - report.age;
+    return true;
+}
+
+crash_suspects::crash* crash_suspects::find_or_add(const engine_lifetime& engine, time_point at)
+{
+    const auto found = crashes_.find(engine);
+    if (found != crashes_.end())
+        return &found->second;
+    if (!make_room(1, at))
+        return nullptr;
+    crash& record = crashes_[engine];
+    record.at = at;
+    return &record;
+}
+
+bool crash_suspects::supports_hold(const engine_lifetime& engine) const
+{
+    return std::any_of(holds_.begin(), holds_.end(),
+                       [&](const auto& entry) { return contains(entry.second.crashes, engine); });
+}
+
+// Drops the oldest crashes until `added` more are within the bounds. Returns false if a crash at
+// `at` would be dropped itself.
+bool crash_suspects::make_room(std::size_t added, time_point at)
+{
+    while (crashes_.size() + added > max_crashes || part_count_ > max_suspect_parts)
+    {
+        auto oldest = crashes_.end();
+        bool oldest_is_needed = true;
+        for (auto each = crashes_.begin(); each != crashes_.end(); ++each)
+        {
+            const bool is_needed = supports_hold(each->first);
+            if (oldest != crashes_.end() && std::pair(is_needed, each->second.at) >=
+                                                std::pair(oldest_is_needed, oldest->second.at))
+                continue;
+            oldest = each;
+            oldest_is_needed = is_needed;
+        }
+        if (oldest_is_needed || oldest->second.at >= at)
+            return false;
+        for (const broken_request& request : oldest->second.requests)
+            part_count_ -= request.parts.size();
+        crashes_.erase(oldest);
+        is_changed_ = true;
+    }
+    return true;
+}
+
+void crash_suspects::emit(crash_report report, time_point now)
+{
+    if (pending_.size() < max_pending_reports)
+        pending_.push_back({std::move(report), now});
+}
+
+void crash_suspects::expire(time_point now)
+{
+    if (now - expired_at_ < expiry_interval)
+        return;
+    expired_at_ = now;
+    const auto is_idle = [&](const std::string& part, const hold& of)
+    {
+        const auto asked = asked_at_.find(part);
+        const time_point last =
+            asked == asked_at_.end() ? of.last_crash_at : std::max(asked->second, of.last_crash_at);
+        return now - last > hold_idle_max;
+    };
+    is_changed_ |= std::erase_if(holds_, [&](const auto& entry)
+                                 { return is_idle(entry.first, entry.second); }) > 0;
+    const auto is_expired = [&](const auto& entry)
+    {
+        if (now - entry.second.at <= crash_evidence_max_age || supports_hold(entry.first))
+            return false;
+        for (const broken_request& request : entry.second.requests)
+            part_count_ -= request.parts.size();
+        return true;
+    };
+    is_changed_ |= std::erase_if(crashes_, is_expired) > 0;
+    std::erase_if(probes_,
+                  [&](const auto& entry) { return now - entry.second.last_at > hold_idle_max; });
+}
+
+// Holds the part that explains most of the crashes, then the one that explains most of the others.
+// Parts that were at the same crashes are held in combination only, so that requests with some of
+// them show which is sound.
+void crash_suspects::update(time_point now)
+{
+    expire(now);
+    if (!is_changed_)
+        return;
+    is_changed_ = false;
+
+    std::vector<crash_case> crashes;
+    for (const auto& [engine, record] : crashes_)
+    {
+        crash_case each;
+        each.engine = &engine;
+        each.domain = record.domain;
+        each.at = record.at;
+        bool has_head = false;
+        for (const broken_request& request : record.requests)
+        {
+            candidate of;
+            for (const std::string& part : request.parts)
+            {
+                if (!contains(record.sound, part) && !contains(of.parts, part))
+                    of.parts.emplace_back(part);
+            }
+            if (of.parts.empty())
+                continue;
+            of.weight = request.progress == answer_progress::no_head ? 0.0 : 1.0;
+            has_head |= of.weight > 0.0;
+            each.candidates.push_back(std::move(of));
+        }
+        for (candidate& of : each.candidates)
+        {
+            if (of.weight == 0.0)
+                of.weight = has_head ? no_head_weight : no_head_alone_weight;
+        }
+        assign_weights(each, has_head);
+        crashes.push_back(std::move(each));
+    }
+    std::sort(crashes.begin(), crashes.end(),
+              [](const crash_case& a, const crash_case& b) { return a.at < b.at; });
+    assign_causes(crashes);
+
+    std::map<std::string_view, std::vector<std::size_t>> crashes_of;
+    for (std::size_t i = 0; i < crashes.size(); ++i)
+    {
+        for (const auto& [part, weight] : crashes[i].weights)
+            crashes_of[part].push_back(i);
+    }
+    scores_.clear();
+    std::vector<std::string_view> open; // parts that may be held
+    for (const auto& [part, indices] : crashes_of)
+    {
+        const double score = score_of(crashes, part, indices);
+        scores_.emplace(part, score);
+        if (score >= combination_threshold)
+            open.push_back(part);
+    }
+
+    holds_.clear();
+    while (!open.empty() && holds_.size() < max_holds)
+    {
+        std::size_t top = 0;
+        double top_score = 0.0;
+        std::vector<std::size_t> top_crashes;
+        for (std::size_t i = 0; i < open.size(); ++i)
+        {
+            std::vector<std::size_t> left = unexplained(crashes, crashes_of[open[i]]);
+            const double score = score_of(crashes, open[i], left);
+            if (score <= top_score)
+                continue;
+            top = i;
+            top_score = score;
+            top_crashes = std::move(left);
+        }
+        if (top_score < combination_threshold)
+            break;
+        const std::string_view part = open[top];
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(top));
+
+        hold each;
+        std::map<std::string_view, std::size_t> beside;
+        for (const std::size_t i : top_crashes)
+        {
+            for (const auto& [other, weight] : crashes[i].weights)
+                ++beside[other];
+        }
+        for (const auto& [other, count] : beside)
+        {
+            if (other == part)
+                continue;
+            const double joint = sum_over_causes(crashes, top_crashes,
+                                                 [&](const crash_case& of)
+                                                 { return joint_weight(of, part, other); });
+            if (joint > top_score - combination_slack)
+                each.with.emplace_back(other);
+            else if (joint >= ambiguity_ratio * top_score)
+                each.without.emplace_back(other);
+        }
+        if (top_score < hold_threshold && each.with.empty())
+            continue;
+        std::vector<std::size_t> causes;
+        for (const std::size_t i : top_crashes)
+        {
+            crashes[i].is_explained = true;
+            each.crashes.push_back(*crashes[i].engine);
+            each.last_crash_at = std::max(each.last_crash_at, crashes[i].at);
+            if (!contains(causes, crashes[i].cause))
+                causes.push_back(crashes[i].cause);
+        }
+        each.is_confirmed = each.without.empty() && causes.size() >= confirming_crashes;
+        holds_.emplace(part, std::move(each));
+    }
+    std::erase_if(asked_at_, [&](const auto& entry) { return !holds_.contains(entry.first); });
+}
+
+const std::string* crash_suspects::find_held(const std::vector<std::string>& parts) const
+{
+    if (holds_.empty())
+        return nullptr;
+    for (const std::string& part : parts)
+    {
+        const auto found = holds_.find(part);
+        if (found != holds_.end() && contains_all(parts, found->second.with))
+            return &found->first;
+    }
+    return nullptr;
+}
+
+time_point crash_suspects::probe_due(const std::string& part) const
+{
+    const hold& of = holds_.find(part)->second;
+    milliseconds interval = first_probe_interval;
+    std::int64_t growth = probe_growth;
+    if (of.is_confirmed)
+    {
+        interval = confirmed_probe_interval;
+        growth = confirmed_probe_growth;
+    }
+    else if (!of.without.empty())
+        interval = ambiguous_probe_interval;
+    const auto found = probes_.find(part);
+    if (found == probes_.end())
+        return of.last_crash_at + interval;
+    for (std::uint32_t i = 0; i < std::min(found->second.count, max_probe_growth_steps); ++i)
+        interval *= growth;
+    return std::max(of.last_crash_at, found->second.last_at) + interval;
+}
+
+} // namespace zinnianotch
