--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iterator>
 #include <span>
 
@@ -20,6 +21,7 @@
 
 // Part of a crash that another part may miss and still explain the same crashes.
 constexpr double combination_slack = 0.75;
+constexpr double combination_slack_ratio = 0.25;
 // Fraction of the crashes of a held part at which another part makes it ambiguous.
 constexpr double ambiguity_ratio = 0.5;
 constexpr std::size_t max_holds = 64;
@@ -50,10 +52,10 @@
 struct candidate
 {
     std::vector<std::string_view> parts;
-    double weight = 0.0;
+    double share = 0.0; // of the suspicion of all candidates; their strength at first
 };
 
-// A crash as it is evaluated. The weights of its candidates sum to 1 at most.
+// A crash as it is evaluated.
 struct crash_case
 {
     const engine_lifetime* engine = nullptr;
@@ -61,46 +63,58 @@
     time_point at{};
     std::size_t cause = 0; // equal for crashes with a common cause
     std::vector<candidate> candidates;
+    double scale = 0.0;                         // largest possible weight
     std::map<std::string_view, double> weights; // by part
-    bool is_explained = false;                  // by a held part
+    std::vector<std::string_view> strongest_parts;
+    bool is_explained = false; // by a held part
 };
 
-// Weights of the candidates that have all the given parts.
+// Weight of a crash for parts that these candidates have. The square root keeps a crash with
+// several candidates from counting as next to none.
+double weight_of(const crash_case& of, double share)
+{
+    return of.scale * std::sqrt(std::min(share, 1.0));
+}
+
+// Weight of the crash for two parts in the same requests.
 double joint_weight(const crash_case& of, std::string_view a, std::string_view b)
 {
-    double sum = 0.0;
+    double share = 0.0;
     for (const candidate& each : of.candidates)
     {
         if (contains(each.parts, a) && contains(each.parts, b))
-            sum += each.weight;
+            share += each.share;
     }
-    return sum;
+    return weight_of(of, share);
 }
 
-void assign_weights(crash_case& of, bool has_head)
+// Sets the shares of the candidates and the weights of their parts from their strengths.
+void assign_weights(crash_case& of)
 {
     double total = 0.0;
+    double strongest = 0.0;
     for (const candidate& each : of.candidates)
-        total += each.weight;
-    const double divisor = std::max(1.0, total);
-    for (candidate& each : of.candidates)
     {
-        each.weight /= divisor;
-        for (const std::string_view part : each.parts)
-            of.weights[part] += each.weight;
+        total += each.share;
+        strongest = std::max(strongest, each.share);
     }
-    if (!has_head || of.candidates.empty())
-        return;
-    // The sole suspect among the requests that the engine had begun to answer.
-    const std::string_view first = of.candidates.front().parts.front();
-    for (const candidate& each : of.candidates)
+    of.scale = std::min(1.0, strongest);
+    std::map<std::string_view, double> shares;
+    for (candidate& each : of.candidates)
     {
-        if (each.weight * divisor < 0.5)
-            continue;
-        if (each.parts.size() != 1 || each.parts.front() != first)
-            return;
+        const bool is_strongest = each.share == strongest;
+        each.share /= total;
+        for (const std::string_view part : each.parts)
+        {
+            shares[part] += each.share;
+            if (is_strongest && !contains(of.strongest_parts, part))
+                of.strongest_parts.push_back(part);
+        }
     }
-    of.weights[first] *= sole_suspect_weight;
+    for (const auto& [part, share] : shares)
+        of.weights[part] = weight_of(of, share);
+    if (of.strongest_parts.size() == 1 && strongest >= 1.0)
+        of.weights[of.strongest_parts.front()] *= sole_suspect_weight;
 }
 
 // Numbers the common causes of crashes, which are sorted by time.
@@ -187,7 +201,7 @@
 
 void crash_suspects::on_crash(const engine_lifetime& engine, const std::string& domain,
                               const std::vector<std::string>& parts, answer_progress progress,
-                              time_point now)
+                              milliseconds answering_for, time_point now)
 {
     if (parts.empty() || progress == answer_progress::events)
         return;
@@ -199,6 +213,7 @@
     report.domain = domain;
     report.parts = parts;
     report.progress = progress;
+    report.answering_for = answering_for;
     if (add_crash(report, now))
         emit(std::move(report), now);
 }
@@ -276,6 +291,7 @@
             report.origin = request.origin;
             report.sequence = request.sequence;
             report.progress = request.progress;
+            report.answering_for = request.answering_for;
             report.parts.clear();
             std::copy_if(request.parts.begin(), request.parts.end(),
                          std::back_inserter(report.parts),
@@ -401,7 +417,8 @@
         if (static_cast<std::size_t>(same_cause) >= max_crashes_per_cause)
             return false;
     }
-    broken_request request{report.origin, report.sequence, report.parts, report.progress};
+    broken_request request{report.origin, report.sequence, report.parts, report.progress,
+                           report.answering_for};
     if (request.parts.size() > max_parts_per_request)
         request.parts.resize(max_parts_per_request);
     crash* const record = find_or_add(report.engines.front(), at);
@@ -490,6 +507,13 @@
     return &record;
 }
 
+double crash_suspects::strength_of(const broken_request& request)
+{
+    if (request.progress == answer_progress::no_head)
+        return no_head_weight;
+    return request.answering_for <= crash_delay_max ? 1.0 : long_answering_weight;
+}
+
 bool crash_suspects::supports_hold(const engine_lifetime& engine) const
 {
     return std::any_of(holds_.begin(), holds_.end(),
@@ -573,7 +597,6 @@
         each.engine = &engine;
         each.domain = record.domain;
         each.at = record.at;
-        bool has_head = false;
         for (const broken_request& request : record.requests)
         {
             candidate of;
@@ -584,16 +607,12 @@
             }
             if (of.parts.empty())
                 continue;
-            of.weight = request.progress == answer_progress::no_head ? 0.0 : 1.0;
-            has_head |= of.weight > 0.0;
+            of.share = strength_of(request);
             each.candidates.push_back(std::move(of));
         }
-        for (candidate& of : each.candidates)
-        {
-            if (of.weight == 0.0)
-                of.weight = has_head ? no_head_weight : no_head_alone_weight;
-        }
-        assign_weights(each, has_head);
+        if (each.candidates.empty())
+            continue;
+        assign_weights(each);
         crashes.push_back(std::move(each));
     }
     std::sort(crashes.begin(), crashes.end(),
@@ -651,7 +670,8 @@
             const double joint = sum_over_causes(crashes, top_crashes,
                                                  [&](const crash_case& of)
                                                  { return joint_weight(of, part, other); });
-            if (joint > top_score - combination_slack)
+            if (joint >
+                top_score - std::min(combination_slack, combination_slack_ratio * top_score))
                 each.with.emplace_back(other);
             else if (joint >= ambiguity_ratio * top_score)
                 each.without.emplace_back(other);
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -26,16 +26,19 @@
 namespace zinnianotch
 {
 
-// A part is held at this sum of the weights of its crashes. A crash under a request without other
-// suspects than the part weighs 1 or, if the part is its only suspect, sole_suspect_weight.
+// A part is held at this sum of the weights of its crashes. A crash weighs 1 if all requests that
+// may be its cause have the part, less if only some have it, and sole_suspect_weight if they have
+// no other suspect part.
 inline constexpr double hold_threshold = 2.5;
 // The same for a combination of parts: its hold affects only requests that have all of them.
 inline constexpr double combination_threshold = 2.0;
 inline constexpr double sole_suspect_weight = 1.25;
-// Weight of a request whose response had not begun, relative to one whose response had: the engine
-// probably did not run it. The first applies if a response of another request had begun.
+// An engine crashes within this time after it begins to answer the request that causes it.
+inline constexpr milliseconds crash_delay_max{500};
+// Strength of a request as a cause if its response had begun longer ago or had not begun, relative
+// to one whose response had just begun.
+inline constexpr double long_answering_weight = 0.2;
 inline constexpr double no_head_weight = 0.05;
-inline constexpr double no_head_alone_weight = 0.4;
 // Crashes within this time have a common cause and count as one; the second applies to engines of
 // the same failure domain.
 inline constexpr milliseconds common_cause_window{250};
@@ -109,6 +112,7 @@
     std::string domain;                               // crash: failure domain of the engine
     std::vector<std::string> parts;                   // one for a probe
     answer_progress progress = answer_progress::head; // crash
+    milliseconds answering_for{0};                    // crash: time since the head of the response
     std::uint32_t probes = 0;                         // probe: number of probes including this one
     milliseconds age{0};                              // since the crash, or since the probe began
 
@@ -129,9 +133,11 @@
     explicit crash_suspects(std::string origin) : origin_(std::move(origin)) {}
 
     // The connection of a request broke while the engine had it. `parts` excludes the last part of
-    // the prompt, which belongs to this request only.
+    // the prompt, which belongs to this request only; `answering_for` is the time since the head of
+    // the response, if there was one.
     void on_crash(const engine_lifetime& engine, const std::string& domain,
-                  const std::vector<std::string>& parts, answer_progress progress, time_point now);
+                  const std::vector<std::string>& parts, answer_progress progress,
+                  milliseconds answering_for, time_point now);
     // An engine has answered a request completely or has delivered more than one event of it. To be
     // called as soon as either is true; not for rejections and responses from a cache.
     void on_sound(const std::vector<std::string>& parts, time_point sent_at, time_point now);
@@ -171,6 +177,7 @@
         std::uint64_t sequence = 0;
         std::vector<std::string> parts;
         answer_progress progress = answer_progress::head;
+        milliseconds answering_for{0};
     };
 
     struct crash
@@ -209,6 +216,7 @@
     bool add_probe(const crash_report& report, time_point now);
     // The record of a crash; null if there is no room for one that old.
     crash* find_or_add(const engine_lifetime& engine, time_point at);
+    static double strength_of(const broken_request& request);
     bool supports_hold(const engine_lifetime& engine) const;
     bool make_room(std::size_t added, time_point at);
     void emit(crash_report report, time_point now);
