--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -22,8 +22,14 @@
 // Part of a crash that another part may miss and still explain the same crashes.
 constexpr double combination_slack = 0.75;
 constexpr double combination_slack_ratio = 0.25;
+// Largest weight of a crash at which no response had begun.
+constexpr double no_head_alone_scale = 0.5;
 // Fraction of the crashes of a held part at which another part makes it ambiguous.
 constexpr double ambiguity_ratio = 0.5;
+// Fraction of the crashes of an ambiguous held part that still counts for others.
+constexpr double ambiguous_unexplained = 0.5;
+// Weight of crashes before which a part was sound, relative to crashes at which it is suspect.
+constexpr double sound_presence_factor = 0.5;
 constexpr std::size_t max_holds = 64;
 constexpr std::size_t max_sound_parts = 64; // per crash
 constexpr std::size_t max_pending_reports = 1024;
@@ -66,7 +72,7 @@
     double scale = 0.0;                         // largest possible weight
     std::map<std::string_view, double> weights; // by part
     std::vector<std::string_view> strongest_parts;
-    bool is_explained = false; // by a held part
+    double unexplained = 1.0; // fraction of the weights that no held part explains
 };
 
 // Weight of a crash for parts that these candidates have. The square root keeps a crash with
@@ -98,7 +104,7 @@
         total += each.share;
         strongest = std::max(strongest, each.share);
     }
-    of.scale = std::min(1.0, strongest);
+    of.scale = strongest > no_head_weight ? strongest : no_head_alone_scale;
     std::map<std::string_view, double> shares;
     for (candidate& each : of.candidates)
     {
@@ -164,7 +170,7 @@
     std::vector<std::size_t> found;
     for (const std::size_t i : indices)
     {
-        if (!crashes[i].is_explained)
+        if (crashes[i].unexplained > 0.0)
             found.push_back(i);
     }
     return found;
@@ -174,7 +180,8 @@
                 std::span<const std::size_t> indices)
 {
     return sum_over_causes(crashes, indices,
-                           [&](const crash_case& of) { return of.weights.at(part); });
+                           [&](const crash_case& of)
+                           { return of.weights.at(part) * of.unexplained; });
 }
 
 } // namespace
@@ -619,6 +626,12 @@
               [](const crash_case& a, const crash_case& b) { return a.at < b.at; });
     assign_causes(crashes);
 
+    std::unordered_map<std::string_view, std::size_t> sound_at; // number of crashes
+    for (const auto& [engine, record] : crashes_)
+    {
+        for (const std::string& part : record.sound)
+            ++sound_at[part];
+    }
     std::map<std::string_view, std::vector<std::size_t>> crashes_of;
     for (std::size_t i = 0; i < crashes.size(); ++i)
     {
@@ -635,23 +648,34 @@
             open.push_back(part);
     }
 
+    // Parts that were often shown sound before are rather present by chance.
+    const auto specificity = [&](std::string_view part)
+    {
+        const auto present = static_cast<double>(crashes_of[part].size());
+        const auto found = sound_at.find(part);
+        const double sound = found == sound_at.end() ? 0.0 : static_cast<double>(found->second);
+        return present / (present + sound_presence_factor * sound);
+    };
     holds_.clear();
     while (!open.empty() && holds_.size() < max_holds)
     {
         std::size_t top = 0;
         double top_score = 0.0;
+        double top_rank = 0.0;
         std::vector<std::size_t> top_crashes;
         for (std::size_t i = 0; i < open.size(); ++i)
         {
             std::vector<std::size_t> left = unexplained(crashes, crashes_of[open[i]]);
             const double score = score_of(crashes, open[i], left);
-            if (score <= top_score)
+            const double rank = score * specificity(open[i]);
+            if (score < combination_threshold || rank <= top_rank)
                 continue;
             top = i;
             top_score = score;
+            top_rank = rank;
             top_crashes = std::move(left);
         }
-        if (top_score < combination_threshold)
+        if (top_rank == 0.0)
             break;
         const std::string_view part = open[top];
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(top));
@@ -667,9 +691,10 @@
         {
             if (other == part)
                 continue;
-            const double joint = sum_over_causes(crashes, top_crashes,
-                                                 [&](const crash_case& of)
-                                                 { return joint_weight(of, part, other); });
+            const double joint =
+                sum_over_causes(crashes, top_crashes,
+                                [&](const crash_case& of)
+                                { return joint_weight(of, part, other) * of.unexplained; });
             if (joint >
                 top_score - std::min(combination_slack, combination_slack_ratio * top_score))
                 each.with.emplace_back(other);
@@ -681,7 +706,7 @@
         std::vector<std::size_t> causes;
         for (const std::size_t i : top_crashes)
         {
-            crashes[i].is_explained = true;
+            crashes[i].unexplained *= each.without.empty() ? 0.0 : ambiguous_unexplained;
             each.crashes.push_back(*crashes[i].engine);
             each.last_crash_at = std::max(each.last_crash_at, crashes[i].at);
             if (!contains(causes, crashes[i].cause))
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -29,9 +29,9 @@
 // A part is held at this sum of the weights of its crashes. A crash weighs 1 if all requests that
 // may be its cause have the part, less if only some have it, and sole_suspect_weight if they have
 // no other suspect part.
-inline constexpr double hold_threshold = 2.5;
+inline constexpr double hold_threshold = 2.2;
 // The same for a combination of parts: its hold affects only requests that have all of them.
-inline constexpr double combination_threshold = 2.0;
+inline constexpr double combination_threshold = 1.8;
 inline constexpr double sole_suspect_weight = 1.25;
 // An engine crashes within this time after it begins to answer the request that causes it.
 inline constexpr milliseconds crash_delay_max{500};
@@ -41,8 +41,8 @@
 inline constexpr double no_head_weight = 0.05;
 // Crashes within this time have a common cause and count as one; the second applies to engines of
 // the same failure domain.
-inline constexpr milliseconds common_cause_window{250};
-inline constexpr milliseconds domain_cause_window{1000};
+inline constexpr milliseconds common_cause_window{100};
+inline constexpr milliseconds domain_cause_window{400};
 // Engines that crash in common_cause_window beyond this number are not recorded.
 inline constexpr std::size_t max_crashes_per_cause = 8;
 // Time after which a crash no longer counts, unless a part is held because of it.
