--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cmath>
 #include <iterator>
+#include <set>
 #include <span>
 
 namespace zinnianotch
@@ -82,13 +83,14 @@
     return of.scale * std::sqrt(std::min(share, 1.0));
 }
 
-// Weight of the crash for two parts in the same requests.
-double joint_weight(const crash_case& of, std::string_view a, std::string_view b)
+// Weight of the crash for requests that have all these parts.
+double joint_weight(const crash_case& of, const std::vector<std::string_view>& parts)
 {
     double share = 0.0;
     for (const candidate& each : of.candidates)
     {
-        if (contains(each.parts, a) && contains(each.parts, b))
+        if (std::all_of(parts.begin(), parts.end(),
+                        [&](std::string_view part) { return contains(each.parts, part); }))
             share += each.share;
     }
     return weight_of(of, share);
@@ -184,6 +186,153 @@
                            { return of.weights.at(part) * of.unexplained; });
 }
 
+double strength_of(const broken_request& request)
+{
+    if (request.progress == answer_progress::no_head)
+        return no_head_weight;
+    return request.answering_for <= crash_delay_max ? 1.0 : long_answering_weight;
+}
+
+std::vector<candidate> make_candidates(const crash_record& record)
+{
+    std::vector<candidate> candidates;
+    for (const broken_request& request : record.requests)
+    {
+        candidate of;
+        for (const std::string& part : request.parts)
+        {
+            if (!contains(record.sound, part) && !contains(of.parts, part))
+                of.parts.emplace_back(part);
+        }
+        if (of.parts.empty())
+            continue;
+        of.share = strength_of(request);
+        candidates.push_back(std::move(of));
+    }
+    return candidates;
+}
+
+// The crashes that have candidates, by time.
+std::vector<crash_case> make_cases(const std::map<engine_lifetime, crash_record>& records)
+{
+    std::vector<crash_case> crashes;
+    for (const auto& [engine, record] : records)
+    {
+        crash_case each;
+        each.engine = &engine;
+        each.domain = record.domain;
+        each.at = record.at;
+        each.candidates = make_candidates(record);
+        if (each.candidates.empty())
+            continue;
+        assign_weights(each);
+        crashes.push_back(std::move(each));
+    }
+    std::sort(crashes.begin(), crashes.end(),
+              [](const crash_case& a, const crash_case& b) { return a.at < b.at; });
+    assign_causes(crashes);
+    return crashes;
+}
+
+struct suspect_index
+{
+    std::map<std::string_view, std::vector<std::size_t>> crashes;    // at which a part is suspect
+    std::unordered_map<std::string_view, std::size_t> sound_crashes; // number since it was sound
+};
+
+suspect_index make_index(const std::vector<crash_case>& crashes,
+                         const std::map<engine_lifetime, crash_record>& records)
+{
+    suspect_index index;
+    for (std::size_t i = 0; i < crashes.size(); ++i)
+    {
+        for (const auto& [part, weight] : crashes[i].weights)
+            index.crashes[part].push_back(i);
+    }
+    for (const auto& [engine, record] : records)
+    {
+        for (const std::string& part : record.sound)
+            ++index.sound_crashes[part];
+    }
+    return index;
+}
+
+// A part that was often shown sound after a crash is rather present by chance.
+double specificity(const suspect_index& index, std::string_view part)
+{
+    const auto suspect = static_cast<double>(index.crashes.at(part).size());
+    const auto found = index.sound_crashes.find(part);
+    const double sound =
+        found == index.sound_crashes.end() ? 0.0 : static_cast<double>(found->second);
+    return suspect / (suspect + sound_presence_factor * sound);
+}
+
+struct suspect_part
+{
+    std::string_view part;
+    double score = 0.0;
+    std::vector<std::size_t> crashes; // that no held part explains
+};
+
+// The most suspect of the parts with a score of combination_threshold or more.
+std::optional<suspect_part> most_suspect(const std::vector<crash_case>& crashes,
+                                         const suspect_index& index,
+                                         const std::vector<std::string_view>& parts)
+{
+    std::optional<suspect_part> top;
+    double top_rank = 0.0;
+    for (const std::string_view part : parts)
+    {
+        std::vector<std::size_t> left = unexplained(crashes, index.crashes.at(part));
+        const double score = score_of(crashes, part, left);
+        const double rank = score * specificity(index, part);
+        if (score < combination_threshold || rank <= top_rank)
+            continue;
+        top = suspect_part{part, score, std::move(left)};
+        top_rank = rank;
+    }
+    return top;
+}
+
+// Parts at the crashes of a suspect part.
+struct companions
+{
+    std::vector<std::string_view> present;  // at all of its crashes, in the same requests
+    std::vector<std::string_view> frequent; // others at many of its crashes
+};
+
+companions find_companions(const std::vector<crash_case>& crashes, const suspect_part& top)
+{
+    const auto joint_score = [&](const std::vector<std::string_view>& parts)
+    {
+        return sum_over_causes(crashes, top.crashes,
+                               [&](const crash_case& of)
+                               { return joint_weight(of, parts) * of.unexplained; });
+    };
+    std::set<std::string_view> others;
+    for (const std::size_t i : top.crashes)
+    {
+        for (const auto& [other, weight] : crashes[i].weights)
+            others.insert(other);
+    }
+    others.erase(top.part);
+
+    const double slack = std::min(combination_slack, combination_slack_ratio * top.score);
+    std::vector<std::string_view> combination{top.part};
+    companions found;
+    for (const std::string_view other : others)
+    {
+        combination.push_back(other);
+        if (joint_score(combination) > top.score - slack)
+            continue;
+        combination.pop_back();
+        if (joint_score({top.part, other}) >= ambiguity_ratio * top.score)
+            found.frequent.push_back(other);
+    }
+    found.present.assign(combination.begin() + 1, combination.end());
+    return found;
+}
+
 } // namespace
 
 std::string_view to_string(answer_progress value)
@@ -428,7 +577,7 @@
                            report.answering_for};
     if (request.parts.size() > max_parts_per_request)
         request.parts.resize(max_parts_per_request);
-    crash* const record = find_or_add(report.engines.front(), at);
+    crash_record* const record = find_or_add(report.engines.front(), at);
     if (record == nullptr)
         return false;
     const bool is_known =
@@ -463,7 +612,7 @@
     bool is_news = false;
     for (const engine_lifetime& engine : report.engines)
     {
-        crash* const record = find_or_add(engine, now - report.age);
+        crash_record* const record = find_or_add(engine, now - report.age);
         if (record == nullptr)
             continue;
         for (const std::string& part : report.parts)
@@ -502,25 +651,18 @@
     return true;
 }
 
-crash_suspects::crash* crash_suspects::find_or_add(const engine_lifetime& engine, time_point at)
+crash_record* crash_suspects::find_or_add(const engine_lifetime& engine, time_point at)
 {
     const auto found = crashes_.find(engine);
     if (found != crashes_.end())
         return &found->second;
     if (!make_room(1, at))
         return nullptr;
-    crash& record = crashes_[engine];
+    crash_record& record = crashes_[engine];
     record.at = at;
     return &record;
 }
 
-double crash_suspects::strength_of(const broken_request& request)
-{
-    if (request.progress == answer_progress::no_head)
-        return no_head_weight;
-    return request.answering_for <= crash_delay_max ? 1.0 : long_answering_weight;
-}
-
 bool crash_suspects::supports_hold(const engine_lifetime& engine) const
 {
     return std::any_of(holds_.begin(), holds_.end(),
@@ -597,50 +739,11 @@
         return;
     is_changed_ = false;
 
-    std::vector<crash_case> crashes;
-    for (const auto& [engine, record] : crashes_)
-    {
-        crash_case each;
-        each.engine = &engine;
-        each.domain = record.domain;
-        each.at = record.at;
-        for (const broken_request& request : record.requests)
-        {
-            candidate of;
-            for (const std::string& part : request.parts)
-            {
-                if (!contains(record.sound, part) && !contains(of.parts, part))
-                    of.parts.emplace_back(part);
-            }
-            if (of.parts.empty())
-                continue;
-            of.share = strength_of(request);
-            each.candidates.push_back(std::move(of));
-        }
-        if (each.candidates.empty())
-            continue;
-        assign_weights(each);
-        crashes.push_back(std::move(each));
-    }
-    std::sort(crashes.begin(), crashes.end(),
-              [](const crash_case& a, const crash_case& b) { return a.at < b.at; });
-    assign_causes(crashes);
-
-    std::unordered_map<std::string_view, std::size_t> sound_at; // number of crashes
-    for (const auto& [engine, record] : crashes_)
-    {
-        for (const std::string& part : record.sound)
-            ++sound_at[part];
-    }
-    std::map<std::string_view, std::vector<std::size_t>> crashes_of;
-    for (std::size_t i = 0; i < crashes.size(); ++i)
-    {
-        for (const auto& [part, weight] : crashes[i].weights)
-            crashes_of[part].push_back(i);
-    }
+    std::vector<crash_case> crashes = make_cases(crashes_);
+    const suspect_index index = make_index(crashes, crashes_);
     scores_.clear();
     std::vector<std::string_view> open; // parts that may be held
-    for (const auto& [part, indices] : crashes_of)
+    for (const auto& [part, indices] : index.crashes)
     {
         const double score = score_of(crashes, part, indices);
         scores_.emplace(part, score);
@@ -648,72 +751,30 @@
             open.push_back(part);
     }
 
-    // Parts that were often shown sound before are rather present by chance.
-    const auto specificity = [&](std::string_view part)
-    {
-        const auto present = static_cast<double>(crashes_of[part].size());
-        const auto found = sound_at.find(part);
-        const double sound = found == sound_at.end() ? 0.0 : static_cast<double>(found->second);
-        return present / (present + sound_presence_factor * sound);
-    };
     holds_.clear();
-    while (!open.empty() && holds_.size() < max_holds)
+    while (holds_.size() < max_holds)
     {
-        std::size_t top = 0;
-        double top_score = 0.0;
-        double top_rank = 0.0;
-        std::vector<std::size_t> top_crashes;
-        for (std::size_t i = 0; i < open.size(); ++i)
-        {
-            std::vector<std::size_t> left = unexplained(crashes, crashes_of[open[i]]);
-            const double score = score_of(crashes, open[i], left);
-            const double rank = score * specificity(open[i]);
-            if (score < combination_threshold || rank <= top_rank)
-                continue;
-            top = i;
-            top_score = score;
-            top_rank = rank;
-            top_crashes = std::move(left);
-        }
-        if (top_rank == 0.0)
+        const auto top = most_suspect(crashes, index, open);
+        if (!top)
             break;
-        const std::string_view part = open[top];
-        open.erase(open.begin() + static_cast<std::ptrdiff_t>(top));
-
-        hold each;
-        std::map<std::string_view, std::size_t> beside;
-        for (const std::size_t i : top_crashes)
-        {
-            for (const auto& [other, weight] : crashes[i].weights)
-                ++beside[other];
-        }
-        for (const auto& [other, count] : beside)
-        {
-            if (other == part)
-                continue;
-            const double joint =
-                sum_over_causes(crashes, top_crashes,
-                                [&](const crash_case& of)
-                                { return joint_weight(of, part, other) * of.unexplained; });
-            if (joint >
-                top_score - std::min(combination_slack, combination_slack_ratio * top_score))
-                each.with.emplace_back(other);
-            else if (joint >= ambiguity_ratio * top_score)
-                each.without.emplace_back(other);
-        }
-        if (top_score < hold_threshold && each.with.empty())
+        std::erase(open, top->part);
+        const companions beside = find_companions(crashes, *top);
+        if (top->score < hold_threshold && beside.present.empty())
             continue;
-        std::vector<std::size_t> causes;
-        for (const std::size_t i : top_crashes)
+        const double left = beside.frequent.empty() ? 0.0 : ambiguous_unexplained;
+        hold each;
+        each.with.assign(beside.present.begin(), beside.present.end());
+        each.without.assign(beside.frequent.begin(), beside.frequent.end());
+        std::set<std::size_t> causes;
+        for (const std::size_t i : top->crashes)
         {
-            crashes[i].unexplained *= each.without.empty() ? 0.0 : ambiguous_unexplained;
+            crashes[i].unexplained *= left;
+            causes.insert(crashes[i].cause);
             each.crashes.push_back(*crashes[i].engine);
             each.last_crash_at = std::max(each.last_crash_at, crashes[i].at);
-            if (!contains(causes, crashes[i].cause))
-                causes.push_back(crashes[i].cause);
         }
         each.is_confirmed = each.without.empty() && causes.size() >= confirming_crashes;
-        holds_.emplace(part, std::move(each));
+        holds_.emplace(top->part, std::move(each));
     }
     std::erase_if(asked_at_, [&](const auto& entry) { return !holds_.contains(entry.first); });
 }
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -126,6 +126,25 @@
     milliseconds retry_after{0}; // until the next probe of the part is due
 };
 
+// A request that broke with an engine.
+struct broken_request
+{
+    std::string origin;
+    std::uint64_t sequence = 0;
+    std::vector<std::string> parts;
+    answer_progress progress = answer_progress::head;
+    milliseconds answering_for{0};
+};
+
+// What is known of one crash.
+struct crash_record
+{
+    std::string domain;
+    time_point at{}; // never earlier than the crash
+    std::vector<broken_request> requests;
+    std::vector<std::string> sound; // parts of runs sent after the crash
+};
+
 class crash_suspects
 {
 public:
@@ -170,26 +189,6 @@
     std::size_t suspect_count(time_point now);
 
 private:
-    // A request that broke with an engine.
-    struct broken_request
-    {
-        std::string origin;
-        std::uint64_t sequence = 0;
-        std::vector<std::string> parts;
-        answer_progress progress = answer_progress::head;
-        milliseconds answering_for{0};
-    };
-
-    struct crash
-    {
-        std::string domain;
-        time_point at{}; // never earlier than the crash
-        std::vector<broken_request> requests;
-        std::vector<std::string> sound; // parts of runs sent after the crash, sorted
-    };
-
-    using crash_map = std::map<engine_lifetime, crash>;
-
     struct hold
     {
         std::vector<std::string> with;    // a request is held if it has these parts besides
@@ -215,8 +214,7 @@
     bool add_sound(const crash_report& report, time_point now);
     bool add_probe(const crash_report& report, time_point now);
     // The record of a crash; null if there is no room for one that old.
-    crash* find_or_add(const engine_lifetime& engine, time_point at);
-    static double strength_of(const broken_request& request);
+    crash_record* find_or_add(const engine_lifetime& engine, time_point at);
     bool supports_hold(const engine_lifetime& engine) const;
     bool make_room(std::size_t added, time_point at);
     void emit(crash_report report, time_point now);
@@ -229,7 +227,7 @@
 
     std::string origin_;
     std::uint64_t next_sequence_ = 1;
-    crash_map crashes_;
+    std::map<engine_lifetime, crash_record> crashes_;
     std::size_t part_count_ = 0; // of all requests of all crashes
     std::map<std::string, hold, std::less<>> holds_;
     std::map<std::string, probe_state, std::less<>> probes_;
