Expire old crashes only after a new VM could hold parts because of them

Before: crash_suspects/snapshot_new_vm_holds_same_parts_and_probes failed (its held parts differ from those of the sender). Crashes of a held part could also be dropped for newer ones if no request had asked for held parts since. Before: crash_suspects/on_crash_thousands_of_parts_memory_is_bounded failed (the part was no longer held).

--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -36,6 +36,9 @@
 constexpr std::size_t max_pending_reports = 1024;
 constexpr std::uint32_t max_probe_growth_steps = 8;
 constexpr milliseconds expiry_interval{1000};
+constexpr milliseconds update_interval{100};
+// Time for which a crash counts after its first report, however old it is.
+constexpr milliseconds snapshot_grace{5000};
 
 template <typename Range, typename Value>
 bool contains(const Range& range, const Value& value)
@@ -389,7 +392,7 @@
         return;
     for (const auto& [engine, record] : crashes_)
     {
-        if (record.at < sent_at)
+        if (record.at < sent_at && !contains_all(record.sound, report.parts))
             report.engines.push_back(engine);
     }
     if (add_sound(report, now))
@@ -431,6 +434,8 @@
     std::vector<crash_report> reports;
     for (const auto& [engine, record] : crashes_)
     {
+        if (now - record.at > crash_evidence_max_age && !supports_hold(engine))
+            continue;
         crash_report report;
         report.engines = {engine};
         report.domain = record.domain;
@@ -451,7 +456,8 @@
             report.parts.clear();
             std::copy_if(request.parts.begin(), request.parts.end(),
                          std::back_inserter(report.parts),
-                         [&](const std::string& part) { return !contains(record.sound, part); });
+                         [&sound = record.sound](const std::string& part)
+                         { return !contains(sound, part); });
             if (!report.parts.empty())
                 reports.push_back(report);
         }
@@ -577,7 +583,7 @@
                            report.answering_for};
     if (request.parts.size() > max_parts_per_request)
         request.parts.resize(max_parts_per_request);
-    crash_record* const record = find_or_add(report.engines.front(), at);
+    crash_record* const record = find_or_add(report.engines.front(), at, now);
     if (record == nullptr)
         return false;
     const bool is_known =
@@ -603,7 +609,7 @@
     record->at = std::min(record->at, at);
     record->requests.push_back(std::move(request));
     is_changed_ = true;
-    make_room(0, time_point::max());
+    make_room(0, time_point::max(), now);
     return true;
 }
 
@@ -612,7 +618,7 @@
     bool is_news = false;
     for (const engine_lifetime& engine : report.engines)
     {
-        crash_record* const record = find_or_add(engine, now - report.age);
+        crash_record* const record = find_or_add(engine, now - report.age, now);
         if (record == nullptr)
             continue;
         for (const std::string& part : report.parts)
@@ -651,15 +657,17 @@
     return true;
 }
 
-crash_record* crash_suspects::find_or_add(const engine_lifetime& engine, time_point at)
+crash_record* crash_suspects::find_or_add(const engine_lifetime& engine, time_point at,
+                                          time_point now)
 {
     const auto found = crashes_.find(engine);
     if (found != crashes_.end())
         return &found->second;
-    if (!make_room(1, at))
+    if (!make_room(1, at, now))
         return nullptr;
     crash_record& record = crashes_[engine];
     record.at = at;
+    record.received_at = now;
     return &record;
 }
 
@@ -671,9 +679,14 @@
 
 // Drops the oldest crashes until `added` more are within the bounds. Returns false if a crash at
 // `at` would be dropped itself.
-bool crash_suspects::make_room(std::size_t added, time_point at)
+bool crash_suspects::make_room(std::size_t added, time_point at, time_point now)
 {
-    while (crashes_.size() + added > max_crashes || part_count_ > max_suspect_parts)
+    const auto is_full = [&]
+    { return crashes_.size() + added > max_crashes || part_count_ > max_suspect_parts; };
+    // Bounds the work for many reports in a short time.
+    if (is_full() && now - updated_at_ >= update_interval)
+        update(now);
+    while (is_full())
     {
         auto oldest = crashes_.end();
         bool oldest_is_needed = true;
@@ -718,7 +731,9 @@
                                  { return is_idle(entry.first, entry.second); }) > 0;
     const auto is_expired = [&](const auto& entry)
     {
-        if (now - entry.second.at <= crash_evidence_max_age || supports_hold(entry.first))
+        // A crash of a snapshot may be old: it belongs to a part that the sender holds.
+        if (now - entry.second.at <= crash_evidence_max_age ||
+            now - entry.second.received_at <= snapshot_grace || supports_hold(entry.first))
             return false;
         for (const broken_request& request : entry.second.requests)
             part_count_ -= request.parts.size();
@@ -732,11 +747,8 @@
 // Holds the part that explains most of the crashes, then the one that explains most of the others.
 // Parts that were at the same crashes are held in combination only, so that requests with some of
 // them show which is sound.
-void crash_suspects::update(time_point now)
+void crash_suspects::evaluate()
 {
-    expire(now);
-    if (!is_changed_)
-        return;
     is_changed_ = false;
 
     std::vector<crash_case> crashes = make_cases(crashes_);
@@ -779,6 +791,14 @@
     std::erase_if(asked_at_, [&](const auto& entry) { return !holds_.contains(entry.first); });
 }
 
+void crash_suspects::update(time_point now)
+{
+    expire(now);
+    if (is_changed_)
+        evaluate();
+    updated_at_ = now;
+}
+
 const std::string* crash_suspects::find_held(const std::vector<std::string>& parts) const
 {
     if (holds_.empty())
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -48,7 +49,7 @@
 // Time after which a crash no longer counts, unless a part is held because of it.
 inline constexpr milliseconds crash_evidence_max_age{60'000};
 // Time after which a held part that no request has had is forgotten.
-inline constexpr milliseconds hold_idle_max{600'000};
+inline constexpr milliseconds hold_idle_max{3'600'000};
 // Interval before the first probe of a held part: after this many crashes, after fewer, and if
 // another part was at half of the crashes. It grows by the factor with each probe.
 inline constexpr std::size_t confirming_crashes = 4;
@@ -87,7 +88,11 @@
     std::string id;
     std::int64_t started_at = 0;
 
-    auto operator<=>(const engine_lifetime&) const = default;
+    bool operator==(const engine_lifetime&) const = default;
+    bool operator<(const engine_lifetime& other) const
+    {
+        return std::tie(id, started_at) < std::tie(other.id, other.started_at);
+    }
 };
 
 enum class crash_report_kind
@@ -141,6 +146,7 @@
 {
     std::string domain;
     time_point at{}; // never earlier than the crash
+    time_point received_at{};
     std::vector<broken_request> requests;
     std::vector<std::string> sound; // parts of runs sent after the crash
 };
@@ -166,7 +172,8 @@
 
     // Reports to send to all other VMs since the last call.
     std::vector<crash_report> take_reports(time_point now);
-    // All that a VM without earlier reports needs; to be sent when a link comes up.
+    // All that a VM without earlier reports needs; to be sent when a link comes up. The receiver
+    // applies all of it before it asks for held parts.
     std::vector<crash_report> snapshot(time_point now);
 
     // The held part of a request, or nothing if it may be sent. To be asked when a request is
@@ -214,12 +221,13 @@
     bool add_sound(const crash_report& report, time_point now);
     bool add_probe(const crash_report& report, time_point now);
     // The record of a crash; null if there is no room for one that old.
-    crash_record* find_or_add(const engine_lifetime& engine, time_point at);
+    crash_record* find_or_add(const engine_lifetime& engine, time_point at, time_point now);
     bool supports_hold(const engine_lifetime& engine) const;
-    bool make_room(std::size_t added, time_point at);
+    bool make_room(std::size_t added, time_point at, time_point now);
     void emit(crash_report report, time_point now);
     // Brings the holds up to date with the crashes.
     void update(time_point now);
+    void evaluate();
     void expire(time_point now);
     // The held part of a request.
     const std::string* find_held(const std::vector<std::string>& parts) const;
@@ -236,6 +244,7 @@
     std::vector<pending_report> pending_;
     bool is_changed_ = false;
     time_point expired_at_{};
+    time_point updated_at_{};
 };
 
 } // namespace zinnianotch
--- a/tests/unit/crash_suspects_history_test.cpp
+++ b/tests/unit/crash_suspects_history_test.cpp
@@ -31,7 +31,7 @@
 constexpr std::uint64_t history_count = 300;
 constexpr std::int64_t history_ms = 45'000;
 
-// The bounds: requests with a guilty part that may arrive at engines later than contact_ms after
+// The bounds: requests with a crashing part that may arrive at engines later than contact_ms after
 // its fifth crash, and the share of sound requests that begin from twice that time on, relative to
 // their share before the crashes.
 constexpr std::int64_t contact_ms = 3000;
@@ -154,12 +154,12 @@
     std::vector<crash_report> pending;
 };
 
-enum class guilty_position
+enum class crashing_position
 {
     first,
     second,
     second_used_before,  // by sound requests
-    second_of_one_first, // all guilty requests share their first part
+    second_of_one_first, // all crashing requests share their first part
     last_shared          // the part before the last, of two or three
 };
 
@@ -171,7 +171,7 @@
     std::uint64_t series_counted = 0; // with the counted crashes
     std::uint64_t late_arrivals = 0;
     std::uint64_t late_arrivals_largest = 0;
-    std::uint64_t guilty_crashes = 0;
+    std::uint64_t part_crashes = 0;
     std::uint64_t own_crashes = 0; // of engines, for their own reasons
     std::uint64_t domain_crashes = 0;
     std::uint64_t vm_starts = 0;
@@ -181,7 +181,7 @@
     std::uint64_t heads_lost = 0;
     std::uint64_t sound_refused = 0;
     std::uint64_t sound_samples = 0; // shares of sound requests that were compared
-    std::uint64_t guilty_first = 0;
+    std::uint64_t crashing_first = 0;
     std::uint64_t used_before = 0;
     std::uint64_t largest_held = 0;
 };
@@ -229,7 +229,7 @@
         }
         repeat(request_interval_, [this] { client_request(std::nullopt); });
         for (std::size_t i = 0; i < series_.size(); ++i)
-            schedule_after(series_[i].begin, [this, i] { guilty_request(i); });
+            schedule_after(series_[i].begin, [this, i] { crashing_request(i); });
         if (random_.chance(0.3))
             repeat(random_.between(2000, 8000), [this] { own_crash(); });
         if (random_.chance(0.3))
@@ -287,10 +287,10 @@
         std::vector<std::uint64_t> waiting;
     };
 
-    // Requests with one guilty part.
+    // Requests with one crashing part.
     struct series
     {
-        guilty_position position = guilty_position::second;
+        crashing_position position = crashing_position::second;
         std::string part;
         std::string fixed_first;
         std::int64_t begin = 0;
@@ -305,7 +305,7 @@
         std::size_t vm = 0;
         std::uint64_t vm_incarnation = 0;
         part_list parts;
-        std::optional<std::size_t> guilty; // index of the series
+        std::optional<std::size_t> crashing; // index of the series
         std::uint32_t attempts_left = 0;
         std::uint32_t crashes = 0;
         std::int64_t sent_at = 0;
@@ -358,18 +358,18 @@
     void add_series(std::int64_t begin)
     {
         series each;
-        each.position = static_cast<guilty_position>(random_.below(5));
+        each.position = static_cast<crashing_position>(random_.below(5));
         each.begin = begin;
         each.end = begin + random_.between(6000, 15'000);
         each.interval = 1000 / random_.between(1, 10);
-        if (each.position == guilty_position::second_used_before)
+        if (each.position == crashing_position::second_used_before)
             each.part = second_part();
         else
-            each.part = "guilty-" + std::to_string(series_.size());
-        if (each.position == guilty_position::second_of_one_first)
+            each.part = "crashing-" + std::to_string(series_.size());
+        if (each.position == crashing_position::second_of_one_first)
             each.fixed_first = first_part();
-        totals_.guilty_first += each.position == guilty_position::first ? 1 : 0;
-        totals_.used_before += each.position == guilty_position::second_used_before ? 1 : 0;
+        totals_.crashing_first += each.position == crashing_position::first ? 1 : 0;
+        totals_.used_before += each.position == crashing_position::second_used_before ? 1 : 0;
         ++totals_.series;
         series_.push_back(each);
     }
@@ -458,60 +458,60 @@
         }
     }
 
-    void guilty_request(std::size_t index)
+    void crashing_request(std::size_t index)
     {
         const series& each = series_[index];
         if (now_ >= each.end)
             return;
         client_request(index);
         schedule_after(random_.between(each.interval / 2, each.interval * 3 / 2),
-                       [this, index] { guilty_request(index); });
+                       [this, index] { crashing_request(index); });
     }
 
-    // A part that sound requests used before is used by guilty ones only from their first on.
-    bool is_guilty_part(const std::string& part) const
+    // A part that sound requests used before is used by crashing ones only from their first on.
+    bool is_crashing_part(const std::string& part) const
     {
         return std::any_of(series_.begin(), series_.end(),
                            [&](const series& each)
                            { return now_ >= each.begin && each.part == part; });
     }
 
-    void client_request(std::optional<std::size_t> guilty)
+    void client_request(std::optional<std::size_t> crashing)
     {
         request each;
         part_list& parts = each.parts;
         parts = {first_part(), second_part()};
-        while (is_guilty_part(parts[1]))
+        while (is_crashing_part(parts[1]))
             parts[1] = second_part();
         if (has_third_)
             parts.push_back("third-" + parts[1] + "-" + std::to_string(random_.below(3)));
-        if (guilty)
+        if (crashing)
         {
-            const series& of = series_[*guilty];
+            const series& of = series_[*crashing];
             std::size_t index = 1;
-            if (of.position == guilty_position::first)
+            if (of.position == crashing_position::first)
                 index = 0;
-            else if (of.position == guilty_position::last_shared)
+            else if (of.position == crashing_position::last_shared)
                 index = parts.size() - 1;
             parts[index] = of.part;
             if (!of.fixed_first.empty())
                 parts[0] = of.fixed_first;
         }
-        each.guilty = guilty;
+        each.crashing = crashing;
         each.attempts_left = attempts_;
         each.accepted_at = now_;
         each.vm = random_.below(vms_.size());
         vm& host = vms_[each.vm];
         each.vm_incarnation = host.incarnation;
         ++totals_.requests;
-        if (!guilty)
+        if (!crashing)
         {
             each.outcome = outcomes_.size();
             outcomes_.push_back({now_, parts[0], false});
         }
         if (!host.policy->may_accept(parts, host.name, names_, local_time(host)))
         {
-            totals_.sound_refused += guilty ? 0 : 1;
+            totals_.sound_refused += crashing ? 0 : 1;
             return;
         }
         const std::uint64_t id = ++sequence_;
@@ -542,7 +542,7 @@
             (refused_connections == 0 &&
              !host.policy->may_send(each->parts, host.name, names_, local_time(host))))
         {
-            totals_.sound_refused += each->guilty || refused_connections > 0 ? 0 : 1;
+            totals_.sound_refused += each->crashing || refused_connections > 0 ? 0 : 1;
             requests_.erase(id);
             return;
         }
@@ -593,8 +593,8 @@
             return;
         }
         --each->attempts_left;
-        if (each->guilty && now_ >= vms_[each->vm].out_of_touch_until)
-            series_[*each->guilty].arrivals.push_back(now_);
+        if (each->crashing && now_ >= vms_[each->vm].out_of_touch_until)
+            series_[*each->crashing].arrivals.push_back(now_);
         of.waiting.push_back(id);
         run_waiting(target);
     }
@@ -617,7 +617,7 @@
     void begin(std::uint64_t id, request& each, std::size_t target)
     {
         each.begun_at = now_;
-        if (!each.guilty)
+        if (!each.crashing)
             outcomes_[each.outcome].has_begun = true;
         each.first_event = random_.between(20, 250);
         each.second_event = each.first_event + random_.between(20, 100);
@@ -625,7 +625,7 @@
         if (!is_streaming_)
             each.first_event = each.second_event = duration;
         const std::uint64_t attempt = each.attempt;
-        if (each.guilty)
+        if (each.crashing)
         {
             schedule_after(random_.between(40, 150),
                            [this, id, target, attempt, lifetime = engines_[target].started_at]
@@ -636,8 +636,8 @@
                                // Also if its VM has exited since.
                                const auto found = requests_.find(id);
                                if (found != requests_.end() && found->second.attempt == attempt)
-                                   series_[*found->second.guilty].crashes.push_back(now_);
-                               ++totals_.guilty_crashes;
+                                   series_[*found->second.crashing].crashes.push_back(now_);
+                               ++totals_.part_crashes;
                                crash(target);
                            });
             return;
@@ -690,11 +690,11 @@
                 const std::int64_t elapsed = now_ - each->begun_at;
                 answering_for = milliseconds(elapsed);
                 progress = answer_progress::events;
-                if (each->guilty || elapsed < each->first_event)
+                if (each->crashing || elapsed < each->first_event)
                     progress = answer_progress::head;
                 else if (elapsed < each->second_event)
                     progress = answer_progress::first_event;
-                if (progress == answer_progress::head && !each->guilty && !is_head_early_)
+                if (progress == answer_progress::head && !each->crashing && !is_head_early_)
                     progress = answer_progress::no_head;
                 else if (progress == answer_progress::head && random_.chance(head_loss_))
                 {
@@ -885,15 +885,15 @@
         violated += violations.empty() ? 0 : 1;
     }
     const auto number = [](std::uint64_t value) { return static_cast<unsigned long long>(value); };
-    std::printf("crash_suspects: %llu histories, %llu requests, %llu series (%llu with a guilty "
+    std::printf("crash_suspects: %llu histories, %llu requests, %llu series (%llu with a crashing "
                 "first part, %llu used before), %llu of them counted with %llu late arrivals, at "
-                "most %llu; %llu crashes under guilty parts, %llu own, %llu of domains; %llu VM "
+                "most %llu; %llu crashes under crashing parts, %llu own, %llu of domains; %llu VM "
                 "starts, %llu links lost, %llu of %llu messages late, %llu heads lost; %llu sound "
                 "requests refused, %llu samples\n",
                 number(totals.histories), number(totals.requests), number(totals.series),
-                number(totals.guilty_first), number(totals.used_before),
+                number(totals.crashing_first), number(totals.used_before),
                 number(totals.series_counted), number(totals.late_arrivals),
-                number(totals.late_arrivals_largest), number(totals.guilty_crashes),
+                number(totals.late_arrivals_largest), number(totals.part_crashes),
                 number(totals.own_crashes), number(totals.domain_crashes), number(totals.vm_starts),
                 number(totals.links_lost), number(totals.late_messages), number(totals.messages),
                 number(totals.heads_lost), number(totals.sound_refused),
@@ -904,7 +904,7 @@
         return;
     // The bounds are only tested if the histories contain these situations.
     cr_assert(totals.series_counted > 0 && totals.sound_samples > 0);
-    cr_assert(totals.guilty_first > 0 && totals.used_before > 0);
+    cr_assert(totals.crashing_first > 0 && totals.used_before > 0);
     cr_assert(totals.own_crashes > 0 && totals.domain_crashes > 0);
     cr_assert(totals.vm_starts > 0 && totals.links_lost > 0 && totals.late_messages > 0);
     cr_assert(totals.heads_lost > 0);
