Break off a stream that ends within an event

Callers saw a stream end as complete although its engine had stopped within an event: the response had no length and ended with its connection, or its chunks ended in order. finish_response() passed the bytes of the incomplete event on and then the end of the response.

A stream that ends with bytes of an event whose end is missing is now treated as broken: it is resumed at another engine where the route allows it, else the caller's connection is reset. Line ends after the last event are passed on as before. Error responses of a streaming route are no streams.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -124,6 +124,7 @@
     void drop_upstream();
 
     disposition choose_disposition(const message_head& head, const endpoint_answer& metadata) const;
+    bool is_event_stream() const;
     void send_head(std::optional<std::uint64_t> length);
     void send_body(std::string bytes);
     void forward_body(std::string bytes);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -536,8 +536,14 @@
         return disposition::retry;
     if (edge_detail::promises_not_run(head.status) && !metadata.not_run)
         return disposition::replace_status;
-    const bool streams = route_->kind == call_kind::streaming && head.status == 200;
-    return streams ? disposition::forward : disposition::buffer;
+    return is_event_stream() ? disposition::forward : disposition::buffer;
+}
+
+// True while the current response consists of events; errors of a streaming route do not.
+template <typename Codec>
+bool edge<Codec>::exchange::is_event_stream() const
+{
+    return route_->kind == call_kind::streaming && status_ == 200;
 }
 
 template <typename Codec>
@@ -729,6 +735,8 @@
     }
     else
     {
+        if (is_event_stream() && events_.has_incomplete_event())
+            return retry_after_break("stream ended within an event", now);
         if (!head_sent_)
             send_head(std::nullopt);
         send_body(events_.take_incomplete_event());
--- a/packages/state/event_stream.cpp
+++ b/packages/state/event_stream.cpp
@@ -68,6 +68,11 @@
     return complete;
 }
 
+bool event_stream::has_incomplete_event() const
+{
+    return incomplete_event_.find_first_not_of("\r\n") != std::string::npos;
+}
+
 std::string event_stream::take_incomplete_event()
 {
     return std::exchange(incomplete_event_, {});
--- a/packages/state/event_stream.h
+++ b/packages/state/event_stream.h
@@ -20,7 +20,9 @@
 
     // Removes and returns the bytes of the incomplete event.
     std::string take_incomplete_event();
-    bool has_incomplete_event() const { return !incomplete_event_.empty(); }
+    // True if bytes of an event were received whose end is missing. Line ends after the last event
+    // belong to none.
+    bool has_incomplete_event() const;
     std::size_t incomplete_bytes() const { return incomplete_event_.size(); }
 
     // Discards the incomplete event, before the stream is resumed in another response.
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -187,3 +187,44 @@
     cr_assert(encoder.endless_bytes_sent < endless_bytes_bound, "%zu bytes",
               encoder.endless_bytes_sent);
 }
+
+// Guards against a stream that looks complete although the engine ended within an event.
+Test(edge_faulty_endpoint, stream_ends_in_event_other_engine_continues)
+{
+    for (const bool close_delimited : {false, true})
+    {
+        faulty_deployment harness;
+        harness.start();
+        for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+            engine->close_delimited = close_delimited;
+        harness.engine_1.end_in_event_after = 2;
+        for (int i = 0; i < 8; ++i)
+        {
+            const auto exchange = harness.send_and_wait(
+                0, request_text("POST", "/stream/1", "s" + std::to_string(i), "", "x"));
+            cr_assert(exchange->done && exchange->body == events_text(5), "request %d: %s", i,
+                      exchange->body.c_str());
+        }
+        cr_assert(harness.engine_1.end_in_event_after == -1, "the fault was not met");
+    }
+}
+
+// Guards against the same where the stream may not run again and must be broken off.
+Test(edge_faulty_endpoint, stream_ends_in_event_not_resumable_breaks_off)
+{
+    for (const bool close_delimited : {false, true})
+    {
+        faulty_deployment harness;
+        harness.start();
+        for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+        {
+            engine->close_delimited = close_delimited;
+            engine->end_in_event_after = 2;
+        }
+        const auto exchange =
+            harness.send_and_wait(0, request_text("POST", "/once/1", "s1", "", "x"));
+        cr_assert(exchange->failure.has_value(), "the stream looks complete: %s",
+                  exchange->body.c_str());
+        cr_assert(exchange->body == events_text(2), "%s", exchange->body.c_str());
+    }
+}
--- a/tests/unit/event_stream_test.cpp
+++ b/tests/unit/event_stream_test.cpp
@@ -32,6 +32,17 @@
     cr_assert(stream.last_id() == 2);
 }
 
+// Guards against a complete stream that counts as broken off because of line ends after its last
+// event.
+Test(event_stream, line_ends_after_last_event_are_no_event)
+{
+    event_stream stream;
+    (void)stream.feed(event(1) + "\n\r\n");
+    cr_assert_not(stream.has_incomplete_event());
+    (void)stream.feed("i");
+    cr_assert(stream.has_incomplete_event());
+}
+
 // Guards against events being delivered twice after a resumption, and against the incomplete event
 // of the first endpoint being joined to the response of the second.
 Test(event_stream, restart_overlapping_events_are_dropped)
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -442,23 +442,29 @@
     }
     const auto resumed = request.fields.find("last-event-id");
     const int first = resumed == request.fields.end() ? 1 : std::stoi(resumed->second) + 1;
-    client->send("HTTP/1.1 200 OK\r\n" + fields +
-                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    client->send("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\n" +
+                 (close_delimited ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
     stream(client, request.attempt, first);
 }
 
 void fake_endpoint::stream(const std::shared_ptr<server_connection>& client,
                            const std::string& attempt, int next)
 {
-    if (next > event_count)
+    const auto part = [this](const std::string& bytes)
+    { return close_delimited ? bytes : chunk(bytes); };
+    const bool ends_in_event = end_in_event_after >= 0 && next > end_in_event_after;
+    if (next > event_count || ends_in_event)
     {
-        client->send("0\r\n\r\n");
-        return client->end(true);
+        if (ends_in_event)
+            client->send(part("id: " + std::to_string(next) + "\ndata: te"));
+        end_in_event_after = ends_in_event ? -1 : end_in_event_after;
+        client->send(close_delimited ? "" : "0\r\n\r\n");
+        return client->end(!close_delimited);
     }
     if (break_after_event >= 0 && next > break_after_event)
     {
         break_after_event = -1;
-        client->send(chunk("id: " + std::to_string(next) + "\nda"));
+        client->send(part("id: " + std::to_string(next) + "\nda"));
         return run_after(milliseconds(5), [client] { client->abort(); });
     }
     if (stall_after_event >= 0 && next > stall_after_event)
@@ -466,7 +472,7 @@
         stall_after_event = -1;
         return stall(client);
     }
-    client->send(chunk(event_text(next)));
+    client->send(part(event_text(next)));
     run_after(event_interval, [this, client, attempt, next] { stream(client, attempt, next + 1); });
 }
 
