Never join the bodies of two endpoints in one response

Callers of idempotent routes could get a 200 whose body was the first part of one endpoint's body followed by the whole body of another endpoint's. A body over 64 KiB is passed on as it arrives; when its endpoint broke off or stalled after that, the request was sent again, and what the second endpoint answered was appended to the same response.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -193,6 +193,7 @@
     std::string buffered_body_;
     std::size_t discarded_bytes_ = 0;
     bool head_sent_ = false;
+    bool sent_event_stream_ = false; // the head that was sent began a stream
     bool chunked_ = false;
     bool close_delimited_ = false;
     event_stream events_;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -665,6 +665,7 @@
     }
     head += "\r\n";
     head_sent_ = true;
+    sent_event_stream_ = is_event_stream();
     client_->send(std::move(head));
 }
 
@@ -790,6 +791,9 @@
         return false;
     if (may_have_run_ && !is_repeatable(*route_))
         return false;
+    // Only a stream goes on in the response of another endpoint.
+    if (head_sent_ && !sent_event_stream_)
+        return false;
     return owner_.endpoints_.try_acquire_retry(service_name_, now);
 }
 
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -54,6 +54,31 @@
                   faulty.endless_bytes_sent);
     }
 
+    // Aborts the connection of one endpoint once, this long after a part of a large body, and
+    // checks that the client sees each body whole or broken off.
+    void check_large_bodies(milliseconds break_delay)
+    {
+        constexpr std::size_t bytes = 200 * 1024;
+        start();
+        for (fake_endpoint* endpoint : {&plain_1, &plain_2})
+            endpoint->filler_bytes = bytes;
+        plain_1.break_in_body = 1;
+        plain_1.break_delay = break_delay;
+        int broken_off = 0;
+        for (int i = 0; i < 8; ++i)
+        {
+            const std::string attempt = "a" + std::to_string(i);
+            const auto exchange = send_and_wait(0, request_text("GET", "/read/1", attempt));
+            const std::size_t whole = ("answer to " + attempt).size() + bytes;
+            broken_off += exchange->failure ? 1 : 0;
+            cr_assert(exchange->failure ? exchange->body.size() < whole
+                                        : exchange->body.size() == whole,
+                      "request %d: %zu of %zu bytes", i, exchange->body.size(), whole);
+        }
+        cr_assert(plain_1.break_in_body == 0, "the fault was not met");
+        cr_assert(broken_off == 1, "%d broken off", broken_off);
+    }
+
     void check_reads_recover(endless_bytes fault)
     {
         start();
@@ -228,3 +253,16 @@
         cr_assert(exchange->body == events_text(2), "%s", exchange->body.c_str());
     }
 }
+
+// Guards against a body that is joined from those of two endpoints: the first one breaks after a
+// part of it, too large to be held back, has been passed on.
+Test(edge_faulty_endpoint, large_body_breaks_after_part_passed_on_is_not_joined)
+{
+    faulty_deployment().check_large_bodies(milliseconds(50));
+}
+
+// Guards against the same where the first endpoint stalls.
+Test(edge_faulty_endpoint, large_body_stalls_after_part_passed_on_is_not_joined)
+{
+    faulty_deployment().check_large_bodies(milliseconds(2500));
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -414,8 +414,8 @@
     if (fail_next > 0)
     {
         --fail_next;
-        client->send(
-            response_text(fail_status, fail_as_not_run ? "Not-Executed: 1\r\n" : fields, "failed"));
+        client->send(response_text(fail_status, fail_as_not_run ? "Not-Executed: 1\r\n" : fields,
+                                   "failed" + std::string(filler_bytes, 'x')));
         return client->end(true);
     }
     if (inputs_gone_once)
@@ -428,7 +428,14 @@
         client->send(response_text(200, "Attempt-Id: another\r\nResponse-Seal: x\r\n", "stray"));
     if (event_count == 0)
     {
-        const std::string body = "answer to " + request.attempt;
+        const std::string body = "answer to " + request.attempt + std::string(filler_bytes, '.');
+        if (break_in_body > 0)
+        {
+            --break_in_body;
+            const std::string text = response_text(200, fields, body);
+            client->send(text.substr(0, text.size() - body.size() / 4));
+            return run_after(break_delay, [client] { client->abort(); });
+        }
         if (close_delimited)
         {
             client->send("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body);
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -133,6 +133,7 @@
 
     // Events per streamed response; 0: responses are not streamed.
     int event_count = 0;
+    std::size_t filler_bytes = 0;    // added to the body of responses that are not streamed
     milliseconds processing_time{1}; // delay before the response
     milliseconds event_interval{1};  // delay between events
 
@@ -141,6 +142,8 @@
     int fail_status = 500;
     bool fail_as_not_run = false;    // such responses have a Not-Executed field
     int break_before_answer = 0;     // number of connections closed instead of responding
+    int break_in_body = 0;           // number of connections aborted in the middle of a plain body
+    milliseconds break_delay{50};    // from the last byte of such a body to the abort
     int break_after_event = -1;      // aborts the connection once, within the next event
     bool stray_answer_first = false; // first sends the response to another request
     bool extra_bytes = false;        // sends bytes after a complete response
