Pass on large error responses of streaming routes

Callers of streaming routes lost error responses over 320 KiB: the part over 64 KiB, which is passed on as it arrives, was split into events like a stream. Bytes without an event's end were held back, and over 256 KiB of them the endpoint counted as faulty and the caller's connection was reset.

Only a response with status 200 consists of events; any other is passed on unchanged.

Before: large_error_of_streaming_route_is_passed_on got no complete response.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -590,7 +590,7 @@
     case disposition::forward:
         // Only complete events are progress of a stream: an endpoint that has stalled may still
         // send a byte now and then.
-        if (route_->kind != call_kind::streaming)
+        if (!is_event_stream())
             progress_at_ = now;
         return forward_body(std::move(bytes));
     case disposition::buffer:
@@ -618,7 +618,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::forward_body(std::string bytes)
 {
-    if (route_->kind != call_kind::streaming)
+    if (!is_event_stream())
         return send_body(std::move(bytes));
     std::string complete = events_.feed(bytes);
     if (events_.has_gap())
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -266,3 +266,20 @@
 {
     faulty_deployment().check_large_bodies(milliseconds(2500));
 }
+
+// Guards against a large error response of a streaming route that is read as events.
+Test(edge_faulty_endpoint, large_error_of_streaming_route_is_passed_on)
+{
+    constexpr std::size_t bytes = 400 * 1024;
+    faulty_deployment harness;
+    harness.start();
+    for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+    {
+        engine->filler_bytes = bytes;
+        engine->fail_next = 1;
+    }
+    const auto exchange = harness.send_and_wait(0, request_text("POST", "/once/1", "s1", "", "x"));
+    cr_assert(exchange->done && exchange->head.status == 500);
+    cr_assert(exchange->body.size() == std::string("failed").size() + bytes, "%zu bytes",
+              exchange->body.size());
+}
