Refuse a number of pieces that overflows the estimate of a stage's time

One request with Pieces: could be admitted while pieces of others waited: the sum of both numbers overflowed 32 bits, so the stage seemed to take one call. The batching VM then allocates a result handle for each piece, over 100 GB.

The sum and the number of calls are computed in 64 bits. The expected time of such a request exceeds every deadline, and it is refused.

Before: expected_time_largest_piece_count_is_refused: admitted with three jobs of 8 pieces queued.

--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -275,7 +275,8 @@
 milliseconds stage_queue::expected_time(const stage_job& job, time_point now) const
 {
     const time_point next_done = next_call_done(now);
-    std::uint32_t ahead = 0;
+    // 64 bits, because a request's number of pieces may be any 32-bit number.
+    std::uint64_t ahead = 0;
     for (const waiting_part& part : queue_)
     {
         if (!is_scheduled_before(job, part.job, next_done))
@@ -283,15 +284,16 @@
     }
     const std::size_t usable = std::max<std::size_t>(usable_endpoints(now), 1);
     const std::uint32_t batch_size = saturated_batch_size();
-    const std::uint32_t calls = (ahead + job.pieces + batch_size - 1) / batch_size;
+    const std::uint64_t calls = (ahead + job.pieces + batch_size - 1) / batch_size;
     const double call_ms = saturated_call_ms();
     const double start_interval_ms = call_ms / static_cast<double>(usable); // between call starts
     if (ahead == 0)
         return call_time(std::min(job.pieces, batch_size)) +
-               milliseconds(std::llround(start_interval_ms * (calls - 1)));
+               milliseconds(std::llround(start_interval_ms * static_cast<double>(calls - 1)));
     // All endpoints are busy if pieces wait; the next one becomes free after half the interval
     // between call starts on average.
-    return milliseconds(std::llround(call_ms + start_interval_ms * (calls - 0.5)));
+    return milliseconds(
+        std::llround(call_ms + start_interval_ms * (static_cast<double>(calls) - 0.5)));
 }
 
 // On-time jobs are scheduled first, so a late job runs only on spare capacity. Under sustained
--- a/tests/unit/stage_batch_test.cpp
+++ b/tests/unit/stage_batch_test.cpp
@@ -399,6 +399,20 @@
     cr_assert(queue.expected_time(job(99, 1), start) > milliseconds(8 * 368));
 }
 
+// Guards against a request whose number of pieces overflows the estimate: it would be admitted, and
+// memory for its results would end the process.
+Test(stage_batch, expected_time_largest_piece_count_is_refused)
+{
+    stage_queue queue = make_queue(spec(8, 21), 1);
+    for (std::uint64_t id = 1; id <= 3; ++id)
+    {
+        cr_assert_not(admits(queue, job(100 + id, UINT32_MAX), start));
+        cr_assert_not(admits(queue, job(200 + id, UINT32_MAX - 8), start));
+        add(queue, job(id, 8), start);
+        (void)queue.next(start);
+    }
+}
+
 // Simulates the normal load of the second stage of kit suggestions: 25 requests/s with 6 pieces
 // each at five endpoints. Guards against a policy under which most requests miss their goal, and
 // against one that sends many small calls. With 22 pieces per call at 7.8 ms each, the endpoints
