Drop deferred requests whose client has left

After a pause of the process requests wait up to 0.5 s until the state is confirmed. A client that left in the meantime was not noticed, because the exchange watches the connection only from its begin(): its request was sent to an endpoint although nobody waited for the answer.

serve_deferred_requests() now drops requests whose connection is closed and counts them in callers_left_total.

Before: process_paused_client_left_request_is_not_sent: the endpoint had run the request.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -214,7 +214,12 @@
     auto requests = std::move(deferred_requests_);
     deferred_requests_.clear();
     for (auto& [client, request] : requests)
-        serve(client, std::move(request));
+    {
+        if (client->is_closed())
+            counters_.count("callers_left_total");
+        else
+            serve(client, std::move(request));
+    }
 }
 
 template <typename Codec>
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -14,6 +14,15 @@
 namespace
 {
 
+// Keeps the event loop from running for longer than pause_threshold.
+void pause_process()
+{
+    const auto end = zinnianotch::steady_clock::now() + milliseconds(1100);
+    while (zinnianotch::steady_clock::now() < end)
+    {
+    }
+}
+
 // A deployment with two plain endpoints and two engines; start() makes it ready.
 struct small_deployment : deployment
 {
@@ -778,16 +787,29 @@
     harness.start();
     harness.run_for(milliseconds(100));
     harness.store.unresponsive = true;
-    const auto paused_until = zinnianotch::steady_clock::now() + milliseconds(1100);
-    while (zinnianotch::steady_clock::now() < paused_until)
-    {
-    }
+    pause_process();
     const auto exchange = harness.send_and_wait(0, request_text("GET", "/read/1", "a1"));
     cr_assert(exchange->done && exchange->head.status == 200);
     const auto page = harness.get_from_metrics_port(0, "/metrics");
     cr_assert(page->body.find("zinnianotch_pauses_total 1") != std::string::npos);
 }
 
+// Guards against a request that runs although its client left while the state was being confirmed
+// after a pause of the process.
+Test(edge, process_paused_client_left_request_is_not_sent)
+{
+    small_deployment harness;
+    harness.start();
+    harness.run_for(milliseconds(100));
+    harness.store.unresponsive = true;
+    pause_process();
+    const auto exchange = harness.start_request(0, request_text("GET", "/read/1", "a1"));
+    harness.run_for(milliseconds(100));
+    exchange->disconnect();
+    harness.run_for(milliseconds(800));
+    cr_assert(harness.count_requests("a1") == 0);
+}
+
 // Guards against a planned stop under load that cuts off requests which were just accepted: clients
 // keep sending on open and on new connections until the VM is gone.
 Test(edge, planned_stop_under_load_no_request_that_ran_is_cut_off)
