Send nothing on a state that a pause of the process has made stale

After a pause new requests waited until the state was confirmed, but retries and stage pieces of requests in progress went out at once: the failure that caused them is read from the socket before anything from the store. They reached endpoints that had begun to drain, or whose domain was taken out, during the pause.

place() and the dispatch of stage calls now ask is_state_confirmed(), which detects a pause itself; the ticks place and dispatch what had to wait, 0.5 s after the pause at the latest as for new requests.

Before: process_paused_retry_waits_for_confirmed_state and process_paused_stage_retry_waits_for_confirmed_state: "sent to a draining endpoint".

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -129,6 +129,8 @@
     void serve(const std::shared_ptr<server_connection>& client, received_request&& request);
     // After a pause of the process: confirms the state before more requests are served.
     void check_pause(time_point now);
+    // False after a pause of the process until the state is confirmed: endpoints may have left.
+    bool is_state_confirmed(time_point now);
     void serve_deferred_requests(time_point now);
     void on_desired(const std::vector<state_record>& records, bool is_snapshot);
     void on_endpoints(const std::vector<state_record>& records, bool is_snapshot);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -440,6 +440,12 @@
 template <typename Codec>
 void edge<Codec>::exchange::place(time_point now)
 {
+    if (!owner_.is_state_confirmed(now))
+    {
+        waiting_for_endpoint_ = true;
+        waiting_since_ = now;
+        return;
+    }
     inputs_domain_ = results_domain(last_stages(), 1);
     const std::string& domain = inputs_domain_;
     placement_request request;
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -87,7 +87,8 @@
 edge<Codec>::edge(boost::asio::io_context& io, edge_options options)
     : io_(io), options_(std::move(options)),
       endpoints_(io, options_.vm, options_.domain, options_.limits),
-      stage_batcher_(io, endpoints_, counters_),
+      stage_batcher_(io, endpoints_, counters_,
+                     [this](time_point now) { return is_state_confirmed(now); }),
       stage_router_(io, options_.vm, stage_batcher_, counters_,
                     [this](const std::string& vm, const vm_message& message)
                     { on_peer_state(vm, message); }),
@@ -180,11 +181,17 @@
 void edge<Codec>::on_request(const std::shared_ptr<server_connection>& client,
                              received_request&& request)
 {
-    check_pause(steady_clock::now());
-    if (paused_until_)
-        deferred_requests_.emplace_back(client, std::move(request));
-    else
+    if (is_state_confirmed(steady_clock::now()))
         serve(client, std::move(request));
+    else
+        deferred_requests_.emplace_back(client, std::move(request));
+}
+
+template <typename Codec>
+bool edge<Codec>::is_state_confirmed(time_point now)
+{
+    check_pause(now);
+    return !paused_until_;
 }
 
 template <typename Codec>
@@ -842,8 +849,8 @@
         return;
     log_event(log_level::info, "stopped",
               {{"given_up", std::to_string(given_up)},
-               {"after_ms", edge_detail::milliseconds_text(
-                                std::chrono::duration_cast<milliseconds>(since))},
+               {"after_ms",
+                edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(since))},
                {"open_responses", std::to_string(callers_->busy_count())}});
     io_.stop();
 }
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -49,7 +49,9 @@
 class stage_batcher
 {
 public:
-    stage_batcher(boost::asio::io_context& io, endpoint_directory& endpoints, metrics& counters);
+    // No calls are sent while `may_send` returns false; tick() sends them later.
+    stage_batcher(boost::asio::io_context& io, endpoint_directory& endpoints, metrics& counters,
+                  std::function<bool(time_point)> may_send);
     ~stage_batcher();
 
     stage_batcher(const stage_batcher&) = delete;
@@ -124,6 +126,7 @@
     boost::asio::io_context& io_;
     endpoint_directory& endpoints_;
     metrics& counters_;
+    std::function<bool(time_point)> may_send_;
     std::map<std::string, service_queue> queues_; // by queue_name
     std::map<std::uint64_t, job> jobs_;
     std::map<batch_call*, std::shared_ptr<batch_call>> calls_;
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -155,8 +155,8 @@
 
 template <typename Codec>
 stage_batcher<Codec>::stage_batcher(boost::asio::io_context& io, endpoint_directory& endpoints,
-                                    metrics& counters)
-    : io_(io), endpoints_(endpoints), counters_(counters)
+                                    metrics& counters, std::function<bool(time_point)> may_send)
+    : io_(io), endpoints_(endpoints), counters_(counters), may_send_(std::move(may_send))
 {
 }
 
@@ -337,6 +337,8 @@
     stage_queue& queue = queues_[key].queue;
     for (const std::uint64_t id : queue.take_expired(now))
         fail(id, piece_failure::late);
+    if (!may_send_(now))
+        return;
     while (auto batch = queue.next(now))
         send(key, std::move(*batch), now);
 }
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -810,6 +810,51 @@
     cr_assert(harness.count_requests("a1") == 0);
 }
 
+// Guards against a retry that a paused process sends to an endpoint which began to drain meanwhile.
+Test(edge, process_paused_retry_waits_for_confirmed_state)
+{
+    small_deployment harness;
+    harness.start();
+    harness.run_for(milliseconds(100));
+    harness.for_both_plain([](fake_endpoint& endpoint) { endpoint.break_before_answer = 1; });
+    const auto exchange = harness.start_request(0, request_text("GET", "/read/1", "a1"));
+    cr_assert(harness.run_until([&] { return harness.count_requests("a1") == 1; }));
+    const bool first_is_1 = harness.plain_1.requests.size() == 1;
+    const fake_endpoint& other = first_is_1 ? harness.plain_2 : harness.plain_1;
+    harness.store.unresponsive = true;
+    harness.publish_endpoint("plain", other, "dom-a", "draining");
+    pause_process();
+    harness.store.unresponsive = false;
+    cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    cr_assert(other.requests.empty(), "sent to a draining endpoint");
+    cr_assert(exchange->head.status == 502, "status %d", exchange->head.status);
+}
+
+// Guards against the same for the pieces of a stage.
+Test(edge, process_paused_stage_retry_waits_for_confirmed_state)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& first = harness.add_endpoint("encoders", "encoder-1");
+    fake_endpoint& second = harness.add_endpoint("encoders", "encoder-2");
+    harness.start();
+    harness.run_for(milliseconds(100));
+    first.break_before_answer = 1;
+    second.break_before_answer = 1;
+    const auto exchange = harness.start_request(
+        0, request_text("POST", "/stream/1", "s1", "Pieces: 2\r\nPiece-Key: k\r\n", "x"));
+    cr_assert(
+        harness.run_until([&] { return first.requests.size() + second.requests.size() == 1; }));
+    fake_endpoint& other = first.requests.empty() ? first : second;
+    harness.store.unresponsive = true;
+    harness.publish_endpoint("encoders", other, "dom-a", "draining");
+    pause_process();
+    harness.store.unresponsive = false;
+    cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    cr_assert(other.requests.empty(), "sent to a draining endpoint");
+    cr_assert(exchange->done);
+}
+
 // Guards against a planned stop under load that cuts off requests which were just accepted: clients
 // keep sending on open and on new connections until the VM is gone.
 Test(edge, planned_stop_under_load_no_request_that_ran_is_cut_off)
