Survive a VM record whose address cannot be read

One record in the table of VMs with an address that is no IP:PORT ended the processes of all VMs that chose this VM as a relay or as a batching VM: ensure_link() inserted the entry of the link before it parsed the address, and the next tick dereferenced the link that was never made.

The address is parsed before an entry is inserted.

Before: vm_record_with_unreadable_address_requests_are_served crashed (SIGSEGV in the first 2 s).

--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -55,12 +55,12 @@
 template <typename Codec>
 void stage_router<Codec>::ensure_link(const std::string& name, const std::string& address)
 {
-    link_entry& entry = links_[name];
-    if (entry.link && entry.address == address)
-        return;
     const auto peer = parse_socket_address(address);
     if (!peer)
         return;
+    link_entry& entry = links_[name];
+    if (entry.link && entry.address == address)
+        return;
     entry.address = address;
     entry.leaving = false;
     entry.link = std::make_unique<vm_link>(
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -855,6 +855,28 @@
     cr_assert(exchange->done);
 }
 
+// Guards against a VM record with an unreadable address that ends the processes of other VMs.
+Test(edge, vm_record_with_unreadable_address_requests_are_served)
+{
+    small_deployment harness;
+    harness.start_linked();
+    for (const std::string address : {"vm-9.example:80", "127.0.0.1:0", ""})
+    {
+        for (const std::string name : {"vm-0", "vm-1", "vm-9"})
+        {
+            value record = value::object();
+            record["domain"] = value::string("dom-a");
+            record["address"] = value::string(address);
+            record["capacity"] = value::number(1000.0); // preferred to the others
+            harness.store.put("vms", name, record);
+        }
+        harness.run_for(milliseconds(2000)); // the list of VMs is read at intervals
+        for (const std::size_t vm : {0, 1})
+            cr_assert(harness.send_and_wait(vm, request_text("GET", "/read/1", "a" + address))
+                          ->head.status == 200);
+    }
+}
+
 // Guards against a planned stop under load that cuts off requests which were just accepted: clients
 // keep sending on open and on new connections until the VM is gone.
 Test(edge, planned_stop_under_load_no_request_that_ran_is_cut_off)
