Stop using an endpoint whose entry no longer names an address

When the entry of a known endpoint was replaced by one whose address is no IP:PORT, the directory ignored the new entry and went on with the old one: the endpoint kept getting requests, also when the new entry said draining.

Such an entry is now treated like any other that cannot be read: it is logged as a bad record and the endpoint is removed.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -305,7 +305,7 @@
         return drop_endpoint(record.name, now);
     lapsed_endpoints_.erase(record.name);
     const auto endpoint = Codec::decode_endpoint(record);
-    if (!endpoint)
+    if (!endpoint || !parse_socket_address(endpoint->address))
     {
         log_bad_record(state_table::endpoints, record);
         return endpoints_.remove(record.name);
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -877,6 +877,20 @@
     }
 }
 
+// Guards against requests to an endpoint whose entry was replaced by one that names no address.
+Test(edge, endpoint_record_with_unreadable_address_is_not_used)
+{
+    small_deployment harness;
+    harness.start();
+    value entry = value::object();
+    for (const char* const field : {"service", "zone", "address"})
+        entry[field] = value::string("plain");
+    entry["state"] = value::string("ready");
+    harness.store.put("servers", "plain-1", entry);
+    cr_assert(
+        harness.run_until([&] { return !harness.vm(0).routes_to("plain-1"); }, milliseconds(3000)));
+}
+
 // Guards against a planned stop under load that cuts off requests which were just accepted: clients
 // keep sending on open and on new connections until the VM is gone.
 Test(edge, planned_stop_under_load_no_request_that_ran_is_cut_off)
