Move the stages of a batching VM that appears under another address

When a batching VM restarted under another address before its old link was found broken, the link was replaced, and a replaced link does not report its end: stages submitted over it were never moved to another VM, and their requests were refused at their deadline.

ensure_link() now treats the replaced link as lost if it was up, which submits its stages again.

Before: batching_vm_changes_address_stages_in_progress_are_moved: "s4: status 503" after 5 s.

--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -61,12 +61,15 @@
     link_entry& entry = links_[name];
     if (entry.link && entry.address == address)
         return;
+    const bool was_up = entry.link && entry.link->is_up();
     entry.address = address;
     entry.leaving = false;
     entry.link = std::make_unique<vm_link>(
         io_, *peer,
         [this, name](vm_message&& message) { on_link_message(name, std::move(message)); },
         [this, name](bool up) { on_link_changed(name, up); });
+    if (was_up)
+        on_link_changed(name, false); // a link that is replaced does not report its end
 }
 
 // Keeps links to the first VMs in the rendezvous order of each queue, and to those that the state
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -891,6 +891,35 @@
         harness.run_until([&] { return !harness.vm(0).routes_to("plain-1"); }, milliseconds(3000)));
 }
 
+// Guards against stages that are lost with the link to their batching VM when this VM appears under
+// another address.
+Test(edge, batching_vm_changes_address_stages_in_progress_are_moved)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    harness.start_linked();
+    encoder.processing_time = milliseconds(300);
+    const std::string queue = zinnianotch::queue_name("encoders", "");
+    cr_assert(harness.run_until(
+        [&] { return harness.vm(0).is_batcher_of(queue) != harness.vm(1).is_batcher_of(queue); }));
+    const std::size_t batcher = harness.vm(0).is_batcher_of(queue) ? 0 : 1;
+    value record = value::object();
+    record["domain"] = value::string("dom-a");
+    record["address"] = value::string("127.0.0.1:1");
+    harness.store.put("vms", "vm-" + std::to_string(batcher), record);
+    const auto end = zinnianotch::steady_clock::now() + milliseconds(2500);
+    for (int i = 0; zinnianotch::steady_clock::now() < end; ++i)
+    {
+        const std::string attempt = "s" + std::to_string(i);
+        const auto exchange =
+            harness.send_and_wait(1 - batcher, request_text("POST", "/stream/1", attempt,
+                                                            "Pieces: 2\r\nPiece-Key: k\r\n", "x"));
+        cr_assert(exchange->head.status == 200, "%s: status %d", attempt.c_str(),
+                  exchange->head.status);
+    }
+}
+
 // Guards against a planned stop under load that cuts off requests which were just accepted: clients
 // keep sending on open and on new connections until the VM is gone.
 Test(edge, planned_stop_under_load_no_request_that_ran_is_cut_off)
