Read IPv6 addresses of peers in brackets

Settings accept [::1]:7100 as the address of the store or of a seed, and to_string() writes it so, but parse_socket_address() read no brackets: the seed was ignored, and the follower and the registration dereferenced an empty optional and called an arbitrary address.

--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -39,13 +39,18 @@
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos)
         return std::nullopt;
+    std::string_view host = text.substr(0, colon);
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed)
+        host = host.substr(1, host.size() - 2);
     boost::system::error_code error;
-    const auto address = asio::ip::make_address(std::string(text.substr(0, colon)), error);
+    const auto address = asio::ip::make_address(std::string(host), error);
     std::uint16_t port = 0;
     const std::string_view digits = text.substr(colon + 1);
     const auto [end, port_error] =
         std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (error || port_error != std::errc{} || end != digits.data() + digits.size() || port == 0)
+    if (error || (bracketed && !address.is_v6()) || port_error != std::errc{} ||
+        end != digits.data() + digits.size() || port == 0)
         return std::nullopt;
     return tcp::endpoint(address, port);
 }
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -160,7 +160,8 @@
     std::uint64_t opened_ = 0;
 };
 
-// Parses IP:PORT; nullopt when the text has another form or the port is 0.
+// Parses IP:PORT, where an IPv6 address may be in brackets; nullopt when the text has another form
+// or the port is 0.
 std::optional<boost::asio::ip::tcp::endpoint> parse_socket_address(std::string_view text);
 
 } // namespace zinnianotch
