Break off a stream without events that ends with its connection

An engine that crashed after the head of a stream without length or chunks left the caller with an empty stream that looked complete, because only the end of the connection marks the end of such a response.

Such a response without any event now counts as broken off, also when it resumes a stream.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -125,6 +125,7 @@
 
     disposition choose_disposition(const message_head& head, const endpoint_answer& metadata) const;
     bool is_event_stream() const;
+    bool ends_too_early() const;
     void send_head(std::optional<std::uint64_t> length);
     void send_body(std::string bytes);
     void forward_body(std::string bytes);
@@ -197,6 +198,8 @@
     bool chunked_ = false;
     bool close_delimited_ = false;
     event_stream events_;
+    std::uint64_t events_before_ = 0; // forwarded from earlier responses
+    body_framing framing_ = body_framing::none;
     time_point first_byte_at_{};
     std::string inputs_domain_; // failure domain that holds large inputs, at the last placement
     bool closed_ = false;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -552,13 +552,27 @@
     return route_->kind == call_kind::streaming && status_ == 200;
 }
 
+// True if the stream that has just ended was broken off: within an event, or before the first one
+// where only the end of the connection marks its end, as when the endpoint crashes.
 template <typename Codec>
-void edge<Codec>::exchange::on_head(message_head& head, body_framing, std::optional<std::uint64_t>)
+bool edge<Codec>::exchange::ends_too_early() const
+{
+    if (!is_event_stream() || call_.method == "HEAD")
+        return false;
+    return events_.has_incomplete_event() ||
+           (framing_ == body_framing::until_close && events_.events() == events_before_);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_head(message_head& head, body_framing framing,
+                                    std::optional<std::uint64_t>)
 {
     const time_point now = steady_clock::now();
     const endpoint_answer metadata = Codec::decode_answer(head);
     progress_at_ = now;
     status_ = head.status;
+    framing_ = framing;
+    events_before_ = events_.events();
     may_have_run_ = may_have_run_ || !metadata.not_run;
     if (metadata.load)
         endpoint_->health.on_load(*metadata.load, now);
@@ -742,8 +756,8 @@
     }
     else
     {
-        if (is_event_stream() && events_.has_incomplete_event())
-            return retry_after_break("stream ended within an event", now);
+        if (ends_too_early())
+            return retry_after_break("stream ended too early", now);
         if (!head_sent_)
             send_head(std::nullopt);
         send_body(events_.take_incomplete_event());
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -254,6 +254,35 @@
     }
 }
 
+// Guards against a stream that looks complete although its engine ended after the head.
+Test(edge_faulty_endpoint, stream_ends_with_connection_before_first_event_other_engine_continues)
+{
+    faulty_deployment harness;
+    harness.start();
+    for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+        engine->close_delimited = true;
+    harness.engine_1.empty_streams = 1;
+    for (int i = 0; i < 8; ++i)
+    {
+        const auto exchange = harness.send_and_wait(
+            0, request_text("POST", "/stream/1", "s" + std::to_string(i), "", "x"));
+        cr_assert(exchange->done && exchange->body == events_text(5), "request %d: %s", i,
+                  exchange->body.c_str());
+    }
+    cr_assert(harness.engine_1.empty_streams == 0, "the fault was not met");
+}
+
+// Guards against a stream without events that is reported as broken although its engine ended it
+// in order: the client has all events already.
+Test(edge_faulty_endpoint, resumed_stream_without_further_events_is_complete)
+{
+    faulty_deployment harness;
+    harness.start();
+    const auto exchange = harness.send_and_wait(
+        0, request_text("POST", "/stream/1", "s1", "Last-Event-Id: 5\r\n", "x"));
+    cr_assert(exchange->done && exchange->head.status == 200 && exchange->body.empty());
+}
+
 // Guards against a body that is joined from those of two endpoints: the first one breaks after a
 // part of it, too large to be held back, has been passed on.
 Test(edge_faulty_endpoint, large_body_breaks_after_part_passed_on_is_not_joined)
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -460,8 +460,10 @@
     const auto part = [this](const std::string& bytes)
     { return close_delimited ? bytes : chunk(bytes); };
     const bool ends_in_event = end_in_event_after >= 0 && next > end_in_event_after;
-    if (next > event_count || ends_in_event)
+    const bool is_empty = empty_streams > 0;
+    if (next > event_count || ends_in_event || is_empty)
     {
+        empty_streams -= is_empty ? 1 : 0;
         if (ends_in_event)
             client->send(part("id: " + std::to_string(next) + "\ndata: te"));
         end_in_event_after = ends_in_event ? -1 : end_in_event_after;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -148,6 +148,7 @@
     bool stray_answer_first = false; // first sends the response to another request
     bool extra_bytes = false;        // sends bytes after a complete response
     int end_in_event_after = -1;     // ends the stream in order once, within the next event
+    int empty_streams = 0;           // number of streams that end in order before the first event
     bool close_delimited = false;    // no length; the end of the connection ends the response
     endless_bytes endless = endless_bytes::none;
     int stall_after_event = -1;          // then sends a byte now and then, once
