--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -133,6 +133,8 @@
     void serve(const std::shared_ptr<server_connection>& client, received_request&& request);
     // After a pause of the process: confirms the state before more requests are served.
     void check_pause(time_point now);
+    // False after a pause of the process until the state is confirmed: endpoints may have left.
+    bool is_state_confirmed(time_point now);
     void serve_deferred_requests(time_point now);
     // Serves them whether or not the state is confirmed.
     void end_deferral();
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -126,6 +126,8 @@
     void drop_upstream();
 
     disposition choose_disposition(const message_head& head, const endpoint_answer& metadata) const;
+    bool is_event_stream() const;
+    bool ends_too_early() const;
     void send_head(std::optional<std::uint64_t> length);
     void send_body(std::string bytes);
     void forward_body(std::string bytes);
@@ -197,9 +199,11 @@
     std::string buffered_body_;
     std::size_t discarded_bytes_ = 0;
     bool head_sent_ = false;
+    bool sent_event_stream_ = false; // the head that was sent began a stream
     bool chunked_ = false;
     bool close_delimited_ = false;
     event_stream events_;
+    body_framing framing_ = body_framing::none;
     time_point first_byte_at_{};
     std::string inputs_domain_; // failure domain that holds large inputs, at the last placement
     bool closed_ = false;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -468,6 +468,12 @@
     if (owner_.stop_ && !head_sent_ &&
         !owner_.stop_->completes(remaining(now), expected_time_after_stages(), now))
         return refuse(reason::draining, "VM is stopping", retry_after_min, now);
+    if (!owner_.is_state_confirmed(now))
+    {
+        waiting_for_endpoint_ = true;
+        waiting_since_ = now;
+        return;
+    }
     inputs_domain_ = results_domain(last_stages(), 1);
     const std::string& domain = inputs_domain_;
     placement_request request;
@@ -565,18 +571,37 @@
         return disposition::retry;
     if (edge_detail::promises_not_run(head.status) && !metadata.not_run)
         return disposition::replace_status;
-    const bool streams = route_->kind == call_kind::streaming && head.status == 200;
-    return streams ? disposition::forward : disposition::buffer;
+    return is_event_stream() ? disposition::forward : disposition::buffer;
 }
 
+// True while the current response consists of events; errors of a streaming route do not.
 template <typename Codec>
-void edge<Codec>::exchange::on_head(message_head& head, body_framing, std::optional<std::uint64_t>)
+bool edge<Codec>::exchange::is_event_stream() const
+{
+    return route_->kind == call_kind::streaming && status_ == 200;
+}
+
+// True if the stream that has just ended was broken off: within an event, or before the first one
+// where only the end of the connection marks its end, as when the endpoint crashes.
+template <typename Codec>
+bool edge<Codec>::exchange::ends_too_early() const
+{
+    if (!is_event_stream() || call_.method == "HEAD")
+        return false;
+    return events_.has_incomplete_event() ||
+           (framing_ == body_framing::until_close && events_.events() == events_before_attempt_);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_head(message_head& head, body_framing framing,
+                                    std::optional<std::uint64_t>)
 {
     const time_point now = steady_clock::now();
     const endpoint_answer metadata = Codec::decode_answer(head);
     progress_at_ = now;
     head_at_ = now;
     status_ = head.status;
+    framing_ = framing;
     may_have_run_ = may_have_run_ || !metadata.not_run;
     if (metadata.load)
         endpoint_->health.on_load(*metadata.load, now);
@@ -614,7 +639,7 @@
     case disposition::forward:
         // Only complete events are progress of a stream: an endpoint that has stalled may still
         // send a byte now and then.
-        if (route_->kind != call_kind::streaming)
+        if (!is_event_stream())
             progress_at_ = now;
         return forward_body(std::move(bytes));
     case disposition::buffer:
@@ -642,7 +667,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::forward_body(std::string bytes)
 {
-    if (route_->kind != call_kind::streaming)
+    if (!is_event_stream())
         return send_body(std::move(bytes));
     std::string complete = events_.feed(bytes);
     if (events_.has_gap())
@@ -689,6 +714,7 @@
     }
     head += "\r\n";
     head_sent_ = true;
+    sent_event_stream_ = is_event_stream();
     client_->send(std::move(head));
 }
 
@@ -759,6 +785,8 @@
     }
     else
     {
+        if (ends_too_early())
+            return retry_after_break("stream ended too early", now);
         if (!head_sent_)
             send_head(std::nullopt);
         send_body(events_.take_incomplete_event());
@@ -828,6 +856,9 @@
         return false;
     if (may_have_run_ && !is_repeatable(*route_))
         return false;
+    // Only a stream goes on in the response of another endpoint.
+    if (head_sent_ && !sent_event_stream_)
+        return false;
     return owner_.endpoints_.try_acquire_retry(service_name_, now);
 }
 
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -104,7 +104,8 @@
 edge<Codec>::edge(boost::asio::io_context& io, edge_options options)
     : io_(io), options_(std::move(options)),
       endpoints_(io, options_.vm, options_.domain, options_.limits),
-      stage_batcher_(io, endpoints_, counters_),
+      stage_batcher_(io, endpoints_, counters_,
+                     [this](time_point now) { return is_state_confirmed(now); }),
       stage_router_(io, options_.vm, stage_batcher_, counters_,
                     [this](const std::string& vm, const vm_message& message)
                     { on_peer_state(vm, message); }),
@@ -197,11 +198,17 @@
 void edge<Codec>::on_request(const std::shared_ptr<server_connection>& client,
                              received_request&& request)
 {
-    check_pause(steady_clock::now());
-    if (paused_until_)
-        deferred_requests_.emplace_back(client, std::move(request));
-    else
+    if (is_state_confirmed(steady_clock::now()))
         serve(client, std::move(request));
+    else
+        deferred_requests_.emplace_back(client, std::move(request));
+}
+
+template <typename Codec>
+bool edge<Codec>::is_state_confirmed(time_point now)
+{
+    check_pause(now);
+    return !paused_until_;
 }
 
 template <typename Codec>
@@ -237,7 +244,12 @@
     auto requests = std::move(deferred_requests_);
     deferred_requests_.clear();
     for (auto& [client, request] : requests)
-        serve(client, std::move(request));
+    {
+        if (client->is_closed())
+            counters_.count("callers_left_total");
+        else
+            serve(client, std::move(request));
+    }
 }
 
 template <typename Codec>
@@ -318,7 +330,7 @@
         return drop_endpoint(record.name, now);
     lapsed_endpoints_.erase(record.name);
     const auto endpoint = Codec::decode_endpoint(record);
-    if (!endpoint)
+    if (!endpoint || !parse_socket_address(endpoint->address))
     {
         log_bad_record(state_table::endpoints, record);
         return endpoints_.remove(record.name);
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -54,6 +54,31 @@
                   faulty.endless_bytes_sent);
     }
 
+    // Aborts the connection of one endpoint once, this long after a part of a large body, and
+    // checks that the client sees each body whole or broken off.
+    void check_large_bodies(milliseconds break_delay)
+    {
+        constexpr std::size_t bytes = 200 * 1024;
+        start();
+        for (fake_endpoint* endpoint : {&plain_1, &plain_2})
+            endpoint->filler_bytes = bytes;
+        plain_1.break_in_body = 1;
+        plain_1.break_delay = break_delay;
+        int broken_off = 0;
+        for (int i = 0; i < 8; ++i)
+        {
+            const std::string attempt = "a" + std::to_string(i);
+            const auto exchange = send_and_wait(0, request_text("GET", "/read/1", attempt));
+            const std::size_t whole = ("answer to " + attempt).size() + bytes;
+            broken_off += exchange->failure ? 1 : 0;
+            cr_assert(exchange->failure ? exchange->body.size() < whole
+                                        : exchange->body.size() == whole,
+                      "request %d: %zu of %zu bytes", i, exchange->body.size(), whole);
+        }
+        cr_assert(plain_1.break_in_body == 0, "the fault was not met");
+        cr_assert(broken_off == 1, "%d broken off", broken_off);
+    }
+
     void check_reads_recover(endless_bytes fault)
     {
         start();
@@ -187,3 +212,103 @@
     cr_assert(encoder.endless_bytes_sent < endless_bytes_bound, "%zu bytes",
               encoder.endless_bytes_sent);
 }
+
+// Guards against a stream that looks complete although the engine ended within an event.
+Test(edge_faulty_endpoint, stream_ends_in_event_other_engine_continues)
+{
+    for (const bool close_delimited : {false, true})
+    {
+        faulty_deployment harness;
+        harness.start();
+        for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+            engine->close_delimited = close_delimited;
+        harness.engine_1.end_in_event_after = 2;
+        for (int i = 0; i < 8; ++i)
+        {
+            const auto exchange = harness.send_and_wait(
+                0, request_text("POST", "/stream/1", "s" + std::to_string(i), "", "x"));
+            cr_assert(exchange->done && exchange->body == events_text(5), "request %d: %s", i,
+                      exchange->body.c_str());
+        }
+        cr_assert(harness.engine_1.end_in_event_after == -1, "the fault was not met");
+    }
+}
+
+// Guards against the same where the stream may not run again and must be broken off.
+Test(edge_faulty_endpoint, stream_ends_in_event_not_resumable_breaks_off)
+{
+    for (const bool close_delimited : {false, true})
+    {
+        faulty_deployment harness;
+        harness.start();
+        for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+        {
+            engine->close_delimited = close_delimited;
+            engine->end_in_event_after = 2;
+        }
+        const auto exchange =
+            harness.send_and_wait(0, request_text("POST", "/once/1", "s1", "", "x"));
+        cr_assert(exchange->failure.has_value(), "the stream looks complete: %s",
+                  exchange->body.c_str());
+        cr_assert(exchange->body == events_text(2), "%s", exchange->body.c_str());
+    }
+}
+
+// Guards against a stream that looks complete although its engine ended after the head.
+Test(edge_faulty_endpoint, stream_ends_with_connection_before_first_event_other_engine_continues)
+{
+    faulty_deployment harness;
+    harness.start();
+    for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+        engine->close_delimited = true;
+    harness.engine_1.empty_streams = 1;
+    for (int i = 0; i < 8; ++i)
+    {
+        const auto exchange = harness.send_and_wait(
+            0, request_text("POST", "/stream/1", "s" + std::to_string(i), "", "x"));
+        cr_assert(exchange->done && exchange->body == events_text(5), "request %d: %s", i,
+                  exchange->body.c_str());
+    }
+    cr_assert(harness.engine_1.empty_streams == 0, "the fault was not met");
+}
+
+// Guards against a stream without events that is reported as broken although its engine ended it
+// in order: the client has all events already.
+Test(edge_faulty_endpoint, resumed_stream_without_further_events_is_complete)
+{
+    faulty_deployment harness;
+    harness.start();
+    const auto exchange = harness.send_and_wait(
+        0, request_text("POST", "/stream/1", "s1", "Last-Event-Id: 5\r\n", "x"));
+    cr_assert(exchange->done && exchange->head.status == 200 && exchange->body.empty());
+}
+
+// Guards against a body that is joined from those of two endpoints: the first one breaks after a
+// part of it, too large to be held back, has been passed on.
+Test(edge_faulty_endpoint, large_body_breaks_after_part_passed_on_is_not_joined)
+{
+    faulty_deployment().check_large_bodies(milliseconds(50));
+}
+
+// Guards against the same where the first endpoint stalls.
+Test(edge_faulty_endpoint, large_body_stalls_after_part_passed_on_is_not_joined)
+{
+    faulty_deployment().check_large_bodies(milliseconds(2500));
+}
+
+// Guards against a large error response of a streaming route that is read as events.
+Test(edge_faulty_endpoint, large_error_of_streaming_route_is_passed_on)
+{
+    constexpr std::size_t bytes = 400 * 1024;
+    faulty_deployment harness;
+    harness.start();
+    for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+    {
+        engine->filler_bytes = bytes;
+        engine->fail_next = 1;
+    }
+    const auto exchange = harness.send_and_wait(0, request_text("POST", "/once/1", "s1", "", "x"));
+    cr_assert(exchange->done && exchange->head.status == 500);
+    cr_assert(exchange->body.size() == std::string("failed").size() + bytes, "%zu bytes",
+              exchange->body.size());
+}
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -18,6 +18,15 @@
 namespace
 {
 
+// Keeps the event loop from running for longer than pause_threshold.
+void pause_process()
+{
+    const auto end = zinnianotch::steady_clock::now() + milliseconds(1100);
+    while (zinnianotch::steady_clock::now() < end)
+    {
+    }
+}
+
 // A deployment with two plain endpoints and two engines; start() makes it ready.
 struct small_deployment : deployment
 {
@@ -917,16 +926,139 @@
     harness.start();
     harness.run_for(milliseconds(100));
     harness.store.unresponsive = true;
-    const auto paused_until = zinnianotch::steady_clock::now() + milliseconds(1100);
-    while (zinnianotch::steady_clock::now() < paused_until)
-    {
-    }
+    pause_process();
     const auto exchange = harness.send_and_wait(0, request_text("GET", "/read/1", "a1"));
     cr_assert(exchange->done && exchange->head.status == 200);
     const auto page = harness.get_from_metrics_port(0, "/metrics");
     cr_assert(page->body.find("zinnianotch_pauses_total 1") != std::string::npos);
 }
 
+// Guards against a request that runs although its client left while the state was being confirmed
+// after a pause of the process.
+Test(edge, process_paused_client_left_request_is_not_sent)
+{
+    small_deployment harness;
+    harness.start();
+    harness.run_for(milliseconds(100));
+    harness.store.unresponsive = true;
+    pause_process();
+    const auto exchange = harness.start_request(0, request_text("GET", "/read/1", "a1"));
+    harness.run_for(milliseconds(100));
+    exchange->disconnect();
+    harness.run_for(milliseconds(800));
+    cr_assert(harness.count_requests("a1") == 0);
+}
+
+// Guards against a retry that a paused process sends to an endpoint which began to drain meanwhile.
+Test(edge, process_paused_retry_waits_for_confirmed_state)
+{
+    small_deployment harness;
+    harness.start();
+    harness.run_for(milliseconds(100));
+    harness.for_both_plain([](fake_endpoint& endpoint) { endpoint.break_before_answer = 1; });
+    const auto exchange = harness.start_request(0, request_text("GET", "/read/1", "a1"));
+    cr_assert(harness.run_until([&] { return harness.count_requests("a1") == 1; }));
+    const bool first_is_1 = harness.plain_1.requests.size() == 1;
+    const fake_endpoint& other = first_is_1 ? harness.plain_2 : harness.plain_1;
+    harness.store.unresponsive = true;
+    harness.publish_endpoint("plain", other, "dom-a", "draining");
+    pause_process();
+    harness.store.unresponsive = false;
+    cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    cr_assert(other.requests.empty(), "sent to a draining endpoint");
+    cr_assert(exchange->head.status == 502, "status %d", exchange->head.status);
+}
+
+// Guards against the same for the pieces of a stage.
+Test(edge, process_paused_stage_retry_waits_for_confirmed_state)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& first = harness.add_endpoint("encoders", "encoder-1");
+    fake_endpoint& second = harness.add_endpoint("encoders", "encoder-2");
+    harness.start();
+    harness.run_for(milliseconds(100));
+    first.break_before_answer = 1;
+    second.break_before_answer = 1;
+    const auto exchange = harness.start_request(
+        0, request_text("POST", "/stream/1", "s1", "Pieces: 2\r\nPiece-Key: k\r\n", "x"));
+    cr_assert(
+        harness.run_until([&] { return first.requests.size() + second.requests.size() == 1; }));
+    fake_endpoint& other = first.requests.empty() ? first : second;
+    harness.store.unresponsive = true;
+    harness.publish_endpoint("encoders", other, "dom-a", "draining");
+    pause_process();
+    harness.store.unresponsive = false;
+    cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    cr_assert(other.requests.empty(), "sent to a draining endpoint");
+    cr_assert(exchange->done);
+}
+
+// Guards against a VM record with an unreadable address that ends the processes of other VMs.
+Test(edge, vm_record_with_unreadable_address_requests_are_served)
+{
+    small_deployment harness;
+    harness.start_linked();
+    for (const std::string address : {"vm-9.example:80", "127.0.0.1:0", ""})
+    {
+        for (const std::string name : {"vm-0", "vm-1", "vm-9"})
+        {
+            value record = value::object();
+            record["domain"] = value::string("dom-a");
+            record["address"] = value::string(address);
+            record["capacity"] = value::number(1000.0); // preferred to the others
+            harness.store.put("vms", name, record);
+        }
+        harness.run_for(milliseconds(2000)); // the list of VMs is read at intervals
+        for (const std::size_t vm : {0, 1})
+            cr_assert(harness.send_and_wait(vm, request_text("GET", "/read/1", "a" + address))
+                          ->head.status == 200);
+    }
+}
+
+// Guards against requests to an endpoint whose entry was replaced by one that names no address.
+Test(edge, endpoint_record_with_unreadable_address_is_not_used)
+{
+    small_deployment harness;
+    harness.start();
+    value entry = value::object();
+    for (const char* const field : {"service", "zone", "address"})
+        entry[field] = value::string("plain");
+    entry["state"] = value::string("ready");
+    harness.store.put("servers", "plain-1", entry);
+    cr_assert(
+        harness.run_until([&] { return !harness.vm(0).routes_to("plain-1"); }, milliseconds(3000)));
+}
+
+// Guards against stages that are lost with the link to their batching VM when this VM appears under
+// another address.
+Test(edge, batching_vm_changes_address_stages_in_progress_are_moved)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    harness.start_linked();
+    encoder.processing_time = milliseconds(300);
+    const std::string queue = zinnianotch::queue_name("encoders", "");
+    cr_assert(harness.run_until(
+        [&] { return harness.vm(0).is_batcher_of(queue) != harness.vm(1).is_batcher_of(queue); }));
+    const std::size_t batcher = harness.vm(0).is_batcher_of(queue) ? 0 : 1;
+    value record = value::object();
+    record["domain"] = value::string("dom-a");
+    record["address"] = value::string("127.0.0.1:1");
+    harness.store.put("vms", "vm-" + std::to_string(batcher), record);
+    const auto end = zinnianotch::steady_clock::now() + milliseconds(2500);
+    for (int i = 0; zinnianotch::steady_clock::now() < end; ++i)
+    {
+        const std::string attempt = "s" + std::to_string(i);
+        const auto exchange =
+            harness.send_and_wait(1 - batcher, request_text("POST", "/stream/1", attempt,
+                                                            "Pieces: 2\r\nPiece-Key: k\r\n", "x"));
+        cr_assert(exchange->head.status == 200, "%s: status %d", attempt.c_str(),
+                  exchange->head.status);
+    }
+}
+
 // Guards against a planned stop under load that cuts off requests which were just accepted: clients
 // keep sending on open and on new connections until the VM is gone.
 Test(edge, planned_stop_under_load_no_request_that_ran_is_cut_off)
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -446,8 +446,8 @@
     if (fail_next > 0)
     {
         --fail_next;
-        client->send(
-            response_text(fail_status, fail_as_not_run ? "Not-Executed: 1\r\n" : fields, "failed"));
+        client->send(response_text(fail_status, fail_as_not_run ? "Not-Executed: 1\r\n" : fields,
+                                   "failed" + std::string(filler_bytes, 'x')));
         return client->end(true);
     }
     if (inputs_gone_once)
@@ -460,7 +460,14 @@
         client->send(response_text(200, "Attempt-Id: another\r\nResponse-Seal: x\r\n", "stray"));
     if (event_count == 0)
     {
-        const std::string body = "answer to " + request.attempt;
+        const std::string body = "answer to " + request.attempt + std::string(filler_bytes, '.');
+        if (break_in_body > 0)
+        {
+            --break_in_body;
+            const std::string text = response_text(200, fields, body);
+            client->send(text.substr(0, text.size() - body.size() / 4));
+            return run_after(break_delay, [client] { client->abort(); });
+        }
         if (close_delimited)
         {
             client->send("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body);
@@ -474,8 +481,8 @@
     }
     const auto resumed = request.fields.find("last-event-id");
     const int first = resumed == request.fields.end() ? 1 : std::stoi(resumed->second) + 1;
-    client->send("HTTP/1.1 200 OK\r\n" + fields +
-                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    client->send("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\n" +
+                 (close_delimited ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
     const auto prompt = request.fields.find("prompt-prefix");
     if (!crash_part.empty() && prompt != request.fields.end() &&
         prompt->second.find(crash_part) != std::string::npos)
@@ -486,15 +493,23 @@
 void fake_endpoint::stream(const std::shared_ptr<server_connection>& client,
                            const std::string& attempt, int next)
 {
-    if (next > event_count)
+    const auto part = [this](const std::string& bytes)
+    { return close_delimited ? bytes : chunk(bytes); };
+    const bool ends_in_event = end_in_event_after >= 0 && next > end_in_event_after;
+    const bool is_empty = empty_streams > 0;
+    if (next > event_count || ends_in_event || is_empty)
     {
-        client->send("0\r\n\r\n");
-        return client->end(true);
+        empty_streams -= is_empty ? 1 : 0;
+        if (ends_in_event)
+            client->send(part("id: " + std::to_string(next) + "\ndata: te"));
+        end_in_event_after = ends_in_event ? -1 : end_in_event_after;
+        client->send(close_delimited ? "" : "0\r\n\r\n");
+        return client->end(!close_delimited);
     }
     if (break_after_event >= 0 && next > break_after_event)
     {
         break_after_event = -1;
-        client->send(chunk("id: " + std::to_string(next) + "\nda"));
+        client->send(part("id: " + std::to_string(next) + "\nda"));
         return run_after(milliseconds(5), [client] { client->abort(); });
     }
     if (stall_after_event >= 0 && next > stall_after_event)
@@ -502,7 +517,7 @@
         stall_after_event = -1;
         return stall(client);
     }
-    client->send(chunk(event_text(next)));
+    client->send(part(event_text(next)));
     run_after(event_interval, [this, client, attempt, next] { stream(client, attempt, next + 1); });
 }
 
