Keep an attempt whose retry a stopping VM would not send

Callers saw: on a stopping VM, a repeatable request whose endpoint had been silent for the progress timeout got 502 at once, although the endpoint answered before the VM's exit.

Cause: the silent attempt was given up for a retry, and the retry was then refused because it would probably not complete before the stop. The check before each attempt was made after the attempt before it had ended and a retry had been taken from the budget.

Change: whether an attempt sent now ends before the stop is part of the decision to retry. Without time for a retry, the attempt in progress goes on until its deadline or the end of the grace period.

before: edge/planned_stop_silent_endpoint_late_attempt_is_kept fails: 502 0.9 s after its arrival. now: it passes, the response arrives and the request was sent once.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -99,6 +99,7 @@
     bool admit(time_point now);
     std::optional<milliseconds> expected_time() const;
     std::optional<milliseconds> expected_time_after_stages() const;
+    bool ends_before_stop(time_point now) const;
     const std::string& choose_service() const;
     void start_stages(time_point now);
     void submit_ready(time_point now);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -136,6 +136,15 @@
     return found->second.after_stages.upper_bound();
 }
 
+// False if an attempt that is sent now will probably be given up because this VM stops. A response
+// that has begun cannot move to another VM, so it is continued in any case.
+template <typename Codec>
+bool edge<Codec>::exchange::ends_before_stop(time_point now) const
+{
+    return !owner_.stop_ || head_sent_ ||
+           owner_.stop_->completes(remaining(now), expected_time_after_stages(), now);
+}
+
 // Distributes requests over the services of the route by weight. A service without endpoints gets
 // none; its share goes to the others.
 template <typename Codec>
@@ -465,8 +474,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::place(time_point now)
 {
-    if (owner_.stop_ && !head_sent_ &&
-        !owner_.stop_->completes(remaining(now), expected_time_after_stages(), now))
+    if (!ends_before_stop(now))
         return refuse(reason::draining, "VM is stopping", retry_after_min, now);
     inputs_domain_ = results_domain(last_stages(), 1);
     const std::string& domain = inputs_domain_;
@@ -813,6 +821,8 @@
         return false;
     if (may_have_run_ && !is_repeatable(*route_))
         return false;
+    if (!ends_before_stop(now))
+        return false;
     return owner_.endpoints_.try_acquire_retry(service_name_, now);
 }
 
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1195,3 +1195,22 @@
     cr_assert(second->done && second->head.status == 503, "%d", second->head.status);
     cr_assert(harness.count_requests("s2") == 0);
 }
+
+// Guards against giving up an attempt for a retry that is then refused because the VM stops.
+Test(edge, planned_stop_silent_endpoint_late_attempt_is_kept)
+{
+    small_deployment harness;
+    harness.stop_grace = milliseconds(4000);
+    harness.routes["/read/"]["timeout_ms"] = value::number(20000);
+    harness.start();
+    harness.for_both_plain([](fake_endpoint& endpoint)
+                           { endpoint.processing_time = milliseconds(700); });
+    cr_assert(harness.send_and_wait(0, request_text("GET", "/read/1", "a1"))->done);
+    harness.for_both_plain([](fake_endpoint& endpoint)
+                           { endpoint.processing_time = milliseconds(1200); });
+    harness.stop_vm(0);
+    harness.run_for(milliseconds(1500));
+    const auto exchange = harness.send_and_wait(0, request_text("GET", "/read/1", "a2"));
+    cr_assert(exchange->done && exchange->head.status == 200, "%d", exchange->head.status);
+    cr_assert(harness.count_requests("a2") == 1);
+}
