Refuse a request whose stages last too long as soon as this is known

Callers saw: on a stopping VM, a request whose stages had not ended got 503 when the grace period was over, although nothing was left for its response seconds before. Its caller had that much less time for another VM.

Cause: whether the rest of a request fits into the stop was checked only once its stages had ended.

Change: it is checked at each tick while no attempt is in progress. The time left only becomes shorter, so, unless the estimate falls meanwhile, nothing is refused that would have been sent later.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -970,6 +970,8 @@
         return refuse(reason::deadline_unreachable, "deadline passed before the request was sent",
                       retry_after_min, now);
     }
+    if (!upstream_ && !ends_before_stop(now))
+        return refuse(reason::draining, "VM is stopping", retry_after_min, now);
     if (waiting_for_endpoint_)
         return place(now);
     if (upstream_ && status_ != 0 && discards_response() &&
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1214,3 +1214,31 @@
     cr_assert(exchange->done && exchange->head.status == 200, "%d", exchange->head.status);
     cr_assert(harness.count_requests("a2") == 1);
 }
+
+// Guards against a request that waits in a stage until a stopping VM exits, although nothing is
+// left for its response.
+Test(edge, planned_stop_stage_lasts_request_is_refused_before_grace_is_over)
+{
+    small_deployment harness;
+    harness.stop_grace = milliseconds(4000);
+    harness.routes["/stream/"]["timeout_ms"] = value::number(20000);
+    harness.routes["/stream/"]["slo_ms"] = value::number(20000);
+    harness.add_stage();
+    harness.add_endpoint("encoders", "encoder-1").never_responds = true;
+    harness.start();
+    harness.for_both_engines(
+        [](fake_endpoint& engine)
+        {
+            engine.event_count = 4;
+            engine.event_interval = milliseconds(350);
+        });
+    const auto first =
+        harness.send_and_wait(0, request_text("POST", "/stream/1", "s1", "Pieces: 0\r\n", "x"));
+    cr_assert(first->done && first->head.status == 200);
+    harness.stop_vm(0);
+    const auto second =
+        harness.start_request(0, request_text("POST", "/stream/1", "s2", two_pieces, "x"));
+    cr_assert(harness.run_until([&] { return second->ended(); }, milliseconds(2500)));
+    cr_assert(second->done && second->head.status == 503, "%d", second->head.status);
+    cr_assert(harness.count_requests("s2") == 0);
+}
