Keep a connection open at a stop while it has unread bytes

Callers saw: a connection was reset although its request had reached the stopping VM, when the VM had not read it yet.

Cause: the tick that closes idle connections can run before the handlers of bytes that have arrived, for instance after the event loop was busy. The request was in the kernel's receive buffer, and closing a socket with unread bytes resets the connection.

Change: an idle connection is closed only if its socket has no unread bytes; otherwise the request is read and served or refused.

before: server_listener/close_when_idle_unread_request_is_served fails: no response. now: server_listener/* 3 tests pass.

--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -81,7 +81,11 @@
     close_when_idle_ = true;
     if (!request_received_ && now - idle_since_ < first_request_time)
         return;
-    if (!busy_ && !has_partial_request() && unparsed_.empty())
+    if (busy_ || has_partial_request() || !unparsed_.empty())
+        return;
+    // Closing a socket with unread bytes resets the connection.
+    boost::system::error_code ignored;
+    if (socket_.available(ignored) == 0)
         close();
 }
 
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -60,3 +60,22 @@
     cr_assert(error == boost::asio::error::connection_refused);
     cr_assert(server.listener.connections() == 0);
 }
+
+// Guards against a stopping server that closes a connection whose request has arrived but was not
+// read yet.
+Test(server_listener, close_when_idle_unread_request_is_served)
+{
+    listening_server server;
+    tcp::socket client(server.io);
+    client.connect(server.address());
+    (void)server.io.run_for(milliseconds(50));
+    cr_assert(server.listener.connections() == 1);
+    boost::asio::write(client, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    server.listener.close_connections_when_idle(steady_clock::now() + first_request_time);
+    server.io.restart();
+    (void)server.io.run_for(milliseconds(200));
+    std::array<char, 256> buffer{};
+    boost::system::error_code error;
+    const std::size_t count = client.read_some(boost::asio::buffer(buffer), error);
+    cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 200 "));
+}
