Refuse new requests when a stopping VM has served them long enough

A planned stop ended only once nothing had been in flight for 300 ms. While callers kept sending, on new connections or through a balancer that uses all VMs because few are ready, the VM accepted requests until its supervisor killed it, and what it had just accepted ended without an answer.

The phases of the stop are now a decision of their own (state/drain_schedule): the VM serves new requests for the balancer grace period and, at most, stop_accept_ms (new setting, 10 s) after it; then it refuses those of callers and operators as draining (503, not_run, Retry-After, Connection: close) and completes what it accepted before; then it closes the listener, completes the refusals in progress and exits. A stop without such load ends as before. Requests are counted before the refusal is checked, so that none is accepted without being waited for.

--- a/packages/daemon/api.cpp
+++ b/packages/daemon/api.cpp
@@ -100,6 +100,20 @@
     return line;
 }
 
+// Counts in `count` while it exists.
+class counted_scope
+{
+public:
+    explicit counted_scope(std::atomic<std::size_t>& count) : count_(count) { ++count_; }
+    ~counted_scope() { --count_; }
+
+    counted_scope(const counted_scope&) = delete;
+    counted_scope& operator=(const counted_scope&) = delete;
+
+private:
+    std::atomic<std::size_t>& count_;
+};
+
 } // namespace
 
 api::api(const settings& config, node& vm)
@@ -207,8 +221,21 @@
     if (request.identity.kind != required_role)
         return send_error(request, response,
                           not_run(reason::forbidden, "this API key may not use this route"));
+    if (refusing_)
+        return send_error(request, response, not_run(reason::draining, "this VM is stopping"));
+    const counted_scope in_progress(accepted_);
+    // Again, now that the request is counted: the VM may have begun to refuse in between.
+    if (refusing_)
+        return send_error(request, response, not_run(reason::draining, "this VM is stopping"));
     if (is_admin)
         return route_admin(request, response);
+    route_caller(request, response);
+}
+
+void api::route_caller(const api_request& request, http_response& response)
+{
+    const std::string& method = request.http->method;
+    const std::vector<std::string>& path = request.path;
     if (method == "POST" && path.size() == 3 && path[1] == "pipelines")
         return run_pipeline(request, response);
     if (method == "POST" && path.size() == 4 && path[1] == "services")
--- a/packages/daemon/api.h
+++ b/packages/daemon/api.h
@@ -30,6 +30,12 @@
 
     void handle(const http_request& request, http_response& response);
 
+    // From now on, requests of callers and operators are refused as `draining`; those in progress
+    // are completed.
+    void refuse_requests() { refusing_ = true; }
+    // Requests of callers and operators in progress, without those that are being refused.
+    std::size_t accepted() const { return accepted_; }
+
     // Counts a refusal and returns the response body for a request that the full worker queue
     // rejects.
     std::string overloaded_body();
@@ -41,6 +47,7 @@
     principal identify(const http_request& request) const;
     std::string new_request_id();
     void route(const api_request& request, http_response& response);
+    void route_caller(const api_request& request, http_response& response);
     void route_admin(const api_request& request, http_response& response);
 
     void run_pipeline(const api_request& request, http_response& response);
@@ -88,6 +95,8 @@
     std::function<std::size_t()> in_flight_callback_;
     std::atomic<std::uint64_t> next_request_number_{1};
     std::string request_id_prefix_;
+    std::atomic<bool> refusing_{false};
+    std::atomic<std::size_t> accepted_{0};
 };
 
 } // namespace zinnianotch
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/api.h"
 #include "daemon/run_edge.h"
 #include "daemon/settings.h"
+#include "state/drain_schedule.h"
 #include "transport/http_server.h"
 #include "transport/log.h"
 
@@ -23,9 +24,6 @@
 
 constexpr int exit_usage = 2;
 constexpr int exit_cannot_listen = 4;
-// The process stops once no request has been in flight for this long, so that requests already in
-// transit when the last one ended are still answered.
-constexpr milliseconds drain_idle_time{300};
 constexpr milliseconds drain_poll_interval{20};
 // Allocations of at least this size are mapped separately and return to the system when freed. By
 // default, glibc raises the threshold whenever such a block is freed, up to 32 MB. Request bodies
@@ -103,26 +101,35 @@
     return options;
 }
 
-// Waits for the load balancer's grace period, and until no request has been in flight for
-// drain_idle_time. Needs no timeout of its own, as no request outlives its deadline. A second
-// signal ends the grace period only; requests in flight are still awaited.
-void drain(http_server& server, node& vm, const sigset_t& signals, milliseconds grace)
+// Completes the requests in progress and refuses new ones as drain_schedule says. A second signal
+// ends the balancer grace period only.
+void drain(http_server& server, api& handler, node& vm, const sigset_t& signals,
+           const settings& config)
 {
     const timespec interval = {0, std::chrono::nanoseconds(drain_poll_interval).count()};
-    time_point grace_end = steady_clock::now() + grace;
-    time_point idle_since = steady_clock::now();
-    for (;;)
+    drain_schedule schedule(steady_clock::now(), config.balancer_grace, config.stop_accept);
+    drain_phase phase = drain_phase::accepting;
+    while (phase != drain_phase::ended)
     {
         if (sigtimedwait(&signals, nullptr, &interval) > 0)
         {
             log_event(log_level::warning, "second_signal", {{"effect", "balancer grace skipped"}});
-            grace_end = steady_clock::now();
+            schedule.skip_grace(steady_clock::now());
         }
-        const time_point now = steady_clock::now();
-        if (server.in_flight() > 0 || vm.in_flight() > 0)
-            idle_since = now;
-        if (now >= grace_end && now - idle_since >= drain_idle_time)
-            return;
+        const drain_load load{server.in_flight(), handler.accepted(), vm.in_flight()};
+        const drain_phase before = phase;
+        phase = schedule.update(load, steady_clock::now());
+        if (phase == before)
+            continue;
+        log_event(log_level::info, "drain_phase",
+                  {{"phase", std::string(to_string(phase))},
+                   {"requests", std::to_string(load.requests)},
+                   {"accepted", std::to_string(load.accepted)},
+                   {"calls", std::to_string(load.calls)}});
+        if (phase == drain_phase::refusing)
+            handler.refuse_requests();
+        if (phase == drain_phase::closing)
+            server.stop_accepting();
     }
 }
 
@@ -166,7 +173,7 @@
     log_event(log_level::info, "draining", {{"signal", std::to_string(signal)}});
     vm.begin_drain();
     server.begin_drain();
-    drain(server, vm, signals, config.balancer_grace);
+    drain(server, handler, vm, signals, config);
     server.stop();
     vm.stop();
     log_event(log_level::info, "stopped", {});
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -60,8 +60,7 @@
 // The headers named in docs/api.md do not fit into less than 1 KiB.
 constexpr integer_range header_bytes_range{1024, 65536, "bytes"};
 constexpr integer_range body_bytes_range{1024, 64 * 1024 * 1024, "bytes"};
-// A planned stop waits at most 60 s for requests in flight; a longer grace period would more than
-// double that.
+// A planned stop waits at most 60 s for requests in flight; each of its earlier phases is shorter.
 constexpr integer_range grace_range{0, 60000, "milliseconds"};
 
 // Levenshtein distance of two names.
@@ -580,6 +579,7 @@
                     {"keys"},
                     {"limits", false},
                     {"balancer_grace_ms", false},
+                    {"stop_accept_ms", false},
                     {"log_level", false},
                     {"routing", false},
                     {"serving", false}}))
@@ -604,6 +604,9 @@
     std::uint32_t grace_ms = static_cast<std::uint32_t>(out.balancer_grace.count());
     read_number(root, "", "balancer_grace_ms", grace_range, grace_ms);
     out.balancer_grace = milliseconds(grace_ms);
+    std::uint32_t accept_ms = static_cast<std::uint32_t>(out.stop_accept.count());
+    read_number(root, "", "stop_accept_ms", grace_range, accept_ms);
+    out.stop_accept = milliseconds(accept_ms);
     read_enum(root, "log_level", "level", {"debug", "info", "warning", "error"}, out.min_log_level);
     read_enum(root, "routing", "policy", {"least_load", "round_robin", "least_reported_load"},
               out.routing);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -77,7 +77,8 @@
     std::vector<account_key> accounts;
     std::vector<operator_key> operators;
     server_limits limits;
-    milliseconds balancer_grace{5000}; // from SIGTERM until connections are refused
+    milliseconds balancer_grace{5000}; // from SIGTERM until the balancer uses other VMs
+    milliseconds stop_accept{10000};   // longest time after it for which requests are served
     log_level min_log_level = log_level::info;
     routing_kind routing = routing_kind::least_load;
     std::optional<serving_settings> serving; // when set, run_edge() serves instead of a node
--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -1150,6 +1150,7 @@
     }
 
     void start();
+    void stop_accepting();
     void stop();
 
     server_state& state() { return state_; }
@@ -1247,10 +1248,8 @@
     accept();
 }
 
-void http_server::impl::stop()
+void http_server::impl::stop_accepting()
 {
-    if (threads_.empty())
-        return;
     asio::post(acceptor_.get_executor(),
                [this]
                {
@@ -1258,6 +1257,13 @@
                    acceptor_.close(ec);
                    accept_timer_.cancel();
                });
+}
+
+void http_server::impl::stop()
+{
+    if (threads_.empty())
+        return;
+    stop_accepting();
     for (const auto& open : state_.connections.close())
         open->post_close();
     state_.connections.wait_empty(stop_timeout);
@@ -1297,6 +1303,11 @@
     impl_->state().draining = true;
 }
 
+void http_server::stop_accepting()
+{
+    impl_->stop_accepting();
+}
+
 std::size_t http_server::in_flight() const
 {
     return impl_->state().in_flight;
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -170,6 +170,50 @@
     expect_clean_exit(cluster, "vm-a1");
 }
 
+// Guards against a VM that never stops while new requests keep arriving, so that its supervisor
+// kills it with requests in progress.
+Test(planned_stop, callers_keep_sending_vm_refuses_new_requests_and_exits)
+{
+    deployment_options options = slow_stream_options();
+    options.start_vms = false;
+    deployment cluster(options);
+    replace_in_settings(cluster, "vm-a1", "balancer_grace_ms: 0",
+                        "balancer_grace_ms: 0\nstop_accept_ms: 500");
+    for (const auto& [name, vm] : cluster.vms)
+        cluster.start_vm(name);
+    for (const auto& [name, vm] : cluster.vms)
+        deployment::wait_ready(vm);
+    auto& stopping = cluster.vms.at("vm-a1");
+    const std::uint16_t port = stopping.caller_port;
+    std::atomic<std::size_t> refused{0};
+    const auto request_on_new_connection = [&](std::size_t caller, std::size_t number)
+    {
+        const std::string input = std::to_string(caller) + '.' + std::to_string(number);
+        keep_alive_connection connection(port);
+        if (!connection.is_open())
+            return std::string(); // not accepted, so certainly not run
+        if (!connection.send(input))
+            return std::string("the request could not be sent");
+        const keep_alive_connection::response answer = connection.receive();
+        if (answer.status != 503)
+            return check_pipeline_response(answer.status, answer.body, answer.complete, input);
+        const value error = value::parse(answer.body).at("error");
+        if (!answer.connection_close || error.at("reason").as_string() != "draining" ||
+            error.at("verdict").as_string() != "not_run")
+            return "refused as " + answer.body;
+        ++refused;
+        return std::string();
+    };
+    background_load load(callers, request_on_new_connection);
+    cr_assert(load.wait_for_successes(enough_answers), "%s", load.failures().c_str());
+    stopping.process->signal(SIGTERM);
+    expect_clean_exit(cluster, "vm-a1");
+    load.stop();
+    cr_expect(load.failures().empty(), "%s", load.failures().c_str());
+    cr_expect_gt(refused.load(), 0);
+    expect_nothing_cancelled(cluster);
+}
+
 // Guards against a stop that hangs or interrupts requests because the VM cannot leave the view, and
 // against a member that stays in the view permanently.
 Test(planned_stop, table_down_interrupts_no_request)
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -108,6 +108,7 @@
     cr_assert(read.limits.queue_length == 256 && read.limits.header_bytes == 8192);
     cr_assert(read.limits.body_bytes == 1048576);
     cr_assert(read.balancer_grace == milliseconds(5000));
+    cr_assert(read.stop_accept == milliseconds(10000));
     cr_assert(read.min_log_level == log_level::info);
     cr_assert(read.vm_list_url.empty() && read.seeds.empty());
 }
@@ -152,6 +153,7 @@
     expect_single_problem(with_line(10, "balancer_grace_ms: 99999999999999999999999"), 10,
                           "out of range");
     expect_single_problem(with_line(10, "balancer_grace_ms: -1"), 10, "not a number");
+    expect_single_problem(with_line(10, "stop_accept_ms: 60001"), 10, "out of range");
 }
 
 // Guards against addresses that need name resolution or cannot be reached.
