Record the results of orders before a planned stop ends

A caller was told that its order ran while the table was down; when the VM was stopped before the table returned, it waited 2 s (and 2 s in the destructor) and exited without the record. The row stayed started: repeats were refused as order_in_progress and an operator had to settle an order whose result had been known.

A planned stop now waits for the records until the time at which the last accepted request could have ended: balancer_grace_ms, stop_accept_ms and the longest deadline after the signal. What is still pending then is logged as order_records_lost.

--- a/packages/coordination/node.cpp
+++ b/packages/coordination/node.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds vm_list_timeout{800};
 // Time allowed for all peers to report their configuration version before the highest is adopted.
 constexpr milliseconds startup_peer_wait{3000};
-constexpr milliseconds order_drain_timeout{2000};
+constexpr milliseconds order_drain_timeout{2000}; // without a planned stop
 constexpr int status_ok = 200;
 
 std::string address_of(const rpc_options& options, std::uint16_t port)
@@ -42,7 +42,7 @@
 
 node::~node()
 {
-    stop();
+    stop(steady_clock::now() + order_drain_timeout);
 }
 
 void node::start()
@@ -143,7 +143,7 @@
     wake_.notify_all();
 }
 
-void node::stop()
+void node::stop(time_point records_until)
 {
     if (stopped_ || peers_ == nullptr)
         return;
@@ -158,7 +158,12 @@
         members_->leave_as_last();
         members_->poll_view(steady_clock::now());
     }
-    orders_->drain(steady_clock::now() + order_drain_timeout);
+    if (const std::size_t pending = orders_->pending(); pending > 0)
+        log_event(log_level::warning, "order_records_pending",
+                  {{"records", std::to_string(pending)}});
+    if (!orders_->drain(records_until))
+        log_event(log_level::error, "order_records_lost",
+                  {{"records", std::to_string(orders_->pending())}});
     dispatcher_->stop();
     peers_->stop();
 }
--- a/packages/coordination/node.h
+++ b/packages/coordination/node.h
@@ -54,8 +54,9 @@
     // Starts a planned stop: hands over the owned endpoints and continues the calls in progress.
     void begin_drain();
 
-    // Leaves the view if still a member, and stops all threads.
-    void stop();
+    // Leaves the view if still a member, waits until the results of all orders are recorded or
+    // `records_until` is reached, and stops all threads.
+    void stop(time_point records_until);
 
     std::uint16_t peer_port() const;
     vm_state state() const { return state_.load(); }
--- a/packages/daemon/api_request.cpp
+++ b/packages/daemon/api_request.cpp
@@ -8,13 +8,6 @@
 namespace zinnianotch
 {
 
-namespace
-{
-
-constexpr milliseconds max_deadline{60000};
-
-} // namespace
-
 std::string_view api_request::query_value(std::string_view name) const
 {
     std::string_view rest = query;
--- a/packages/daemon/api_request.h
+++ b/packages/daemon/api_request.h
@@ -51,8 +51,11 @@
 // Percent-decoded segments of a path. Throws web::uri_exception on invalid percent-encoding.
 std::vector<std::string> split_path(const std::string& path);
 
-// Time by which the request must be answered: its Deadline-Ms header, at most 60000, or else the
-// fallback, counted from the receipt of the request. Fails with bad_request on an invalid header.
+inline constexpr milliseconds max_deadline{60000};
+
+// Time by which the request must be answered: its Deadline-Ms header, at most max_deadline, or else
+// the fallback, counted from the receipt of the request. Fails with bad_request on an invalid
+// header.
 result<time_point> deadline_of(const api_request& request, milliseconds fallback);
 
 // Parses the body, which must be a JSON object with no keys other than the given ones.
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,6 +1,7 @@
 // zinnianotchd: the server process of one entry VM.
 #include "coordination/node.h"
 #include "daemon/api.h"
+#include "daemon/api_request.h"
 #include "daemon/run_edge.h"
 #include "daemon/settings.h"
 #include "state/drain_schedule.h"
@@ -104,10 +105,10 @@
 // Completes the requests in progress and refuses new ones as drain_schedule says. A second signal
 // ends the balancer grace period only.
 void drain(http_server& server, api& handler, node& vm, const sigset_t& signals,
-           const settings& config)
+           const settings& config, time_point signal_at)
 {
     const timespec interval = {0, std::chrono::nanoseconds(drain_poll_interval).count()};
-    drain_schedule schedule(steady_clock::now(), config.balancer_grace, config.stop_accept);
+    drain_schedule schedule(signal_at, config.balancer_grace, config.stop_accept);
     drain_phase phase = drain_phase::accepting;
     while (phase != drain_phase::ended)
     {
@@ -170,12 +171,14 @@
 
     int signal = 0;
     sigwait(&signals, &signal);
+    const time_point signal_at = steady_clock::now();
     log_event(log_level::info, "draining", {{"signal", std::to_string(signal)}});
     vm.begin_drain();
     server.begin_drain();
-    drain(server, handler, vm, signals, config);
+    drain(server, handler, vm, signals, config, signal_at);
     server.stop();
-    vm.stop();
+    // The records of orders get no more time than the requests themselves may take.
+    vm.stop(signal_at + config.balancer_grace + config.stop_accept + max_deadline);
     log_event(log_level::info, "stopped", {});
     return 0;
 }
--- a/tests/process/orders_test.cpp
+++ b/tests/process/orders_test.cpp
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <csignal>
 #include <cstdio>
 #include <future>
 #include <mutex>
@@ -389,6 +390,29 @@
     }
 }
 
+// Guards against a result that is lost because the VM stops while the table is down: the caller has
+// been told that the order ran, but its record would say that nobody knows.
+Test(orders, record_pending_at_planned_stop_is_written_before_exit)
+{
+    deployment cluster(order_options(1, true));
+    const std::uint16_t first = vm_of(cluster, "vm-a1").caller_port;
+    const std::string key = "pending-stop";
+    control_service_standins(cluster, R"({"delay_ms":1000})");
+    auto call =
+        std::async(std::launch::async, [&] { return send_order(first, key, long_deadline); });
+    cr_assert(eventually([&] { return run_count(cluster, key) == 1; }));
+    (void)cluster.table.control(R"({"down":true})");
+    const order_result reply = call.get();
+    cr_assert(reply.verdict == order_verdict::ran, "%s", reply.response.body.c_str());
+    auto& stopping = *cluster.vms.at("vm-a1").process;
+    stopping.signal(SIGTERM);
+    // Longer than a stop without pending records takes.
+    cr_assert_not(stopping.wait_exit(milliseconds(6000)).has_value());
+    (void)cluster.table.control(R"({"down":false})");
+    cr_assert_eq(stopping.wait_exit().value_or(-1), 0);
+    cr_assert_str_eq(order_row_state(cluster, key).c_str(), "ran");
+}
+
 namespace
 {
 
