Release stage results before a stopping VM exits

A VM that stopped exited as soon as its last request had ended, up to 100 ms before the next flush of releases. The results stayed in the endpoint's memory until they expired, and calls of the other VMs were refused for lack of room meanwhile.

before: edge/planned_stop_results_are_released_before_exit fails, 3 of 3 runs. now: it passes, 3 of 3; edge*/* 63 pass.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -860,8 +860,8 @@
     }
     if (since >= balancer_detection_time)
         callers_->close_connections_when_idle();
-    const bool idle =
-        exchanges_.empty() && callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0;
+    const bool idle = exchanges_.empty() && callers_->busy_count() == 0 &&
+                      stage_router_.peer_job_count() == 0 && !stage_batcher_.has_releases();
     if ((since < balancer_detection_time || !idle) && !grace_over)
         return;
     log_event(log_level::info, "stopped",
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -70,6 +70,8 @@
 
     void tick(time_point now);
     std::size_t jobs() const { return jobs_.size(); }
+    // True while results are to be released whose endpoint has not confirmed it.
+    bool has_releases() const { return !pending_releases_.empty() || !release_calls_.empty(); }
 
 private:
     class batch_call;
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -789,6 +789,35 @@
     cr_assert(encoder.requests.empty());
 }
 
+// Guards against results that fill an endpoint's memory until they expire, because the VM exits
+// before it has released them.
+Test(edge, planned_stop_results_are_released_before_exit)
+{
+    small_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    harness.start();
+    harness.stop_vm(0);
+    bool exited = false;
+    const auto has_exited = [&]
+    {
+        exited = exited || harness.io.stopped();
+        return exited;
+    };
+    for (int i = 0; !exited; ++i)
+    {
+        const auto exchange = harness.start_request(
+            0, request_text("POST", "/stream/1", "s" + std::to_string(i), two_pieces, "x"));
+        cr_assert(harness.run_until([&] { return has_exited() || exchange->ended(); }));
+        (void)harness.run_until(has_exited, milliseconds(30));
+    }
+    harness.kill_vm(0);
+    harness.run_for(milliseconds(100));
+    cr_assert(encoder.pieces_completed > 0);
+    cr_assert(encoder.freed.size() == encoder.pieces_completed, "%zu of %zu results released",
+              encoder.freed.size(), encoder.pieces_completed);
+}
+
 // Guards against the record of a VM that is gone, when the store rejects its first removal.
 Test(edge, planned_stop_store_rejects_removal_is_repeated)
 {
