--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -881,7 +881,8 @@
         return;
     callers_->close_connections_when_idle(now);
     const bool idle = exchanges_.empty() && deferred_requests_.empty() &&
-                      callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0;
+                      callers_->busy_count() == 0 && stage_router_.peer_job_count() == 0 &&
+                      !stage_batcher_.has_releases();
     if (idle || now >= stop_->requests_end_at())
         callers_->stop_accepting();
     if ((!idle || callers_->connections() > 0) && now < stop_->exit_at())
