--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -9,6 +9,7 @@
 #include "coordination/serving_call.h"
 #include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
+#include "state/crash_suspects.h"
 #include "state/pause_detector.h"
 #include "state/socket_address.h"
 #include "state/stage_shard.h"
@@ -171,6 +172,11 @@
     void tick();
     void tick_stop(time_point now);
     void register_vm(time_point now);
+    // Tells all VMs what this one has learnt about crashing engines.
+    void send_crash_reports(time_point now);
+    void on_crash_report(const crash_report& report);
+    std::vector<vm_message> crash_snapshot();
+    void log_held_parts(time_point now);
     void log_bad_record(state_table table, const state_record& record);
     void send_text_response(const std::shared_ptr<server_connection>& client, int status,
                             const std::string& body);
@@ -211,6 +217,8 @@
     // Last revision logged, by table and name; entries of deleted records are removed.
     std::map<std::pair<state_table, std::string>, std::uint64_t> logged_bad_records_;
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
+    crash_suspects crash_suspects_;
+    std::set<std::string> logged_held_parts_;
     std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
     std::map<std::string, response_estimate, std::less<>> response_times_; // by route
     observed_stage_times stage_times_;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -49,6 +49,8 @@
 inline constexpr milliseconds failed_stage_time{3000};
 inline constexpr milliseconds retry_after_min{100};
 inline constexpr milliseconds retry_after_max{2000};
+// Largest Retry-After of a request that is held because of a prompt part.
+inline constexpr milliseconds retry_after_held_max{30'000};
 // Retry-After of a VM that has not read the desired state yet.
 inline constexpr milliseconds retry_after_not_ready{500};
 
@@ -140,6 +142,9 @@
     void on_discarded_end(time_point now);
     milliseconds progress_timeout() const;
     void retry_after_break(std::string_view why, time_point now);
+    void record_break(upstream_failure failure, time_point now);
+    void record_sound(time_point now);
+    bool is_held(time_point now);
     void log_upstream_failure(std::string_view why, time_point now) const;
     void abandon_attempt(time_point now);
     void start_next_attempt(time_point now);
@@ -185,12 +190,14 @@
     std::set<std::string> tried_;
     std::uint32_t attempts_ = 0;
     std::uint32_t connect_failures_ = 0;
+    std::uint32_t crashed_engines_ = 0; // that broke while they had this request
     bool waiting_for_endpoint_ = false;
     time_point waiting_since_{};
     time_point sent_at_{};
     time_point progress_at_{};
     time_point head_at_{};                    // of the current attempt, set if status_ is
     std::uint64_t events_before_attempt_ = 0; // events of earlier attempts
+    bool sound_recorded_ = false;             // in the current attempt
     bool may_have_run_ = false;               // an endpoint may have run the request
 
     disposition disposition_ = disposition::forward;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -113,6 +113,20 @@
         refuse(reason::draining, "VM is stopping", retry_after_min, now);
         return false;
     }
+    return !is_held(now);
+}
+
+// Refuses the request if engines crash under a part of its prompt and this VM may not probe it now.
+template <typename Codec>
+bool edge<Codec>::exchange::is_held(time_point now)
+{
+    if (service_ == nullptr || !service_->generates)
+        return false;
+    const auto held = owner_.crash_suspects_.held(call_.prompt_parts, now);
+    if (!held || owner_.crash_suspects_.may_probe(call_.prompt_parts, owner_.options_.vm,
+                                                  owner_.endpoints_.vms(), now))
+        return false;
+    refuse(reason::crashing_prompt, "prompt part " + held->part, held->retry_after, now);
     return true;
 }
 
@@ -482,12 +496,19 @@
         waiting_since_ = now;
         return;
     }
+    if (is_held(now))
+        return;
     inputs_domain_ = results_domain(last_stages(), 1);
     const std::string& domain = inputs_domain_;
     placement_request request;
     request.service = service_name_;
+    std::optional<std::string> suspect;
     if (service_ != nullptr && service_->generates)
-        request.affinity = call_.prompt_prefix;
+    {
+        // Requests with different suspect parts go to different engines, which tells them apart.
+        suspect = owner_.crash_suspects_.suspect(call_.prompt_parts, now);
+        request.affinity = suspect ? *suspect : call_.prompt_prefix;
+    }
     request.preferred_domain = domain;
     // Reading a prompt prefix again takes an engine longer than fetching the results from another
     // domain, so a request with a prefix goes where this is cached.
@@ -533,6 +554,16 @@
     extra.priority = std::min(priority(), least_urgent_priority);
     extra.inputs = inputs_of(last_stages());
     extra.resume_after = events_.last_id() ? events_.last_id() : call_.resume_after;
+    if (service_ != nullptr && service_->generates &&
+        owner_.crash_suspects_.held(call_.prompt_parts, now))
+    {
+        owner_.counters_.count("prompt_part_probes_total");
+        log_event(log_level::info, "prompt_part_probe",
+                  {{"request", call_.attempt}, {"endpoint", endpoint_->record.id}});
+        owner_.crash_suspects_.on_probe(call_.prompt_parts, now);
+        owner_.send_crash_reports(now);
+    }
+    sound_recorded_ = false;
     ++attempts_;
     sent_at_ = now;
     progress_at_ = now;
@@ -690,6 +721,8 @@
         return;
     }
     progress_at_ = steady_clock::now();
+    if (events_.events() - events_before_attempt_ > 1)
+        record_sound(progress_at_);
     if (!head_sent_)
         send_head(std::nullopt);
     send_body(std::move(complete));
@@ -802,6 +835,8 @@
             client_->send("0\r\n\r\n");
     }
     client_->end(keep_alive_ && !close_delimited_);
+    if (status_ == 200)
+        record_sound(now);
     owner_.counters_.count("answers_total");
     response_estimate& times = owner_.response_times_[route_->name];
     times.total.record(elapsed(now));
@@ -832,12 +867,51 @@
     if (failure == upstream_failure::broken_before_answer || status_ == 0)
         endpoint_->health.on_outcome(false, now);
     if (!discarded)
+    {
         may_have_run_ = true;
+        record_break(failure, now);
+    }
     log_upstream_failure(to_string(failure), now);
     retry_or_fail(reason::connection_broken,
                   may_have_run_ ? verdict::may_have_run : verdict::not_run, now);
 }
 
+// Notes that the connection broke while a model engine had the request, as it does when the engine
+// crashes.
+template <typename Codec>
+void edge<Codec>::exchange::record_break(upstream_failure failure, time_point now)
+{
+    if (service_ == nullptr || !service_->generates || call_.prompt_parts.empty() ||
+        failure == upstream_failure::invalid_answer)
+        return;
+    const std::uint64_t events = events_.events() - events_before_attempt_;
+    answer_progress progress = answer_progress::no_head;
+    if (events > 1)
+        progress = answer_progress::events;
+    else if (events == 1)
+        progress = answer_progress::first_event;
+    else if (status_ != 0)
+        progress = answer_progress::head;
+    if (progress != answer_progress::events)
+        ++crashed_engines_;
+    const milliseconds answering_for =
+        status_ != 0 ? std::chrono::duration_cast<milliseconds>(now - head_at_) : milliseconds(0);
+    owner_.crash_suspects_.on_crash({endpoint_->record.id, endpoint_->record.started_at},
+                                    endpoint_->record.domain, call_.prompt_parts, progress,
+                                    answering_for, now);
+    owner_.send_crash_reports(now);
+}
+
+// Notes that an engine has answered the prompt without a crash.
+template <typename Codec>
+void edge<Codec>::exchange::record_sound(time_point now)
+{
+    if (sound_recorded_ || service_ == nullptr || !service_->generates)
+        return;
+    sound_recorded_ = true;
+    owner_.crash_suspects_.on_sound(call_.prompt_parts, sent_at_, now);
+}
+
 template <typename Codec>
 void edge<Codec>::exchange::log_upstream_failure(std::string_view why, time_point now) const
 {
@@ -860,7 +934,8 @@
 template <typename Codec>
 bool edge<Codec>::exchange::try_acquire_retry(time_point now)
 {
-    if (attempts_ >= std::max(route_->attempts, 1U) || remaining(now).count() <= 0)
+    if (attempts_ >= std::max(route_->attempts, 1U) || remaining(now).count() <= 0 ||
+        crashed_engines_ >= max_crashes_per_request)
         return false;
     if (may_have_run_ && !is_repeatable(*route_))
         return false;
@@ -934,8 +1009,10 @@
         return fail(why, verdict::may_have_run, detail, now);
     owner_.counters_.count_refusal(why, verdict::not_run);
     drop_upstream();
-    send_error_response(503, why, verdict::not_run,
-                        std::clamp(retry_after, retry_after_min, retry_after_max));
+    send_error_response(
+        503, why, verdict::not_run,
+        std::clamp(retry_after, retry_after_min,
+                   why == reason::crashing_prompt ? retry_after_held_max : retry_after_max));
     close(std::string(to_string(why)) + ": " + std::string(detail), 503, now);
 }
 
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -3,6 +3,7 @@
 
 #include "coordination/edge_exchange_impl.h"
 #include "coordination/edge_report_impl.h"
+#include "coordination/random_id.h"
 #include "coordination/stage_router_impl.h"
 #include "coordination/state_follower_impl.h"
 #include "transport/event_loop.h"
@@ -110,7 +111,7 @@
                     [this](const std::string& vm, const vm_message& message)
                     { on_peer_state(vm, message); }),
       reading_(state_table_count, table_reading(edge_detail::spread_of(options_.vm))),
-      tick_timer_(io)
+      crash_suspects_(options_.vm + "/" + random_id()), tick_timer_(io)
 {
 }
 
@@ -143,6 +144,17 @@
         [this](const std::shared_ptr<vm_channel>& from, vm_message&& message)
         { on_vm_message(from, std::move(message)); },
         [this](const std::shared_ptr<vm_channel>& from) { stage_router_.on_closed(from); });
+    // A link is made from one side only, so each side sends what it knows.
+    peers_->on_accepted = [this](const std::shared_ptr<vm_channel>& channel)
+    {
+        for (const vm_message& message : crash_snapshot())
+            channel->send(message);
+    };
+    stage_router_.on_link_up = [this](const std::string& vm)
+    {
+        for (const vm_message& message : crash_snapshot())
+            stage_router_.send(vm, message);
+    };
     const auto follow = [this](state_table table, const follow_timing& pace)
     {
         return std::make_unique<state_follower<Codec>>(
@@ -269,6 +281,55 @@
     added->begin(now);
 }
 
+template <typename Codec>
+void edge<Codec>::send_crash_reports(time_point now)
+{
+    for (const crash_report& report : crash_suspects_.take_reports(now))
+    {
+        peers_->broadcast(report);
+        stage_router_.broadcast(report);
+    }
+}
+
+// Passes news on to all linked VMs: this VM may be the only way from the sender to some of them.
+template <typename Codec>
+void edge<Codec>::on_crash_report(const crash_report& report)
+{
+    if (!crash_suspects_.on_report(report, steady_clock::now()))
+        return;
+    peers_->broadcast(report);
+    stage_router_.broadcast(report);
+}
+
+template <typename Codec>
+std::vector<vm_message> edge<Codec>::crash_snapshot()
+{
+    const std::vector<crash_report> reports = crash_suspects_.snapshot(steady_clock::now());
+    return {reports.begin(), reports.end()};
+}
+
+template <typename Codec>
+void edge<Codec>::log_held_parts(time_point now)
+{
+    const std::vector<std::string> held = crash_suspects_.held_parts(now);
+    for (const std::string& part : held)
+    {
+        if (!logged_held_parts_.insert(part).second)
+            continue;
+        counters_.count("prompt_parts_held_total");
+        log_event(log_level::warning, "prompt_part_held",
+                  {{"part", part}, {"crashes", std::to_string(crash_suspects_.crash_count())}});
+    }
+    std::erase_if(logged_held_parts_,
+                  [&](const std::string& part)
+                  {
+                      if (std::find(held.begin(), held.end(), part) != held.end())
+                          return false;
+                      log_event(log_level::info, "prompt_part_released", {{"part", part}});
+                      return true;
+                  });
+}
+
 template <typename Codec>
 void edge<Codec>::log_bad_record(state_table table, const state_record& record)
 {
@@ -563,6 +624,8 @@
 {
     if (const auto* query = std::get_if<state_query>(&message))
         return answer_query(from, *query);
+    if (const auto* report = std::get_if<crash_report>(&message))
+        return on_crash_report(*report);
     stage_router_.on_message(from, std::move(message));
 }
 
@@ -601,6 +664,8 @@
         return on_state_answer(vm, *answer);
     if (const auto* notice = std::get_if<state_notice>(&message))
         return on_state_notice(vm, *notice);
+    if (const auto* report = std::get_if<crash_report>(&message))
+        return on_crash_report(*report);
     if (std::holds_alternative<leaving_message>(message))
         sources_.remove(vm);
 }
@@ -818,6 +883,7 @@
     update_reading(now);
     send_notices(now);
     query_peers(now);
+    send_crash_reports(now);
     serve_deferred_requests(now);
     if (!exchanges_.empty())
     {
@@ -835,6 +901,7 @@
         readiness_->sweep(now);
         endpoints_.sweep(now);
         register_vm(now);
+        log_held_parts(now);
         if (is_ready() != ready_logged_)
         {
             ready_logged_ = !ready_logged_;
--- a/packages/coordination/edge_report_impl.h
+++ b/packages/coordination/edge_report_impl.h
@@ -56,6 +56,7 @@
     result.links_up = links_up();
     result.active_requests = exchanges_.size();
     result.domains_out = endpoints_.domains_out();
+    result.held_prompt_parts = crash_suspects_.held_parts(now);
     for (const state_table table : all_state_tables)
     {
         const state_follower<Codec>& followed = follower(table);
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -62,6 +62,7 @@
     void set_limits(const fleet_limits& limits) { limits_ = limits; }
     void set_vms(std::vector<std::string> vms);
     std::size_t vm_count() const { return vms_.size(); }
+    const std::vector<std::string>& vms() const { return vms_; }
 
     // Adds or updates an endpoint. With `assume_just_started`, an unknown lifetime counts as just
     // begun, hence cold; otherwise only its record decides whether it is cold.
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -67,6 +67,12 @@
 
     // VMs to keep a link to for the state of the store.
     void set_state_peers(std::vector<std::string> names);
+    // Called with each VM whose link comes up.
+    std::function<void(const std::string& vm)> on_link_up;
+    // Sends the message to the VM, if its link is up.
+    void send(const std::string& vm, const vm_message& message);
+    // Sends the message to all VMs with a link that is up.
+    void broadcast(const vm_message& message);
     // Sends the query to the VM, if it is reachable.
     void query_state(const std::string& vm, const state_query& query);
     // Sends the query to one of the reachable VMs, in turn; false when there is none.
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -223,7 +223,11 @@
     if (entry != links_.end())
         entry->second.leaving = false;
     if (up)
+    {
+        if (on_link_up)
+            on_link_up(vm);
         return;
+    }
     on_state_(vm, leaving_message{});
     std::vector<std::uint64_t> ids;
     for (const auto& [id, job] : remote_jobs_)
@@ -353,6 +357,23 @@
         found->second.link->send(query);
 }
 
+template <typename Codec>
+void stage_router<Codec>::send(const std::string& vm, const vm_message& message)
+{
+    if (const auto found = links_.find(vm); found != links_.end() && found->second.link->is_up())
+        found->second.link->send(message);
+}
+
+template <typename Codec>
+void stage_router<Codec>::broadcast(const vm_message& message)
+{
+    for (const auto& [name, entry] : links_)
+    {
+        if (entry.link->is_up())
+            entry.link->send(message);
+    }
+}
+
 template <typename Codec>
 bool stage_router<Codec>::query_state(const state_query& query)
 {
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -66,6 +66,24 @@
   copies @0 :List(TableCopy); # one for each state_table, in its order
 }
 
+struct EngineLifetime {
+  id @0 :Text;
+  startedAt @1 :Int64;
+}
+
+struct CrashReport {
+  kind @0 :UInt8;             # crash_report_kind
+  origin @1 :Text;
+  sequence @2 :UInt64;
+  engines @3 :List(EngineLifetime);
+  domain @4 :Text;
+  parts @5 :List(Text);
+  progress @6 :UInt8;         # answer_progress
+  answeringForMs @7 :Int32;
+  probes @8 :UInt32;
+  ageMs @9 :Int32;
+}
+
 struct VmMessage {
   union {
     ping @0 :Void;
@@ -79,5 +97,6 @@
     leaving @8 :Void;         # the sender is shutting down: send it no new work
     notice @9 :StateNotice;   # from a VM that reads the store
     returned @10 :UInt64;     # a submitted job that the sender has not begun and gives up: submit it elsewhere
+    crash @11 :CrashReport;   # passed on to all VMs
   }
 }
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -24,6 +24,8 @@
 CAPNP_DECLARE_SCHEMA(e0a71931788e814c);
 CAPNP_DECLARE_SCHEMA(ff52641a6bdc666d);
 CAPNP_DECLARE_SCHEMA(dccd13c7e0d2a6cf);
+CAPNP_DECLARE_SCHEMA(dc11f6ecd491614d);
+CAPNP_DECLARE_SCHEMA(dfb1e6f4ca7a0fdf);
 CAPNP_DECLARE_SCHEMA(f939ea7cbcbf7edb);
 
 }  // namespace schemas
@@ -152,6 +154,36 @@
   };
 };
 
+struct EngineLifetime {
+  EngineLifetime() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc11f6ecd491614d, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfb1e6f4ca7a0fdf, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct VmMessage {
   VmMessage() = delete;
 
@@ -170,6 +202,7 @@
     LEAVING,
     NOTICE,
     RETURNED,
+    CRASH,
   };
 
   struct _capnpPrivate {
@@ -998,6 +1031,234 @@
 };
 #endif  // !CAPNP_LITE
 
+class EngineLifetime::Reader {
+public:
+  typedef EngineLifetime Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineLifetime::Builder {
+public:
+  typedef EngineLifetime Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineLifetime::Pipeline {
+public:
+  typedef EngineLifetime Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind() const;
+
+  inline bool hasOrigin() const;
+  inline  ::capnp::Text::Reader getOrigin() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasEngines() const;
+  inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getParts() const;
+
+  inline  ::uint8_t getProgress() const;
+
+  inline  ::int32_t getAnsweringForMs() const;
+
+  inline  ::uint32_t getProbes() const;
+
+  inline  ::int32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline bool hasOrigin();
+  inline  ::capnp::Text::Builder getOrigin();
+  inline void setOrigin( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrigin(unsigned int size);
+  inline void adoptOrigin(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrigin();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasEngines();
+  inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder getEngines();
+  inline void setEngines( ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder initEngines(unsigned int size);
+  inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>> disownEngines();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getParts();
+  inline void setParts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownParts();
+
+  inline  ::uint8_t getProgress();
+  inline void setProgress( ::uint8_t value);
+
+  inline  ::int32_t getAnsweringForMs();
+  inline void setAnsweringForMs( ::int32_t value);
+
+  inline  ::uint32_t getProbes();
+  inline void setProbes( ::uint32_t value);
+
+  inline  ::int32_t getAgeMs();
+  inline void setAgeMs( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class VmMessage::Reader {
 public:
   typedef VmMessage Reads;
@@ -1055,6 +1316,10 @@
   inline bool isReturned() const;
   inline  ::uint64_t getReturned() const;
 
+  inline bool isCrash() const;
+  inline bool hasCrash() const;
+  inline  ::zinnianotch::wire::CrashReport::Reader getCrash() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1152,6 +1417,14 @@
   inline  ::uint64_t getReturned();
   inline void setReturned( ::uint64_t value);
 
+  inline bool isCrash();
+  inline bool hasCrash();
+  inline  ::zinnianotch::wire::CrashReport::Builder getCrash();
+  inline void setCrash( ::zinnianotch::wire::CrashReport::Reader value);
+  inline  ::zinnianotch::wire::CrashReport::Builder initCrash();
+  inline void adoptCrash(::capnp::Orphan< ::zinnianotch::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::CrashReport> disownCrash();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1950,6 +2223,278 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EngineLifetime::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineLifetime::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EngineLifetime::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EngineLifetime::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EngineLifetime::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EngineLifetime::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EngineLifetime::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EngineLifetime::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t EngineLifetime::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EngineLifetime::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineLifetime::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t CrashReport::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashReport::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasOrigin() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasOrigin() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashReport::Reader::getOrigin() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::getOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setOrigin( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::initOrigin(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptOrigin(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownOrigin() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasEngines() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasEngines() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getEngines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setEngines( ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initEngines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptEngines(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashReport::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CrashReport::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReport::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setParts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setParts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReport::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CrashReport::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t CrashReport::Reader::getProgress() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashReport::Builder::getProgress() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setProgress( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t CrashReport::Reader::getAnsweringForMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t CrashReport::Builder::getAnsweringForMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAnsweringForMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashReport::Reader::getProbes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashReport::Builder::getProbes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setProbes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t CrashReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t CrashReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::zinnianotch::wire::VmMessage::Which VmMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2413,6 +2958,60 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool VmMessage::Reader::isCrash() const {
+  return which() == VmMessage::CRASH;
+}
+inline bool VmMessage::Builder::isCrash() {
+  return which() == VmMessage::CRASH;
+}
+inline bool VmMessage::Reader::hasCrash() const {
+  if (which() != VmMessage::CRASH) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmMessage::Builder::hasCrash() {
+  if (which() != VmMessage::CRASH) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinnianotch::wire::CrashReport::Reader VmMessage::Reader::getCrash() const {
+  KJ_IREQUIRE((which() == VmMessage::CRASH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::CrashReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinnianotch::wire::CrashReport::Builder VmMessage::Builder::getCrash() {
+  KJ_IREQUIRE((which() == VmMessage::CRASH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::CrashReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::setCrash( ::zinnianotch::wire::CrashReport::Reader value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::CRASH);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::CrashReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinnianotch::wire::CrashReport::Builder VmMessage::Builder::initCrash() {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::CRASH);
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::CrashReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::adoptCrash(
+    ::capnp::Orphan< ::zinnianotch::wire::CrashReport>&& value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::CRASH);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::CrashReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinnianotch::wire::CrashReport> VmMessage::Builder::disownCrash() {
+  KJ_IREQUIRE((which() == VmMessage::CRASH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::CrashReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -124,6 +124,25 @@
         to.setAfter(message.after);
         to.setRegainedMsAgo(message.regained_ago ? clamp_to_int32(*message.regained_ago) : -1);
     }
+    void operator()(const crash_report& message)
+    {
+        auto to = out_.initCrash();
+        to.setKind(static_cast<std::uint8_t>(message.kind));
+        to.setOrigin(message.origin);
+        to.setSequence(message.sequence);
+        auto engines = to.initEngines(static_cast<capnp::uint>(message.engines.size()));
+        for (capnp::uint i = 0; i < engines.size(); ++i)
+        {
+            engines[i].setId(message.engines[i].id);
+            engines[i].setStartedAt(message.engines[i].started_at);
+        }
+        to.setDomain(message.domain);
+        write_texts(to.initParts(static_cast<capnp::uint>(message.parts.size())), message.parts);
+        to.setProgress(static_cast<std::uint8_t>(message.progress));
+        to.setAnsweringForMs(clamp_to_int32(message.answering_for));
+        to.setProbes(message.probes);
+        to.setAgeMs(clamp_to_int32(message.age));
+    }
     void operator()(const state_notice& message)
     {
         auto list = out_.initNotice().initCopies(state_table_count);
@@ -209,6 +228,23 @@
     return message;
 }
 
+crash_report read_crash(wire::CrashReport::Reader from)
+{
+    crash_report message;
+    message.kind = to_enum(from.getKind(), crash_report_kind::probe);
+    message.origin = to_text(from.getOrigin());
+    message.sequence = from.getSequence();
+    for (const auto engine : from.getEngines())
+        message.engines.push_back({to_text(engine.getId()), engine.getStartedAt()});
+    message.domain = to_text(from.getDomain());
+    message.parts = read_texts(from.getParts());
+    message.progress = to_enum(from.getProgress(), answer_progress::events);
+    message.answering_for = milliseconds(from.getAnsweringForMs());
+    message.probes = from.getProbes();
+    message.age = milliseconds(from.getAgeMs());
+    return message;
+}
+
 vm_message read_message(wire::VmMessage::Reader from)
 {
     switch (from.which())
@@ -234,6 +270,8 @@
         return leaving_message{};
     case wire::VmMessage::NOTICE:
         return read_notice(from.getNotice());
+    case wire::VmMessage::CRASH:
+        return read_crash(from.getCrash());
     case wire::VmMessage::RETURNED:
         return returned_message{from.getReturned()};
     }
--- a/packages/protocol/vm_message.h
+++ b/packages/protocol/vm_message.h
@@ -2,6 +2,7 @@
 // followed by a Cap'n Proto message (stage.capnp) of that many bytes.
 #pragma once
 
+#include "state/crash_suspects.h"
 #include "state/stage_request.h"
 #include "state/state_source.h"
 
@@ -72,7 +73,7 @@
 
 using vm_message = std::variant<ping_message, pong_message, submit_message, done_message,
                                 cancel_message, release_message, state_query, state_answer,
-                                leaving_message, state_notice, returned_message>;
+                                leaving_message, state_notice, returned_message, crash_report>;
 
 // Largest accepted message in bytes, without the length prefix.
 inline constexpr std::size_t frame_limit = 16 * 1024 * 1024;
--- a/packages/protocol/vm_report_codec.cpp
+++ b/packages/protocol/vm_report_codec.cpp
@@ -65,6 +65,7 @@
     object["links_up"] = number(report.links_up);
     object["requests_in_hand"] = number(report.active_requests);
     object["domains_out"] = texts(report.domains_out);
+    object["held_prompt_parts"] = texts(report.held_prompt_parts);
     object["tables"] = write_list(report.tables, encode_table);
     object["endpoints"] = write_list(report.endpoints, encode_endpoint);
     object["refusals"] = write_counts(report.refusals);
--- a/packages/state/verdict.cpp
+++ b/packages/state/verdict.cpp
@@ -52,6 +52,7 @@
     {"store_unavailable", 503},
     {"version_conflict", 409},
     {"invalid_configuration", 422},
+    {"crashing_prompt", 503},
 }};
 
 } // namespace
--- a/packages/state/verdict.h
+++ b/packages/state/verdict.h
@@ -55,11 +55,12 @@
     order_store_unavailable,
     store_unavailable,
     version_conflict,
-    invalid_configuration
+    invalid_configuration,
+    crashing_prompt
 };
 
 inline constexpr std::size_t reason_count =
-    static_cast<std::size_t>(reason::invalid_configuration) + 1;
+    static_cast<std::size_t>(reason::crashing_prompt) + 1;
 
 // Returns the name of the value as it appears in answers, logs and metrics.
 std::string_view to_string(verdict value);
--- a/packages/state/vm_report.h
+++ b/packages/state/vm_report.h
@@ -60,6 +60,7 @@
     std::size_t links_up = 0;                // open connections to other VMs
     std::size_t active_requests = 0;
     std::vector<std::string> domains_out;
+    std::vector<std::string> held_prompt_parts; // engines crash under them
     std::vector<table_report> tables;
     std::vector<endpoint_report> endpoints;
     std::map<std::string, std::uint64_t> refusals; // by reason
--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -251,6 +251,8 @@
         steady_clock::now());
     if (announcement_)
         channel->send(*announcement_);
+    if (on_accepted)
+        on_accepted(channel);
 }
 
 void vm_listener::broadcast(const vm_message& message)
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -114,6 +114,8 @@
     vm_listener& operator=(const vm_listener&) = delete;
 
     std::uint16_t port() const { return acceptor_.port(); }
+    // Called with each connection that is accepted.
+    std::function<void(const std::shared_ptr<vm_channel>&)> on_accepted;
     void broadcast(const vm_message& message);
     // Sends the message on all open connections, and first on each connection accepted from now on.
     void announce(const vm_message& message);
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -122,3 +122,23 @@
     cr_assert(copies[1].digest == 0xFFFFFFFFFFFFFFFFULL);
     cr_assert_not(copies[0].loaded);
 }
+
+// Guards against crash reports that lose a field between VMs.
+Test(vm_message, crash_report_is_unchanged)
+{
+    crash_report report;
+    report.kind = crash_report_kind::sound;
+    report.origin = "vm-1/4f2a";
+    report.sequence = 0xFFFFFFFFFFFFFFFFULL;
+    report.engines = {{"engine-1", 1764867600123}, {"engine-2", -1}};
+    report.domain = "dom-a";
+    report.parts = {"0007", "badc0de1"};
+    report.progress = answer_progress::first_event;
+    report.answering_for = milliseconds(140);
+    report.probes = 3;
+    report.age = milliseconds(59'000);
+    std::string frame = encode_frame(report);
+    vm_message message;
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    cr_assert(std::get<crash_report>(message) == report);
+}
