Reuse no connection after a response that names no request

A caller's order could run twice, or be refused as not run although it had run: refusals may come without an attempt id, so a second, late copy of one passed for the response to the next request on the same connection. That request seemed refused and was sent to another endpoint.

After a response without an id the connection is closed instead of returned to the pool; a late copy then meets no request. Endpoints that echo the id, in refusals too, keep their connections.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -583,6 +583,9 @@
         endpoint_->health.on_full(now);
     else
         endpoint_->health.on_outcome(head.status < 500, now);
+    // A copy of a response without an id could not be told from the response to the next request.
+    if (metadata.attempt.empty())
+        upstream_->disable_reuse();
     discarded_bytes_ = 0;
     if (discards_response())
         return;
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -75,6 +75,8 @@
     // Ends the exchange without a callback. Closes the connection, because the response may still
     // arrive.
     void cancel();
+    // Closes the connection after the current response.
+    void disable_reuse() { server_will_close_ = true; }
     // Stops or resumes reading, so that a slow consumer applies back-pressure to the server.
     void set_paused(bool paused);
 
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -170,6 +170,34 @@
     }
 }
 
+// Guards against an order that runs twice: an endpoint sends a second copy of a refusal, which
+// names no request, on a connection that is in use again.
+Test(edge_faulty_endpoint, second_copy_of_refusal_order_runs_once)
+{
+    faulty_deployment harness;
+    harness.start();
+    for (fake_endpoint* endpoint : {&harness.plain_1, &harness.plain_2})
+    {
+        endpoint->fail_next = 1;
+        endpoint->fail_status = 503;
+        endpoint->fail_as_not_run = true;
+        endpoint->repeats_refusal_late = true;
+    }
+    cr_assert(harness.send_and_wait(0, request_text("POST", "/order/1", "refused", "", "x"))
+                  ->head.status == 503);
+    harness.run_for(milliseconds(300)); // the endpoints count as full for a while
+    for (int i = 0; i < 8; ++i)
+    {
+        const std::string attempt = "o" + std::to_string(i);
+        const auto exchange =
+            harness.send_and_wait(0, request_text("POST", "/order/1", attempt, "", "x"));
+        cr_assert(exchange->done && exchange->body == "answer to " + attempt, "%s: status %d",
+                  attempt.c_str(), exchange->head.status);
+        cr_assert(harness.plain_1.executions[attempt] + harness.plain_2.executions[attempt] == 1,
+                  "%s ran twice", attempt.c_str());
+    }
+}
+
 // Guards against results of one request that another one gets: an endpoint of a stage sends a
 // second copy of its response when the next call is due on the same connection.
 Test(edge_faulty_endpoint, second_copy_of_stage_results_is_rejected)
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -416,8 +416,11 @@
         --fail_next;
         client->send(response_text(fail_status, fail_as_not_run ? "Not-Executed: 1\r\n" : fields,
                                    "failed" + std::string(filler_bytes, 'x')));
+        refused_on_ = client;
         return client->end(true);
     }
+    if (repeats_refusal_late && refused_on_.lock() == client)
+        client->send(response_text(fail_status, "Not-Executed: 1\r\n", "failed"));
     if (inputs_gone_once)
     {
         inputs_gone_once = false;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -153,6 +153,7 @@
     endless_bytes endless = endless_bytes::none;
     int stall_after_event = -1;          // then sends a byte now and then, once
     bool repeats_answer_late = false;    // sends its previous answer again before the next one
+    bool repeats_refusal_late = false;   // before the next answer on the same connection
     bool never_responds = false;         // accepts requests and never responds
     std::string piece_failure_reason;    // if set, every piece fails with it
     bool first_piece_fails = false;      // of each call, with the reason "error"
@@ -186,6 +187,7 @@
     std::string id_;
     zinnianotch::server_listener listener_;
     int next_handle_ = 0;
+    std::weak_ptr<zinnianotch::server_connection> refused_on_;
     std::string last_answer_;
 };
 
