Serve a pipelined request that is unread when a stopping VM ends a response

Callers saw: a response that had promised to keep the connection was complete, and a request sent meanwhile got no answer.

Cause: at the end of the response only bytes that had been read counted as a further request. Those still in the kernel's receive buffer were read and discarded.

Change: unread bytes of the socket count too, in the same function that decides whether an idle connection may be closed.

before: server_listener/close_when_idle_unread_pipelined_request_is_served fails: the second request is not served. now: server_listener/* 4 tests pass.

--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -81,11 +81,7 @@
     close_when_idle_ = true;
     if (!request_received_ && now - idle_since_ < first_request_time)
         return;
-    if (busy_ || has_partial_request() || !unparsed_.empty())
-        return;
-    // Closing a socket with unread bytes resets the connection.
-    boost::system::error_code ignored;
-    if (socket_.available(ignored) == 0)
+    if (!busy_ && !has_partial_request() && !has_unparsed_bytes())
         close();
 }
 
@@ -248,8 +244,8 @@
 {
     response_ended_ = false;
     const time_point now = steady_clock::now();
-    // A request that has been read already is served before the connection closes.
-    if (!keep_alive_ || (close_when_idle_ && unparsed_.empty()))
+    // A request that has arrived already is served before the connection closes.
+    if (!keep_alive_ || (close_when_idle_ && !has_unparsed_bytes()))
         return start_linger(now);
     busy_ = false;
     idle_since_ = now;
@@ -279,6 +275,13 @@
         notify();
 }
 
+// Includes bytes in the socket, because closing it with unread bytes resets the connection.
+bool server_connection::has_unparsed_bytes() const
+{
+    boost::system::error_code ignored;
+    return !unparsed_.empty() || socket_.available(ignored) > 0;
+}
+
 void server_connection::close()
 {
     if (closed_)
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -90,6 +90,7 @@
     void finish_response();
     void start_linger(time_point now);
     void handle_disconnect();
+    bool has_unparsed_bytes() const;
     void close();
 
     boost::asio::ip::tcp::socket socket_;
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -79,3 +79,26 @@
     const std::size_t count = client.read_some(boost::asio::buffer(buffer), error);
     cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 200 "));
 }
+
+// Guards against dropping a pipelined request that has arrived but was not read yet, although the
+// response before it promised to keep the connection.
+Test(server_listener, close_when_idle_unread_pipelined_request_is_served)
+{
+    boost::asio::io_context io{1};
+    std::vector<std::shared_ptr<server_connection>> served;
+    server_listener listener(io, "127.0.0.1", 0,
+                             [&](const std::shared_ptr<server_connection>& client,
+                                 received_request&&) { served.push_back(client); });
+    tcp::socket client(io);
+    client.connect({boost::asio::ip::make_address("127.0.0.1"), listener.port()});
+    boost::asio::write(client, boost::asio::buffer(std::string("GET /1 HTTP/1.1\r\n\r\n")));
+    (void)io.run_for(milliseconds(50));
+    cr_assert(served.size() == 1);
+    listener.close_connections_when_idle(steady_clock::now());
+    boost::asio::write(client, boost::asio::buffer(std::string("GET /2 HTTP/1.1\r\n\r\n")));
+    served[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    served[0]->end(true);
+    io.restart();
+    (void)io.run_for(milliseconds(50));
+    cr_assert(served.size() == 2);
+}
