Estimate the duration of responses from successful ones only

Callers saw: after a run of fast error responses, a stopping VM accepted streams that take longer than its grace period, and broke them off.

Cause: the estimate with which a stopping VM decides whether a request completes was made from all complete responses, error responses included. Those take no longer than it takes to reject a request.

before: edge/planned_stop_fast_errors_before_long_stream_is_refused_at_once fails: the stream is accepted. now: it passes; edge/planned_stop* 17 tests pass.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -106,7 +106,7 @@
     class exchange;
     class registration;
 
-    // Duration of the complete responses of a route.
+    // Duration of the successful responses of a route.
     struct response_estimate
     {
         time_estimate total;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -116,7 +116,7 @@
     return true;
 }
 
-// Duration of recent complete responses of the route; nothing if there was none.
+// Duration of recent successful responses of the route; nothing if there was none.
 template <typename Codec>
 std::optional<milliseconds> edge<Codec>::exchange::expected_time() const
 {
@@ -773,9 +773,12 @@
     }
     client_->end(keep_alive_ && !close_delimited_);
     owner_.counters_.count("answers_total");
-    response_estimate& times = owner_.response_times_[route_->name];
-    times.total.record(elapsed(now));
-    times.after_stages.record(std::chrono::duration_cast<milliseconds>(now - stages_done_at_));
+    if (status_ / 100 == 2)
+    {
+        response_estimate& times = owner_.response_times_[route_->name];
+        times.total.record(elapsed(now));
+        times.after_stages.record(std::chrono::duration_cast<milliseconds>(now - stages_done_at_));
+    }
     close("answered", status_, now);
 }
 
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1242,3 +1242,37 @@
     cr_assert(second->done && second->head.status == 503, "%d", second->head.status);
     cr_assert(harness.count_requests("s2") == 0);
 }
+
+// Guards against a stopping VM that accepts long streams because of the fast error responses before
+// them.
+Test(edge, planned_stop_fast_errors_before_long_stream_is_refused_at_once)
+{
+    small_deployment harness;
+    harness.stop_grace = milliseconds(3000);
+    harness.routes["/once/"]["timeout_ms"] = value::number(20000);
+    harness.start();
+    harness.for_both_engines(
+        [](fake_endpoint& engine)
+        {
+            engine.event_count = 8;
+            engine.event_interval = milliseconds(500);
+        });
+    cr_assert(harness.send_and_wait(0, request_text("POST", "/once/1", "s1", "", "x"))->done);
+    harness.for_both_engines(
+        [](fake_endpoint& engine)
+        {
+            engine.fail_next = 100;
+            engine.fail_status = 404;
+        });
+    for (int i = 0; i < 50; ++i)
+    {
+        const auto rejected = harness.send_and_wait(
+            0, request_text("POST", "/once/1", "e" + std::to_string(i), "", "x"));
+        cr_assert(rejected->done && rejected->head.status == 404);
+    }
+    harness.for_both_engines([](fake_endpoint& engine) { engine.fail_next = 0; });
+    harness.stop_vm(0);
+    const auto next = harness.send_and_wait(0, request_text("POST", "/once/1", "s2", "", "x"));
+    cr_assert(next->done && next->head.status == 503);
+    cr_assert(harness.count_requests("s2") == 0);
+}
