Drop a request whose caller left while it waited for the state after a pause

Callers saw nothing; an endpoint ran a request whose caller had closed the connection before it was sent.

Cause: a request that waits after a pause has no handler for the disconnection yet, and was served although its connection was closed.

before: edge/caller_leaves_while_request_waits_after_pause_is_not_sent fails: the request is sent once. now: it passes, with the other two tests of edge/*pause*.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -237,7 +237,12 @@
     auto requests = std::move(deferred_requests_);
     deferred_requests_.clear();
     for (auto& [client, request] : requests)
-        serve(client, std::move(request));
+    {
+        if (client->is_closed())
+            counters_.count("callers_left_total");
+        else
+            serve(client, std::move(request));
+    }
 }
 
 template <typename Codec>
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1276,3 +1276,21 @@
     cr_assert(next->done && next->head.status == 503);
     cr_assert(harness.count_requests("s2") == 0);
 }
+
+// Guards against sending a request whose caller left while it waited for the state after a pause.
+Test(edge, caller_leaves_while_request_waits_after_pause_is_not_sent)
+{
+    small_deployment harness;
+    harness.start();
+    harness.run_for(milliseconds(100));
+    harness.store.unresponsive = true;
+    const auto paused_until = zinnianotch::steady_clock::now() + milliseconds(1100);
+    while (zinnianotch::steady_clock::now() < paused_until)
+    {
+    }
+    const auto exchange = harness.start_request(0, request_text("POST", "/order/1", "a1", "", "x"));
+    harness.run_for(milliseconds(150));
+    exchange->disconnect();
+    harness.run_for(milliseconds(1000));
+    cr_assert(harness.count_requests("a1") == 0);
+}
