--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -130,7 +130,7 @@
     return true;
 }
 
-// Duration of recent complete responses of the route; nothing if there was none.
+// Duration of recent successful responses of the route; nothing if there was none.
 template <typename Codec>
 std::optional<milliseconds> edge<Codec>::exchange::expected_time() const
 {
@@ -841,9 +841,12 @@
     if (status_ == 200)
         record_sound(now);
     owner_.counters_.count("answers_total");
-    response_estimate& times = owner_.response_times_[route_->name];
-    times.total.record(elapsed(now));
-    times.after_stages.record(std::chrono::duration_cast<milliseconds>(now - stages_done_at_));
+    if (status_ / 100 == 2)
+    {
+        response_estimate& times = owner_.response_times_[route_->name];
+        times.total.record(elapsed(now));
+        times.after_stages.record(std::chrono::duration_cast<milliseconds>(now - stages_done_at_));
+    }
     close("answered", status_, now);
 }
 
