--- a/tests/unit/crash_suspects_history_test.cpp
+++ b/tests/unit/crash_suspects_history_test.cpp
@@ -469,11 +469,18 @@
     }
 
     // A part that sound requests used before is used by crashing ones only from their first on.
-    bool is_crashing_part(const std::string& part) const
+    bool is_crashing_part(const std::string& part) const { return series_of({part}).has_value(); }
+
+    // Index of the series that makes a request with these parts crash engines.
+    std::optional<std::size_t> series_of(const part_list& parts) const
     {
-        return std::any_of(series_.begin(), series_.end(),
-                           [&](const series& each)
-                           { return now_ >= each.begin && each.part == part; });
+        for (std::size_t i = 0; i < series_.size(); ++i)
+        {
+            if (now_ >= series_[i].begin &&
+                std::find(parts.begin(), parts.end(), series_[i].part) != parts.end())
+                return i;
+        }
+        return std::nullopt;
     }
 
     void client_request(std::optional<std::size_t> crashing)
@@ -546,6 +553,8 @@
             requests_.erase(id);
             return;
         }
+        // Also a request that was accepted before the first one of the series.
+        each->crashing = series_of(each->parts);
         const std::size_t target = choose(*each, host);
         each->sent_at = now_;
         ++each->attempt;
