Answer connections that callers opened before a stopping VM closes its listener

Closing the listener reset the connections that the kernel had completed and the server had not accepted yet: their callers had sent a request and got no answer. Found by repeating planned_stop/callers_keep_sending_vm_refuses_new_requests_and_exits.

--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -18,9 +18,12 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <linux/filter.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <deque>
 #include <list>
@@ -449,6 +452,27 @@
     bool closed_ = false;
 };
 
+// Drops the packets that would open new connections. Closing the listener instead would reset the
+// connections that callers have opened and the server has not accepted yet. If it fails, new
+// connections are accepted until the listener closes.
+void drop_connection_requests(tcp::acceptor& acceptor)
+{
+    constexpr std::uint32_t flags_offset = 13; // in the TCP header
+    constexpr std::uint32_t syn = 0x02;
+    constexpr std::uint32_t ack = 0x10;
+    std::array<sock_filter, 5> code{{
+        {BPF_LD | BPF_B | BPF_ABS, 0, 0, flags_offset},
+        {BPF_ALU | BPF_AND | BPF_K, 0, 0, syn | ack},
+        {BPF_JMP | BPF_JEQ | BPF_K, 0, 1, syn},
+        {BPF_RET | BPF_K, 0, 0, 0},
+        {BPF_RET | BPF_K, 0, 0, 0xFFFFFFFF},
+    }};
+    const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+    if (acceptor.is_open())
+        (void)::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                           sizeof program);
+}
+
 // State shared by the server and its sessions. Destroyed after all threads have ended.
 struct server_state
 {
@@ -1250,6 +1274,13 @@
 
 void http_server::impl::stop_accepting()
 {
+    asio::post(acceptor_.get_executor(), [this] { drop_connection_requests(acceptor_); });
+}
+
+void http_server::impl::stop()
+{
+    if (threads_.empty())
+        return;
     asio::post(acceptor_.get_executor(),
                [this]
                {
@@ -1257,13 +1288,6 @@
                    acceptor_.close(ec);
                    accept_timer_.cancel();
                });
-}
-
-void http_server::impl::stop()
-{
-    if (threads_.empty())
-        return;
-    stop_accepting();
     for (const auto& open : state_.connections.close())
         open->post_close();
     state_.connections.wait_empty(stop_timeout);
--- a/packages/transport/http_server.h
+++ b/packages/transport/http_server.h
@@ -98,7 +98,7 @@
     // Idle connections stay open, so that a request already in transit still gets a response.
     void begin_drain();
 
-    // Refuses new connections. Requests on open connections are still served.
+    // Opens no new connections. Requests on open connections are still served.
     void stop_accepting();
 
     // Requests from their first byte until the response is sent and the handler has returned.
