--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -99,6 +99,7 @@
     };
 
     bool admit(time_point now);
+    bool is_generation() const { return service_ != nullptr && service_->generates; }
     std::optional<milliseconds> expected_time() const;
     std::optional<milliseconds> expected_time_after_stages() const;
     bool ends_before_stop(time_point now) const;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -120,7 +120,7 @@
 template <typename Codec>
 bool edge<Codec>::exchange::is_held(time_point now)
 {
-    if (service_ == nullptr || !service_->generates)
+    if (!is_generation())
         return false;
     const auto held = owner_.crash_suspects_.held(call_.prompt_parts, now);
     if (!held || owner_.crash_suspects_.may_probe(call_.prompt_parts, owner_.options_.vm,
@@ -197,7 +197,7 @@
 void edge<Codec>::exchange::start_stages(time_point now)
 {
     stages_.assign(route_->stages.size(), {});
-    if (!stages_.empty() && service_ != nullptr && service_->generates)
+    if (!stages_.empty() && is_generation())
         home_domain_ = owner_.endpoints_.home_domain(service_name_, call_.prompt_prefix, now);
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
@@ -503,7 +503,7 @@
     placement_request request;
     request.service = service_name_;
     std::optional<std::string> suspect;
-    if (service_ != nullptr && service_->generates)
+    if (is_generation())
     {
         // Requests with different suspect parts go to different engines, which tells them apart.
         suspect = owner_.crash_suspects_.suspect(call_.prompt_parts, now);
@@ -554,8 +554,7 @@
     extra.priority = std::min(priority(), least_urgent_priority);
     extra.inputs = inputs_of(last_stages());
     extra.resume_after = events_.last_id() ? events_.last_id() : call_.resume_after;
-    if (service_ != nullptr && service_->generates &&
-        owner_.crash_suspects_.held(call_.prompt_parts, now))
+    if (is_generation() && owner_.crash_suspects_.held(call_.prompt_parts, now))
     {
         owner_.counters_.count("prompt_part_probes_total");
         log_event(log_level::info, "prompt_part_probe",
@@ -890,7 +889,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::record_break(upstream_failure failure, time_point now)
 {
-    if (service_ == nullptr || !service_->generates || call_.prompt_parts.empty() ||
+    if (!is_generation() || call_.prompt_parts.empty() ||
         failure == upstream_failure::invalid_answer)
         return;
     const std::uint64_t events = events_.events() - events_before_attempt_;
@@ -915,7 +914,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::record_sound(time_point now)
 {
-    if (sound_recorded_ || service_ == nullptr || !service_->generates)
+    if (sound_recorded_ || !is_generation())
         return;
     sound_recorded_ = true;
     owner_.crash_suspects_.on_sound(call_.prompt_parts, sent_at_, now);
--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -343,7 +343,7 @@
     return name_of(progress_names, value);
 }
 
-bool parse(std::string_view name, answer_progress& out)
+bool from_string(std::string_view name, answer_progress& out)
 {
     return value_of(progress_names, name, out);
 }
@@ -353,7 +353,7 @@
     return name_of(kind_names, value);
 }
 
-bool parse(std::string_view name, crash_report_kind& out)
+bool from_string(std::string_view name, crash_report_kind& out)
 {
     return value_of(kind_names, name, out);
 }
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -80,7 +80,7 @@
 
 std::string_view to_string(answer_progress value);
 // Sets `out` to the value with this name; returns false if there is none.
-bool parse(std::string_view name, answer_progress& out);
+bool from_string(std::string_view name, answer_progress& out);
 
 // One lifetime of an engine.
 struct engine_lifetime
@@ -103,7 +103,7 @@
 };
 
 std::string_view to_string(crash_report_kind value);
-bool parse(std::string_view name, crash_report_kind& out);
+bool from_string(std::string_view name, crash_report_kind& out);
 
 // News for all VMs.
 struct crash_report
--- a/tests/unit/crash_suspects_test.cpp
+++ b/tests/unit/crash_suspects_test.cpp
@@ -325,14 +325,14 @@
                              answer_progress::first_event, answer_progress::events})
     {
         answer_progress parsed = answer_progress::no_head;
-        cr_assert(parse(to_string(value), parsed) && parsed == value);
+        cr_assert(from_string(to_string(value), parsed) && parsed == value);
     }
     for (const auto value :
          {crash_report_kind::crash, crash_report_kind::sound, crash_report_kind::probe})
     {
         crash_report_kind parsed = crash_report_kind::crash;
-        cr_assert(parse(to_string(value), parsed) && parsed == value);
+        cr_assert(from_string(to_string(value), parsed) && parsed == value);
     }
     answer_progress unchanged = answer_progress::events;
-    cr_assert(!parse("other", unchanged) && unchanged == answer_progress::events);
+    cr_assert(!from_string("other", unchanged) && unchanged == answer_progress::events);
 }
