Confirm the end of a response without a length by a new connection

A response without a length or chunks ends with its connection, and that also ends when the engine crashes. Nobody had said that it was complete, but the edge wrote the last chunk, or a Content-Length, all the same. Streams that end within an event or before the first one have been broken off since; one that ends between two events, a plain body, an error body and a large body were not.

When such a response ends in order, the connection now opens again. A crashed server accepts no connections: the response then counts as broken, is retried or resumed where the route allows it, and else fails. If the server lives, the response is complete and the new connection goes back to the pool.

Ruled out: passing the response on without a length too. The caller would be told no more than the engine said, but a crash of the VM itself within the response would then look complete; chunks show it.

--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -94,6 +94,7 @@
 
 void upstream_connection::connect(const tcp::endpoint& peer)
 {
+    peer_ = peer;
     boost::system::error_code error;
     (void)socket_.open(peer.protocol(), error);
     if (error)
@@ -101,7 +102,7 @@
         // Reported from the event loop, because the caller of start() has not stored this
         // connection yet.
         asio::post(socket_.get_executor(),
-                   [self = shared_from_this()] { self->fail(upstream_failure::connect_failed); });
+                   [self = shared_from_this()] { self->fail(self->connect_failure()); });
         return;
     }
     (void)socket_.set_option(tcp::no_delay(true), error);
@@ -112,7 +113,7 @@
         [self = shared_from_this()](const boost::system::error_code& cancelled)
         {
             if (!cancelled && !self->open_)
-                self->fail(upstream_failure::connect_failed);
+                self->fail(self->connect_failure());
         });
     socket_.async_connect(peer,
                           [self = shared_from_this()](const boost::system::error_code& failed)
@@ -121,12 +122,35 @@
                                   return;
                               self->connect_timer_.cancel();
                               if (failed)
-                                  return self->fail(upstream_failure::connect_failed);
-                              self->open_ = true;
-                              self->write();
+                                  return self->fail(self->connect_failure());
+                              self->on_connected();
                           });
 }
 
+void upstream_connection::on_connected()
+{
+    open_ = true;
+    if (!confirming_end_)
+        return write();
+    confirming_end_ = false;
+    finish();
+}
+
+// The end of its connection does not tell a complete response from the part that a server had sent
+// when it crashed. A crashed server accepts no connections, so the response is complete if a new
+// connection can be opened; the new one is kept for later exchanges.
+void upstream_connection::confirm_end()
+{
+    boost::system::error_code ignored;
+    (void)socket_.close(ignored);
+    open_ = false;
+    server_will_close_ = false;
+    confirming_end_ = true;
+    if (pool_ != nullptr)
+        ++pool_->opened_;
+    connect(peer_);
+}
+
 void upstream_connection::write()
 {
     writing_ = true;
@@ -137,7 +161,7 @@
             self->writing_ = false;
             // A server may send its response and close before it has read the whole request, so
             // a pending read decides the outcome. Without one, the error is reported here.
-            if (error && !self->reading_ && !self->closed_)
+            if (error && !self->reading_ && !self->closed_ && !self->confirming_end_)
                 self->fail(upstream_failure::broken_before_answer);
         });
     read();
@@ -172,10 +196,7 @@
     {
         parser_->feed_eof(parse_error);
         if (!parse_error && parser_->done())
-        {
-            server_will_close_ = true;
-            return finish();
-        }
+            return confirm_end();
     }
     fail(head_delivered_ ? upstream_failure::broken_in_answer
                          : upstream_failure::broken_before_answer);
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -88,6 +88,14 @@
     friend class upstream_pool;
 
     void connect(const boost::asio::ip::tcp::endpoint& peer);
+    void on_connected();
+    upstream_failure connect_failure() const
+    {
+        return confirming_end_ ? upstream_failure::broken_in_answer
+                               : upstream_failure::connect_failed;
+    }
+    // Ends an exchange whose response has no length and whose connection the server has closed.
+    void confirm_end();
     void write();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t count);
@@ -99,6 +107,7 @@
     void read_keep_alive();
 
     boost::asio::ip::tcp::socket socket_;
+    boost::asio::ip::tcp::endpoint peer_;
     boost::asio::steady_timer connect_timer_;
     upstream_pool* pool_;
     upstream_response_handler* handler_ = nullptr;
@@ -109,6 +118,7 @@
     bool response_has_body_ = true;
     bool head_delivered_ = false;
     bool skipping_response_ = false; // the current response belongs to another request
+    bool confirming_end_ = false;
     std::size_t skipped_bytes_ = 0;
     bool open_ = false;
     bool closed_ = false;
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -355,6 +355,12 @@
         on_crash();
 }
 
+void fake_endpoint::crash_for_good()
+{
+    listener_.stop_accepting();
+    crash();
+}
+
 void fake_endpoint::send_endless(const std::shared_ptr<server_connection>& client)
 {
     const auto filler = [this]() -> std::string
@@ -451,9 +457,28 @@
 {
     const std::string fields =
         "Attempt-Id: " + request.attempt + "\r\nResponse-Seal: seal-" + request.attempt + "\r\n";
+    if (end_in_head > 0)
+    {
+        --end_in_head;
+        client->send("HTTP/1.1 200 OK\r\n" + fields.substr(0, fields.size() - 4));
+        return client->end(false);
+    }
+    if (event_count == 0 && crash_in_answer >= 0)
+    {
+        const std::string body = "answer to " + request.attempt + std::string(filler_bytes, '.');
+        client->send("HTTP/1.1 " + std::to_string(fail_next > 0 ? fail_status : 200) + " x\r\n" +
+                     fields + "\r\n" + body.substr(0, std::size_t(crash_in_answer)));
+        return run_after(milliseconds(5), [this] { crash_for_good(); });
+    }
     if (fail_next > 0)
     {
         --fail_next;
+        if (close_delimited && !fail_as_not_run)
+        {
+            client->send("HTTP/1.1 " + std::to_string(fail_status) + " x\r\n" + fields +
+                         "\r\nfailed" + std::string(filler_bytes, 'x'));
+            return client->end(false);
+        }
         client->send(response_text(fail_status, fail_as_not_run ? "Not-Executed: 1\r\n" : fields,
                                    "failed" + std::string(filler_bytes, 'x')));
         refused_on_ = client;
@@ -517,6 +542,8 @@
         client->send(close_delimited ? "" : "0\r\n\r\n");
         return client->end(!close_delimited);
     }
+    if (crash_in_answer >= 0 && next > crash_in_answer)
+        return run_after(milliseconds(5), [this] { crash_for_good(); });
     if (break_after_event >= 0 && next > break_after_event)
     {
         break_after_event = -1;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -154,7 +154,9 @@
     bool extra_bytes = false;        // sends bytes after a complete response
     int end_in_event_after = -1;     // ends the stream in order once, within the next event
     int empty_streams = 0;           // number of streams that end in order before the first event
-    bool close_delimited = false;    // no length; the end of the connection ends the response
+    int crash_in_answer = -1;     // crashes for good once this many events or body bytes are sent
+    int end_in_head = 0;          // number of responses that end in order within their head
+    bool close_delimited = false; // no length; the end of the connection ends the response
     endless_bytes endless = endless_bytes::none;
     int stall_after_event = -1;          // then sends a byte now and then, once
     bool repeats_answer_late = false;    // sends its previous answer again before the next one
@@ -182,6 +184,8 @@
     // a request are closed in order, so that a response without a length looks complete, and later
     // requests meet another endpoint at the address.
     void crash();
+    // As crash(), and no connection is accepted any more.
+    void crash_for_good();
     void restart() { is_crashed_ = false; }
 
 private:
