Check in http_client that the server of a response without a length lives

The product's own interface had the same fault as the serving path: a body without a length that ended because its server had crashed was returned as a complete one. Results of stages and token streams name their own end; the answer of a plain service did not, and was passed on with a length.

At the end of such a body the client now opens a connection; if the server refuses it, the call fails with connection_broken and may_have_run.

body_ends_with_connection_complete_unless_reset took each connection for a request. Its server now skips connections without one; what it checks about the two responses is unchanged.

Before: body_ends_with_server_connection_broken got a reply. A head whose connection ends within it was an error before and is covered now.

--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -1,7 +1,11 @@
 #include "transport/http_client.h"
 
+#include "transport/upstream.h"
+
 #include <cpprest/http_client.h>
 
+#include <boost/asio/connect.hpp>
+
 #include <algorithm>
 #include <condition_variable>
 #include <list>
@@ -238,6 +242,35 @@
     return out;
 }
 
+// True if only the end of its connection ends the response.
+bool is_close_delimited(const web::http::http_response& response)
+{
+    const web::http::http_headers& headers = response.headers();
+    return !headers.has(web::http::header_names::content_length) &&
+           !headers.has(web::http::header_names::transfer_encoding) &&
+           response.status_code() != web::http::status_codes::NoContent &&
+           response.status_code() != web::http::status_codes::NotModified;
+}
+
+// True if the server accepts a connection within the timeout.
+bool accepts_connections(const web::uri& server, milliseconds timeout)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    boost::system::error_code error;
+    tcp::resolver resolver(io);
+    const auto addresses = resolver.resolve(server.host(), std::to_string(server.port()), error);
+    if (error)
+        return false;
+    tcp::socket socket(io);
+    bool connected = false;
+    boost::asio::async_connect(socket, addresses,
+                               [&](const boost::system::error_code& failed, const tcp::endpoint&)
+                               { connected = !failed; });
+    io.run_for(timeout);
+    return connected;
+}
+
 std::string lower_case(std::string text)
 {
     for (char& c : text)
@@ -355,12 +388,20 @@
     }
 
     // The body buffer also ends when the connection breaks; only the library's content_ready()
-    // tells whether the body is complete.
+    // tells whether the body is complete. For a body without a length it can't tell either: the
+    // connection also ends when the server crashes, which then accepts no connections.
     result<bool> confirm_complete(time_point until)
     {
         task_outcome<web::http::http_response> outcome;
         if (auto error = wait(response_.content_ready(), until, outcome))
             return *error;
+        const auto left = std::chrono::duration_cast<milliseconds>(std::min(until, deadline_) -
+                                                                   steady_clock::now());
+        if (is_close_delimited(response_) &&
+            !accepts_connections(library_client_->base_uri(),
+                                 std::min(left, upstream_connect_timeout)))
+            return may_have_run(reason::connection_broken,
+                                "the server went away as it ended a response without a length");
         complete_ = true;
         return false;
     }
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -243,7 +243,9 @@
             for (const bool resets : {false, true})
             {
                 raw_socket peer = listener.accept();
-                peer.read_until("\r\n\r\n");
+                // The client also opens a connection to see whether the server lives.
+                while (peer.valid() && peer.read_until("\r\n\r\n").empty())
+                    peer = listener.accept();
                 peer.send(response);
                 std::this_thread::sleep_for(milliseconds(100));
                 resets ? peer.reset() : peer.close();
@@ -256,6 +258,47 @@
                    reason::connection_broken);
 }
 
+// Guards against part of a response without length that looks whole after its server crashed.
+Test(http_client, body_ends_with_server_connection_broken)
+{
+    raw_listener listener;
+    const std::string url = listener.url();
+    const scripted_endpoint server(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            listener.close();
+            peer.send("HTTP/1.1 200 OK\r\n\r\npart of it");
+            peer.close();
+        });
+    http_client client(url);
+    expect_failure(client.send_once(get("/a"), long_timeout), verdict::may_have_run,
+                   reason::connection_broken);
+}
+
+// Guards against a success without a body that is made of a head whose connection ended within it.
+Test(http_client, head_ends_within_connection_broken)
+{
+    const raw_listener listener;
+    const scripted_endpoint server(
+        [&]
+        {
+            for (const char* part : {"HTTP/1.1 200 OK\r\nContent-Ty", "HTTP/1.1 200 OK\r\n",
+                                     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", "HTTP/1.1 20"})
+            {
+                raw_socket peer = listener.accept();
+                peer.read_until("\r\n\r\n");
+                peer.send(part);
+                peer.close();
+            }
+        });
+    http_client client(listener.url());
+    for (int i = 0; i < 4; ++i)
+        expect_failure(client.send_once(post("/loan", "{}"), long_timeout), verdict::may_have_run,
+                       reason::connection_broken);
+}
+
 // Guards against a non-idempotent request being sent on a reused connection, where cpprestsdk may
 // send it twice, and against the connections of such requests being left open.
 Test(http_client, send_once_repeated_new_connection_each)
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -179,6 +179,9 @@
     std::uint16_t port() const { return port_; }
     std::string url() const { return "http://127.0.0.1:" + std::to_string(port_); }
 
+    // Refuses connections from now on.
+    void close() { socket_.close(); }
+
     // Accepts a connection; the result is not valid() on timeout.
     raw_socket accept(std::chrono::milliseconds timeout = test_timeout) const
     {
