--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -7,6 +7,7 @@
 
 #include "coordination/endpoint_directory.h"
 #include "coordination/serving_call.h"
+#include "coordination/serving_record_order.h"
 #include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
 #include "state/crash_suspects.h"
@@ -59,9 +60,8 @@
 // Interval at which a VM that neither reaches the store nor a VM that does asks its peers for table
 // changes.
 inline constexpr milliseconds peer_query_interval{400};
-// Endpoint entries lapse during a store outage and are registered again within about two seconds of
-// the store's return. An endpoint without an entry is kept for this long after the return.
-inline constexpr milliseconds lapse_grace{2300};
+// Longest time that a VM that has started waits for what other VMs hold.
+inline constexpr milliseconds held_records_timeout{1000};
 // Longest time that requests wait after a pause until the state is confirmed.
 inline constexpr milliseconds confirmation_timeout{500};
 
@@ -114,21 +114,7 @@
         time_estimate after_stages;
     };
 
-    // Last known content of a store table and its recent changes, for VMs that take them from here.
-    struct table_cache
-    {
-        std::map<std::string, state_record> records;
-        std::uint64_t digest = 0;
-        std::uint64_t revision = 0;
-        bool loaded = false;
-        struct change
-        {
-            std::uint64_t revision = 0; // of the page that brought it
-            state_record record;
-        };
-        std::deque<change> changes;     // in order
-        std::uint64_t changes_from = 0; // `changes` holds all changes after this revision
-    };
+    using replica_type = table_replica<serving_record_order<Codec>>;
 
     void on_request(const std::shared_ptr<server_connection>& client, received_request&& request);
     void serve(const std::shared_ptr<server_connection>& client, received_request&& request);
@@ -148,8 +134,12 @@
     void apply_endpoint(const state_record& record, bool is_snapshot, time_point now);
     void refresh_stages();
     const std::vector<stage_shard>& shards_of(const std::string& service) const;
-    void update_table_cache(state_table table, const std::vector<state_record>& records,
-                            bool is_snapshot, std::uint64_t revision);
+    bool apply_update(state_table table, const table_update& update);
+    void apply_effect(state_table table, const table_effect& effect);
+    void expire_held_records(time_point now);
+    // Until another VM has told what the store has lost, a VM that has just started is not ready.
+    void check_held_records_known(time_point now);
+    bool reads_any_table() const;
     void apply_table(state_table table, const std::vector<state_record>& records, bool is_snapshot);
     void on_vm_message(const std::shared_ptr<vm_channel>& from, vm_message&& message);
     void answer_query(const std::shared_ptr<vm_channel>& from, const state_query& query);
@@ -161,7 +151,9 @@
     void choose_relays();
     void update_reading(time_point now);
     void log_state_source(state_table table, time_point now);
-    table_cache& cache_of(state_table table);
+    replica_type& replica(state_table table);
+    held_records held_of(state_table table, time_point now);
+    void on_held_records(const held_records& held);
     table_copy copy_of(state_table table, time_point now);
     table_copies copies(time_point now);
     // True while the table is kept up to date, from the store or by another VM.
@@ -191,10 +183,16 @@
     stage_batcher<Codec> stage_batcher_;
     stage_router<Codec> stage_router_;
     std::unique_ptr<vm_listener> peers_;
-    std::array<table_cache, state_table_count> table_caches_;
+    // By state_table.
+    std::array<replica_type, state_table_count> replicas_{replica_type({state_table::desired}),
+                                                          replica_type({state_table::endpoints}),
+                                                          replica_type({state_table::vms})};
     pause_detector pauses_;
     std::optional<time_point> paused_until_; // end of a pause after which the state is unconfirmed
     std::vector<std::pair<std::shared_ptr<server_connection>, received_request>> deferred_requests_;
+    bool knows_held_records_ = false;
+    std::optional<time_point> held_records_deadline_;
+    std::size_t held_queries_ = 0; // without an answer
     time_point peers_queried_at_{};
     state_sources sources_;
     std::vector<table_reading> reading_; // by state_table
--- a/packages/coordination/edge_report_impl.h
+++ b/packages/coordination/edge_report_impl.h
@@ -60,7 +60,7 @@
     for (const state_table table : all_state_tables)
     {
         const state_follower<Codec>& followed = follower(table);
-        table_report entry{std::string(to_string(table)), copy_of(table, now).revision,
+        table_report entry{std::string(to_string(table)), copy_of(table, now).position.revision,
                            is_current(table, now),
                            edge_detail::since(followed.last_response_at(), now), "store"};
         if (const auto origin = sources_.newest(table, now); origin && !followed.is_reading())
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -139,6 +139,9 @@
     {
         Codec::encode_follow(text, state_table::desired, std::uint64_t(), milliseconds())
         } -> std::same_as<std::string>;
+    {
+        Codec::decode_era(head)
+        } -> std::same_as<std::uint64_t>;
     {
         Codec::decode_page(text)
         } -> std::same_as<std::optional<record_page>>;
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -107,7 +107,8 @@
     const std::string& batcher_of(const std::string& queue);
     void ensure_link(const std::string& name, const std::string& address);
     void update_links();
-    void on_link_message(const std::string& vm, vm_message&& message);
+    // By value: a change of the VM list may destroy the link that the message comes from.
+    void on_link_message(std::string vm, vm_message&& message);
     void on_link_changed(const std::string& vm, bool up);
     void on_done(const std::string& vm, const done_message& message);
     // Sends a job to the VM that batches its queue now, and keeps the id that `submit` returned.
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -182,7 +182,7 @@
 }
 
 template <typename Codec>
-void stage_router<Codec>::on_link_message(const std::string& vm, vm_message&& message)
+void stage_router<Codec>::on_link_message(std::string vm, vm_message&& message)
 {
     if (const auto* done = std::get_if<done_message>(&message))
         return on_done(vm, *done);
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -1,9 +1,10 @@
 // Follows one table of the store: lists all records, then polls for changes, and lists again when
-// the store no longer keeps the changes since the last revision. Logs when the store is lost and
-// regained.
+// the store no longer keeps the changes since the last revision or has come back from an older
+// copy. Logs when the store is lost and regained.
 #pragma once
 
 #include "coordination/serving_call.h"
+#include "state/table_replica.h"
 #include "transport/upstream.h"
 
 #include <functional>
@@ -53,12 +54,11 @@
 class state_follower : private upstream_response_handler
 {
 public:
-    // Called with changed records, of which there may be none, or, if `is_snapshot`, with all
-    // records of the table; records that are not in a snapshot have been deleted.
-    using records_handler = std::function<void(const std::vector<state_record>&, bool is_snapshot)>;
+    // Called with the changes that a call has returned, of which there may be none.
+    using update_handler = std::function<void(const table_update&)>;
 
     state_follower(boost::asio::io_context& io, std::string address, state_table table,
-                   const follow_timing& timing, records_handler on_records);
+                   const follow_timing& timing, update_handler on_update);
     ~state_follower() override;
 
     state_follower(const state_follower&) = delete;
@@ -68,9 +68,9 @@
     // Sends the next call when it is due and cancels a call that has timed out.
     void tick(time_point now);
 
-    // Stops reading after the call in progress, or continues from the given revision.
+    // Stops reading after the call in progress, or continues from the given position.
     void pause() { reading_ = false; }
-    void resume(std::uint64_t revision, time_point now);
+    void resume(const store_position& position, time_point now);
     // Makes a new call instead of the one in progress, whose response may have been sent before a
     // pause of this process. Not in sync until it succeeds.
     void call_again(time_point now);
@@ -83,14 +83,13 @@
     // As above, and the call in progress has not timed out: false when the process was paused for
     // longer than that.
     bool in_sync_at(time_point now) const;
-    std::uint64_t revision() const { return revision_; }
     // When the store answered again after it had been lost; the epoch if it was never lost.
     time_point regained_at() const { return regained_at_; }
     // When the store last answered a call; the epoch if it never did.
     time_point last_response_at() const { return last_response_at_; }
-    // Skips the listing: the table was obtained elsewhere at this revision, and changes are
+    // Skips the listing: the table was obtained elsewhere at this position, and changes are
     // followed from there.
-    void follow_from(std::uint64_t revision);
+    void follow_from(const store_position& position);
 
 private:
     bool matches_request(const message_head&) override { return true; }
@@ -101,14 +100,15 @@
     void on_failure(upstream_failure failure) override;
 
     void send(time_point now);
-    void on_page(const record_page& page, time_point now);
+    void on_page(record_page page, time_point now);
+    void list_again(time_point now);
     void on_call_failed(const std::string& why, time_point now);
 
     upstream_pool pool_;
     std::string address_;
     state_table table_;
     follow_timing timing_;
-    records_handler on_records_;
+    update_handler on_update_;
     std::shared_ptr<upstream_connection> connection_;
     bool in_flight_ = false;
     bool started_ = false;
@@ -117,8 +117,11 @@
     bool loaded_ = false;
     bool listing_ = true;
     std::vector<state_record> listed_records_;
-    std::uint64_t list_revision_ = 0;
-    std::uint64_t revision_ = 0;
+    store_position list_position_;
+    store_position position_;
+    store_position call_position_; // of the call in progress
+    bool call_lists_ = true;       // as well
+    std::uint64_t response_era_ = 0;
     std::uint32_t failures_ = 0;
     retry_delays retry_delays_;
     time_point next_call_at_{};
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -5,6 +5,7 @@
 #include "transport/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnianotch
 {
@@ -12,9 +13,9 @@
 template <typename Codec>
 state_follower<Codec>::state_follower(boost::asio::io_context& io, std::string address,
                                       state_table table, const follow_timing& timing,
-                                      records_handler on_records)
+                                      update_handler on_update)
     : pool_(io, *parse_socket_address(address)), address_(std::move(address)), table_(table),
-      timing_(timing), on_records_(std::move(on_records))
+      timing_(timing), on_update_(std::move(on_update))
 {
 }
 
@@ -48,12 +49,12 @@
 }
 
 template <typename Codec>
-void state_follower<Codec>::resume(std::uint64_t revision, time_point now)
+void state_follower<Codec>::resume(const store_position& position, time_point now)
 {
     reading_ = true;
     responded_ = false;
-    if (revision > 0)
-        follow_from(revision);
+    if (position != store_position())
+        follow_from(position);
     if (!in_flight_)
         next_call_at_ = now;
 }
@@ -78,9 +79,9 @@
 }
 
 template <typename Codec>
-void state_follower<Codec>::follow_from(std::uint64_t revision)
+void state_follower<Codec>::follow_from(const store_position& position)
 {
-    revision_ = std::max(revision_, revision);
+    position_ = std::max(position_, position);
     listing_ = false;
     loaded_ = true;
 }
@@ -92,6 +93,8 @@
         return;
     in_flight_ = true;
     body_.clear();
+    call_position_ = position_;
+    call_lists_ = listing_;
     std::string request;
     if (listing_)
     {
@@ -105,7 +108,7 @@
         // After a failure or a pause the first poll asks for the shortest wait, so that a store
         // that can be reached is detected at once.
         const milliseconds wait = in_sync() ? timing_.long_poll_wait : milliseconds(1);
-        request = Codec::encode_follow(address_, table_, revision_, wait);
+        request = Codec::encode_follow(address_, table_, position_.revision, wait);
         call_deadline_ = now + wait + follow_timeout_slack;
     }
     connection_ = pool_.start(std::move(request), *this, default_idle_timeout, now);
@@ -115,6 +118,7 @@
 void state_follower<Codec>::on_head(message_head& head, body_framing, std::optional<std::uint64_t>)
 {
     status_ = head.status;
+    response_era_ = Codec::decode_era(head);
 }
 
 template <typename Codec>
@@ -137,16 +141,17 @@
     in_flight_ = false;
     if (status_ == history_gone)
     {
-        log_event(
-            log_level::warning, "store_history_gone",
-            {{"table", std::string(to_string(table_))}, {"revision", std::to_string(revision_)}});
-        listing_ = true;
-        listed_records_.clear();
-        return send(now);
+        log_event(log_level::warning, "store_history_gone",
+                  {{"table", std::string(to_string(table_))},
+                   {"revision", std::to_string(position_.revision)},
+                   {"era", std::to_string(response_era_)}});
+        return list_again(now);
     }
-    const auto page = status_ == 200 ? Codec::decode_page(body_) : std::nullopt;
+    auto page = status_ == 200 ? Codec::decode_page(body_) : std::nullopt;
     if (!page)
         return on_call_failed("status " + std::to_string(status_), now);
+    if (response_era_ < position_.era)
+        return on_call_failed("response of era " + std::to_string(response_era_), now);
     last_response_at_ = now;
     if (failures_ > 0 && loaded_)
         regained_at_ = now;
@@ -154,20 +159,37 @@
         log_event(log_level::info, "store_regained",
                   {{"table", std::string(to_string(table_))},
                    {"failures", std::to_string(failures_)},
-                   {"revision", std::to_string(page->revision)}});
+                   {"revision", std::to_string(page->revision)},
+                   {"era", std::to_string(response_era_)}});
     failures_ = 0;
     responded_ = true;
-    on_page(*page, now);
+    on_page(std::move(*page), now);
+}
+
+template <typename Codec>
+void state_follower<Codec>::list_again(time_point now)
+{
+    listing_ = true;
+    listed_records_.clear();
+    send(now);
 }
 
 template <typename Codec>
-void state_follower<Codec>::on_page(const record_page& page, time_point now)
+void state_follower<Codec>::on_page(record_page page, time_point now)
 {
+    const store_position position{response_era_, page.revision};
+    // The table was obtained elsewhere meanwhile; a part of a list says nothing about deletions.
+    if (call_lists_ && !listing_)
+        return send(now);
     if (!listing_)
     {
-        revision_ = std::max(revision_, page.revision);
-        on_records_(page.records, false);
-        if (page.records.empty())
+        // In a new era the revision of the call belongs to other changes.
+        if (position.era != call_position_.era)
+            return list_again(now);
+        position_ = std::max(position_, position);
+        const bool is_empty = page.records.empty();
+        on_update_({position, std::move(page.records), false, call_position_});
+        if (is_empty)
             return send(now);
         next_call_at_ = now + timing_.poll_pause;
         return;
@@ -175,16 +197,16 @@
     // Following starts from the revision of the first page, so that changes made between two pages
     // are read again.
     if (listed_records_.empty())
-        list_revision_ = page.revision;
+        list_position_ = position;
+    else if (position.era != list_position_.era)
+        return list_again(now);
     listed_records_.insert(listed_records_.end(), page.records.begin(), page.records.end());
     if (page.has_more && !page.records.empty())
         return send(now);
     listing_ = false;
     loaded_ = true;
-    revision_ = list_revision_;
-    const std::vector<state_record> records = std::move(listed_records_);
-    listed_records_.clear();
-    on_records_(records, true);
+    position_ = list_position_;
+    on_update_({list_position_, std::exchange(listed_records_, {}), true, {}});
     next_call_at_ = now + timing_.poll_pause;
 }
 
@@ -202,7 +224,7 @@
         log_event(log_level::warning, "store_lost",
                   {{"table", std::string(to_string(table_))},
                    {"why", why},
-                   {"revision", std::to_string(revision_)}});
+                   {"revision", std::to_string(position_.revision)}});
     listed_records_.clear();
     const milliseconds delay = retry_delays_.first * (1U << std::min(failures_, 5U));
     next_call_at_ = now + std::min(delay, retry_delays_.max);
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -43,6 +43,8 @@
 struct StateQuery {
   table @0 :UInt8;            # state_table
   revision @1 :UInt64;        # known to the querying VM; an answer without records means nothing newer
+  era @2 :UInt64;             # of the store, to which the revision belongs
+  held @3 :Bool;              # asks for HeldRecords instead
 }
 
 struct StateAnswer {
@@ -53,6 +55,8 @@
   isSnapshot @4 :Bool;        # all records of the table, rather than the changes after `after`
   after @5 :UInt64;           # revision in the query
   regainedMsAgo @6 :Int32;    # since the store could be read again; negative if it was never lost
+  era @7 :UInt64;             # of `revision`
+  afterEra @8 :UInt64;        # of `after`
 }
 
 struct TableCopy {
@@ -60,6 +64,20 @@
   inSync @1 :Bool;
   revision @2 :UInt64;
   digest @3 :UInt64;
+  era @4 :UInt64;
+  heldDigest @5 :UInt64;
+}
+
+struct HeldRecord {
+  record @0 :Record;
+  restoredRevision @1 :UInt64;
+  msLeft @2 :Int32;           # negative: until the store's row changes
+}
+
+struct HeldRecords {
+  table @0 :UInt8;
+  era @1 :UInt64;
+  records @2 :List(HeldRecord);
 }
 
 struct StateNotice {
@@ -98,5 +116,6 @@
     notice @9 :StateNotice;   # from a VM that reads the store
     returned @10 :UInt64;     # a submitted job that the sender has not begun and gives up: submit it elsewhere
     crash @11 :CrashReport;   # passed on to all VMs
+    held @12 :HeldRecords;    # records that the store has lost
   }
 }
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -23,6 +23,8 @@
 CAPNP_DECLARE_SCHEMA(935cd4b233367a7d);
 CAPNP_DECLARE_SCHEMA(e0a71931788e814c);
 CAPNP_DECLARE_SCHEMA(ff52641a6bdc666d);
+CAPNP_DECLARE_SCHEMA(9a0216942748b26f);
+CAPNP_DECLARE_SCHEMA(f1488577ec86e71f);
 CAPNP_DECLARE_SCHEMA(dccd13c7e0d2a6cf);
 CAPNP_DECLARE_SCHEMA(dc11f6ecd491614d);
 CAPNP_DECLARE_SCHEMA(dfb1e6f4ca7a0fdf);
@@ -102,7 +104,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(935cd4b233367a7d, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(935cd4b233367a7d, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -117,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e0a71931788e814c, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e0a71931788e814c, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -132,7 +134,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff52641a6bdc666d, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ff52641a6bdc666d, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HeldRecord {
+  HeldRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9a0216942748b26f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HeldRecords {
+  HeldRecords() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f1488577ec86e71f, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -203,6 +235,7 @@
     NOTICE,
     RETURNED,
     CRASH,
+    HELD,
   };
 
   struct _capnpPrivate {
@@ -688,6 +721,10 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline bool getHeld() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -722,6 +759,12 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline bool getHeld();
+  inline void setHeld(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -780,6 +823,10 @@
 
   inline  ::int32_t getRegainedMsAgo() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getAfterEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -833,6 +880,12 @@
   inline  ::int32_t getRegainedMsAgo();
   inline void setRegainedMsAgo( ::int32_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getAfterEra();
+  inline void setAfterEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -884,6 +937,10 @@
 
   inline  ::uint64_t getDigest() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getHeldDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -924,6 +981,12 @@
   inline  ::uint64_t getDigest();
   inline void setDigest( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getHeldDigest();
+  inline void setHeldDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -950,6 +1013,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class HeldRecord::Reader {
+public:
+  typedef HeldRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecord() const;
+  inline  ::zinnianotch::wire::Record::Reader getRecord() const;
+
+  inline  ::uint64_t getRestoredRevision() const;
+
+  inline  ::int32_t getMsLeft() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeldRecord::Builder {
+public:
+  typedef HeldRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRecord();
+  inline  ::zinnianotch::wire::Record::Builder getRecord();
+  inline void setRecord( ::zinnianotch::wire::Record::Reader value);
+  inline  ::zinnianotch::wire::Record::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::zinnianotch::wire::Record>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::Record> disownRecord();
+
+  inline  ::uint64_t getRestoredRevision();
+  inline void setRestoredRevision( ::uint64_t value);
+
+  inline  ::int32_t getMsLeft();
+  inline void setMsLeft( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeldRecord::Pipeline {
+public:
+  typedef HeldRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::zinnianotch::wire::Record::Pipeline getRecord();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HeldRecords::Reader {
+public:
+  typedef HeldRecords Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getTable() const;
+
+  inline  ::uint64_t getEra() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeldRecords::Builder {
+public:
+  typedef HeldRecords Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getTable();
+  inline void setTable( ::uint8_t value);
+
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeldRecords::Pipeline {
+public:
+  typedef HeldRecords Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StateNotice::Reader {
 public:
   typedef StateNotice Reads;
@@ -1320,6 +1566,10 @@
   inline bool hasCrash() const;
   inline  ::zinnianotch::wire::CrashReport::Reader getCrash() const;
 
+  inline bool isHeld() const;
+  inline bool hasHeld() const;
+  inline  ::zinnianotch::wire::HeldRecords::Reader getHeld() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1425,6 +1675,14 @@
   inline void adoptCrash(::capnp::Orphan< ::zinnianotch::wire::CrashReport>&& value);
   inline ::capnp::Orphan< ::zinnianotch::wire::CrashReport> disownCrash();
 
+  inline bool isHeld();
+  inline bool hasHeld();
+  inline  ::zinnianotch::wire::HeldRecords::Builder getHeld();
+  inline void setHeld( ::zinnianotch::wire::HeldRecords::Reader value);
+  inline  ::zinnianotch::wire::HeldRecords::Builder initHeld();
+  inline void adoptHeld(::capnp::Orphan< ::zinnianotch::wire::HeldRecords>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::HeldRecords> disownHeld();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2015,6 +2273,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StateQuery::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateQuery::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StateQuery::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StateQuery::Reader::getHeld() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool StateQuery::Builder::getHeld() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void StateQuery::Builder::setHeld(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t StateAnswer::Reader::getTable() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2133,6 +2419,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StateAnswer::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateAnswer::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StateAnswer::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StateAnswer::Reader::getAfterEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateAnswer::Builder::getAfterEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StateAnswer::Builder::setAfterEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TableCopy::Reader::getLoaded() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2189,6 +2503,163 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t TableCopy::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableCopy::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TableCopy::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TableCopy::Reader::getHeldDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TableCopy::Builder::getHeldDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TableCopy::Builder::setHeldDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeldRecord::Reader::hasRecord() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldRecord::Builder::hasRecord() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinnianotch::wire::Record::Reader HeldRecord::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinnianotch::wire::Record::Builder HeldRecord::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::zinnianotch::wire::Record::Pipeline HeldRecord::Pipeline::getRecord() {
+  return  ::zinnianotch::wire::Record::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void HeldRecord::Builder::setRecord( ::zinnianotch::wire::Record::Reader value) {
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinnianotch::wire::Record::Builder HeldRecord::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeldRecord::Builder::adoptRecord(
+    ::capnp::Orphan< ::zinnianotch::wire::Record>&& value) {
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinnianotch::wire::Record> HeldRecord::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HeldRecord::Reader::getRestoredRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldRecord::Builder::getRestoredRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldRecord::Builder::setRestoredRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t HeldRecord::Reader::getMsLeft() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t HeldRecord::Builder::getMsLeft() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HeldRecord::Builder::setMsLeft( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t HeldRecords::Reader::getTable() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t HeldRecords::Builder::getTable() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldRecords::Builder::setTable( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HeldRecords::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldRecords::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HeldRecords::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeldRecords::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldRecords::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader HeldRecords::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder HeldRecords::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeldRecords::Builder::setRecords( ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder HeldRecords::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeldRecords::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>> HeldRecords::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool StateNotice::Reader::hasCopies() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3012,6 +3483,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool VmMessage::Reader::isHeld() const {
+  return which() == VmMessage::HELD;
+}
+inline bool VmMessage::Builder::isHeld() {
+  return which() == VmMessage::HELD;
+}
+inline bool VmMessage::Reader::hasHeld() const {
+  if (which() != VmMessage::HELD) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmMessage::Builder::hasHeld() {
+  if (which() != VmMessage::HELD) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinnianotch::wire::HeldRecords::Reader VmMessage::Reader::getHeld() const {
+  KJ_IREQUIRE((which() == VmMessage::HELD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::HeldRecords>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinnianotch::wire::HeldRecords::Builder VmMessage::Builder::getHeld() {
+  KJ_IREQUIRE((which() == VmMessage::HELD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::HeldRecords>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::setHeld( ::zinnianotch::wire::HeldRecords::Reader value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::HELD);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::HeldRecords>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinnianotch::wire::HeldRecords::Builder VmMessage::Builder::initHeld() {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::HELD);
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::HeldRecords>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::adoptHeld(
+    ::capnp::Orphan< ::zinnianotch::wire::HeldRecords>&& value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::HELD);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::HeldRecords>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinnianotch::wire::HeldRecords> VmMessage::Builder::disownHeld() {
+  KJ_IREQUIRE((which() == VmMessage::HELD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::HeldRecords>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -102,27 +102,40 @@
     {
         auto to = out_.initQuery();
         to.setTable(static_cast<std::uint8_t>(message.table));
-        to.setRevision(message.revision);
+        to.setRevision(message.position.revision);
+        to.setEra(message.position.era);
+        to.setHeld(message.held);
     }
     void operator()(const state_answer& message)
     {
         auto to = out_.initAnswer();
         to.setTable(static_cast<std::uint8_t>(message.table));
-        to.setRevision(message.revision);
+        const table_update& update = message.update;
+        to.setRevision(update.position.revision);
+        to.setEra(update.position.era);
         to.setLoaded(message.loaded);
+        auto list = to.initRecords(static_cast<capnp::uint>(update.records.size()));
+        for (capnp::uint i = 0; i < list.size(); ++i)
+            write_record(list[i], update.records[i]);
+        to.setIsSnapshot(update.is_snapshot);
+        to.setAfter(update.after.revision);
+        to.setAfterEra(update.after.era);
+        to.setRegainedMsAgo(message.regained_ago ? clamp_to_int32(*message.regained_ago) : -1);
+    }
+    void operator()(const held_records& message)
+    {
+        auto to = out_.initHeld();
+        to.setTable(static_cast<std::uint8_t>(message.table));
+        to.setEra(message.era);
         auto list = to.initRecords(static_cast<capnp::uint>(message.records.size()));
         for (capnp::uint i = 0; i < list.size(); ++i)
         {
-            const state_record& record = message.records[i];
-            list[i].setName(record.name);
-            list[i].setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value.data()),
-                                          record.value.size()));
-            list[i].setRevision(record.revision);
-            list[i].setDeleted(record.deleted);
+            const held_record& held = message.records[i];
+            write_record(list[i].initRecord(), held.record);
+            list[i].setRestoredRevision(held.restored_revision);
+            list[i].setMsLeft(
+                held.time_left == held_until_changed ? -1 : clamp_to_int32(held.time_left));
         }
-        to.setIsSnapshot(message.is_snapshot);
-        to.setAfter(message.after);
-        to.setRegainedMsAgo(message.regained_ago ? clamp_to_int32(*message.regained_ago) : -1);
     }
     void operator()(const crash_report& message)
     {
@@ -151,12 +164,23 @@
             const table_copy& copy = message.copies[i];
             list[i].setLoaded(copy.loaded);
             list[i].setInSync(copy.in_sync);
-            list[i].setRevision(copy.revision);
+            list[i].setRevision(copy.position.revision);
+            list[i].setEra(copy.position.era);
             list[i].setDigest(copy.digest);
+            list[i].setHeldDigest(copy.held_digest);
         }
     }
 
 private:
+    static void write_record(wire::Record::Builder to, const state_record& record)
+    {
+        to.setName(record.name);
+        to.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(record.value.data()),
+                                 record.value.size()));
+        to.setRevision(record.revision);
+        to.setDeleted(record.deleted);
+    }
+
     wire::VmMessage::Builder out_;
 };
 
@@ -191,27 +215,49 @@
     return message;
 }
 
+state_record read_record(wire::Record::Reader from)
+{
+    const auto value = from.getValue();
+    return {to_text(from.getName()),
+            {reinterpret_cast<const char*>(value.begin()), value.size()},
+            from.getRevision(),
+            from.getDeleted()};
+}
+
+state_query read_query(wire::StateQuery::Reader from)
+{
+    return {to_enum(from.getTable(), state_table::vms),
+            {from.getEra(), from.getRevision()},
+            from.getHeld()};
+}
+
 state_answer read_answer(wire::StateAnswer::Reader from)
 {
     state_answer message;
     message.table = to_enum(from.getTable(), state_table::vms);
-    message.revision = from.getRevision();
     message.loaded = from.getLoaded();
+    message.update.position = {from.getEra(), from.getRevision()};
     for (const auto record : from.getRecords())
-    {
-        const auto value = record.getValue();
-        message.records.push_back({to_text(record.getName()),
-                                   {reinterpret_cast<const char*>(value.begin()), value.size()},
-                                   record.getRevision(),
-                                   record.getDeleted()});
-    }
-    message.is_snapshot = from.getIsSnapshot();
-    message.after = from.getAfter();
+        message.update.records.push_back(read_record(record));
+    message.update.is_snapshot = from.getIsSnapshot();
+    message.update.after = {from.getAfterEra(), from.getAfter()};
     if (from.getRegainedMsAgo() >= 0)
         message.regained_ago = milliseconds(from.getRegainedMsAgo());
     return message;
 }
 
+held_records read_held(wire::HeldRecords::Reader from)
+{
+    held_records message;
+    message.table = to_enum(from.getTable(), state_table::vms);
+    message.era = from.getEra();
+    for (const auto held : from.getRecords())
+        message.records.push_back(
+            {read_record(held.getRecord()), held.getRestoredRevision(),
+             held.getMsLeft() < 0 ? held_until_changed : milliseconds(held.getMsLeft())});
+    return message;
+}
+
 state_notice read_notice(wire::StateNotice::Reader from)
 {
     const auto list = from.getCopies();
@@ -222,8 +268,9 @@
         table_copy& copy = message.copies[i];
         copy.loaded = list[i].getLoaded();
         copy.in_sync = list[i].getInSync();
-        copy.revision = list[i].getRevision();
+        copy.position = {list[i].getEra(), list[i].getRevision()};
         copy.digest = list[i].getDigest();
+        copy.held_digest = list[i].getHeldDigest();
     }
     return message;
 }
@@ -262,8 +309,7 @@
     case wire::VmMessage::RELEASE:
         return release_message{read_texts(from.getRelease().getHandles())};
     case wire::VmMessage::QUERY:
-        return state_query{to_enum(from.getQuery().getTable(), state_table::vms),
-                           from.getQuery().getRevision()};
+        return read_query(from.getQuery());
     case wire::VmMessage::ANSWER:
         return read_answer(from.getAnswer());
     case wire::VmMessage::LEAVING:
@@ -272,6 +318,8 @@
         return read_notice(from.getNotice());
     case wire::VmMessage::CRASH:
         return read_crash(from.getCrash());
+    case wire::VmMessage::HELD:
+        return read_held(from.getHeld());
     case wire::VmMessage::RETURNED:
         return returned_message{from.getReturned()};
     }
--- a/packages/protocol/vm_message.h
+++ b/packages/protocol/vm_message.h
@@ -5,6 +5,7 @@
 #include "state/crash_suspects.h"
 #include "state/stage_request.h"
 #include "state/state_source.h"
+#include "state/table_replica.h"
 
 #include <cstdint>
 #include <optional>
@@ -43,17 +44,14 @@
 struct state_query
 {
     state_table table = state_table::desired;
-    std::uint64_t revision = 0;
+    store_position position;
+    bool held = false; // asks for held_records instead
 };
 struct state_answer
 {
     state_table table = state_table::desired;
-    std::uint64_t revision = 0; // revision of the answering VM's copy
-    bool loaded = false;        // false if the answering VM has no copy yet
-    // All records of the table, or its changes after the revision `after` of the query.
-    std::vector<state_record> records;
-    bool is_snapshot = false;
-    std::uint64_t after = 0;
+    bool loaded = false; // false if the answering VM has no copy yet
+    table_update update; // of the answering VM's copy since the position of the query
     // Time since the store could be read again after an outage; nothing if there was none.
     std::optional<milliseconds> regained_ago;
 };
@@ -62,6 +60,13 @@
 {
     table_copies copies;
 };
+// Records that the sender holds because the store has lost them; see table_replica.
+struct held_records
+{
+    state_table table = state_table::desired;
+    std::uint64_t era = 0;
+    std::vector<held_record> records;
+};
 struct leaving_message
 {
 };
@@ -71,9 +76,10 @@
     std::uint64_t job = 0;
 };
 
-using vm_message = std::variant<ping_message, pong_message, submit_message, done_message,
-                                cancel_message, release_message, state_query, state_answer,
-                                leaving_message, state_notice, returned_message, crash_report>;
+using vm_message =
+    std::variant<ping_message, pong_message, submit_message, done_message, cancel_message,
+                 release_message, state_query, state_answer, leaving_message, state_notice,
+                 returned_message, crash_report, held_records>;
 
 // Largest accepted message in bytes, without the length prefix.
 inline constexpr std::size_t frame_limit = 16 * 1024 * 1024;
--- a/packages/state/stage_request.h
+++ b/packages/state/stage_request.h
@@ -71,6 +71,8 @@
     std::string value;
     std::uint64_t revision = 0;
     bool deleted = false;
+
+    bool operator==(const state_record&) const = default;
 };
 
 // Tables of the store that the system reads or writes.
--- a/packages/state/state_source.cpp
+++ b/packages/state/state_source.cpp
@@ -3,6 +3,7 @@
 #include "state/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinnianotch
 {
@@ -46,10 +47,14 @@
     return copy.loaded && copy.in_sync && now - from.received_at <= notice_max_age;
 }
 
-bool state_sources::is_covered(state_table table, time_point now) const
+bool state_sources::is_covered(state_table table, std::uint64_t era, time_point now) const
 {
     return std::any_of(sources_.begin(), sources_.end(),
-                       [&](const auto& entry) { return covers(entry.second, table, now); });
+                       [&](const auto& entry)
+                       {
+                           return covers(entry.second, table, now) &&
+                                  entry.second.copies[index_of(table)].position.era >= era;
+                       });
 }
 
 std::optional<std::string> state_sources::next_query(state_table table, const table_copy& own,
@@ -65,8 +70,11 @@
         // A VM that lost the store may still know more than this one.
         if (!copy.loaded || now - from.received_at > notice_max_age)
             continue;
-        if (own.loaded && (copy.revision <= own.revision || copy.digest == own.digest ||
-                           copy.digest == queried_digest))
+        // In a new era even equal content is taken over, together with its position.
+        const bool is_new_era = copy.position.era > own.position.era;
+        if (own.loaded && !is_new_era &&
+            (copy.position <= own.position || copy.digest == own.digest ||
+             copy.digest == queried_digest))
             continue;
         queried_digest = copy.digest;
         queried_at = now;
@@ -75,22 +83,39 @@
     return std::nullopt;
 }
 
+std::optional<state_sources::held_difference>
+state_sources::next_held_difference(state_table table, const table_copy& own)
+{
+    for (auto& [vm, from] : sources_)
+    {
+        const table_copy& copy = from.copies[index_of(table)];
+        if (!own.loaded || !copy.loaded || copy.position.era != own.position.era ||
+            copy.held_digest == own.held_digest)
+            continue;
+        const std::uint64_t both = avalanche(copy.held_digest) ^ own.held_digest;
+        if (std::exchange(from.compared_held[index_of(table)], both) != both)
+            return held_difference{vm, copy.held_digest != 0};
+    }
+    return std::nullopt;
+}
+
 void state_sources::on_answer(state_table table)
 {
     queried_at_[index_of(table)] = {};
 }
 
-std::uint64_t state_sources::confirmed_revision(state_table table, const table_copy& own,
-                                                time_point now) const
+store_position state_sources::confirmed_position(state_table table, const table_copy& own,
+                                                 time_point now) const
 {
-    std::uint64_t revision = own.revision;
+    store_position position = own.position;
     for (const auto& [vm, from] : sources_)
     {
         const table_copy& copy = from.copies[index_of(table)];
-        if (own.loaded && covers(from, table, now) && copy.digest == own.digest)
-            revision = std::max(revision, copy.revision);
+        if (own.loaded && covers(from, table, now) && copy.digest == own.digest &&
+            copy.position.era == own.position.era)
+            position = std::max(position, copy.position);
     }
-    return revision;
+    return position;
 }
 
 std::optional<state_sources::origin> state_sources::newest(state_table table, time_point now) const
--- a/packages/state/state_source.h
+++ b/packages/state/state_source.h
@@ -8,6 +8,7 @@
 
 #include "state/shares.h"
 #include "state/stage_request.h"
+#include "state/store_position.h"
 #include "state/time.h"
 
 #include <array>
@@ -48,9 +49,10 @@
 struct table_copy
 {
     bool loaded = false;
-    bool in_sync = false;       // the copy is kept up to date from the store
-    std::uint64_t revision = 0; // the copy holds all changes up to this revision
-    std::uint64_t digest = 0;   // of all records; equal for copies with the same content
+    bool in_sync = false;          // the copy is kept up to date from the store
+    store_position position;       // the copy holds all changes up to this position
+    std::uint64_t digest = 0;      // of all records; equal for copies with the same content
+    std::uint64_t held_digest = 0; // of the records that are held; see table_replica
 };
 
 // One copy for each state_table.
@@ -67,17 +69,25 @@
     // The VM can no longer be reached or is shutting down.
     void remove(const std::string& vm) { sources_.erase(vm); }
 
-    // True while another VM keeps the table up to date from the store.
-    bool is_covered(state_table table, time_point now) const;
+    // True while another VM keeps the table up to date from the store, in the era or a later one.
+    bool is_covered(state_table table, std::uint64_t era, time_point now) const;
     // VM to ask for the changes that it has and `own` lacks; nothing if there is none, or while a
     // query is in progress. Counts the query as sent.
     std::optional<std::string> next_query(state_table table, const table_copy& own, time_point now);
+    // VM in the era of `own` that holds other records than this one does, and whether it has to be
+    // asked for them; nothing if there is none that has not been returned for this content before.
+    struct held_difference
+    {
+        std::string vm;
+        bool asks = false; // it holds records
+    };
+    std::optional<held_difference> next_held_difference(state_table table, const table_copy& own);
     // The query for the table has been answered.
     void on_answer(state_table table);
-    // Revision up to which `own` is complete, which is newer than its own if another VM in sync
-    // holds the same content.
-    std::uint64_t confirmed_revision(state_table table, const table_copy& own,
-                                     time_point now) const;
+    // Position up to which `own` is complete, which is newer than its own if another VM in sync
+    // holds the same content in the same era.
+    store_position confirmed_position(state_table table, const table_copy& own,
+                                      time_point now) const;
     // Name and age of the newest announcement that covers the table.
     struct origin
     {
@@ -93,6 +103,8 @@
         time_point received_at{};
         // Digest of its copy at the last query, by table: the same content is not queried again.
         std::array<std::optional<std::uint64_t>, state_table_count> queried_digest;
+        // Combined digest of the held records of both VMs at the last difference, by table.
+        std::array<std::uint64_t, state_table_count> compared_held{};
     };
 
     static bool covers(const source& from, state_table table, time_point now);
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -97,6 +97,25 @@
     notify_feeds();
 }
 
+void fake_store::save_copy()
+{
+    copied_rows_ = rows_;
+    copied_version_ = version_;
+}
+
+void fake_store::restore_copy()
+{
+    rows_ = copied_rows_;
+    version_ = copied_version_;
+    history_from_ = std::min(history_from_, version_);
+    ++era_;
+    for (const pending_feed& feed : std::exchange(feeds_, {}))
+    {
+        feed.timer->cancel();
+        feed.client->abort();
+    }
+}
+
 bool fake_store::has(const std::string& table, const std::string& key) const
 {
     const auto found = rows_.find({table, key});
@@ -171,7 +190,7 @@
 {
     pending_feed waiting{client, listener, query.at("table"), std::stoull(query.at("after")),
                          nullptr};
-    if (waiting.after < history_from_)
+    if (waiting.after < history_from_ || waiting.after > version_)
         return respond(client, 410, "{}");
     if (respond_to_feed(waiting, false))
         return;
@@ -256,7 +275,9 @@
 void fake_store::respond(const std::shared_ptr<server_connection>& client, int status,
                          const std::string& body)
 {
-    client->send(response_text(status, "Content-Type: application/json\r\n", body));
+    client->send(response_text(
+        status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) + "\r\n",
+        body));
     client->end(true);
 }
 
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -56,6 +56,11 @@
     bool has(const std::string& table, const std::string& key) const;
     // Feeds that start before the current version get status 410 from now on.
     void discard_history() { history_from_ = version_; }
+    // Keeps a copy of all tables.
+    void save_copy();
+    // Comes back from the copy: what was written since is gone, versions are given out again, and a
+    // new era begins. Calls in progress get no response.
+    void restore_copy();
 
     int refuse_status = 0;     // status of the response to every call; 0: calls are served
     bool unresponsive = false; // accepts calls and never responds
@@ -100,6 +105,9 @@
     std::map<std::pair<std::string, std::string>, row> rows_;
     std::uint64_t version_ = 1;
     std::uint64_t history_from_ = 0;
+    std::uint64_t era_ = 1;
+    std::map<std::pair<std::string, std::string>, row> copied_rows_;
+    std::uint64_t copied_version_ = 0;
     std::vector<pending_feed> feeds_;
 };
 
--- a/tests/unit/state_source_test.cpp
+++ b/tests/unit/state_source_test.cpp
@@ -31,7 +31,7 @@
 
 table_copy in_sync_at(std::uint64_t revision, std::uint64_t digest)
 {
-    return {true, true, revision, digest};
+    return {true, true, {1, revision}, digest};
 }
 
 } // namespace
@@ -77,18 +77,18 @@
 Test(state_source, is_covered_only_by_recent_notice_of_vm_in_sync)
 {
     state_sources sources;
-    cr_assert_not(sources.is_covered(table, start));
+    cr_assert_not(sources.is_covered(table, 1, start));
     sources.on_notice("relay-1", copies_with(in_sync_at(5, 1)), start);
-    cr_assert(sources.is_covered(table, start + notice_max_age));
-    cr_assert_not(sources.is_covered(table, start + notice_max_age + milliseconds(1)));
+    cr_assert(sources.is_covered(table, 1, start + notice_max_age));
+    cr_assert_not(sources.is_covered(table, 1, start + notice_max_age + milliseconds(1)));
     table_copy lost = in_sync_at(5, 1);
     lost.in_sync = false;
     sources.on_notice("relay-1", copies_with(lost), start);
-    cr_assert_not(sources.is_covered(table, start));
+    cr_assert_not(sources.is_covered(table, 1, start));
     sources.on_notice("relay-2", copies_with(in_sync_at(5, 1)), start);
-    cr_assert(sources.is_covered(table, start));
+    cr_assert(sources.is_covered(table, 1, start));
     sources.remove("relay-2");
-    cr_assert_not(sources.is_covered(table, start));
+    cr_assert_not(sources.is_covered(table, 1, start));
 }
 
 // Guards against hundreds of VMs that fetch what they have, or fetch the same change from each
@@ -120,14 +120,15 @@
 }
 
 // Guards against a copy that is complete but seems old, so that its VM would fetch all of it again.
-Test(state_source, confirmed_revision_follows_vm_with_same_content)
+Test(state_source, confirmed_position_follows_vm_with_same_content)
 {
     state_sources sources;
     const table_copy own = in_sync_at(10, 77);
     sources.on_notice("relay-1", copies_with(in_sync_at(30, 77)), start);
     sources.on_notice("relay-2", copies_with(in_sync_at(40, 78)), start);
-    cr_assert(sources.confirmed_revision(table, own, start) == 30);
-    cr_assert(sources.confirmed_revision(table, own, start + milliseconds(1500)) == 10);
+    cr_assert(sources.confirmed_position(table, own, start) == (store_position{1, 30}));
+    cr_assert(sources.confirmed_position(table, own, start + milliseconds(1500)) ==
+              (store_position{1, 10}));
 }
 
 // Guards against tables that differ but have the same digest, in particular after a change of
@@ -175,3 +176,39 @@
     }
     cr_assert(starts.size() == 8);
 }
+
+// Guards against a VM that stays in the era before a restoration, in which its copy has a larger
+// revision or the same content.
+Test(state_source, next_query_newer_era_asks_despite_larger_revision_and_same_content)
+{
+    state_sources sources;
+    const table_copy own = in_sync_at(50, 77);
+    table_copy restored = in_sync_at(20, 77);
+    restored.position.era = 2;
+    sources.on_notice("relay-1", copies_with(restored), start);
+    cr_assert(sources.next_query(table, own, start) == "relay-1");
+    cr_assert(sources.confirmed_position(table, own, start) == (store_position{1, 50}));
+}
+
+// Guards against a VM that stops reading because of relays that have not noticed a restoration.
+Test(state_source, is_covered_vm_of_older_era_does_not_count)
+{
+    state_sources sources;
+    sources.on_notice("relay-1", copies_with(in_sync_at(50, 77)), start);
+    cr_assert(sources.is_covered(table, 1, start));
+    cr_assert_not(sources.is_covered(table, 2, start));
+}
+
+// Guards against endless queries for held records that this VM does not take over.
+Test(state_source, next_held_difference_same_content_returned_once)
+{
+    state_sources sources;
+    const table_copy own = in_sync_at(50, 77);
+    table_copy holding = own;
+    holding.held_digest = 5;
+    sources.on_notice("relay-1", copies_with(holding), start);
+    const auto difference = sources.next_held_difference(table, own);
+    cr_assert(difference && difference->vm == "relay-1" && difference->asks);
+    cr_assert_not(sources.next_held_difference(table, own));
+    cr_assert_not(state_sources().next_held_difference(table, own));
+}
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -99,28 +99,44 @@
 {
     state_answer answer;
     answer.table = state_table::endpoints;
-    answer.revision = 90;
-    answer.after = 80;
+    answer.update.position = {3, 90};
+    answer.update.after = {2, 80};
     answer.loaded = true;
     answer.regained_ago = milliseconds(40);
-    answer.records = {{"a", std::string("\0x", 2), 85, false}, {"b", "", 90, true}};
+    answer.update.records = {{"a", std::string("\0x", 2), 85, false}, {"b", "", 90, true}};
     std::string frame = encode_frame(answer);
     vm_message message;
     cr_assert(decode_frame(frame, message) == frame_state::complete);
-    const auto& decoded = std::get<state_answer>(message);
-    cr_assert(decoded.after == 80 && decoded.revision == 90 && !decoded.is_snapshot);
-    cr_assert(decoded.regained_ago == milliseconds(40));
+    cr_assert(std::get<state_answer>(message).regained_ago == milliseconds(40));
+    const table_update& decoded = std::get<state_answer>(message).update;
+    cr_assert(decoded.after == (store_position{2, 80}) && !decoded.is_snapshot);
+    cr_assert(decoded.position == (store_position{3, 90}));
     cr_assert(decoded.records.size() == 2 && decoded.records[1].deleted);
     cr_assert(decoded.records[0].value.size() == 2 && !decoded.records[0].deleted);
 
     state_notice notice;
-    notice.copies[1] = {true, true, 17, 0xFFFFFFFFFFFFFFFFULL};
+    notice.copies[1] = {true, true, {4, 17}, 0xFFFFFFFFFFFFFFFFULL, 8};
     frame = encode_frame(notice);
     cr_assert(decode_frame(frame, message) == frame_state::complete);
     const auto& copies = std::get<state_notice>(message).copies;
-    cr_assert(copies[1].in_sync && copies[1].revision == 17);
+    cr_assert(copies[1].in_sync && copies[1].position == (store_position{4, 17}));
+    cr_assert(copies[1].held_digest == 8);
     cr_assert(copies[1].digest == 0xFFFFFFFFFFFFFFFFULL);
     cr_assert_not(copies[0].loaded);
+
+    frame = encode_frame(state_query{state_table::vms, {5, 12}, true});
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    const auto& query = std::get<state_query>(message);
+    cr_assert(query.position == (store_position{5, 12}) && query.held);
+
+    held_records held{state_table::endpoints, 6, {}};
+    held.records.push_back({{"a", "x", 85, true}, 17, milliseconds(900)});
+    held.records.push_back({{"b", "y", 86, false}, 0, held_until_changed});
+    frame = encode_frame(held);
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    const auto& decoded_held = std::get<held_records>(message);
+    cr_assert(decoded_held.era == 6 && decoded_held.table == state_table::endpoints);
+    cr_assert(decoded_held.records == held.records);
 }
 
 // Guards against crash reports that lose a field between VMs.
