Send nothing to endpoints that leave or ask for a pause, as they say in responses

An endpoint that leaves says so in all its responses (Server-Leaving): a VM that has passed one on sends it no new request or stage call in that lifetime, whatever the store lists; this holds when it is removed and listed again. One that refuses with Retry-After gets none from this VM until then; releases of results wait as well.

Each VM acts on what it was told itself; VMs do not tell each other.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -3,6 +3,7 @@
 
 #include "coordination/edge_exchange_impl.h"
 #include "coordination/edge_report_impl.h"
+#include "coordination/edge_response_impl.h"
 #include "coordination/edge_state_impl.h"
 #include "coordination/random_id.h"
 #include "coordination/stage_router_impl.h"
@@ -104,8 +105,10 @@
 edge<Codec>::edge(boost::asio::io_context& io, edge_options options)
     : io_(io), options_(std::move(options)),
       endpoints_(io, options_.vm, options_.domain, options_.limits),
-      stage_batcher_(io, endpoints_, counters_,
-                     [this](time_point now) { return is_state_confirmed(now); }),
+      stage_batcher_(
+          io, endpoints_, counters_, [this](time_point now) { return is_state_confirmed(now); },
+          [this](known_endpoint& endpoint, const endpoint_answer& answer, time_point now)
+          { on_endpoint_notice(endpoint, answer, now); }),
       stage_router_(io, options_.vm, stage_batcher_, counters_,
                     [this](const std::string& vm, const vm_message& message)
                     { on_peer_state(vm, message); }),
--- /dev/null
+++ b/packages/coordination/edge_response_impl.h
@@ -0,0 +1,288 @@
+// Responses of endpoints, as edge::exchange passes them on to the client.
+#pragma once
+
+#include "coordination/edge_exchange_impl.h"
+
+#include <utility>
+
+namespace zinnianotch
+{
+
+// A response with another request's id is a late one to an earlier request on this connection.
+template <typename Codec>
+bool edge<Codec>::exchange::matches_request(const message_head& head)
+{
+    const endpoint_answer metadata = Codec::decode_answer(head);
+    if (metadata.attempt.empty() || metadata.attempt == call_.attempt)
+        return true;
+    owner_.counters_.count("answers_of_other_requests_total");
+    log_event(log_level::warning, "answer_of_other_request",
+              {{"request", call_.attempt},
+               {"answered", metadata.attempt},
+               {"endpoint", endpoint_->record.id}});
+    return false;
+}
+
+template <typename Codec>
+typename edge<Codec>::exchange::disposition
+edge<Codec>::exchange::choose_disposition(const message_head& head,
+                                          const endpoint_answer& metadata) const
+{
+    constexpr int input_gone_status = 409;
+    constexpr int deadline_status = 504;
+    if (metadata.not_run && head.status == input_gone_status && !stages_rerun_ && !stages_.empty())
+        return disposition::rerun;
+    if (metadata.not_run && head.status != 400)
+        return disposition::retry;
+    if (head_sent_)
+        return head.status == 200 ? disposition::forward : disposition::retry;
+    if (head.status >= 500 && head.status != deadline_status && is_repeatable(*route_) &&
+        attempts_ < route_->attempts)
+        return disposition::retry;
+    if (edge_detail::promises_not_run(head.status) && !metadata.not_run)
+        return disposition::replace_status;
+    return is_event_stream() ? disposition::forward : disposition::buffer;
+}
+
+// True while the current response consists of events; errors of a streaming route do not.
+template <typename Codec>
+bool edge<Codec>::exchange::is_event_stream() const
+{
+    return route_->kind == call_kind::streaming && status_ == 200;
+}
+
+// True if the stream that has just ended was broken off: within an event, or before the first one
+// where only the end of the connection marks its end, as when the endpoint crashes.
+template <typename Codec>
+bool edge<Codec>::exchange::ends_too_early() const
+{
+    if (!is_event_stream() || call_.method == "HEAD")
+        return false;
+    return events_.has_incomplete_event() ||
+           (framing_ == body_framing::until_close && events_.events() == events_before_attempt_);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_head(message_head& head, body_framing framing,
+                                    std::optional<std::uint64_t>)
+{
+    const time_point now = steady_clock::now();
+    const endpoint_answer metadata = Codec::decode_answer(head);
+    progress_at_ = now;
+    head_at_ = now;
+    status_ = head.status;
+    framing_ = framing;
+    owner_.on_endpoint_notice(*endpoint_, metadata, now);
+    may_have_run_ = may_have_run_ || !metadata.not_run;
+    if (metadata.load)
+        endpoint_->health.on_load(*metadata.load, now);
+    if (metadata.cold_for)
+        endpoint_->health.set_cold_until(now + *metadata.cold_for);
+    disposition_ = choose_disposition(head, metadata);
+    if (metadata.not_run)
+        endpoint_->health.on_full(now);
+    else
+        endpoint_->health.on_outcome(head.status < 500, now);
+    // A copy of a response without an id could not be told from the response to the next request.
+    if (metadata.attempt.empty())
+        upstream_->disable_reuse();
+    discarded_bytes_ = 0;
+    if (discards_response())
+        return;
+    reason_phrase_ = head.reason_phrase;
+    if (!head_sent_)
+        response_fields_ = std::move(head.fields);
+    if (disposition_ == disposition::buffer)
+        return;
+    if (first_byte_at_ == time_point{})
+    {
+        first_byte_at_ = now;
+        owner_.first_byte_times_[service_name_].record(
+            std::chrono::duration_cast<milliseconds>(now - sent_at_));
+    }
+    // An endpoint that begins to respond has already read its inputs.
+    release_results();
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_body(std::string bytes)
+{
+    const time_point now = steady_clock::now();
+    switch (disposition_)
+    {
+    case disposition::forward:
+        // Only complete events are progress of a stream: an endpoint that has stalled may still
+        // send a byte now and then.
+        if (!is_event_stream())
+            progress_at_ = now;
+        return forward_body(std::move(bytes));
+    case disposition::buffer:
+        buffered_body_ += bytes;
+        if (buffered_body_.size() > buffered_response_limit)
+        {
+            // Too large to buffer: the rest is passed on as it arrives.
+            disposition_ = disposition::forward;
+            send_head(std::nullopt);
+            send_body(std::exchange(buffered_body_, {}));
+        }
+        return;
+    case disposition::retry:
+    case disposition::rerun:
+    case disposition::replace_status:
+        discarded_bytes_ += bytes.size();
+        if (discarded_bytes_ <= discarded_body_limit)
+            return;
+        drop_upstream();
+        return on_discarded_end(now);
+    }
+}
+
+// Passes on only complete events of a streaming response, and other responses unchanged.
+template <typename Codec>
+void edge<Codec>::exchange::forward_body(std::string bytes)
+{
+    if (!is_event_stream())
+        return send_body(std::move(bytes));
+    std::string complete = events_.feed(bytes);
+    if (events_.has_gap())
+    {
+        drop_upstream();
+        return abort_client("event ids skipped in the stream", steady_clock::now());
+    }
+    if (complete.empty())
+    {
+        if (events_.incomplete_bytes() > event_bytes_limit)
+            retry_after_break("event without end", steady_clock::now());
+        return;
+    }
+    progress_at_ = steady_clock::now();
+    if (events_.events() - events_before_attempt_ > 1)
+        record_sound(progress_at_);
+    if (!head_sent_)
+        send_head(std::nullopt);
+    send_body(std::move(complete));
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::send_head(std::optional<std::uint64_t> length)
+{
+    const bool has_body = call_.method != "HEAD" && status_ != 204 && status_ != 304;
+    std::string head = "HTTP/1.1 " + std::to_string(status_) + " " + reason_phrase_ + "\r\n";
+    for (const header_field& field : response_fields_)
+    {
+        if (is_hop_by_hop_field(field.name) || equals_ignore_case(field.name, "Content-Length"))
+            continue;
+        head += field.name + ": " + field.value + "\r\n";
+    }
+    if (length)
+        head += "Content-Length: " + std::to_string(*length) + "\r\n";
+    else if (has_body && chunked_allowed_)
+    {
+        chunked_ = true;
+        head += "Transfer-Encoding: chunked\r\n";
+    }
+    else if (has_body)
+        close_delimited_ = true;
+    if (owner_.stop_ || close_delimited_ || !keep_alive_)
+    {
+        keep_alive_ = false;
+        head += "Connection: close\r\n";
+    }
+    head += "\r\n";
+    head_sent_ = true;
+    sent_event_stream_ = is_event_stream();
+    client_->send(std::move(head));
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::send_body(std::string bytes)
+{
+    if (bytes.empty())
+        return;
+    if (chunked_)
+    {
+        std::array<char, 24> size{};
+        (void)std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+        bytes = size.data() + bytes + "\r\n";
+    }
+    client_->send(std::move(bytes));
+    if (client_->unsent_bytes() <= unsent_bytes_limit || !upstream_)
+        return;
+    upstream_->set_paused(true);
+    client_->on_writable = [self = this->weak_from_this()]
+    {
+        const auto alive = self.lock();
+        if (alive && alive->upstream_ && alive->client_->unsent_bytes() <= unsent_bytes_limit)
+            alive->upstream_->set_paused(false);
+    };
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_end()
+{
+    const time_point now = steady_clock::now();
+    upstream_.reset();
+    endpoint_->health.on_finished();
+    if (discards_response())
+        return on_discarded_end(now);
+    finish_response(now);
+}
+
+// Continues after a response that is not passed on, whose body has ended or is not read further.
+template <typename Codec>
+void edge<Codec>::exchange::on_discarded_end(time_point now)
+{
+    switch (disposition_)
+    {
+    case disposition::forward:
+    case disposition::buffer:
+        return;
+    case disposition::rerun:
+        return rerun_stages(now);
+    case disposition::replace_status:
+        return fail(reason::endpoint_error, verdict::may_have_run,
+                    "endpoint responded with status " + std::to_string(status_), now);
+    case disposition::retry:
+        tried_.insert(endpoint_->record.id);
+        retry_or_fail(reason::endpoint_overloaded,
+                      may_have_run_ ? verdict::may_have_run : verdict::not_run, now);
+        return;
+    }
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::finish_response(time_point now)
+{
+    if (disposition_ == disposition::buffer)
+    {
+        const bool has_length = status_ != 204 && status_ != 304 && call_.method != "HEAD";
+        send_head(has_length ? std::optional<std::uint64_t>(buffered_body_.size()) : std::nullopt);
+        client_->send(std::move(buffered_body_));
+    }
+    else
+    {
+        if (ends_too_early())
+        {
+            record_break(upstream_failure::broken_in_answer, now);
+            return retry_after_break("stream ended too early", now);
+        }
+        if (!head_sent_)
+            send_head(std::nullopt);
+        send_body(events_.take_incomplete_event());
+        if (chunked_)
+            client_->send("0\r\n\r\n");
+    }
+    client_->end(keep_alive_ && !close_delimited_);
+    if (status_ == 200)
+        record_sound(now);
+    owner_.counters_.count("answers_total");
+    if (status_ / 100 == 2)
+    {
+        response_estimate& times = owner_.response_times_[route_->name];
+        times.total.record(elapsed(now));
+        times.after_stages.record(std::chrono::duration_cast<milliseconds>(now - stages_done_at_));
+    }
+    close("answered", status_, now);
+}
+
+} // namespace zinnianotch
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -95,6 +95,21 @@
     refresh_stages();
 }
 
+// An endpoint has said with a response that it is leaving or wants a pause.
+template <typename Codec>
+void edge<Codec>::on_endpoint_notice(known_endpoint& endpoint, const endpoint_answer& answer,
+                                     time_point now)
+{
+    const bool ends_use = endpoints_.on_notice(endpoint, answer, now);
+    if (answer.retry_after)
+        stage_batcher_.pause_endpoint(endpoint.record, now + *answer.retry_after);
+    if (!ends_use)
+        return;
+    counters_.count("endpoints_leaving_total");
+    // Not within the callback of a stage call, whose queue it changes.
+    boost::asio::post(io_, [this] { refresh_stages(); });
+}
+
 // When the endpoints could be read again after an outage of the store, by this VM or by the one
 // that it takes the state from.
 template <typename Codec>
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -18,6 +18,9 @@
 // while.
 constexpr std::size_t max_batching_vms = 3;
 
+// How long the notices of an endpoint that is not listed are remembered after the last one.
+constexpr milliseconds notice_memory{600'000};
+
 void remove_from(std::vector<endpoint_ptr>& list, const endpoint_ptr& endpoint)
 {
     std::erase(list, endpoint);
@@ -69,6 +72,13 @@
         cold = std::max(cold, service->warm_up);
     if (cold.count() > 0)
         added->health.set_cold_until(now + cold);
+    const auto notice = notices_.find(record.id);
+    if (notice != notices_.end() && notice->second.started_at == record.started_at &&
+        notice->second.address == record.address)
+    {
+        added->leaving = notice->second.leaving;
+        added->health.pause_until(notice->second.paused_until);
+    }
     endpoints_[record.id] = added;
     by_service_[record.service].push_back(added);
     log_event(log_level::info, "endpoint_added",
@@ -130,7 +140,8 @@
 
 bool endpoint_directory::is_usable(const known_endpoint& endpoint) const
 {
-    return !endpoint.removed && !endpoint.record.draining && !is_domain_out(endpoint.record.domain);
+    return !endpoint.removed && !endpoint.leaving && !endpoint.record.draining &&
+           !is_domain_out(endpoint.record.domain);
 }
 
 // Number of connections that this VM may hold to one endpoint: its share of the endpoint's limit.
@@ -306,8 +317,39 @@
         endpoint.health.set_cold_until(now + connect_backoff_max + service->warm_up);
 }
 
+bool endpoint_directory::on_notice(known_endpoint& endpoint, const endpoint_answer& answer,
+                                   time_point now)
+{
+    if (!answer.leaving && !answer.retry_after)
+        return false;
+    const bool begins_to_leave = answer.leaving && !endpoint.leaving;
+    endpoint.leaving = endpoint.leaving || answer.leaving;
+    const endpoint_record& record = endpoint.record;
+    lifetime_notice& notice = notices_[record.id];
+    if (notice.started_at != record.started_at || notice.address != record.address)
+        notice = {record.started_at, record.address, false, {}, {}};
+    notice.leaving = endpoint.leaving;
+    notice.noted_at = now;
+    if (answer.retry_after)
+    {
+        notice.paused_until = std::max(notice.paused_until, now + *answer.retry_after);
+        endpoint.health.pause_until(notice.paused_until);
+        log_event(log_level::info, "endpoint_paused",
+                  {{"endpoint", record.id}, {"ms", std::to_string(answer.retry_after->count())}});
+    }
+    if (begins_to_leave)
+        log_event(log_level::info, "endpoint_leaving", {{"endpoint", record.id}});
+    return begins_to_leave;
+}
+
 void endpoint_directory::sweep(time_point now)
 {
+    std::erase_if(notices_,
+                  [&](const auto& entry)
+                  {
+                      return now - entry.second.noted_at > notice_memory &&
+                             now > entry.second.paused_until && !endpoints_.contains(entry.first);
+                  });
     for (const auto& [id, endpoint] : endpoints_)
         endpoint->pool.sweep(now);
 }
@@ -328,7 +370,7 @@
     {
         const endpoint_record& record = endpoint->record;
         endpoint_use use = endpoint->health.use(now);
-        if (record.draining)
+        if (record.draining || endpoint->leaving)
             use = endpoint_use::draining;
         else if (is_domain_out(record.domain))
             use = endpoint_use::domain_out;
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -2,6 +2,7 @@
 // to them.
 #pragma once
 
+#include "coordination/serving_call.h"
 #include "state/placement.h"
 #include "state/serving.h"
 #include "state/shares.h"
@@ -40,6 +41,7 @@
     window_counter cold_sends{cold_window};
     upstream_pool pool;
     bool removed = false; // no longer listed; gets no new requests
+    bool leaving = false; // has said so with a response; gets no new requests either
 };
 
 using endpoint_ptr = std::shared_ptr<known_endpoint>;
@@ -107,6 +109,9 @@
     bool try_acquire_stage_retry(const std::string& service, time_point now);
 
     void on_unreachable(known_endpoint& endpoint, const service_spec* service, time_point now);
+    // Notes what an endpoint has said of itself with a response. It holds for its lifetime, listed
+    // or not. True if the endpoint is no longer usable.
+    bool on_notice(known_endpoint& endpoint, const endpoint_answer& answer, time_point now);
     void sweep(time_point now);
     std::uint64_t opened_connections() const;
     std::vector<endpoint_report> report(time_point now) const;
@@ -126,6 +131,15 @@
     std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service_;
     std::set<std::string, std::less<>> domains_out_;
     std::map<std::string, service_retry_budget> budgets_;
+    struct lifetime_notice
+    {
+        std::int64_t started_at = 0;
+        std::string address;
+        bool leaving = false;
+        time_point paused_until{};
+        time_point noted_at{};
+    };
+    std::map<std::string, lifetime_notice> notices_; // by id
     std::uint64_t tie_breaker_ = 0;
     std::uint64_t opened_by_removed_ = 0; // connections opened by removed endpoints
 };
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -61,6 +61,9 @@
     bool not_run = false; // the endpoint has not run the request and will not run it
     std::optional<endpoint_load_report> load;
     std::optional<milliseconds> cold_for;
+    bool leaving = false; // the endpoint is about to end
+    // With a refusal: the endpoint wants no requests from this VM for this long.
+    std::optional<milliseconds> retry_after;
 };
 
 // One piece of a stage.
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -49,9 +49,12 @@
 class stage_batcher
 {
 public:
+    // What an endpoint says of itself with a response.
+    using notice_handler = std::function<void(known_endpoint&, const endpoint_answer&, time_point)>;
+
     // No calls are sent while `may_send` returns false; tick() sends them later.
     stage_batcher(boost::asio::io_context& io, endpoint_directory& endpoints, metrics& counters,
-                  std::function<bool(time_point)> may_send);
+                  std::function<bool(time_point)> may_send, notice_handler on_notice);
     ~stage_batcher();
 
     stage_batcher(const stage_batcher&) = delete;
@@ -59,6 +62,8 @@
 
     // Updates the queues from the settings of the services and from the listed endpoints.
     void refresh(const serving_state& state);
+    // The endpoint gets no calls until this time.
+    void pause_endpoint(const endpoint_record& endpoint, time_point until);
 
     // Runs the stage and returns the id of its job. `done` is called once, from the event loop,
     // unless the job is cancelled first.
@@ -131,6 +136,7 @@
     endpoint_directory& endpoints_;
     metrics& counters_;
     std::function<bool(time_point)> may_send_;
+    notice_handler on_notice_;
     std::map<std::string, service_queue> queues_; // by queue_name
     std::map<std::uint64_t, job> jobs_;
     std::map<batch_call*, std::shared_ptr<batch_call>> calls_;
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -34,6 +34,7 @@
     {
         status_ = head.status;
         metadata_ = Codec::decode_answer(head);
+        owner_.on_notice_(*endpoint_, metadata_, steady_clock::now());
     }
     void on_body(std::string bytes) override
     {
@@ -120,6 +121,7 @@
     void on_head(message_head& head, body_framing, std::optional<std::uint64_t>) override
     {
         status_ = head.status;
+        owner_.on_notice_(*endpoint_, Codec::decode_answer(head), steady_clock::now());
     }
     void on_body(std::string) override {}
     void on_end() override
@@ -155,8 +157,10 @@
 
 template <typename Codec>
 stage_batcher<Codec>::stage_batcher(boost::asio::io_context& io, endpoint_directory& endpoints,
-                                    metrics& counters, std::function<bool(time_point)> may_send)
-    : io_(io), endpoints_(endpoints), counters_(counters), may_send_(std::move(may_send))
+                                    metrics& counters, std::function<bool(time_point)> may_send,
+                                    notice_handler on_notice)
+    : io_(io), endpoints_(endpoints), counters_(counters), may_send_(std::move(may_send)),
+      on_notice_(std::move(on_notice))
 {
 }
 
@@ -190,6 +194,18 @@
             entry.queue.set_service(*service.batch);
             entry.queue.set_endpoints(listed);
         }
+        for (const endpoint_ptr& endpoint : endpoints_.serving(name))
+            pause_endpoint(endpoint->record, endpoint->health.paused_until());
+    }
+}
+
+template <typename Codec>
+void stage_batcher<Codec>::pause_endpoint(const endpoint_record& endpoint, time_point until)
+{
+    for (auto& [key, entry] : queues_)
+    {
+        if (entry.service == endpoint.service)
+            entry.queue.pause_endpoint(endpoint.id, until);
     }
 }
 
@@ -606,6 +622,11 @@
         const endpoint_ptr endpoint = endpoints_.find_address(address);
         if (!endpoint)
             continue; // the results were lost with the endpoint
+        if (endpoint->health.is_paused(last_release_flush_))
+        {
+            pending_releases_[address] = handles;
+            continue;
+        }
         const auto call = std::make_shared<release_call>(*this, endpoint, handles);
         release_calls_.emplace(call.get(), call);
         call->start(Codec::encode_release(address, handles), last_release_flush_);
--- a/packages/state/placement.cpp
+++ b/packages/state/placement.cpp
@@ -208,7 +208,7 @@
 
 time_point endpoint_health::try_at(time_point now) const
 {
-    const time_point unblocked = std::max(now, blocked_until_);
+    const time_point unblocked = std::max({now, blocked_until_, paused_until_});
     return is_failing(now) ? std::max(unblocked, last_sent_ + failing_probe_interval) : unblocked;
 }
 
--- a/packages/state/placement.h
+++ b/packages/state/placement.h
@@ -9,6 +9,7 @@
 #include "state/time.h"
 #include "state/vm_report.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -49,12 +50,16 @@
     void on_load(const endpoint_load_report& load, time_point now);
     // The endpoint refused the request because it is at capacity.
     void on_full(time_point now);
+    // The endpoint wants no requests until this time.
+    void pause_until(time_point until) { paused_until_ = std::max(paused_until_, until); }
     // The connection failed, or broke before a response: the endpoint may have restarted.
     void on_unreachable(time_point now);
     // Marks the endpoint as cold until this time, unless it is marked until a later one already.
     void set_cold_until(time_point until);
 
     bool is_cold(time_point now) const { return now < cold_until_; }
+    bool is_paused(time_point now) const { return now < paused_until_; }
+    time_point paused_until() const { return paused_until_; }
     bool may_try(time_point now) const;
     // Earliest time at which may_try becomes true without further events.
     time_point try_at(time_point now) const;
@@ -80,6 +85,7 @@
     time_point failure_rate_at_{};
     time_point last_sent_{};
     time_point blocked_until_{};
+    time_point paused_until_{};
     time_point cold_until_{};
 };
 
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -261,6 +261,13 @@
     ++state.failures;
 }
 
+void stage_queue::pause_endpoint(const std::string& endpoint, time_point until)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        found->second.paused_until = std::max(found->second.paused_until, until);
+}
+
 void stage_queue::on_memory_full(const std::string& endpoint, time_point now)
 {
     const auto found = endpoints_.find(endpoint);
@@ -383,7 +390,8 @@
 
 bool stage_queue::is_free(const endpoint_state& endpoint, double lowest, time_point now) const
 {
-    if (endpoint.calls_in_flight >= std::max(spec_.slots, 1U) || now < endpoint.blocked_until)
+    if (endpoint.calls_in_flight >= std::max(spec_.slots, 1U) ||
+        now < std::max(endpoint.blocked_until, endpoint.paused_until))
         return false;
     return !is_slow(endpoint, lowest) || now >= endpoint.last_sent + slow_probe_interval;
 }
@@ -430,7 +438,8 @@
     std::size_t count = 0;
     for (const auto& [id, endpoint] : endpoints_)
     {
-        if (!is_slow(endpoint, lowest) && now >= endpoint.blocked_until)
+        if (!is_slow(endpoint, lowest) &&
+            now >= std::max(endpoint.blocked_until, endpoint.paused_until))
             ++count;
     }
     return count;
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -96,6 +96,8 @@
     void on_done(const std::string& endpoint, const stage_batch& batch, milliseconds elapsed);
     // The endpoint refused the call, or the call ended without a response.
     void on_failed(const std::string& endpoint, time_point now);
+    // The endpoint wants no calls until this time.
+    void pause_endpoint(const std::string& endpoint, time_point until);
 
     // The endpoint had no free memory for a result. The memory that this queue does not account for
     // is held by results of calls that other VMs sent; it counts as free again over their lifetime.
@@ -130,6 +132,7 @@
         double slowdown = 1.0; // moving average of actual to expected call time
         std::uint32_t failures = 0;
         time_point blocked_until{};
+        time_point paused_until{};
         time_point last_sent{};
         std::uint64_t held_bytes = 0;    // results held there, including those of calls in flight
         std::uint64_t foreign_bytes = 0; // results of calls sent by other VMs, when last observed
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -88,6 +88,27 @@
     cr_assert(codec::decode_answer(head).not_run);
 }
 
+// Guards against an endpoint that is avoided for good, or not at all, because of an odd value.
+Test(platform_codec, decode_answer_leaving_and_pause_only_if_readable)
+{
+    message_head head;
+    head.status = 503;
+    head.fields = {{"Server-Leaving", "1"}, {"Retry-After", "1.25"}};
+    cr_assert(codec::decode_answer(head).leaving);
+    cr_assert(codec::decode_answer(head).retry_after == milliseconds(1250));
+    head.status = 429;
+    cr_assert_not(codec::decode_answer(head).retry_after.has_value());
+    head.status = 503;
+    head.fields = {{"Server-Leaving", "0"}, {"Retry-After", "1e300"}};
+    cr_assert_not(codec::decode_answer(head).leaving);
+    cr_assert(codec::decode_answer(head).retry_after == milliseconds(3'600'000));
+    for (const std::string text : {"", "0", "-1", "nan", "soon", "Fri, 04 Dec 2026"})
+    {
+        head.fields = {{"Retry-After", text}};
+        cr_assert_not(codec::decode_answer(head).retry_after.has_value(), "'%s'", text.c_str());
+    }
+}
+
 // Guards against an endpoint that seems idle because its load cannot be read.
 Test(platform_codec, decode_answer_unreadable_load_is_ignored)
 {
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -354,6 +354,12 @@
     }
     if (endless != endless_bytes::none)
         return send_endless(client);
+    send_refusal_copy(client);
+    if (recorded.target == "/stage-run" && refuses)
+    {
+        --fail_next;
+        return refuse(client, fail_status, "");
+    }
     if (recorded.target == "/stage-run")
         return run_after(processing_time,
                          [this, client, body = request.body] { run_pieces(client, body); });
@@ -455,7 +461,9 @@
         else if (piece_failure_reason.empty() && has_room)
         {
             ++pieces_completed;
-            item["handle"] = value::string(address() + "/" + std::to_string(++next_handle_));
+            const std::string handle = address() + "/" + std::to_string(++next_handle_);
+            made_for[handle] = parsed.at("items").at(i).at("id").as_string();
+            item["handle"] = value::string(handle);
         }
         else
         {
@@ -467,17 +475,39 @@
     }
     value response = value::object();
     response["items"] = value::array(items);
-    const std::string answer = response_text(200, "", response.serialize());
+    const std::string answer = response_text(200, answer_fields, response.serialize());
     client->send((repeats_answer_late ? last_answer_ : "") + answer);
     last_answer_ = answer;
     client->end(true);
 }
 
+void fake_endpoint::refuse(const std::shared_ptr<server_connection>& client, int status,
+                           const std::string& attempt)
+{
+    const auto text = [&](bool has_id)
+    {
+        return response_text(status,
+                             (has_id ? "Attempt-Id: " + attempt + "\r\n" : std::string()) +
+                                 "Not-Executed: 1\r\n" + refusal_fields,
+                             "failed" + std::string(filler_bytes, 'x'));
+    };
+    client->send(text(refusals_have_id));
+    refusal_copy_ = text(refusal_copies_have_id);
+    refused_on_ = client;
+    client->end(true);
+}
+
+void fake_endpoint::send_refusal_copy(const std::shared_ptr<server_connection>& client)
+{
+    if (repeats_refusal_late && refused_on_.lock() == client)
+        client->send(refusal_copy_);
+}
+
 void fake_endpoint::respond(const std::shared_ptr<server_connection>& client,
                             const recorded_request& request)
 {
-    const std::string fields =
-        "Attempt-Id: " + request.attempt + "\r\nResponse-Seal: seal-" + request.attempt + "\r\n";
+    const std::string fields = "Attempt-Id: " + request.attempt + "\r\nResponse-Seal: seal-" +
+                               request.attempt + "\r\n" + answer_fields;
     if (end_in_head > 0)
     {
         --end_in_head;
@@ -500,18 +530,15 @@
                          "\r\nfailed" + std::string(filler_bytes, 'x'));
             return client->end(false);
         }
-        client->send(response_text(fail_status, fail_as_not_run ? "Not-Executed: 1\r\n" : fields,
-                                   "failed" + std::string(filler_bytes, 'x')));
-        refused_on_ = client;
+        if (fail_as_not_run)
+            return refuse(client, fail_status, request.attempt);
+        client->send(response_text(fail_status, fields, "failed" + std::string(filler_bytes, 'x')));
         return client->end(true);
     }
-    if (repeats_refusal_late && refused_on_.lock() == client)
-        client->send(response_text(fail_status, "Not-Executed: 1\r\n", "failed"));
     if (inputs_gone_once)
     {
         inputs_gone_once = false;
-        client->send(response_text(409, "Not-Executed: 1\r\n", ""));
-        return client->end(true);
+        return refuse(client, 409, request.attempt);
     }
     if (stray_answer_first)
         client->send(response_text(200, "Attempt-Id: another\r\nResponse-Seal: x\r\n", "stray"));
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -166,9 +166,13 @@
     int end_in_head = 0;          // number of responses that end in order within their head
     bool close_delimited = false; // no length; the end of the connection ends the response
     endless_bytes endless = endless_bytes::none;
-    int stall_after_event = -1;          // then sends a byte now and then, once
-    bool repeats_answer_late = false;    // sends its previous answer again before the next one
-    bool repeats_refusal_late = false;   // before the next answer on the same connection
+    int stall_after_event = -1;        // then sends a byte now and then, once
+    bool repeats_answer_late = false;  // sends its previous answer again before the next one
+    bool repeats_refusal_late = false; // as soon as the next request on the same connection arrives
+    bool refusals_have_id = false;     // refusals name the request that they answer
+    bool refusal_copies_have_id = false; // as well
+    std::string refusal_fields;          // added to refusals, each with its line end
+    std::string answer_fields;           // added to all other responses
     bool never_responds = false;         // accepts requests and never responds
     std::string piece_failure_reason;    // if set, every piece fails with it
     bool first_piece_fails = false;      // of each call, with the reason "error"
@@ -178,7 +182,8 @@
     std::function<void()> on_crash;
 
     std::vector<recorded_request> requests;
-    std::map<std::string, int> executions; // by attempt; without refused ones
+    std::map<std::string, int> executions;       // by attempt; without refused ones
+    std::map<std::string, std::string> made_for; // result handle: attempt
     std::vector<std::string> freed;
     std::size_t pieces_completed = 0;
     std::size_t pieces_rejected = 0;     // because of result_limit
@@ -205,6 +210,9 @@
                  const recorded_request& request);
     void stream(const std::shared_ptr<zinnianotch::server_connection>& client,
                 const std::string& attempt, int next);
+    void refuse(const std::shared_ptr<zinnianotch::server_connection>& client, int status,
+                const std::string& attempt);
+    void send_refusal_copy(const std::shared_ptr<zinnianotch::server_connection>& client);
     void send_endless(const std::shared_ptr<zinnianotch::server_connection>& client);
     void stall(const std::shared_ptr<zinnianotch::server_connection>& client);
     void run_after(milliseconds time, std::function<void()> callback);
@@ -214,6 +222,7 @@
     zinnianotch::server_listener listener_;
     int next_handle_ = 0;
     std::weak_ptr<zinnianotch::server_connection> refused_on_;
+    std::string refusal_copy_;
     std::string last_answer_;
     bool is_crashed_ = false;
     std::vector<std::weak_ptr<zinnianotch::server_connection>> clients_;
