Do not take a late copy of a refusal for the response to a request that runs

Reported by other operators: a faulty engine writes an earlier refusal once more on a kept connection, and clients are told that a request has not run that an engine is running.

Two ways were open. The copy names no request although the refusal did: an order was reported as not run, or ran twice. And a request that is sent again to the engine that had refused it for a missing input meets a copy with its own id: its stream was refused while it ran.

A response without an id now counts as broken on a connection that was used before, since all responses before it had ids. After a refusal for a missing input, and after each refusal of a stage call, the connection is not used again.

Before: second_copy_of_refusal_without_id_* and second_copy_of_refusal_of_same_ request_* failed ("reported as not run", "status 503"). The test of stage calls passes without the change too: the fault is not shown there, the change is a precaution. After: 27 of 27 edge_faulty_endpoint and edge_endpoint_notice tests.

--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -68,6 +68,9 @@
 {
     const time_point now = steady_clock::now();
     const endpoint_answer metadata = Codec::decode_answer(head);
+    // The responses before it on this connection had ids, so it may be a late copy of one of them.
+    if (metadata.attempt.empty() && upstream_->is_reused())
+        return retry_after_break("response without id", now);
     progress_at_ = now;
     head_at_ = now;
     status_ = head.status;
@@ -83,8 +86,9 @@
         endpoint_->health.on_full(now);
     else
         endpoint_->health.on_outcome(head.status < 500, now);
-    // A copy of a response without an id could not be told from the response to the next request.
-    if (metadata.attempt.empty())
+    // A copy of a response without an id could not be told from the response to the next request,
+    // and one of a refusal not from the response to this request when it is sent again.
+    if (metadata.attempt.empty() || disposition_ == disposition::rerun)
         upstream_->disable_reuse();
     discarded_bytes_ = 0;
     if (discards_response())
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -35,6 +35,10 @@
         status_ = head.status;
         metadata_ = Codec::decode_answer(head);
         owner_.on_notice_(*endpoint_, metadata_, steady_clock::now());
+        // Responses of stages have no id: after a copy of a refusal, the results of this call would
+        // answer the next one.
+        if (status_ != 200)
+            connection_->disable_reuse();
     }
     void on_body(std::string bytes) override
     {
@@ -122,6 +126,8 @@
     {
         status_ = head.status;
         owner_.on_notice_(*endpoint_, Codec::decode_answer(head), steady_clock::now());
+        if (status_ / 100 != 2)
+            connection_->disable_reuse();
     }
     void on_body(std::string) override {}
     void on_end() override
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -64,6 +64,7 @@
                                 upstream_response_handler& handler, bool response_has_body)
 {
     handler_ = &handler;
+    ++exchanges_;
     request_ = std::move(request);
     response_has_body_ = response_has_body;
     head_delivered_ = false;
@@ -145,6 +146,7 @@
     (void)socket_.close(ignored);
     open_ = false;
     server_will_close_ = false;
+    exchanges_ = 0;
     confirming_end_ = true;
     if (pool_ != nullptr)
         ++pool_->opened_;
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -77,6 +77,8 @@
     void cancel();
     // Closes the connection after the current response.
     void disable_reuse() { server_will_close_ = true; }
+    // True if the connection has had an exchange before the current one.
+    bool is_reused() const { return exchanges_ > 1; }
     // Stops or resumes reading, so that a slow consumer applies back-pressure to the server.
     void set_paused(bool paused);
 
@@ -120,6 +122,7 @@
     bool skipping_response_ = false; // the current response belongs to another request
     bool confirming_end_ = false;
     std::size_t skipped_bytes_ = 0;
+    std::uint64_t exchanges_ = 0;
     bool open_ = false;
     bool closed_ = false;
     bool reading_ = false;
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -224,6 +224,91 @@
     cr_assert(inputs.size() >= 2);
 }
 
+// Guards against an order that runs twice, or is reported as not run: the copy of a refusal names
+// no request, although the refusal did.
+Test(edge_faulty_endpoint, second_copy_of_refusal_without_id_order_runs_once)
+{
+    faulty_deployment harness;
+    harness.start();
+    for (fake_endpoint* endpoint : {&harness.plain_1, &harness.plain_2})
+    {
+        endpoint->fail_next = 1;
+        endpoint->fail_status = 503;
+        endpoint->fail_as_not_run = true;
+        endpoint->refusals_have_id = true;
+        endpoint->repeats_refusal_late = true;
+        endpoint->processing_time = milliseconds(20);
+    }
+    (void)harness.send_and_wait(0, request_text("POST", "/order/1", "refused", "", "x"));
+    harness.run_for(milliseconds(300)); // the endpoints count as full for a while
+    for (int i = 0; i < 8; ++i)
+    {
+        const std::string attempt = "o" + std::to_string(i);
+        const auto exchange =
+            harness.send_and_wait(0, request_text("POST", "/order/1", attempt, "", "x"));
+        cr_assert(exchange->done && exchange->head.status != 503, "%s: reported as not run",
+                  attempt.c_str());
+        cr_assert(harness.plain_1.executions[attempt] + harness.plain_2.executions[attempt] == 1,
+                  "%s ran twice", attempt.c_str());
+    }
+}
+
+// Guards against a stream that runs twice: the endpoint refused the request before, because an
+// input was gone, and sends this refusal once more when it gets the request again.
+Test(edge_faulty_endpoint, second_copy_of_refusal_of_same_request_stream_runs_once)
+{
+    faulty_deployment harness;
+    harness.add_stage();
+    (void)harness.add_endpoint("encoders", "encoder-1");
+    harness.start();
+    harness.store.remove("servers", "engine-2");
+    cr_assert(harness.run_until([&] { return !harness.vm(0).routes_to("engine-2"); }));
+    harness.engine_1.processing_time = milliseconds(20);
+    harness.engine_1.refusals_have_id = true;
+    harness.engine_1.refusal_copies_have_id = true;
+    harness.engine_1.repeats_refusal_late = true;
+    for (int i = 0; i < 4; ++i)
+    {
+        const std::string attempt = "s" + std::to_string(i);
+        harness.engine_1.inputs_gone_once = true;
+        const auto exchange = harness.send_and_wait(
+            0, request_text("POST", "/stream/1", attempt, "Pieces: 1\r\nPiece-Key: k\r\n", "x"));
+        cr_assert(exchange->done && exchange->body == events_text(5), "%s: status %d",
+                  attempt.c_str(), exchange->head.status);
+    }
+}
+
+// Guards against results of one request that another one gets: an endpoint of a stage sends a
+// refusal once more, and its results then answer the next call on the connection.
+Test(edge_faulty_endpoint, second_copy_of_stage_refusal_results_stay_with_their_request)
+{
+    faulty_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    harness.start();
+    encoder.fail_next = 1;
+    encoder.fail_status = 503;
+    encoder.fail_as_not_run = true;
+    encoder.repeats_refusal_late = true;
+    // Longer than the pause after a refusal.
+    encoder.processing_time = milliseconds(700);
+    for (int i = 0; i < 6; ++i)
+        (void)harness.send_and_wait(0, request_text("POST", "/stream/1", "s" + std::to_string(i),
+                                                    "Pieces: 1\r\nPiece-Key: k\r\n", "x"));
+    std::size_t checked = 0;
+    for (const fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+    {
+        for (const recorded_request& request : engine->requests)
+        {
+            ++checked;
+            cr_assert(encoder.made_for.at(request.fields.at("inputs")) == request.attempt,
+                      "%s got results of %s", request.attempt.c_str(),
+                      encoder.made_for.at(request.fields.at("inputs")).c_str());
+        }
+    }
+    cr_assert(checked >= 5);
+}
+
 // Guards against a batching VM that collects a response of a stage without end in its memory.
 Test(edge_faulty_endpoint, endless_stage_results_request_is_refused)
 {
