Count crashes of one cause in part for a prompt part that is rare otherwise

Cause: crashes within 0.1 s, or 0.4 s in one domain, count as one, since a common cause explains them. Eight engines of one domain that crash in a second under one part are then worth two crashes or three, and popular first parts, which are at each crash by chance, reach the threshold first and explain them.

Change: the requests that an engine had not begun to answer, or had been answering for long, are a sample of all requests. The rarer a part is there, the less it is expected at each crash of a common cause, and the more do the further ones count, up to a half.

--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -25,6 +25,12 @@
 constexpr double combination_slack_ratio = 0.25;
 // Largest weight of a crash at which no response had begun.
 constexpr double no_head_alone_scale = 0.5;
+// Fraction of the weights of further crashes with the same cause that counts for a part which would
+// not be at each of them by chance.
+constexpr double common_cause_weight = 0.5;
+// Number of ordinary requests with a part that are assumed besides those that were seen, so that a
+// part is not taken for rare when few were seen.
+constexpr double assumed_requests_with_part = 1.0;
 // Fraction of the crashes of a held part at which another part makes it ambiguous.
 constexpr double ambiguity_ratio = 0.5;
 // Fraction of the crashes of an ambiguous held part that still counts for others.
@@ -74,7 +80,10 @@
     std::size_t cause = 0; // equal for crashes with a common cause
     std::vector<candidate> candidates;
     double scale = 0.0;                         // largest possible weight
+    double strong_candidates = 0.0;             // number, in units of the strongest one
     std::map<std::string_view, double> weights; // by part
+    // By part: probability that the candidates would not have it if it was not the cause.
+    std::map<std::string_view, double> absences;
     std::vector<std::string_view> strongest_parts;
     double unexplained = 1.0; // fraction of the weights that no held part explains
 };
@@ -110,6 +119,7 @@
         strongest = std::max(strongest, each.share);
     }
     of.scale = strongest > no_head_weight ? strongest : no_head_alone_scale;
+    of.strong_candidates = total / strongest;
     std::map<std::string_view, double> shares;
     for (candidate& each : of.candidates)
     {
@@ -152,21 +162,71 @@
     }
 }
 
-// Sum over the causes of the largest weight that `weight` gives to one of its crashes.
+double strength_of(const broken_request& request)
+{
+    if (request.progress == answer_progress::no_head)
+        return no_head_weight;
+    return request.answering_for <= crash_delay_max ? 1.0 : long_answering_weight;
+}
+
+// Sets the absences of the parts. The requests that an engine had not begun to answer, or had been
+// answering for long, are a sample of all requests.
+void assign_absences(std::vector<crash_case>& crashes,
+                     const std::map<engine_lifetime, crash_record>& records)
+{
+    double requests = assumed_requests_with_part;
+    std::unordered_map<std::string_view, double> with_part;
+    for (const auto& [engine, record] : records)
+    {
+        for (const broken_request& request : record.requests)
+        {
+            if (strength_of(request) >= 1.0)
+                continue;
+            requests += 1.0;
+            for (const std::string& part : request.parts)
+                with_part[part] += 1.0;
+        }
+    }
+    for (crash_case& each : crashes)
+    {
+        for (const auto& [part, weight] : each.weights)
+        {
+            const auto found = with_part.find(part);
+            const double seen = found == with_part.end() ? 0.0 : found->second;
+            const double frequency = (seen + assumed_requests_with_part) / requests;
+            each.absences[part] = std::pow(1.0 - frequency, each.strong_candidates);
+        }
+    }
+}
+
+// Sum over the causes of the largest weight that `weight` gives to one of its crashes, and of a
+// fraction of the others: the less `part` is expected at an unrelated crash, the more these count.
 template <typename Weight>
-double sum_over_causes(const std::vector<crash_case>& crashes, std::span<const std::size_t> indices,
-                       Weight weight)
+double sum_over_causes(const std::vector<crash_case>& crashes, std::string_view part,
+                       std::span<const std::size_t> indices, Weight weight)
 {
-    std::map<std::size_t, double> by_cause;
+    struct cause_sum
+    {
+        double largest = 0.0;
+        double largest_unexpected = 0.0;
+        double unexpected = 0.0;
+    };
+    std::map<std::size_t, cause_sum> by_cause;
     for (const std::size_t i : indices)
     {
-        double& largest = by_cause[crashes[i].cause];
-        largest = std::max(largest, weight(crashes[i]));
+        cause_sum& sum = by_cause[crashes[i].cause];
+        const double value = weight(crashes[i]);
+        const double unexpected = value * crashes[i].absences.at(part);
+        sum.unexpected += unexpected;
+        if (value <= sum.largest)
+            continue;
+        sum.largest = value;
+        sum.largest_unexpected = unexpected;
     }
-    double sum = 0.0;
-    for (const auto& [cause, largest] : by_cause)
-        sum += largest;
-    return sum;
+    double total = 0.0;
+    for (const auto& [cause, sum] : by_cause)
+        total += sum.largest + common_cause_weight * (sum.unexpected - sum.largest_unexpected);
+    return total;
 }
 
 std::vector<std::size_t> unexplained(const std::vector<crash_case>& crashes,
@@ -184,18 +244,11 @@
 double score_of(const std::vector<crash_case>& crashes, std::string_view part,
                 std::span<const std::size_t> indices)
 {
-    return sum_over_causes(crashes, indices,
+    return sum_over_causes(crashes, part, indices,
                            [&](const crash_case& of)
                            { return of.weights.at(part) * of.unexplained; });
 }
 
-double strength_of(const broken_request& request)
-{
-    if (request.progress == answer_progress::no_head)
-        return no_head_weight;
-    return request.answering_for <= crash_delay_max ? 1.0 : long_answering_weight;
-}
-
 std::vector<candidate> make_candidates(const crash_record& record)
 {
     std::vector<candidate> candidates;
@@ -234,6 +287,7 @@
     std::sort(crashes.begin(), crashes.end(),
               [](const crash_case& a, const crash_case& b) { return a.at < b.at; });
     assign_causes(crashes);
+    assign_absences(crashes, records);
     return crashes;
 }
 
@@ -308,7 +362,7 @@
 {
     const auto joint_score = [&](const std::vector<std::string_view>& parts)
     {
-        return sum_over_causes(crashes, top.crashes,
+        return sum_over_causes(crashes, top.part, top.crashes,
                                [&](const crash_case& of)
                                { return joint_weight(of, parts) * of.unexplained; });
     };
--- a/tests/unit/crash_suspects_test.cpp
+++ b/tests/unit/crash_suspects_test.cpp
@@ -150,6 +150,32 @@
     cr_assert(suspects.held_parts(at(200)).empty());
 }
 
+// Guards against a part that stays unknown while it makes engines of one domain crash in quick
+// succession, since these crashes count as one.
+Test(crash_suspects, held_same_part_at_crashes_of_one_domain_holds_it_alone)
+{
+    crash_suspects suspects("vm-0/1");
+    for (int i = 0; i < 10; ++i)
+    {
+        const time_point now = at(60 * i);
+        const auto break_off = [&](int first, const std::string& second, milliseconds answering_for)
+        {
+            suspects.on_crash(engine(i), "domain-0", {"first-" + std::to_string(first % 2), second},
+                              answer_progress::head, answering_for, now);
+        };
+        const std::string second = "second-" + std::to_string(i);
+        break_off(i, "crashing", just_begun);
+        for (int other = 0; other < 2; ++other)
+            break_off(other, second + "-" + std::to_string(other), just_begun);
+        for (int other = 2; other < 10; ++other)
+            break_off(other, second + "-" + std::to_string(other), milliseconds(1500));
+    }
+    const auto held = suspects.held({"first-0", "crashing"}, at(600));
+    cr_assert(held && held->part == "crashing");
+    cr_assert(!suspects.held({"first-0", "second-9"}, at(600)));
+    cr_assert(!suspects.held({"first-1", "second-9"}, at(600)));
+}
+
 // Guards against crashes long past that make a part held at its next crash.
 Test(crash_suspects, held_crashes_far_apart_do_not_add_up)
 {
