Merge and pace crash reports, and do not send them back

Cause: each VM passed each new crash report on over all of its links, also to the VMs that it came from, and each sound request after a crash made one more report.

Ruled out: held prompt parts (none in the play), refusals of stopping VMs, notices of endpoints.

Change: crash_report_outbox holds reports on their way. Reports of sound parts wait 2 s and are merged; reports take a tenth of the VM's link, likely causes first; what came over a link that this VM made goes only to links that it accepted.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -10,6 +10,7 @@
 #include "coordination/serving_record_order.h"
 #include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
+#include "state/crash_report_outbox.h"
 #include "state/crash_suspects.h"
 #include "state/pause_detector.h"
 #include "state/socket_address.h"
@@ -51,7 +52,8 @@
     fleet_limits limits;
     milliseconds stop_grace{8000}; // from the stop signal to process exit
     std::size_t max_connections = 2048;
-    double capacity = 1.0; // see vm_record
+    double capacity = 1.0;           // see vm_record
+    double link_speed = 125'000'000; // of the network link, in bytes per second
 };
 
 // Interval at which all timeouts are checked. A longer one fires timeouts late, a shorter one costs
@@ -168,7 +170,7 @@
     void register_vm(time_point now);
     // Tells all VMs what this one has learnt about crashing engines.
     void send_crash_reports(time_point now);
-    void on_crash_report(const crash_report& report);
+    void on_crash_report(const crash_report& report, report_receivers to);
     std::vector<vm_message> crash_snapshot();
     void log_held_parts(time_point now);
     void log_bad_record(state_table table, const state_record& record);
@@ -218,6 +220,7 @@
     std::map<std::pair<state_table, std::string>, std::uint64_t> logged_bad_records_;
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
     crash_suspects crash_suspects_;
+    crash_report_outbox crash_outbox_;
     std::set<std::string> logged_held_parts_;
     std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
     std::map<std::string, response_estimate, std::less<>> response_times_; // by route
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -113,7 +113,8 @@
                     [this](const std::string& vm, const vm_message& message)
                     { on_peer_state(vm, message); }),
       reading_(state_table_count, table_reading(edge_detail::spread_of(options_.vm))),
-      crash_suspects_(options_.vm + "/" + random_id()), tick_timer_(io)
+      crash_suspects_(options_.vm + "/" + random_id()), crash_outbox_(options_.link_speed),
+      tick_timer_(io)
 {
 }
 
@@ -279,21 +280,26 @@
 template <typename Codec>
 void edge<Codec>::send_crash_reports(time_point now)
 {
-    for (const crash_report& report : crash_suspects_.take_reports(now))
+    for (crash_report& report : crash_suspects_.take_reports(now))
+        crash_outbox_.add(std::move(report), report_receivers::all_links, now);
+    const std::size_t accepted = peers_->connections();
+    for (const outgoing_report& each :
+         crash_outbox_.take(accepted, accepted + stage_router_.links_up(), now))
     {
-        peers_->broadcast(report);
-        stage_router_.broadcast(report);
+        peers_->broadcast(each.report);
+        if (each.to == report_receivers::all_links)
+            stage_router_.broadcast(each.report);
+        counters_.count("crash_reports_sent_total");
     }
 }
 
-// Passes news on to all linked VMs: this VM may be the only way from the sender to some of them.
+// Passes news on: this VM may be the only way from the sender to some of those linked to it.
 template <typename Codec>
-void edge<Codec>::on_crash_report(const crash_report& report)
+void edge<Codec>::on_crash_report(const crash_report& report, report_receivers to)
 {
-    if (!crash_suspects_.on_report(report, steady_clock::now()))
-        return;
-    peers_->broadcast(report);
-    stage_router_.broadcast(report);
+    const time_point now = steady_clock::now();
+    if (crash_suspects_.on_report(report, now))
+        crash_outbox_.add(report, to, now);
 }
 
 template <typename Codec>
@@ -362,7 +368,7 @@
     if (const auto* held = std::get_if<held_records>(&message))
         return on_held_records(*held);
     if (const auto* report = std::get_if<crash_report>(&message))
-        return on_crash_report(*report);
+        return on_crash_report(*report, report_receivers::all_links);
     stage_router_.on_message(from, std::move(message));
 }
 
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -316,7 +316,7 @@
     if (const auto* held = std::get_if<held_records>(&message))
         return on_held_records(*held);
     if (const auto* report = std::get_if<crash_report>(&message))
-        return on_crash_report(*report);
+        return on_crash_report(*report, report_receivers::accepted_links);
     if (std::holds_alternative<leaving_message>(message))
         sources_.remove(vm);
 }
--- a/packages/daemon/run_edge.cpp
+++ b/packages/daemon/run_edge.cpp
@@ -38,6 +38,8 @@
 // the capacity falls in proportion.
 constexpr double full_capacity_link_mbps = 100.0;
 
+constexpr double bytes_per_s_and_mbps = 1e6 / 8;
+
 // Capacity of this VM relative to other VMs, see vm_record.
 double capacity_of(const serving_settings& serving)
 {
@@ -59,6 +61,7 @@
         options.seeds.push_back(to_string(seed));
     options.limits = make_limits(*config.serving);
     options.capacity = capacity_of(*config.serving);
+    options.link_speed = config.serving->link_mbps * bytes_per_s_and_mbps;
     options.stop_grace = config.serving->stop_grace;
     options.max_connections = config.limits.max_connections;
     return options;
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -114,6 +114,7 @@
     vm_listener& operator=(const vm_listener&) = delete;
 
     std::uint16_t port() const { return acceptor_.port(); }
+    std::size_t connections() const { return channels_.size(); }
     // Called with each connection that is accepted.
     std::function<void(const std::shared_ptr<vm_channel>&)> on_accepted;
     void broadcast(const vm_message& message);
