Place requests by a suspect prompt part only after more than one cause

Cause: a request is placed by its most suspect part, so that suspects are told apart, and any part that was at a crash is a suspect. After the crash of a domain these are the popular first parts: all requests that share one went to one engine, which was full, and away from the engines that had their prompts cached.

Change: parts below a score of 1.3, which is more than one cause amounts to, do not place requests.

--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -588,7 +588,8 @@
     for (const std::string& part : parts)
     {
         const auto found = scores_.find(part);
-        if (found == scores_.end() || found->second <= most_score)
+        if (found == scores_.end() || found->second < placement_threshold ||
+            found->second <= most_score)
             continue;
         most = &part;
         most_score = found->second;
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -34,6 +34,9 @@
 // The same for a combination of parts: its hold affects only requests that have all of them.
 inline constexpr double combination_threshold = 1.8;
 inline constexpr double sole_suspect_weight = 1.25;
+// Requests are placed by a part from this sum on. It is more than one cause amounts to: after the
+// crash of a whole domain, requests that share a popular part would all go to one engine.
+inline constexpr double placement_threshold = 1.3;
 // An engine crashes within this time after it begins to answer the request that causes it.
 inline constexpr milliseconds crash_delay_max{500};
 // Strength of a request as a cause if its response had begun longer ago or had not begun, relative
@@ -185,8 +188,9 @@
                    const std::vector<std::string>& vms, time_point now);
     // The request was sent as a probe.
     void on_probe(const std::vector<std::string>& parts, time_point now);
-    // The most suspect part of a request that is not held, or nothing if none was at a crash.
-    // Placing requests by it separates suspects that share an engine otherwise.
+    // The most suspect part of a request that is not held, or nothing if none reaches
+    // placement_threshold. Placing requests by it separates suspects that share an engine
+    // otherwise.
     std::optional<std::string> suspect(const std::vector<std::string>& parts, time_point now);
 
     // Parts held at present, for status reports.
--- a/tests/unit/crash_suspects_test.cpp
+++ b/tests/unit/crash_suspects_test.cpp
@@ -176,6 +176,30 @@
     cr_assert(!suspects.held({"first-1", "second-9"}, at(600)));
 }
 
+// Guards against requests that all go to one engine after the crash of a domain, since they share a
+// popular part.
+Test(crash_suspects, suspect_whole_domain_crashes_is_none)
+{
+    crash_suspects suspects("vm-0/1");
+    for (int i = 0; i < 6; ++i)
+        suspects.on_crash(engine(i), "domain-0",
+                          {"first-" + std::to_string(i % 2), "second-" + std::to_string(i)},
+                          answer_progress::head, just_begun, at(20 * i));
+    cr_assert(!suspects.suspect({"first-0", "second-9"}, at(200)));
+    cr_assert(!suspects.suspect({"first-1", "second-1"}, at(200)));
+}
+
+// Guards against suspects that share an engine, which cannot be told apart.
+Test(crash_suspects, suspect_same_part_at_two_crashes_is_the_part)
+{
+    crash_suspects suspects("vm-0/1");
+    for (int i = 0; i < 2; ++i)
+        suspects.on_crash(engine(i), domain(i), {"first-" + std::to_string(i), "crashing"},
+                          answer_progress::head, just_begun, at(1000 * i));
+    cr_assert(suspects.suspect({"first-2", "crashing"}, at(2000)) == "crashing");
+    cr_assert(!suspects.suspect({"first-2", "second-1"}, at(2000)));
+}
+
 // Guards against crashes long past that make a part held at its next crash.
 Test(crash_suspects, held_crashes_far_apart_do_not_add_up)
 {
