Do not take a kept connection that was lost before for a crash of its engine

Cause: each request that breaks with its connection counts as a possible crash.

Ruled out: the time that sound reports wait (the same with 0.1 s and 2 s).

Change: a break without any response within 30 ms after sending on a kept connection is not counted. An engine that crashes under a request has worked on it for longer. Verdicts and retries stay as they are.

Before: kept_connections_lost_at_many_engines_hold_nothing fails, the popular part is held after four or five engines.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -580,6 +580,10 @@
 void edge<Codec>::exchange::on_failure(upstream_failure failure)
 {
     const time_point now = steady_clock::now();
+    // A kept connection that was lost while idle breaks as soon as it is used again.
+    const bool was_lost_before = failure == upstream_failure::broken_before_answer &&
+                                 upstream_->is_reused() &&
+                                 now - sent_at_ <= lost_connection_max_delay;
     upstream_.reset();
     endpoint_->health.on_finished();
     tried_.insert(endpoint_->record.id);
@@ -601,7 +605,8 @@
     if (!discarded)
     {
         may_have_run_ = true;
-        record_break(failure, now);
+        if (!was_lost_before)
+            record_break(failure, now);
     }
     log_upstream_failure(to_string(failure), now);
     retry_or_fail(reason::connection_broken,
--- a/tests/unit/edge_crashing_prompt_test.cpp
+++ b/tests/unit/edge_crashing_prompt_test.cpp
@@ -171,3 +171,51 @@
         engine->close_delimited = true;
     expect_part_is_held(harness);
 }
+
+// Guards against kept connections that were lost while idle being taken for crashes, which holds a
+// popular part.
+Test(edge_crashing_prompt, kept_connections_lost_at_many_engines_hold_nothing)
+{
+    crashing_deployment harness;
+    harness.routes["/stream/"]["attempts"] = web::json::value::number(1);
+    harness.configure(2);
+    cr_assert(harness.run_until(
+        [&] { return harness.vm(0).report(steady_clock::now()).desired_version == 2; }));
+    const auto send_next = [&]
+    {
+        const auto exchange =
+            harness.start_prompt(0, "50f" + std::to_string(harness.sent % 40), "stream");
+        cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    };
+    while (std::any_of(harness.engines.begin(), harness.engines.end(),
+                       [](const auto* engine) { return engine->executions.empty(); }))
+        send_next();
+    for (fake_endpoint* engine : harness.engines)
+        engine->break_before_answer = 1;
+    for (std::size_t broken = 0; broken < harness.engines.size(); ++broken)
+    {
+        send_next();
+        const auto found =
+            std::find_if(harness.engines.begin(), harness.engines.end(),
+                         [](const auto* engine) { return engine->break_before_answer == 0; });
+        cr_assert(found != harness.engines.end());
+        (*found)->break_before_answer = -1;
+        // A sound run would clear the part.
+        const auto number = found - harness.engines.begin();
+        harness.publish_endpoint("engines", **found, number % 2 == 0 ? "dom-a" : "dom-b",
+                                 "draining");
+        const std::string id = (*found)->id();
+        cr_assert(harness.run_until(
+            [&]
+            {
+                const auto endpoints = harness.vm(0).report(steady_clock::now()).endpoints;
+                return std::any_of(endpoints.begin(), endpoints.end(),
+                                   [&](const auto& each) {
+                                       return each.id == id &&
+                                              each.use == zinnianotch::endpoint_use::draining;
+                                   });
+            }));
+        harness.run_for(zinnianotch::domain_cause_window + milliseconds(20));
+    }
+    cr_assert(harness.vm(0).report(steady_clock::now()).held_prompt_parts.empty());
+}
