--- a/tests/unit/crash_suspects_history_test.cpp
+++ b/tests/unit/crash_suspects_history_test.cpp
@@ -875,6 +875,17 @@
     return count;
 }
 
+// Plays one history and fails if it violates a bound.
+void expect_bounds_kept(std::uint64_t seed)
+{
+    history_totals totals;
+    const auto violations = crash_history<real_policy>(seed, totals).run();
+    for (const std::string& violation : violations)
+        std::printf("%s\n", violation.c_str());
+    std::fflush(stdout);
+    cr_assert(violations.empty());
+}
+
 } // namespace
 
 // Guards against engines that continue to crash under requests with one part, and against sound
@@ -938,11 +949,13 @@
 // Guards against popular first parts that are held in turn while the crashing part is overlooked.
 Test(crash_suspects_history, real_policy_head_long_before_first_event_keeps_bounds)
 {
-    constexpr std::uint64_t failing_seed = 992;
-    history_totals totals;
-    const auto violations = crash_history<real_policy>(failing_seed, totals).run();
-    for (const std::string& violation : violations)
-        std::printf("%s\n", violation.c_str());
-    std::fflush(stdout);
-    cr_assert(violations.empty());
+    constexpr std::uint64_t seed = 992;
+    expect_bounds_kept(seed);
+}
+
+// Guards against the same where a popular second part is at most crashes.
+Test(crash_suspects_history, real_policy_popular_second_part_keeps_bounds)
+{
+    constexpr std::uint64_t seed = 5026;
+    expect_bounds_kept(seed);
 }
