Keep the framing of a stream that has begun in the stand-in of an endpoint

Cause: the stand-in, not the product. The fault "no length" of the soak switches close_delimited on and off while streams are in progress, and fake_endpoint::stream asked it for each event. A response whose head had promised the end of the connection went on in chunks; the VM passed on these bytes as they were sent.

Change: the head of a response sets its framing. No check is changed; a response that begins without a length ends without one.

--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -571,14 +571,14 @@
     if (!crash_part.empty() && prompt != request.fields.end() &&
         prompt->second.find(crash_part) != std::string::npos)
         return run_after(milliseconds(5), [this] { crash(); });
-    stream(client, request.attempt, first);
+    stream(client, request.attempt, first, close_delimited);
 }
 
 void fake_endpoint::stream(const std::shared_ptr<server_connection>& client,
-                           const std::string& attempt, int next)
+                           const std::string& attempt, int next, bool until_close)
 {
-    const auto part = [this](const std::string& bytes)
-    { return close_delimited ? bytes : chunk(bytes); };
+    const auto part = [until_close](const std::string& bytes)
+    { return until_close ? bytes : chunk(bytes); };
     const bool ends_in_event = end_in_event_after >= 0 && next > end_in_event_after;
     const bool is_empty = empty_streams > 0;
     if (next > event_count || ends_in_event || is_empty)
@@ -587,8 +587,8 @@
         if (ends_in_event)
             client->send(part("id: " + std::to_string(next) + "\ndata: te"));
         end_in_event_after = ends_in_event ? -1 : end_in_event_after;
-        client->send(close_delimited ? "" : "0\r\n\r\n");
-        return client->end(!close_delimited);
+        client->send(until_close ? "" : "0\r\n\r\n");
+        return client->end(!until_close);
     }
     if (crash_in_answer >= 0 && next > crash_in_answer)
         return run_after(milliseconds(5), [this] { crash_for_good(); });
@@ -604,7 +604,8 @@
         return stall(client);
     }
     client->send(part(event_text(next)));
-    run_after(event_interval, [this, client, attempt, next] { stream(client, attempt, next + 1); });
+    run_after(event_interval, [this, client, attempt, next, until_close]
+              { stream(client, attempt, next + 1, until_close); });
 }
 
 client_exchange::client_exchange(asio::io_context& io, const std::string& address,
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -208,8 +208,9 @@
                     const std::string& body);
     void respond(const std::shared_ptr<zinnianotch::server_connection>& client,
                  const recorded_request& request);
+    // Sends the next event; the head of the response has set its framing.
     void stream(const std::shared_ptr<zinnianotch::server_connection>& client,
-                const std::string& attempt, int next);
+                const std::string& attempt, int next, bool until_close);
     void refuse(const std::shared_ptr<zinnianotch::server_connection>& client, int status,
                 const std::string& attempt);
     void send_refusal_copy(const std::shared_ptr<zinnianotch::server_connection>& client);
