--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -285,7 +285,7 @@
     : io_(io), id_(std::move(id)),
       listener_(io, loopback, 0,
                 [this](const std::shared_ptr<server_connection>& client, received_request&& request)
-                { handle(client, request); })
+                { receive(client, request); })
 {
 }
 
@@ -299,10 +299,78 @@
     const auto timer = std::make_shared<asio::steady_timer>(io_);
     timer->expires_after(time);
     timer->async_wait(
-        [timer, callback = std::move(callback)](const boost::system::error_code& error)
+        [this, timer, callback = std::move(callback)](const boost::system::error_code& error)
         {
             if (!error)
-                callback();
+                run_unless_silent(callback);
+        });
+}
+
+void fake_endpoint::fall_silent(milliseconds time)
+{
+    ++silences;
+    ++silences_in_progress_;
+    const auto timer = std::make_shared<asio::steady_timer>(io_);
+    timer->expires_after(time);
+    timer->async_wait(
+        [this, timer](const boost::system::error_code& error)
+        {
+            if (error || --silences_in_progress_ > 0)
+                return;
+            for (const auto& callback : std::exchange(held_back_, {}))
+                run_unless_silent(callback);
+        });
+}
+
+bool fake_endpoint::falls_silent(silence_point point)
+{
+    if (silent_at != point || silences_left == 0)
+        return false;
+    --silences_left;
+    fall_silent(silence_time);
+    return true;
+}
+
+void fake_endpoint::run_unless_silent(std::function<void()> callback)
+{
+    if (is_silent())
+        held_back_.push_back(std::move(callback));
+    else
+        callback();
+}
+
+void fake_endpoint::receive(const std::shared_ptr<server_connection>& client,
+                            const received_request& request)
+{
+    const bool is_new = std::none_of(clients_.begin(), clients_.end(),
+                                     [&](const auto& known) { return known.lock() == client; });
+    if (is_new)
+        (void)falls_silent(silence_point::before_accept);
+    (void)falls_silent(silence_point::before_reading);
+    run_unless_silent([this, client, request] { handle(client, request); });
+}
+
+void fake_endpoint::send_response(const std::shared_ptr<server_connection>& client,
+                                  const std::string& text, bool keep_alive)
+{
+    const std::size_t head = text.find("\r\n\r\n") + 4;
+    std::size_t first_part = text.size();
+    if (falls_silent(silence_point::within_head))
+        first_part = head / 2;
+    else if (falls_silent(silence_point::within_plain_body))
+        first_part = (head + text.size()) / 2;
+    else if (keep_alive && falls_silent(silence_point::before_last_byte))
+        first_part = text.size() - 1;
+    client->send(text.substr(0, first_part));
+    if (!keep_alive)
+        (void)falls_silent(silence_point::before_close);
+    run_unless_silent(
+        [this, client, rest = text.substr(first_part), keep_alive]
+        {
+            client->send(rest);
+            client->end(keep_alive);
+            if (!keep_alive)
+                (void)falls_silent(silence_point::after_close);
         });
 }
 
@@ -361,8 +429,12 @@
         return refuse(client, fail_status, "");
     }
     if (recorded.target == "/stage-run")
+    {
+        (void)falls_silent(silence_point::before_stage_results);
         return run_after(processing_time,
                          [this, client, body = request.body] { run_pieces(client, body); });
+    }
+    (void)falls_silent(silence_point::before_head);
     run_after(processing_time, [this, client, recorded] { respond(client, recorded); });
 }
 
@@ -553,25 +625,33 @@
             return run_after(break_delay, [client] { client->abort(); });
         }
         if (close_delimited)
-        {
-            client->send("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body);
-            return client->end(false);
-        }
+            return send_response(client, "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body, false);
         const std::string answer = response_text(200, fields, body);
-        client->send((repeats_answer_late ? last_answer_ : "") + answer +
-                     (extra_bytes ? "HTTP/1.1 200 O" : ""));
+        const std::string late_copy = repeats_answer_late ? last_answer_ : "";
         last_answer_ = answer;
-        return client->end(true);
+        return send_response(client, late_copy + answer + (extra_bytes ? "HTTP/1.1 200 O" : ""),
+                             true);
     }
     const auto resumed = request.fields.find("last-event-id");
     const int first = resumed == request.fields.end() ? 1 : std::stoi(resumed->second) + 1;
-    client->send("HTTP/1.1 200 OK\r\n" + fields + "Content-Type: text/event-stream\r\n" +
-                 (close_delimited ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields +
+                             "Content-Type: text/event-stream\r\n" +
+                             (close_delimited ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
+    const std::size_t first_part =
+        falls_silent(silence_point::within_head) ? head.size() / 2 : head.size();
+    client->send(head.substr(0, first_part));
+    if (silent_after_event == 0)
+        (void)falls_silent(silence_point::between_events);
     const auto prompt = request.fields.find("prompt-prefix");
     if (!crash_part.empty() && prompt != request.fields.end() &&
         prompt->second.find(crash_part) != std::string::npos)
         return run_after(milliseconds(5), [this] { crash(); });
-    stream(client, request.attempt, first, close_delimited);
+    run_unless_silent(
+        [this, client, attempt = request.attempt, rest = head.substr(first_part), first]
+        {
+            client->send(rest);
+            stream(client, attempt, first, close_delimited);
+        });
 }
 
 void fake_endpoint::stream(const std::shared_ptr<server_connection>& client,
@@ -587,8 +667,16 @@
         if (ends_in_event)
             client->send(part("id: " + std::to_string(next) + "\ndata: te"));
         end_in_event_after = ends_in_event ? -1 : end_in_event_after;
-        client->send(until_close ? "" : "0\r\n\r\n");
-        return client->end(!until_close);
+        (void)falls_silent(until_close ? silence_point::before_close
+                                       : silence_point::before_last_byte);
+        return run_unless_silent(
+            [this, client, until_close]
+            {
+                client->send(until_close ? "" : "0\r\n\r\n");
+                client->end(!until_close);
+                if (until_close)
+                    (void)falls_silent(silence_point::after_close);
+            });
     }
     if (crash_in_answer >= 0 && next > crash_in_answer)
         return run_after(milliseconds(5), [this] { crash_for_good(); });
@@ -603,9 +691,21 @@
         stall_after_event = -1;
         return stall(client);
     }
-    client->send(part(event_text(next)));
-    run_after(event_interval, [this, client, attempt, next, until_close]
-              { stream(client, attempt, next + 1, until_close); });
+    const std::string text = event_text(next);
+    std::size_t first_part = text.size();
+    if (next == silent_after_event + 1 && falls_silent(silence_point::within_event))
+        first_part /= 2;
+    client->send(part(text.substr(0, first_part)));
+    if (next == silent_after_event)
+        (void)falls_silent(silence_point::between_events);
+    run_unless_silent(
+        [this, client, attempt, next, until_close, part, rest = text.substr(first_part)]
+        {
+            if (!rest.empty())
+                client->send(part(rest));
+            run_after(event_interval, [this, client, attempt, next, until_close]
+                      { stream(client, attempt, next + 1, until_close); });
+        });
 }
 
 client_exchange::client_exchange(asio::io_context& io, const std::string& address,
@@ -615,6 +715,15 @@
     connection_ = pool_.start(request, *this, milliseconds(0), steady_clock::now());
 }
 
+void client_exchange::send_next(const std::string& request)
+{
+    head = {};
+    body.clear();
+    done = false;
+    failure.reset();
+    connection_ = pool_.start(request, *this, milliseconds::max(), steady_clock::now());
+}
+
 void client_exchange::on_head(message_head& received, body_framing, std::optional<std::uint64_t>)
 {
     head = received;
@@ -772,6 +881,7 @@
     stage["pieces"]["handle_s"] = value::number(4.0);
     state["services"] = value::array({service("plain"), engines, stage});
     state["tenants"] = accounts;
+    state["limits"] = client_limits;
     store.put("op", "config", state);
 }
 
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -134,6 +134,23 @@
     in_stage_results
 };
 
+// Where in an exchange a sound endpoint falls silent.
+enum class silence_point
+{
+    none,
+    before_accept,     // of a new connection
+    before_reading,    // of a request, on any connection
+    before_head,       // the request is read
+    within_head,       // half of it is sent
+    between_events,    // after event number `silent_after_event`; 0: after the head
+    within_event,      // after half of the event that follows `silent_after_event`
+    within_plain_body, // half of it is sent
+    before_last_byte,  // of a response that has a length or ends with a chunk
+    before_close,      // of the connection that ends a response without a length
+    after_close,       // of that connection
+    before_stage_results
+};
+
 // Acts as a model engine, as an endpoint of a stage, or as a plain service, depending on the
 // request and on `event_count`.
 class fake_endpoint
@@ -181,6 +198,16 @@
     std::string crash_part;              // crashes as it begins to answer a prompt with this part
     std::function<void()> on_crash;
 
+    // Silences of a sound endpoint: for this long it reads and sends nothing on any connection, as
+    // a process that is paused, and then goes on where it was.
+    silence_point silent_at = silence_point::none;
+    int silences_left = 0; // number of requests at which it falls silent there
+    int silent_after_event = 2;
+    milliseconds silence_time{1500};
+    std::size_t silences = 0;
+    void fall_silent(milliseconds time);
+    bool is_silent() const { return silences_in_progress_ > 0; }
+
     std::vector<recorded_request> requests;
     std::map<std::string, int> executions;       // by attempt; without refused ones
     std::map<std::string, std::string> made_for; // result handle: attempt
@@ -202,8 +229,17 @@
     void restart() { is_crashed_ = false; }
 
 private:
+    void receive(const std::shared_ptr<zinnianotch::server_connection>& client,
+                 const zinnianotch::received_request& request);
     void handle(const std::shared_ptr<zinnianotch::server_connection>& client,
                 const zinnianotch::received_request& request);
+    // Falls silent if that is due at this point.
+    bool falls_silent(silence_point point);
+    // Runs the callback, as soon as the endpoint is no longer silent.
+    void run_unless_silent(std::function<void()> callback);
+    // Sends a response that is not streamed, with the silence within it that is due.
+    void send_response(const std::shared_ptr<zinnianotch::server_connection>& client,
+                       const std::string& text, bool keep_alive);
     void run_pieces(const std::shared_ptr<zinnianotch::server_connection>& client,
                     const std::string& body);
     void respond(const std::shared_ptr<zinnianotch::server_connection>& client,
@@ -226,10 +262,12 @@
     std::string refusal_copy_;
     std::string last_answer_;
     bool is_crashed_ = false;
+    int silences_in_progress_ = 0;
+    std::deque<std::function<void()>> held_back_; // until the silence is over
     std::vector<std::weak_ptr<zinnianotch::server_connection>> clients_;
 };
 
-// One request of a client and its response.
+// One request of a client and its response, or several in turn on a kept connection.
 class client_exchange : public zinnianotch::upstream_response_handler
 {
 public:
@@ -243,6 +281,9 @@
     void on_end() override { done = true; }
     void on_failure(zinnianotch::upstream_failure cause) override;
     void disconnect() { connection_->cancel(); }
+    // Sends another request, on the same connection unless that was closed.
+    void send_next(const std::string& request);
+    bool is_reused() const { return connection_->is_reused(); }
 
     zinnianotch::message_head head;
     std::string body;
@@ -310,6 +351,7 @@
     // Routes by path prefix; changes take effect with the next configure().
     std::map<std::string, web::json::value> routes;
     web::json::value accounts = web::json::value::array();
+    web::json::value client_limits = web::json::value::object(); // those missing have defaults
     zinnianotch::fleet_limits limits;
     milliseconds stop_grace{8000};
     double result_memory_mb = 10.0; // per endpoint of a stage
