Keep a request with its silent endpoint until another one has it

Cause: after next_event_timeout the VM gave up the connection first and looked for another engine then. It could not go back to the first one, and where no engine, attempt or retry was left, or the next engine refused or broke, or the stages failed when they ran again, the client was broken off. Also, a stream that was left between its head and its first event was sent on without the results of its stages, which are released at the head.

Change: the request stays with the silent endpoint until another endpoint is acquired, the retry is taken from the budget and the stages have run again; an endpoint that takes no new requests keeps it for a second more. If the other endpoint refuses or fails, the request goes back to the silent one, and waits for it or for the retry budget until its deadline. Inputs are made again whenever they are no longer held. A begun stream stays for 2.5 s instead of 1.2 s.

Ruled out: sending to a second endpoint while the first one still works on the request (it would run twice at the same time); never leaving a silent endpoint (engines without power).

The silence in them is now 3 s, so that the VM does leave the endpoint.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -26,12 +26,16 @@
 inline constexpr std::uint32_t connect_failure_limit = 4;
 // Maximum time that a request waits for an available endpoint before it is refused.
 inline constexpr milliseconds placement_timeout{250};
-// A repeatable request without progress for this long is retried on another endpoint, if nothing of
-// the response was passed on yet. The second value is for streaming routes.
+// A repeatable request without progress for this long moves to another endpoint that can take it,
+// if nothing of the response was passed on yet. The second value is for streaming routes.
 inline constexpr milliseconds plain_progress_timeout{900};
 inline constexpr milliseconds first_event_timeout{2500};
-// A resumable stream that received nothing for this long is resumed on another endpoint.
-inline constexpr milliseconds next_event_timeout{1200};
+// The same for a resumable stream that has begun. Sound endpoints pause for a second or so.
+inline constexpr milliseconds next_event_timeout{2500};
+// Time between two attempts to move a request away from a silent endpoint.
+inline constexpr milliseconds move_retry_interval{500};
+// Further time that a request stays with a silent endpoint that takes no new requests.
+inline constexpr milliseconds leaving_endpoint_allowance{1000};
 // A buffered response to a repeatable request that is not complete this long after its head is
 // requested from another endpoint. Bytes that arrive now and then do not extend it.
 inline constexpr milliseconds buffered_body_timeout{1800};
@@ -125,11 +129,20 @@
     void release_consumed_results(std::size_t index);
 
     void place(time_point now);
+    placement_request make_placement(time_point now);
+    void move_from_silent_endpoint(time_point now);
+    void complete_move(time_point now);
+    void cancel_move(time_point now);
+    bool may_return_to_silent_endpoint() const;
+    bool holds_inputs() const;
     std::string results_domain(const std::vector<std::uint32_t>& stages,
                                std::uint32_t readers) const;
     void send(endpoint_ptr endpoint, time_point now);
-    bool try_acquire_retry(time_point now);
+    bool may_retry(time_point now) const;
     void retry_or_fail(reason why, verdict outcome, time_point now);
+    void retry_after_silence(time_point now);
+    bool has_left_sound_endpoint() const;
+    void reset_response();
     void drop_upstream();
 
     disposition choose_disposition(const message_head& head, const endpoint_answer& metadata) const;
@@ -148,6 +161,7 @@
     void retry_after_break(std::string_view why, time_point now);
     void record_break(upstream_failure failure, time_point now);
     void record_sound(time_point now);
+    std::optional<held_request> find_hold(time_point now);
     bool is_held(time_point now);
     void log_upstream_failure(std::string_view why, time_point now) const;
     void abandon_attempt(time_point now);
@@ -191,11 +205,15 @@
 
     endpoint_ptr endpoint_;
     std::shared_ptr<upstream_connection> upstream_;
-    std::set<std::string> tried_;
+    std::set<std::string> tried_;  // endpoints that failed or refused the request
+    std::set<std::string> silent_; // endpoints that it left only because they were silent
+    bool is_moving_ = false;       // stages run again while the silent endpoint has the request
+    time_point move_retry_at_{};
     std::uint32_t attempts_ = 0;
     std::uint32_t connect_failures_ = 0;
     std::uint32_t crashed_engines_ = 0; // that broke while they had this request
     bool waiting_for_endpoint_ = false;
+    bool waiting_for_retry_ = false; // for the retry budget
     time_point waiting_since_{};
     time_point sent_at_{};
     time_point progress_at_{};
@@ -217,7 +235,9 @@
     event_stream events_;
     body_framing framing_ = body_framing::none;
     time_point first_byte_at_{};
-    std::string inputs_domain_; // failure domain that holds large inputs, at the last placement
+    // At the last placement: failure domain that holds large inputs, and affinity.
+    std::string inputs_domain_;
+    std::string affinity_;
     bool closed_ = false;
 };
 
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -116,13 +116,19 @@
     return !is_held(now);
 }
 
+template <typename Codec>
+std::optional<held_request> edge<Codec>::exchange::find_hold(time_point now)
+{
+    if (!is_generation())
+        return std::nullopt;
+    return owner_.crash_suspects_.held(call_.prompt_parts, now);
+}
+
 // Refuses the request if engines crash under a part of its prompt and this VM may not probe it now.
 template <typename Codec>
 bool edge<Codec>::exchange::is_held(time_point now)
 {
-    if (!is_generation())
-        return false;
-    const auto held = owner_.crash_suspects_.held(call_.prompt_parts, now);
+    const auto held = find_hold(now);
     if (!held || owner_.crash_suspects_.may_probe(call_.prompt_parts, owner_.options_.vm,
                                                   owner_.endpoints_.vms(), now))
         return false;
@@ -299,7 +305,8 @@
 template <typename Codec>
 void edge<Codec>::exchange::submit_ready(time_point now)
 {
-    for (std::size_t i = 0; i < stages_.size() && !closed_; ++i)
+    const bool was_moving = is_moving_; // a submission may end the move
+    for (std::size_t i = 0; i < stages_.size() && !closed_ && is_moving_ == was_moving; ++i)
     {
         if (stages_[i].done || stages_[i].submitted)
             continue;
@@ -310,9 +317,11 @@
         if (ready)
             submit_stage(i, now);
     }
-    if (!closed_ && stages_done())
+    if (!closed_ && is_moving_ == was_moving && stages_done())
     {
         stages_done_at_ = now;
+        if (is_moving_)
+            return complete_move(now);
         place(now);
     }
 }
@@ -379,6 +388,8 @@
     const bool refused = outcome.end == stage_end::refused;
     owner_.stage_times_.record(stages_[index].queue, refused ? outcome.expected : failed_stage_time,
                                now);
+    if (is_moving_)
+        return cancel_move(now);
     if (refused)
         return refuse(reason::overloaded, where + " has no time left in its queue",
                       outcome.expected / 2, now);
@@ -498,23 +509,16 @@
     }
     if (is_held(now))
         return;
-    inputs_domain_ = results_domain(last_stages(), 1);
-    const std::string& domain = inputs_domain_;
-    placement_request request;
-    request.service = service_name_;
-    std::optional<std::string> suspect;
-    if (is_generation())
+    placement_request request = make_placement(now);
+    endpoint_ptr endpoint;
+    if (silent_.empty() || attempts_ < route_->attempts)
+        endpoint = owner_.endpoints_.acquire(request, service_, now);
+    if (!endpoint && !silent_.empty())
     {
-        // Requests with different suspect parts go to different engines, which tells them apart.
-        suspect = owner_.crash_suspects_.suspect(call_.prompt_parts, now);
-        request.affinity = suspect ? *suspect : call_.prompt_prefix;
+        request.excluded_ids = nullptr;
+        request.only_ids = &silent_;
+        endpoint = owner_.endpoints_.acquire(request, service_, now);
     }
-    request.preferred_domain = domain;
-    // Reading a prompt prefix again takes an engine longer than fetching the results from another
-    // domain, so a request with a prefix goes where this is cached.
-    request.stay_in_preferred = !domain.empty() && request.affinity.empty();
-    request.excluded_ids = &tried_;
-    const endpoint_ptr endpoint = owner_.endpoints_.acquire(request, service_, now);
     if (endpoint)
     {
         waiting_for_endpoint_ = false;
@@ -530,6 +534,8 @@
     if (available_at && *available_at < waiting_since_ + placement_timeout &&
         now - waiting_since_ < placement_timeout)
         return;
+    if (has_left_sound_endpoint())
+        return;
     const milliseconds retry_after =
         available_at ? std::chrono::duration_cast<milliseconds>(*available_at - now)
                      : retry_after_not_ready;
@@ -537,6 +543,110 @@
            retry_after, now);
 }
 
+// The request as it is placed: where its inputs or its prompt prefix are.
+template <typename Codec>
+placement_request edge<Codec>::exchange::make_placement(time_point now)
+{
+    inputs_domain_ = results_domain(last_stages(), 1);
+    placement_request request;
+    request.service = service_name_;
+    if (is_generation())
+    {
+        // Requests with different suspect parts go to different engines, which tells them apart.
+        affinity_ =
+            owner_.crash_suspects_.suspect(call_.prompt_parts, now).value_or(call_.prompt_prefix);
+        request.affinity = affinity_;
+    }
+    request.preferred_domain = inputs_domain_;
+    // Reading a prompt prefix again takes an engine longer than fetching the results from another
+    // domain, so a request with a prefix goes where this is cached.
+    request.stay_in_preferred = !inputs_domain_.empty() && request.affinity.empty();
+    request.excluded_ids = &tried_;
+    return request;
+}
+
+// Begins to move a request whose endpoint is silent to another endpoint. The silent one may be
+// sound, so it keeps the request until the other can take it.
+template <typename Codec>
+void edge<Codec>::exchange::move_from_silent_endpoint(time_point now)
+{
+    if (is_moving_ || now < move_retry_at_ || !may_retry(now) || !owner_.is_state_confirmed(now))
+        return;
+    // An endpoint that takes no new requests could not be returned to.
+    if (!owner_.endpoints_.is_serving(endpoint_->record.id) &&
+        now - progress_at_ < progress_timeout() + leaving_endpoint_allowance)
+        return;
+    if (holds_inputs())
+        return complete_move(now);
+    is_moving_ = true;
+    rerun_stages(now);
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::complete_move(time_point now)
+{
+    std::set<std::string> excluded = tried_;
+    excluded.insert(endpoint_->record.id);
+    placement_request request = make_placement(now);
+    request.excluded_ids = &excluded;
+    if (!ends_before_stop(now) || find_hold(now))
+        return cancel_move(now);
+    const endpoint_ptr next = owner_.endpoints_.acquire(request, service_, now);
+    if (!next)
+        return cancel_move(now);
+    if (!owner_.endpoints_.try_acquire_retry(service_name_, now))
+    {
+        next->health.on_finished();
+        return cancel_move(now);
+    }
+    log_event(log_level::warning, "endpoint_silent",
+              {{"request", call_.attempt},
+               {"endpoint", endpoint_->record.id},
+               {"next", next->record.id},
+               {"begun", head_sent_ ? "true" : "false"},
+               {"silent_ms", edge_detail::milliseconds_text(
+                                 std::chrono::duration_cast<milliseconds>(now - progress_at_))}});
+    owner_.counters_.count_retry(reason::silent_connection);
+    drop_upstream();
+    endpoint_->health.on_outcome(false, now);
+    tried_.insert(endpoint_->record.id);
+    silent_.insert(endpoint_->record.id);
+    may_have_run_ = true;
+    is_moving_ = false;
+    reset_response();
+    send(next, now);
+}
+
+// The request stays with the silent endpoint for now.
+template <typename Codec>
+void edge<Codec>::exchange::cancel_move(time_point now)
+{
+    move_retry_at_ = now + move_retry_interval;
+    if (std::exchange(is_moving_, false))
+        release_results();
+}
+
+// True if an endpoint that the request left because it was silent may still be sound.
+template <typename Codec>
+bool edge<Codec>::exchange::may_return_to_silent_endpoint() const
+{
+    return std::any_of(silent_.begin(), silent_.end(),
+                       [&](const std::string& id) { return owner_.endpoints_.is_serving(id); });
+}
+
+// False once an endpoint has begun to respond, which releases the results of the stages.
+template <typename Codec>
+bool edge<Codec>::exchange::holds_inputs() const
+{
+    const std::vector<std::uint32_t> last = last_stages();
+    return std::all_of(last.begin(), last.end(),
+                       [&](std::uint32_t index)
+                       {
+                           return index >= stages_.size() || stages_[index].pieces == 0 ||
+                                  !stages_[index].handles.empty();
+                       });
+}
+
 template <typename Codec>
 void edge<Codec>::exchange::send(endpoint_ptr endpoint, time_point now)
 {
@@ -587,6 +697,7 @@
     upstream_.reset();
     endpoint_->health.on_finished();
     tried_.insert(endpoint_->record.id);
+    silent_.erase(endpoint_->record.id);
     const bool discarded = discards_response();
     if (failure == upstream_failure::connect_failed)
     {
@@ -595,7 +706,7 @@
         ++connect_failures_;
         log_event(log_level::warning, "connect_failed",
                   {{"request", call_.attempt}, {"endpoint", endpoint_->record.id}});
-        if (connect_failures_ < connect_failure_limit)
+        if (connect_failures_ < connect_failure_limit || has_left_sound_endpoint())
             return place(now);
         return refuse(reason::connect_failed, "all connection attempts failed", retry_after_min,
                       now);
@@ -667,28 +778,28 @@
                {"prompt_parts", parts.empty() ? "-" : parts}});
 }
 
-// Returns true if the request may be sent once more, and then takes the retry from the budget.
+// True if the request may be sent once more, as far as the retry budget allows.
 template <typename Codec>
-bool edge<Codec>::exchange::try_acquire_retry(time_point now)
+bool edge<Codec>::exchange::may_retry(time_point now) const
 {
-    if (attempts_ >= std::max(route_->attempts, 1U) || remaining(now).count() <= 0 ||
-        crashed_engines_ >= max_crashes_per_request)
+    if (attempts_ >= std::max(route_->attempts, 1U) && !may_return_to_silent_endpoint())
+        return false;
+    if (remaining(now).count() <= 0 || crashed_engines_ >= max_crashes_per_request)
         return false;
     if (may_have_run_ && !is_repeatable(*route_))
         return false;
     // Only a stream goes on in the response of another endpoint.
     if (head_sent_ && !sent_event_stream_)
         return false;
-    if (!ends_before_stop(now))
-        return false;
-    return owner_.endpoints_.try_acquire_retry(service_name_, now);
+    return ends_before_stop(now);
 }
 
 template <typename Codec>
 void edge<Codec>::exchange::retry_or_fail(reason why, verdict outcome, time_point now)
 {
     buffered_body_.clear();
-    if (try_acquire_retry(now))
+    const bool may = may_retry(now);
+    if (may && owner_.endpoints_.try_acquire_retry(service_name_, now))
     {
         owner_.counters_.count_retry(why);
         log_event(log_level::info, "retry",
@@ -698,31 +809,64 @@
                    {"after_event", events_.last_id() ? std::to_string(*events_.last_id()) : "-"}});
         return start_next_attempt(now);
     }
+    if (may && has_left_sound_endpoint())
+    {
+        waiting_for_retry_ = true;
+        return;
+    }
     if (outcome == verdict::not_run)
         return refuse(why, "no further retry allowed", retry_after_min, now);
     fail(why, outcome, "no further retry allowed", now);
 }
 
+// Sends a request that has left a silent endpoint once more as soon as the retry budget allows.
+template <typename Codec>
+void edge<Codec>::exchange::retry_after_silence(time_point now)
+{
+    if (!owner_.endpoints_.try_acquire_retry(service_name_, now))
+        return;
+    waiting_for_retry_ = false;
+    owner_.counters_.count_retry(reason::silent_connection);
+    start_next_attempt(now);
+}
+
+// True if a response that has begun would break off only because this VM has left its endpoint.
+template <typename Codec>
+bool edge<Codec>::exchange::has_left_sound_endpoint() const
+{
+    return head_sent_ && may_return_to_silent_endpoint();
+}
+
 template <typename Codec>
 void edge<Codec>::exchange::start_next_attempt(time_point now)
 {
-    events_.restart();
-    disposition_ = disposition::forward;
-    status_ = 0;
+    reset_response();
     waiting_for_endpoint_ = false;
-    // The inputs were released when the first endpoint began to respond.
-    if (head_sent_ && !stages_.empty())
+    if (std::exchange(is_moving_, false))
+        return; // place() follows when the stages are done
+    if (!holds_inputs())
         return rerun_stages(now);
     place(now);
 }
 
-// Ends an attempt that may have run because its endpoint is silent or sends what it should not.
+// Forgets the response of the last attempt, except for the events that were passed on.
+template <typename Codec>
+void edge<Codec>::exchange::reset_response()
+{
+    events_.restart();
+    buffered_body_.clear();
+    disposition_ = disposition::forward;
+    status_ = 0;
+}
+
+// Ends an attempt that may have run because its endpoint sends what it should not.
 template <typename Codec>
 void edge<Codec>::exchange::abandon_attempt(time_point now)
 {
     drop_upstream();
     endpoint_->health.on_outcome(false, now);
     tried_.insert(endpoint_->record.id);
+    silent_.erase(endpoint_->record.id);
     may_have_run_ = true;
 }
 
@@ -834,25 +978,17 @@
         return refuse(reason::draining, "VM is stopping", retry_after_min, now);
     if (waiting_for_endpoint_)
         return place(now);
+    if (waiting_for_retry_)
+        return retry_after_silence(now);
     if (upstream_ && status_ != 0 && discards_response() &&
         now - progress_at_ >= discarded_body_timeout)
     {
         drop_upstream();
         return on_discarded_end(now);
     }
-    if (!upstream_ || !is_repeatable(*route_) || attempts_ >= route_->attempts)
-        return;
-    if (now - progress_at_ < progress_timeout() || !try_acquire_retry(now))
-        return;
-    log_event(log_level::warning, "endpoint_silent",
-              {{"request", call_.attempt},
-               {"endpoint", endpoint_->record.id},
-               {"silent_ms", edge_detail::milliseconds_text(
-                                 std::chrono::duration_cast<milliseconds>(now - progress_at_))}});
-    owner_.counters_.count_retry(reason::silent_connection);
-    abandon_attempt(now);
-    buffered_body_.clear();
-    start_next_attempt(now);
+    if (upstream_ && is_repeatable(*route_) && attempts_ < route_->attempts &&
+        now - progress_at_ >= progress_timeout())
+        move_from_silent_endpoint(now);
 }
 
 // Time without progress after which a repeatable request is sent to another endpoint.
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -160,6 +160,8 @@
         return;
     }
     progress_at_ = steady_clock::now();
+    if (is_moving_)
+        cancel_move(progress_at_);
     if (events_.events() - events_before_attempt_ > 1)
         record_sound(progress_at_);
     if (!head_sent_)
@@ -248,6 +250,7 @@
                     "endpoint responded with status " + std::to_string(status_), now);
     case disposition::retry:
         tried_.insert(endpoint_->record.id);
+        silent_.erase(endpoint_->record.id);
         retry_or_fail(reason::endpoint_overloaded,
                       may_have_run_ ? verdict::may_have_run : verdict::not_run, now);
         return;
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -173,9 +173,7 @@
     const std::uint32_t connections = connection_share(service);
     for (const endpoint_ptr& endpoint : found->second)
     {
-        if (!is_usable(*endpoint))
-            continue;
-        if (request.excluded_ids != nullptr && request.excluded_ids->contains(endpoint->record.id))
+        if (!is_usable(*endpoint) || !request.allows(endpoint->record.id))
             continue;
         const bool allowed = endpoint->health.in_flight() < connections &&
                              within_cold_share(*endpoint, service, now);
@@ -225,8 +223,7 @@
         return earliest;
     for (const endpoint_ptr& endpoint : found->second)
     {
-        if (!is_usable(*endpoint) || (request.excluded_ids != nullptr &&
-                                      request.excluded_ids->contains(endpoint->record.id)))
+        if (!is_usable(*endpoint) || !request.allows(endpoint->record.id))
             continue;
         const time_point at = endpoint->health.try_at(now);
         if (!earliest || at < *earliest)
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -53,6 +53,13 @@
     std::string_view preferred_domain;
     bool stay_in_preferred = false;
     const std::set<std::string>* excluded_ids = nullptr; // of endpoints; null for none
+    const std::set<std::string>* only_ids = nullptr;     // the only endpoints allowed; null for all
+
+    bool allows(const std::string& id) const
+    {
+        return (excluded_ids == nullptr || !excluded_ids->contains(id)) &&
+               (only_ids == nullptr || only_ids->contains(id));
+    }
 };
 
 class endpoint_directory
--- a/tests/unit/edge_silent_endpoint_test.cpp
+++ b/tests/unit/edge_silent_endpoint_test.cpp
@@ -15,7 +15,7 @@
 
 constexpr int stream_events = 5;
 // Longer than any time after which a VM turns to another endpoint.
-constexpr milliseconds long_silence{2200};
+constexpr milliseconds long_silence{3000};
 
 struct silent_deployment : deployment
 {
