Restore the failure rate of an endpoint that answers again after it was silent

What callers saw: after one silence of all endpoints of a service, reads were refused for seconds (503, "listed 2, usable 0").

Cause: each request that left the silent endpoint counted as a failure of its own, so that the endpoint counted as failing and got one probe every 1.5 s after it had recovered.

Change: if an endpoint has answered nothing since the request was sent, its first answer restores the rate that it had before. An endpoint that answers others meanwhile counts as failing as before.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -608,7 +608,7 @@
                                  std::chrono::duration_cast<milliseconds>(now - progress_at_))}});
     owner_.counters_.count_retry(reason::silent_connection);
     drop_upstream();
-    endpoint_->health.on_outcome(false, now);
+    endpoint_->health.on_silent(progress_at_, now);
     tried_.insert(endpoint_->record.id);
     silent_.insert(endpoint_->record.id);
     may_have_run_ = true;
--- a/packages/state/placement.cpp
+++ b/packages/state/placement.cpp
@@ -173,10 +173,23 @@
     connect_failures_ = 0;
     if (now - failure_rate_at_ > failure_rate_expiry)
         failure_rate_ = 0.0;
+    if (success)
+    {
+        answered_at_ = now;
+        failure_rate_ = std::min(failure_rate_, rate_before_silence_.value_or(failure_rate_));
+        rate_before_silence_.reset();
+    }
     failure_rate_ += failure_weight * ((success ? 0.0 : 1.0) - failure_rate_);
     failure_rate_at_ = now;
 }
 
+void endpoint_health::on_silent(time_point progress_at, time_point now)
+{
+    if (answered_at_ <= progress_at && !rate_before_silence_)
+        rate_before_silence_ = failure_rate_;
+    on_outcome(false, now);
+}
+
 void endpoint_health::on_load(const endpoint_load_report& load, time_point now)
 {
     reported_load_ = load;
--- a/packages/state/placement.h
+++ b/packages/state/placement.h
@@ -47,6 +47,10 @@
     // Outcome of a request that was sent. An error response, a broken connection and a missing
     // response are failures.
     void on_outcome(bool success, time_point now);
+    // A request has had no progress since `progress_at`. If no other request has had an answer
+    // since, the endpoint was silent for all of them, and its failure rate is restored by its next
+    // answer.
+    void on_silent(time_point progress_at, time_point now);
     void on_load(const endpoint_load_report& load, time_point now);
     // The endpoint refused the request because it is at capacity.
     void on_full(time_point now);
@@ -83,6 +87,8 @@
     std::uint32_t connect_failures_ = 0;
     double failure_rate_ = 0.0;
     time_point failure_rate_at_{};
+    std::optional<double> rate_before_silence_;
+    time_point answered_at_{};
     time_point last_sent_{};
     time_point blocked_until_{};
     time_point paused_until_{};
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -192,3 +192,29 @@
     candidates[4].allowed = true;
     cr_assert(choose_endpoint(candidates, {}, start) == 4);
 }
+
+// Guards against a sound endpoint that gets no requests for seconds after it was silent once.
+Test(placement, endpoint_answers_after_silence_of_all_its_requests_failure_rate_is_restored)
+{
+    endpoint_health health;
+    health.on_outcome(true, start);
+    for (int i = 0; i < 10; ++i)
+        health.on_silent(start + milliseconds(100), start + milliseconds(1000 + i));
+    cr_assert(health.is_failing(start + milliseconds(1100)));
+    health.on_outcome(true, start + milliseconds(1200));
+    cr_assert(!health.is_failing(start + milliseconds(1200)));
+}
+
+// Guards against an endpoint that leaves some requests without an answer and counts as sound.
+Test(placement, endpoint_answers_beside_silent_requests_it_counts_as_failing)
+{
+    endpoint_health health;
+    for (int i = 0; i < 10; ++i)
+    {
+        const time_point sent = start + milliseconds(1000 * i);
+        health.on_outcome(true, sent + milliseconds(10));
+        for (int k = 0; k < 4; ++k)
+            health.on_silent(sent, sent + milliseconds(900));
+    }
+    cr_assert(health.is_failing(start + milliseconds(9900)));
+}
