Do not take a stream whose client reads slowly for a silent one

What callers saw: a stream that a client stopped reading for a while was run again by another engine, or broken off.

Cause: reading from the engine pauses while more than 256 KB wait for the client, and the pause counted as silence of the engine.

Evidence: edge_faulty_endpoint/slow_client_stream_stays_with_its_engine failed before with two requests at the engines instead of one.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -986,6 +986,8 @@
         drop_upstream();
         return on_discarded_end(now);
     }
+    if (client_->unsent_bytes() > unsent_bytes_limit)
+        progress_at_ = now; // reading waits for the client
     if (upstream_ && is_repeatable(*route_) && attempts_ < route_->attempts &&
         now - progress_at_ >= progress_timeout())
         move_from_silent_endpoint(now);
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -153,6 +153,29 @@
     cr_assert(harness.engine_1.requests.size() + harness.engine_2.requests.size() == 1);
 }
 
+// Guards against a stream whose client reads slowly being taken for a silent one.
+Test(edge_faulty_endpoint, slow_client_stream_stays_with_its_engine)
+{
+    constexpr int events = 150; // more bytes than the socket buffers on both sides take
+    constexpr milliseconds pause{4000};
+    faulty_deployment harness;
+    for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+        engine->event_bytes = 200 * 1024;
+    harness.routes["/stream/"]["timeout_ms"] = value::number(20000);
+    harness.start();
+    for (fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
+        engine->event_count = events;
+    const auto exchange =
+        harness.start_request(0, request_text("POST", "/stream/1", "s1", "", "x"));
+    cr_assert(harness.run_until([&] { return !exchange->body.empty(); }));
+    exchange->set_paused(true);
+    harness.run_for(pause);
+    exchange->set_paused(false);
+    cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    cr_assert(exchange->done && exchange->body.size() > events * 200 * 1024UL);
+    cr_assert(harness.engine_1.requests.size() + harness.engine_2.requests.size() == 1);
+}
+
 // Guards against a response that another client gets: an endpoint sends a second copy late, on a
 // connection that is in use again.
 Test(edge_faulty_endpoint, second_copy_of_response_next_request_gets_its_own)
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -691,7 +691,8 @@
         stall_after_event = -1;
         return stall(client);
     }
-    const std::string text = event_text(next);
+    std::string text = event_text(next);
+    text.insert(text.size() - 2, event_bytes, '.');
     std::size_t first_part = text.size();
     if (next == silent_after_event + 1 && falls_silent(silence_point::within_event))
         first_part /= 2;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -164,6 +164,7 @@
     // Events per streamed response; 0: responses are not streamed.
     int event_count = 0;
     std::size_t filler_bytes = 0;    // added to the body of responses that are not streamed
+    std::size_t event_bytes = 0;     // added to each event
     milliseconds processing_time{1}; // delay before the response
     milliseconds event_interval{1};  // delay between events
 
@@ -281,6 +282,8 @@
     void on_end() override { done = true; }
     void on_failure(zinnianotch::upstream_failure cause) override;
     void disconnect() { connection_->cancel(); }
+    // Stops or resumes reading the response.
+    void set_paused(bool paused) { connection_->set_paused(paused); }
     // Sends another request, on the same connection unless that was closed.
     void send_next(const std::string& request);
     bool is_reused() const { return connection_->is_reused(); }
