Wait out a silent server before judging a response without length

What callers saw: a complete response without a length was broken off (or became a 502) when its server was silent for over 0.5 s just after it had closed the connection.

Cause: upstream_connection::confirm_end() opens a connection to tell a complete response from a crash, and took every failure for a crash, also upstream_connect_timeout. A listener with a full backlog does not answer connection attempts on Linux.

Change: only a refused connection breaks the response. After a timeout, or an error that says nothing about the server, the attempt is repeated until it is known or the user cancels the exchange; a connection that is reset after it was established shows that the server lives. All users of upstream_connection cancel at a deadline of their own (exchange, registration, state_follower, batch_call, release_call).

Ruled out: one long connection attempt, because the kernel repeats it only after 1, 3 and 7 s.

--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -98,12 +98,13 @@
     peer_ = peer;
     boost::system::error_code error;
     (void)socket_.open(peer.protocol(), error);
+    const std::uint64_t attempt = ++connect_attempts_;
     if (error)
     {
         // Reported from the event loop, because the caller of start() has not stored this
         // connection yet.
-        asio::post(socket_.get_executor(),
-                   [self = shared_from_this()] { self->fail(self->connect_failure()); });
+        asio::post(socket_.get_executor(), [self = shared_from_this(), attempt, error]
+                   { self->on_connect_failed(attempt, error); });
         return;
     }
     (void)socket_.set_option(tcp::no_delay(true), error);
@@ -111,21 +112,48 @@
                              error);
     connect_timer_.expires_after(upstream_connect_timeout);
     connect_timer_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& cancelled)
+        [self = shared_from_this(), attempt](const boost::system::error_code& cancelled)
         {
             if (!cancelled && !self->open_)
-                self->fail(self->connect_failure());
+                self->on_connect_failed(attempt, asio::error::timed_out);
+        });
+    socket_.async_connect(
+        peer,
+        [self = shared_from_this(), attempt](const boost::system::error_code& failed)
+        {
+            if (failed)
+                return self->on_connect_failed(attempt, failed);
+            if (self->closed_ || attempt != self->connect_attempts_)
+                return;
+            self->connect_timer_.cancel();
+            self->on_connected();
+        });
+}
+
+void upstream_connection::on_connect_failed(std::uint64_t attempt,
+                                            const boost::system::error_code& error)
+{
+    if (closed_ || attempt != connect_attempts_)
+        return;
+    connect_timer_.cancel();
+    if (!confirming_end_)
+        return fail(upstream_failure::connect_failed);
+    if (error == asio::error::connection_refused)
+        return fail(upstream_failure::broken_in_answer);
+    if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+    {
+        // Established and then reset, as at a connection limit.
+        server_will_close_ = true;
+        return finish();
+    }
+    ++connect_attempts_;
+    connect_timer_.expires_after(confirm_retry_interval);
+    connect_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& cancelled)
+        {
+            if (!cancelled && !self->closed_)
+                self->confirm_end();
         });
-    socket_.async_connect(peer,
-                          [self = shared_from_this()](const boost::system::error_code& failed)
-                          {
-                              if (self->closed_)
-                                  return;
-                              self->connect_timer_.cancel();
-                              if (failed)
-                                  return self->fail(self->connect_failure());
-                              self->on_connected();
-                          });
 }
 
 void upstream_connection::on_connected()
@@ -138,8 +166,9 @@
 }
 
 // The end of its connection does not tell a complete response from the part that a server had sent
-// when it crashed. A crashed server accepts no connections, so the response is complete if a new
-// connection can be opened; the new one is kept for later exchanges.
+// when it crashed. The host of a crashed server refuses connections, so the response is complete if
+// a new connection can be opened; the new one is kept for later exchanges. A server that is silent
+// may be sound, so this is repeated until it is known or the exchange is cancelled.
 void upstream_connection::confirm_end()
 {
     boost::system::error_code ignored;
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -25,6 +25,8 @@
 // A connection attempt that takes longer than this fails: the peer's VM is unreachable or
 // overloaded.
 inline constexpr milliseconds upstream_connect_timeout{500};
+// Pause before the server of a response without length is asked again whether it has crashed.
+inline constexpr milliseconds confirm_retry_interval{100};
 // TCP_USER_TIMEOUT of the socket: sent data unacknowledged for this long means that the peer is
 // unreachable.
 inline constexpr milliseconds upstream_tcp_user_timeout{2500};
@@ -48,7 +50,8 @@
 std::string_view to_string(upstream_failure value);
 
 // Callbacks for the response of one exchange. No function is called after on_end or on_failure, nor
-// after the exchange has been cancelled.
+// after the exchange has been cancelled. A silent server ends no exchange: each user cancels its
+// own at a deadline.
 class upstream_response_handler
 {
 public:
@@ -91,11 +94,7 @@
 
     void connect(const boost::asio::ip::tcp::endpoint& peer);
     void on_connected();
-    upstream_failure connect_failure() const
-    {
-        return confirming_end_ ? upstream_failure::broken_in_answer
-                               : upstream_failure::connect_failed;
-    }
+    void on_connect_failed(std::uint64_t attempt, const boost::system::error_code& error);
     // Ends an exchange whose response has no length and whose connection the server has closed.
     void confirm_end();
     void write();
@@ -123,6 +122,7 @@
     bool confirming_end_ = false;
     std::size_t skipped_bytes_ = 0;
     std::uint64_t exchanges_ = 0;
+    std::uint64_t connect_attempts_ = 0; // completions of earlier ones are ignored
     bool open_ = false;
     bool closed_ = false;
     bool reading_ = false;
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -2,10 +2,129 @@
 #include "transport/upstream.h"
 
 #include "daemon/settings.h"
+#include "raw_socket.h"
+
+#include <boost/asio/io_context.hpp>
 
 #include <criterion/criterion.h>
 
+#include <fcntl.h>
+
+#include <vector>
+
 using namespace zinnianotch;
+using test::raw_listener;
+using test::raw_socket;
+
+TestSuite(upstream, .timeout = 60);
+
+namespace
+{
+
+// How long a sound server may be silent.
+constexpr milliseconds longest_silence{3000};
+
+struct recorded_response : upstream_response_handler
+{
+    bool matches_request(const message_head&) override { return true; }
+    void on_head(message_head& head, body_framing, std::optional<std::uint64_t>) override
+    {
+        status = head.status;
+    }
+    void on_body(std::string bytes) override { body += bytes; }
+    void on_end() override { done = true; }
+    void on_failure(upstream_failure cause) override { failure = cause; }
+    bool ended() const { return done || failure.has_value(); }
+
+    int status = 0;
+    std::string body;
+    bool done = false;
+    std::optional<upstream_failure> failure;
+};
+
+// A pool that sends to a socket which the test controls.
+struct pool_of_raw_server
+{
+    raw_listener listener;
+    boost::asio::io_context io{1};
+    recorded_response response;
+    upstream_pool pool{io, {boost::asio::ip::make_address("127.0.0.1"), listener.port()}};
+
+    explicit pool_of_raw_server(int backlog = 64) : listener(backlog) {}
+
+    void send(const std::string& request)
+    {
+        (void)pool.start(request, response, default_idle_timeout, steady_clock::now());
+    }
+    // Runs the event loop until the condition holds or the time has passed.
+    template <typename Condition>
+    bool run_until(Condition condition, milliseconds limit = test::test_timeout)
+    {
+        const time_point end = steady_clock::now() + limit;
+        while (!condition())
+        {
+            if (steady_clock::now() >= end)
+                return false;
+            io.restart();
+            (void)io.run_for(milliseconds(5));
+        }
+        return true;
+    }
+    bool ends()
+    {
+        return run_until([&] { return response.ended(); });
+    }
+    // True if the exchange has not ended within the time.
+    bool waits_for(milliseconds time)
+    {
+        return !run_until([&] { return response.ended(); }, time);
+    }
+    raw_socket accept()
+    {
+        raw_socket out;
+        cr_assert(run_until([&] { return (out = listener.accept(milliseconds(0))).valid(); }));
+        return out;
+    }
+    static bool is_readable(const raw_socket& socket)
+    {
+        pollfd readable{socket.descriptor(), POLLIN, 0};
+        return ::poll(&readable, 1, 0) > 0;
+    }
+    // Accepts the connection of the exchange and answers without a length; the end of the returned
+    // socket ends the response.
+    raw_socket respond_without_length()
+    {
+        send("GET / HTTP/1.1\r\n\r\n");
+        raw_socket server = accept();
+        cr_assert(run_until([&] { return is_readable(server); }));
+        (void)server.read_until("\r\n\r\n");
+        (void)server.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+        cr_assert(run_until([&] { return response.body == "whole"; }));
+        return server;
+    }
+    // Connects until the listener's backlog is full. The last one is not established.
+    std::vector<raw_socket> fill_backlog() const
+    {
+        constexpr int established_within_ms = 100;
+        std::vector<raw_socket> out;
+        for (int i = 0; i < 64; ++i)
+        {
+            raw_socket client(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+            const sockaddr_in address = raw_socket::loopback_address(listener.port());
+            (void)::connect(client.descriptor(), reinterpret_cast<const sockaddr*>(&address),
+                            sizeof address);
+            pollfd writable{client.descriptor(), POLLOUT, 0};
+            const bool established = ::poll(&writable, 1, established_within_ms) > 0;
+            out.push_back(std::move(client));
+            if (!established)
+                return out;
+        }
+        cr_assert(false, "the backlog takes every connection");
+        return out;
+    }
+};
+
+} // namespace
 
 // Guards against settings that are accepted and then name no peer: the address of the store may be
 // an IPv6 address in brackets.
@@ -30,3 +149,41 @@
           "[127.0.0.1]:80", "host:80", "127.0.0.1:80x"})
         cr_assert_not(parse_socket_address(text).has_value(), "%s", text.c_str());
 }
+
+// Guards against a complete response that is broken because its server was silent when the
+// connection ended.
+Test(upstream, response_without_length_server_silent_at_end_is_complete)
+{
+    pool_of_raw_server harness(1);
+    raw_socket server = harness.respond_without_length();
+    const auto waiting = harness.fill_backlog();
+    server.close();
+    cr_assert(harness.waits_for(longest_silence), "%s",
+              harness.response.failure ? to_string(*harness.response.failure).data() : "done");
+    for (std::size_t i = 0; i + 1 < waiting.size(); ++i)
+        cr_assert(harness.listener.accept().valid());
+    cr_assert(harness.ends());
+    cr_assert(harness.response.done && harness.response.body == "whole");
+}
+
+// Guards against taking a server at its connection limit for one that has crashed.
+Test(upstream, response_without_length_next_connection_reset_is_complete)
+{
+    pool_of_raw_server harness;
+    raw_socket server = harness.respond_without_length();
+    server.close();
+    harness.accept().reset();
+    cr_assert(harness.ends());
+    cr_assert(harness.response.done);
+}
+
+// Guards against part of a response that looks complete after its server has crashed.
+Test(upstream, response_without_length_next_connection_refused_is_broken)
+{
+    pool_of_raw_server harness;
+    raw_socket server = harness.respond_without_length();
+    harness.listener.close();
+    server.close();
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::broken_in_answer);
+}
