Keep connections whose server stops reading for up to 3 s

What callers saw: a request with a body of megabytes failed with 502, or was sent again, when its endpoint stopped reading for 3 s while the body was in flight.

Cause: TCP_USER_TIMEOUT of 2.5 s. On Linux it also ends a connection whose peer has advertised a closed receive window for that long, although the peer's kernel acknowledges each probe.

Change: 6 s, twice the longest silence of a sound process. The deadlines of the exchanges, and the progress timeouts of repeatable ones, are not changed.

--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -27,9 +27,10 @@
 inline constexpr milliseconds upstream_connect_timeout{500};
 // Pause before the server of a response without length is asked again whether it has crashed.
 inline constexpr milliseconds confirm_retry_interval{100};
-// TCP_USER_TIMEOUT of the socket: sent data unacknowledged for this long means that the peer is
-// unreachable.
-inline constexpr milliseconds upstream_tcp_user_timeout{2500};
+// TCP_USER_TIMEOUT of the socket: sent data unacknowledged, or a receive window closed, for this
+// long means that the peer is unreachable. Twice the 3 s for which a sound process may stop
+// reading.
+inline constexpr milliseconds upstream_tcp_user_timeout{6000};
 // Subtracted from the idle timeout in the server's Keep-Alive header, so that a connection is not
 // reused while the server is closing it.
 inline constexpr milliseconds keep_alive_margin{500};
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -187,3 +187,28 @@
     cr_assert(harness.ends());
     cr_assert(harness.response.failure == upstream_failure::broken_in_answer);
 }
+
+// Guards against ending the connection of a server that stops reading a large request for a while.
+Test(upstream, request_body_server_stops_reading_for_a_while_is_received_whole)
+{
+    constexpr std::size_t body_bytes = 32 * 1024 * 1024;
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) +
+                                "\r\n\r\n" + std::string(body_bytes, 'x');
+    pool_of_raw_server harness;
+    harness.send(request);
+    raw_socket server = harness.accept();
+    cr_assert(harness.waits_for(longest_silence), "%s",
+              harness.response.failure ? to_string(*harness.response.failure).data() : "done");
+    std::size_t received = 0;
+    std::vector<char> buffer(64 * 1024);
+    while (received < request.size())
+    {
+        cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+        const ssize_t count = ::recv(server.descriptor(), buffer.data(), buffer.size(), 0);
+        cr_assert(count > 0, "the connection ended after %zu bytes", received);
+        received += static_cast<std::size_t>(count);
+    }
+    (void)server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    cr_assert(harness.ends());
+    cr_assert(harness.response.done && harness.response.status == 200);
+}
