--- a/tests/unit/edge_silent_endpoint_test.cpp
+++ b/tests/unit/edge_silent_endpoint_test.cpp
@@ -477,16 +477,15 @@
             (exchange.ended() ? exchange.ended_at : zinnianotch::steady_clock::now()) - request.at);
         const bool is_late = took.count() >= shortest_timeout * 7 / 10;
         const bool is_error = exchange.done && exchange.head.status >= 400;
+        // The VM closed the kept connection just before.
+        const bool is_unread = !is_late && exchange.is_reused() && exchange.body.empty() &&
+                               !reached_endpoint(request.attempt);
         if (exchange.done && exchange.head.status == 200 && is_answer(request))
             ++answered_;
-        else if (is_error)
+        else if (is_error || is_unread)
             ++errors_;
         else if (is_late)
             ++late_;
-        // The VM closed the kept connection just before.
-        else if (exchange.is_reused() && exchange.body.empty() &&
-                 !reached_endpoint(request.attempt))
-            ++errors_;
         else
             violations_.push_back(
                 request.path + " " + request.attempt + " at vm-" + std::to_string(request.vm) +
