Answer pipelined requests before a stopping VM closes the connection

Callers that had sent a second request on a kept connection before the response to the first one began saw the connection end without an answer to it, although the VM had read it whole; orders among them had not run.

Cause: every response of a stopping VM said "Connection: close", and what had arrived after the request was discarded with the connection.

Now a response says so only if nothing further has arrived; the last one does. A request that is taken up then passes the same checks as any other of a stopping VM.

Ruled out by reading: late requests that are passed on and outlive the grace period.

edge/planned_stop_pipelined_request_before_head_is_answered failed before: the connection closed after the first response.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -110,6 +110,8 @@
     std::optional<milliseconds> expected_time() const;
     std::optional<milliseconds> expected_time_after_stages() const;
     bool ends_before_stop(time_point now) const;
+    // True if the VM stops and no further request on this connection awaits its response.
+    bool closes_connection() const { return owner_.stop_ && !client_->has_unparsed_bytes(); }
     const std::string& choose_service() const;
     void start_stages(time_point now);
     void submit_ready(time_point now);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -928,7 +928,7 @@
         "\r\n";
     if (retry_after)
         text += "Retry-After: " + edge_detail::seconds_text(*retry_after) + "\r\n";
-    keep_alive_ = keep_alive_ && !owner_.stop_;
+    keep_alive_ = keep_alive_ && !closes_connection();
     if (!keep_alive_)
         text += "Connection: close\r\n";
     text += "\r\n";
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -189,7 +189,7 @@
     }
     else if (has_body)
         close_delimited_ = true;
-    if (owner_.stop_ || close_delimited_ || !keep_alive_)
+    if (closes_connection() || close_delimited_ || !keep_alive_)
     {
         keep_alive_ = false;
         head += "Connection: close\r\n";
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -295,7 +295,6 @@
         notify();
 }
 
-// Includes bytes in the socket, because closing it with unread bytes resets the connection.
 bool server_connection::has_unparsed_bytes() const
 {
     boost::system::error_code ignored;
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -73,6 +73,9 @@
     bool is_busy() const { return busy_; }
     bool has_partial_request() const { return parser_ && parser_->started(); }
     bool is_closed() const { return closed_; }
+    // True if the caller has sent more than the request that is being served. Includes bytes in the
+    // socket, because closing it with unread bytes resets the connection.
+    bool has_unparsed_bytes() const;
     std::size_t unsent_bytes() const { return unsent_bytes_; }
 
     // Called when the caller disconnects while its request is being served.
@@ -91,7 +94,6 @@
     void finish_response();
     void start_linger(time_point now);
     void handle_disconnect();
-    bool has_unparsed_bytes() const;
     void close();
 
     boost::asio::ip::tcp::socket socket_;
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1314,6 +1314,26 @@
     cr_assert(client.received.find("Connection: close", second) != std::string::npos);
 }
 
+// Guards against dropping a request that was read before the response to the one ahead of it began.
+Test(edge, planned_stop_pipelined_request_before_head_is_answered)
+{
+    small_deployment harness;
+    harness.start();
+    harness.for_both_plain([](fake_endpoint& endpoint)
+                           { endpoint.processing_time = milliseconds(300); });
+    pipelining_client client(harness.io, harness.address(0));
+    client.send(request_text("POST", "/order/1", "o1", "", "x") +
+                request_text("POST", "/order/2", "o2", "", "x"));
+    cr_assert(harness.run_until([&] { return harness.count_requests("o1") == 1; }));
+    harness.stop_vm(0);
+    cr_assert(harness.run_until([&] { return client.closed; }));
+    const std::size_t second = client.received.find("HTTP/1.1 ", 1);
+    cr_assert(second != std::string::npos, "%s", client.received.c_str());
+    cr_assert(client.received.find("Connection: close") > second);
+    cr_assert(client.received.starts_with("HTTP/1.1 200 "));
+    cr_assert(client.received.compare(second, 13, "HTTP/1.1 200 ") == 0);
+}
+
 // Guards against a stopping VM that closes a connection before its first request has arrived.
 Test(edge, planned_stop_request_on_new_connection_is_answered)
 {
