Test late, partly read and deferred orders at a planned stop

A report of other operators: requests that came late in the grace period were passed on and cut at its end, orders among them. Not seen here; these cases had no test: an order late on a kept connection with a known and an unknown route time and with a near deadline, one at a silent endpoint, one that is received completely after the grace period, one that waits for the state after a pause, and a second stop signal.

--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -1334,6 +1334,116 @@
     cr_assert(client.received.compare(second, 13, "HTTP/1.1 200 ") == 0);
 }
 
+// Guards against an order that reaches a stopping VM late on a kept connection and is cut off.
+Test(edge, planned_stop_late_order_on_kept_connection_is_refused_or_completes)
+{
+    for (const bool is_time_known : {false, true})
+    {
+        small_deployment harness;
+        harness.stop_grace = milliseconds(5000);
+        for (const char* prefix : {"/order/", "/once/"})
+            harness.routes[prefix]["timeout_ms"] = value::number(20000);
+        harness.start();
+        if (is_time_known)
+            cr_assert(
+                harness.send_and_wait(0, request_text("POST", "/order/1", "o1", "", "x"))->done);
+        harness.for_both_engines(
+            [](fake_endpoint& engine)
+            {
+                engine.event_count = 10;
+                engine.event_interval = milliseconds(300);
+            });
+        pipelining_client without_deadline(harness.io, harness.address(0));
+        pipelining_client near_deadline(harness.io, harness.address(0));
+        without_deadline.send(request_text("POST", "/once/1", "s1", "", "x"));
+        near_deadline.send(request_text("POST", "/once/1", "s2", "", "x"));
+        for (const pipelining_client* client : {&without_deadline, &near_deadline})
+            cr_assert(harness.run_until(
+                [&] { return client->received.find("id: 1") != std::string::npos; }));
+        harness.stop_vm(0);
+        without_deadline.send(request_text("POST", "/order/1", "late", "", "x"));
+        near_deadline.send(request_text("POST", "/order/1", "near", "Deadline-Ms: 500\r\n", "x"));
+        cr_assert(harness.run_until([&] { return without_deadline.closed; }));
+        cr_assert(harness.run_until([&] { return near_deadline.closed; }));
+        cr_assert(without_deadline.received.find("HTTP/1.1 503 ", 1) != std::string::npos);
+        cr_assert(harness.count_requests("late") == 0);
+        cr_assert(near_deadline.received.find("HTTP/1.1 200 ", 1) != std::string::npos);
+        cr_assert(harness.count_requests("near") == 1);
+    }
+}
+
+// Guards against closing the connection of a late order whose endpoint is silent until its
+// deadline.
+Test(edge, planned_stop_late_order_at_silent_endpoint_gets_504)
+{
+    stopping_deployment harness;
+    harness.start_and_stop();
+    harness.run_for(milliseconds(2700));
+    const auto late = harness.start_request(
+        0, request_text("POST", "/order/1", "late", "Deadline-Ms: 500\r\n", "x"));
+    cr_assert(harness.end_before_exit({late.get()}));
+    cr_assert(late->done && late->head.status == 504, "%d", late->head.status);
+    cr_assert(harness.count_requests("late") == 1);
+}
+
+// Guards against a request that is received completely after the grace period and gets no answer.
+Test(edge, planned_stop_order_partly_read_at_end_of_grace_is_refused)
+{
+    stopping_deployment harness;
+    harness.start_and_stop();
+    harness.run_for(milliseconds(2700));
+    pipelining_client client(harness.io, harness.address(0));
+    const std::string order = request_text("POST", "/order/1", "late", "", "xy");
+    client.send(order.substr(0, order.size() - 1));
+    cr_assert(harness.run_until([&] { return harness.long_order->ended(); }));
+    client.send("y");
+    cr_assert(harness.run_until([&] { return client.closed; }));
+    cr_assert(client.received.starts_with("HTTP/1.1 503 "), "%s", client.received.c_str());
+    cr_assert(harness.count_requests("late") == 0);
+}
+
+// Guards against an order that waits for the state after a pause until the grace period ends, and
+// is sent then or lost.
+Test(edge, planned_stop_order_waiting_after_pause_is_refused_unsent)
+{
+    small_deployment harness;
+    harness.stop_grace = milliseconds(600);
+    harness.start();
+    harness.run_for(milliseconds(100));
+    harness.store.unresponsive = true;
+    const auto paused_until = zinnianotch::steady_clock::now() + milliseconds(1100);
+    while (zinnianotch::steady_clock::now() < paused_until)
+    {
+    }
+    harness.stop_vm(0);
+    const auto order = harness.start_request(0, request_text("POST", "/order/1", "o1", "", "x"));
+    bool exited = false;
+    cr_assert(harness.run_until(
+        [&]
+        {
+            exited = exited || harness.io.stopped();
+            return exited || order->ended();
+        }));
+    cr_assert(order->done && order->head.status == 503, "%d", order->head.status);
+    cr_assert(harness.count_requests("o1") == 0);
+}
+
+// Guards against a second stop signal that ends the orders in progress.
+Test(edge, planned_stop_second_signal_order_in_progress_completes)
+{
+    small_deployment harness;
+    harness.start();
+    harness.for_both_plain([](fake_endpoint& endpoint)
+                           { endpoint.processing_time = milliseconds(600); });
+    const auto order = harness.start_request(0, request_text("POST", "/order/1", "o1", "", "x"));
+    cr_assert(harness.run_until([&] { return harness.count_requests("o1") == 1; }));
+    harness.stop_vm(0);
+    harness.run_for(milliseconds(100));
+    harness.stop_vm(0);
+    cr_assert(harness.run_until([&] { return order->ended(); }));
+    cr_assert(order->done && order->head.status == 200);
+}
+
 // Guards against a stopping VM that closes a connection before its first request has arrived.
 Test(edge, planned_stop_request_on_new_connection_is_answered)
 {
