Reject revisions, versions and eras that no store gives out

Operators would see VMs that stop following a table: one page of the store with a revision out of range (1e300, 2^63) was taken as revision 2^63 - 1, every later change was old news until the era changed, and relays passed the position on. One row with a value that is no base64 made the whole page unreadable, as long as the row was there. An era that cannot be read counted as 0, one of 2^64 - 1 as newer than all others.

Cause: llround of a number out of its range, no check that a double carries the number exactly, and no bound on what other VMs say of their copies.

Now a revision, version or era is a whole number up to 2^53 - 1, the largest that a double carries exactly (packages/state/number_range.h). A page whose own revision or era is odd is a failed reading that is tried again. A row with an odd revision or unreadable value becomes a record without a value: no decoder accepts it, it is logged as bad_record once, and the other rows count. A copy at an odd position on another VM counts as not loaded, so that a VM of an older version cannot pass it on.

Ruled out: to clamp the revision, because changes between the clamped and the true one would be skipped; to close the link to a VM that sends an odd position, because stage jobs use the same link.

--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -10,10 +10,10 @@
 template <typename Codec>
 void edge<Codec>::log_bad_record(state_table table, const state_record& record)
 {
-    std::uint64_t& logged = logged_bad_records_[{table, record.name}];
-    if (logged == record.revision && logged != 0)
+    const auto [logged, is_first] =
+        logged_bad_records_.try_emplace({table, record.name}, record.revision);
+    if (!is_first && std::exchange(logged->second, record.revision) == record.revision)
         return;
-    logged = record.revision;
     log_event(log_level::warning, "bad_record",
               {{"table", std::string(to_string(table))},
                {"name", record.name},
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -144,7 +144,7 @@
         } -> std::same_as<std::string>;
     {
         Codec::decode_era(head)
-        } -> std::same_as<std::uint64_t>;
+        } -> std::same_as<std::optional<std::uint64_t>>;
     {
         Codec::decode_page(text)
         } -> std::same_as<std::optional<record_page>>;
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace zinnianotch
@@ -100,7 +101,7 @@
     void on_failure(upstream_failure failure) override;
 
     void send(time_point now);
-    void on_page(record_page page, time_point now);
+    void on_page(record_page page, std::uint64_t era, time_point now);
     void list_again(time_point now);
     void on_call_failed(const std::string& why, time_point now);
 
@@ -119,9 +120,9 @@
     std::vector<state_record> listed_records_;
     store_position list_position_;
     store_position position_;
-    store_position call_position_; // of the call in progress
-    bool call_lists_ = true;       // as well
-    std::uint64_t response_era_ = 0;
+    store_position call_position_;              // of the call in progress
+    bool call_lists_ = true;                    // as well
+    std::optional<std::uint64_t> response_era_; // nullopt if it cannot be read
     std::uint32_t failures_ = 0;
     retry_delays retry_delays_;
     time_point next_call_at_{};
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -144,14 +144,19 @@
         log_event(log_level::warning, "store_history_gone",
                   {{"table", std::string(to_string(table_))},
                    {"revision", std::to_string(position_.revision)},
-                   {"era", std::to_string(response_era_)}});
+                   {"era", response_era_ ? std::to_string(*response_era_) : "unreadable"}});
         return list_again(now);
     }
-    auto page = status_ == 200 ? Codec::decode_page(body_) : std::nullopt;
-    if (!page)
+    if (status_ != 200)
         return on_call_failed("status " + std::to_string(status_), now);
-    if (response_era_ < position_.era)
-        return on_call_failed("response of era " + std::to_string(response_era_), now);
+    if (!response_era_)
+        return on_call_failed("unreadable era", now);
+    const std::uint64_t era = *response_era_;
+    if (era < position_.era)
+        return on_call_failed("response of era " + std::to_string(era), now);
+    auto page = Codec::decode_page(body_);
+    if (!page)
+        return on_call_failed("unreadable page", now);
     last_response_at_ = now;
     if (failures_ > 0 && loaded_)
         regained_at_ = now;
@@ -160,10 +165,10 @@
                   {{"table", std::string(to_string(table_))},
                    {"failures", std::to_string(failures_)},
                    {"revision", std::to_string(page->revision)},
-                   {"era", std::to_string(response_era_)}});
+                   {"era", std::to_string(era)}});
     failures_ = 0;
     responded_ = true;
-    on_page(std::move(*page), now);
+    on_page(std::move(*page), era, now);
 }
 
 template <typename Codec>
@@ -175,9 +180,9 @@
 }
 
 template <typename Codec>
-void state_follower<Codec>::on_page(record_page page, time_point now)
+void state_follower<Codec>::on_page(record_page page, std::uint64_t era, time_point now)
 {
-    const store_position position{response_era_, page.revision};
+    const store_position position{era, page.revision};
     // The table was obtained elsewhere meanwhile; a part of a list says nothing about deletions.
     if (call_lists_ && !listing_)
         return send(now);
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -243,6 +243,8 @@
     message.update.after = {from.getAfterEra(), from.getAfter()};
     if (from.getRegainedMsAgo() >= 0)
         message.regained_ago = milliseconds(from.getRegainedMsAgo());
+    if (!is_valid(message.update.position) || !is_valid(message.update.after))
+        message.loaded = false;
     return message;
 }
 
@@ -250,6 +252,8 @@
 {
     held_records message;
     message.table = to_enum(from.getTable(), state_table::vms);
+    if (!is_within(from.getEra(), revision_range))
+        return message;
     message.era = from.getEra();
     for (const auto held : from.getRecords())
         message.records.push_back(
@@ -265,10 +269,13 @@
     state_notice message;
     for (capnp::uint i = 0; i < list.size(); ++i)
     {
+        const store_position position{list[i].getEra(), list[i].getRevision()};
+        if (!is_valid(position))
+            continue; // as a copy that is not loaded
         table_copy& copy = message.copies[i];
         copy.loaded = list[i].getLoaded();
         copy.in_sync = list[i].getInSync();
-        copy.position = {list[i].getEra(), list[i].getRevision()};
+        copy.position = position;
         copy.digest = list[i].getDigest();
         copy.held_digest = list[i].getHeldDigest();
     }
--- a/packages/state/store_position.h
+++ b/packages/state/store_position.h
@@ -1,6 +1,8 @@
 // Position of a copy of the store's tables.
 #pragma once
 
+#include "state/number_range.h"
+
 #include <compare>
 #include <cstdint>
 #include <tuple>
@@ -22,4 +24,10 @@
     }
 };
 
+// False for a position that no store gives out.
+constexpr bool is_valid(const store_position& position)
+{
+    return is_within(position.era, revision_range) && is_within(position.revision, revision_range);
+}
+
 } // namespace zinnianotch
--- /dev/null
+++ b/tests/unit/edge_odd_record_test.cpp
@@ -0,0 +1,111 @@
+// Records and pages of the store with odd contents: numbers out of range, addresses that name no
+// socket, bytes that cannot be read. Each is left out; all else goes on.
+#include "serving_fixture.h"
+
+#include "transport/log.h"
+
+#include <criterion/criterion.h>
+
+using namespace serving;
+using web::json::value;
+using zinnianotch::state_table;
+
+namespace
+{
+
+// Five VMs in one failure domain: three relays, and two VMs that take the state from them.
+struct odd_record_deployment : deployment
+{
+    static constexpr std::size_t vm_count = 5;
+    fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
+    std::uint64_t version = 1;
+
+    void start()
+    {
+        configure(version);
+        for (std::size_t i = 0; i < vm_count; ++i)
+            add_vm();
+        cr_assert(run_until([&] { return ready_with_relays(); }));
+    }
+
+    bool ready_with_relays()
+    {
+        std::size_t reading = 0;
+        for (std::size_t i = 0; i < vm_count; ++i)
+        {
+            if (!is_ready(i))
+                return false;
+            for (const state_table table : zinnianotch::all_state_tables)
+                reading += vm(i).reads_store(table) ? 1 : 0;
+        }
+        return reading == zinnianotch::relays_per_domain * zinnianotch::state_table_count;
+    }
+
+    template <typename Condition>
+    bool all_vms(Condition condition)
+    {
+        for (std::size_t i = 0; i < vm_count; ++i)
+        {
+            if (!condition(i))
+                return false;
+        }
+        return true;
+    }
+
+    bool all_route_to(const std::string& endpoint)
+    {
+        return all_vms([&](std::size_t i) { return vm(i).routes_to(endpoint); });
+    }
+
+    // True if every VM learns of a later change of each table and answers requests.
+    void check_all_follow(const std::string& when)
+    {
+        ++version;
+        configure(version);
+        const std::string id = "plain-v" + std::to_string(version);
+        add_endpoint("plain", id);
+        const std::string later_vm = "later-" + std::to_string(version);
+        store.put_bytes("vms", later_vm,
+                        R"({"domain":"dom-a","address":"127.0.0.1:9","capacity":0.001})");
+        cr_assert(run_until(
+                      [&] {
+                          return all_vms([&](std::size_t i)
+                                         { return vm(i).desired_version() == version; });
+                      }),
+                  "desired state, %s", when.c_str());
+        cr_assert(run_until([&] { return all_route_to(id); }), "endpoints, %s", when.c_str());
+        for (std::size_t i = 0; i < vm_count; ++i)
+        {
+            const auto answer = send_and_wait(
+                i, request_text("GET", "/read/1", when + std::to_string(i) + later_vm));
+            cr_assert(answer->done && answer->head.status == 200, "request, %s", when.c_str());
+        }
+        store.remove("vms", later_vm);
+    }
+
+    std::string endpoint_entry(const std::string& fields) const
+    {
+        return R"({"service":"plain","zone":"dom-a","state":"ready",)" + fields + "}";
+    }
+};
+
+} // namespace
+
+// Guards against VMs that stop following a table once one page had an odd revision, and against
+// relays that pass it on.
+Test(edge_odd_record, page_revision_odd_all_vms_follow_later_changes)
+{
+    for (const std::string ver : {"1e300", "9223372036854775808", "9007199254740992", "-1", "2.5"})
+    {
+        odd_record_deployment harness;
+        harness.start();
+        const std::uint64_t calls = harness.store.calls;
+        harness.store.page_version = value::parse(ver);
+        ++harness.version;
+        harness.configure(harness.version);
+        harness.publish_endpoint("plain", harness.plain_1, "dom-a", "draining");
+        cr_assert(harness.run_until([&] { return harness.store.calls > calls + 9; }));
+        harness.store.page_version = value::null();
+        harness.check_all_follow("page revision " + ver);
+    }
+}
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -222,3 +222,63 @@
     cr_assert(find_account(state, "k2")->priority == 1);
     cr_assert(state.limits.idle_timeout == milliseconds(9000));
 }
+
+// Guards against a revision that no store gives out, after which every change is old news.
+Test(platform_codec, decode_page_odd_revision_is_rejected)
+{
+    for (const std::string ver :
+         {"1e999", "1e300", "-1e300", "9223372036854775808", "9223372036854775807",
+          "18446744073709551616", "9007199254740992", "-1", "1.5", "\"7\"", "null"})
+        cr_assert_not(codec::decode_page(R"({"rows":[],"ver":)" + ver + "}").has_value(), "%s",
+                      ver.c_str());
+    cr_assert(codec::decode_page(R"({"rows":[],"ver":)" + std::string(400, '9') + "}") ==
+              std::nullopt);
+    const auto page = codec::decode_page(R"({"rows":[],"ver":9007199254740991})");
+    cr_assert(page && page->revision == 9007199254740991);
+}
+
+// Guards against one odd row that hides the others of its page, or that is used.
+Test(platform_codec, decode_page_odd_row_has_no_value)
+{
+    for (const std::string odd :
+         {R"("ver":1e300,"value":"e30=")", R"("ver":9223372036854775808,"value":"e30=")",
+          R"("ver":2.5,"value":"e30=")", R"("ver":-4,"value":"e30=")", R"("value":"e30=")",
+          R"("ver":3,"value":"e30")", R"("ver":3,"value":"?*#!")", R"("ver":3,"value":7)"})
+    {
+        const auto page = codec::decode_page(
+            R"({"ver":9,"rows":[{"key":"a","ver":1,"value":"e30="},{"key":"b",)" + odd +
+            R"(},{"key":"c","ver":4,"value":"e30="}]})");
+        cr_assert(page && page->revision == 9, "%s", odd.c_str());
+        cr_assert(page->records.size() == 3 && page->records[2].value == "{}", "%s", odd.c_str());
+        cr_assert(page->records[1].name == "b" && page->records[1].value.empty(), "%s",
+                  odd.c_str());
+        cr_assert(page->records[1].revision <= 9, "%s", odd.c_str());
+    }
+}
+
+// Guards against a version of the desired state that is above all later ones.
+Test(platform_codec, decode_desired_odd_version_is_rejected)
+{
+    for (const std::string version : {"1e999", "1e300", "9223372036854775808", "-1", "2.5"})
+    {
+        state_record row = record(R"({"version":)" + version + "}");
+        row.name = "config";
+        cr_assert_not(codec::decode_desired(row).has_value(), "%s", version.c_str());
+    }
+}
+
+// Guards against an era that no store gives out, after which every response is of an older one.
+Test(platform_codec, decode_era_odd_text_is_rejected)
+{
+    message_head head;
+    cr_assert(codec::decode_era(head) == 0);
+    head.fields = {{"Store-Era", "12"}};
+    cr_assert(codec::decode_era(head) == 12);
+    for (const std::string text : {"", "-1", "x", "12x", "1e3", "9007199254740992",
+                                   "18446744073709551615", "99999999999999999999"})
+    {
+        head.fields = {{"Store-Era", text}};
+        const std::optional<std::uint64_t> era = codec::decode_era(head);
+        cr_assert_not(era.has_value(), "'%s'", text.c_str());
+    }
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -181,7 +181,7 @@
     value body = value::object();
     body["rows"] = value::array(rows);
     body["has_more"] = value::boolean(more);
-    body["ver"] = value::number(version_);
+    body["ver"] = page_version.is_null() ? value::number(version_) : page_version;
     respond(client, 200, body.serialize());
 }
 
@@ -238,7 +238,7 @@
         list.push_back(row);
     value body = value::object();
     body["rows"] = value::array(list);
-    body["ver"] = value::number(version_);
+    body["ver"] = page_version.is_null() ? value::number(version_) : page_version;
     respond(feed.client, 200, body.serialize());
     return true;
 }
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -62,8 +62,9 @@
     // new era begins. Calls in progress get no response.
     void restore_copy();
 
-    int refuse_status = 0;     // status of the response to every call; 0: calls are served
-    bool unresponsive = false; // accepts calls and never responds
+    web::json::value page_version; // given out instead of the version of a page, unless null
+    int refuse_status = 0;         // status of the response to every call; 0: calls are served
+    bool unresponsive = false;     // accepts calls and never responds
     std::uint64_t calls = 0;
     std::uint64_t writes = 0;         // received, including refused ones
     milliseconds next_write_delay{0}; // before the next write takes effect
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -158,3 +158,34 @@
     cr_assert(decode_frame(frame, message) == frame_state::complete);
     cr_assert(std::get<crash_report>(message) == report);
 }
+
+// Guards against VMs that pass on a position that no store gives out.
+Test(vm_message, state_messages_odd_position_is_not_loaded)
+{
+    for (const store_position odd : {store_position{1, 1ULL << 53}, store_position{1, ~0ULL},
+                                     store_position{1ULL << 53, 4}, store_position{~0ULL, 4}})
+    {
+        state_answer answer;
+        answer.update.position = odd;
+        answer.loaded = true;
+        std::string frame = encode_frame(answer);
+        vm_message message;
+        cr_assert(decode_frame(frame, message) == frame_state::complete);
+        cr_assert_not(std::get<state_answer>(message).loaded);
+
+        state_notice notice;
+        notice.copies[0] = {true, true, odd, 5, 0};
+        notice.copies[1] = {true, true, {1, 7}, 5, 0};
+        frame = encode_frame(notice);
+        cr_assert(decode_frame(frame, message) == frame_state::complete);
+        const auto& copies = std::get<state_notice>(message).copies;
+        cr_assert_not(copies[0].loaded || copies[0].in_sync);
+        cr_assert(copies[1].loaded && copies[1].in_sync);
+    }
+    held_records held{state_table::endpoints, ~0ULL, {{{"a", "x", 85, true}, 17, milliseconds(9)}}};
+    std::string frame = encode_frame(held);
+    vm_message message;
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    cr_assert(std::get<held_records>(message).era == 0);
+    cr_assert(std::get<held_records>(message).records.empty());
+}
