Leave out records with numbers out of their range

Operators would see requests refused or sent to an endpoint that does not exist: one odd entry among the endpoints was used. `slots` of 1e999 became 4,294,967,295, so that placing preferred the entry; `cold_ms` 2^63 - 1, which overflows a time point; `born` -2^63; the capacity of a VM infinity, so that it was given all work. The desired state had the same faults in 22 fields.

Cause: count_field and milliseconds_field gave llround of what is out of its range (unspecified; x86-64 and arm64 differ) and cast it down to 32 bits.

Now each number is checked once against a named range (number_range.h), and a number out of its range, nan included, makes the record unreadable: it is logged as bad_record, counted in bad_records_total, and the others count. Negative `cold_ms` counts as 0: an endpoint may write how long ago it was warm.

Ruled out: to clamp the numbers of a desired state, which would put in force what the operator has not written.

--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -14,6 +14,7 @@
         logged_bad_records_.try_emplace({table, record.name}, record.revision);
     if (!is_first && std::exchange(logged->second, record.revision) == record.revision)
         return;
+    counters_.count("bad_records_total");
     log_event(log_level::warning, "bad_record",
               {{"table", std::string(to_string(table))},
                {"name", record.name},
--- a/packages/state/number_range.h
+++ b/packages/state/number_range.h
@@ -21,6 +21,25 @@
 inline constexpr std::uint64_t largest_exact = (std::uint64_t{1} << 53U) - 1;
 // Counts that a store or the operator gives out in order: a rounded one would hide later ones.
 inline constexpr number_range<std::uint64_t> revision_range{0, largest_exact};
+// Times in ms; messages between VMs carry them in 32 bits.
+inline constexpr number_range<std::int64_t> duration_range{0, 2'147'483'647};
+// Remaining cold time of an endpoint in ms, negative once it is over; no endpoint warms up for
+// days.
+inline constexpr number_range<std::int64_t> cold_time_range{-86'400'000, 86'400'000};
+// Start of an endpoint in Unix ms, which its JSON number must hold exactly.
+inline constexpr number_range<std::int64_t> start_time_range{0, largest_exact};
+// Concurrent requests or pieces per call of an endpoint; its address has no more ports.
+inline constexpr number_range<std::uint32_t> slots_range{0, 65'535};
+// Processing time of one piece in ms; that of a full batch must not overflow a time point.
+inline constexpr number_range<double> piece_time_range{0.0, 3'600'000.0};
+// Requests per second to a cold endpoint; more are no limit.
+inline constexpr number_range<double> cold_rate_range{0.0, 1'000'000.0};
+// Work of a VM relative to the others; far beyond the ratio of any two machines.
+inline constexpr number_range<double> capacity_range{0.000'001, 1'000'000.0};
+// Sizes in bytes; the results of all pieces of a stage must not overflow 64 bits.
+inline constexpr number_range<std::uint64_t> size_range{0, std::uint64_t{1} << 48U};
+// Priorities, weights and other counts, which are kept in 32 bits.
+inline constexpr number_range<std::uint32_t> count_range{0, 4'294'967'295};
 
 // False for nan.
 template <typename Number>
@@ -29,6 +48,12 @@
     return number >= range.min && number <= range.max;
 }
 
+// nullopt for a number out of the range.
+inline std::optional<double> to_decimal(double number, const number_range<double>& range)
+{
+    return is_within(number, range) ? std::optional(number) : std::nullopt;
+}
+
 // `number` rounded to a whole number; nullopt if it is out of the range, whose bounds a double must
 // hold exactly.
 template <std::integral Integer>
--- a/tests/unit/edge_odd_record_test.cpp
+++ b/tests/unit/edge_odd_record_test.cpp
@@ -83,6 +83,13 @@
         store.remove("vms", later_vm);
     }
 
+    // Number of VMs that a VM knows, by its status report.
+    std::size_t known_vms(std::size_t number)
+    {
+        const auto answer = get_from_metrics_port(number, "/vm/status");
+        return value::parse(answer->body).at("vms").size();
+    }
+
     std::string endpoint_entry(const std::string& fields) const
     {
         return R"({"service":"plain","zone":"dom-a","state":"ready",)" + fields + "}";
@@ -109,3 +116,52 @@
         harness.check_all_follow("page revision " + ver);
     }
 }
+
+// Guards against odd rows that stop a VM from following their table, hide other rows, or are used.
+Test(edge_odd_record, odd_rows_in_all_tables_other_rows_count_and_each_is_logged_once)
+{
+    odd_record_deployment harness;
+    harness.start();
+    const std::string address = R"("address":")" + harness.plain_1.address() + "\"";
+    const std::string deep(200'000, '[');
+    const std::vector<std::string> odd_entries = {
+        harness.endpoint_entry(address + R"(,"slots":1e999)"),
+        harness.endpoint_entry(address + R"(,"slots":18446744073709551616)"),
+        harness.endpoint_entry(address + R"(,"cold_ms":1e300)"),
+        harness.endpoint_entry(address + R"(,"born":-1e300)"),
+        harness.endpoint_entry(address + R"(,"cold_ms":)" + std::string(400, '9')),
+        harness.endpoint_entry(address + R"(,"slots":)" + deep),
+        harness.endpoint_entry(R"("address":"127.0.0.1:70000")"),
+        harness.endpoint_entry(R"("address":"127.0.0.1:99999999999999999999")"),
+        harness.endpoint_entry(R"("address":"127.0.0.1:-1")"),
+        harness.endpoint_entry(R"("address":"127.0.0.1:0")"),
+        harness.endpoint_entry(R"("address":"127.0.0.1")"),
+        harness.endpoint_entry(R"("address":":8080")"),
+        harness.endpoint_entry(R"("address":"999.1.1.1:8080")"),
+        deep,
+        "\xff\xfe"};
+    const std::vector<std::string> odd_vms = {
+        R"({"domain":"dom-a","address":"127.0.0.1:9","capacity":1e999})",
+        R"({"domain":"dom-a","address":"127.0.0.1:9","capacity":1e300})",
+        R"({"domain":"dom-a","address":"127.0.0.1:9","capacity":-1})", deep};
+    for (std::size_t i = 0; i < odd_entries.size(); ++i)
+        harness.store.put_bytes("servers", "odd-" + std::to_string(i), odd_entries[i]);
+    for (std::size_t i = 0; i < odd_vms.size(); ++i)
+        harness.store.put_bytes("vms", "odd-" + std::to_string(i), odd_vms[i]);
+    harness.store.put_bytes("op", "config", R"({"version":1e300,"routes":[]})");
+    harness.check_all_follow("first");
+    harness.store.put_bytes("op", "config", deep);
+    harness.check_all_follow("second");
+    harness.store.discard_history(); // all tables are listed again
+    harness.check_all_follow("third");
+    const std::size_t odd_rows = odd_entries.size() + odd_vms.size() + 2; // two of the operator
+    for (std::size_t vm = 0; vm < harness.vm_count; ++vm)
+    {
+        for (std::size_t i = 0; i < odd_entries.size(); ++i)
+            cr_assert_not(harness.vm(vm).routes_to("odd-" + std::to_string(i)), "%s",
+                          odd_entries[i].substr(0, 200).c_str());
+        const std::string metrics = harness.get_from_metrics_port(vm, "/metrics")->body;
+        const std::string counted = "bad_records_total " + std::to_string(odd_rows) + "\n";
+        cr_assert(metrics.find(counted) != std::string::npos, "%s", metrics.c_str());
+    }
+}
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -282,3 +282,89 @@
         cr_assert_not(era.has_value(), "'%s'", text.c_str());
     }
 }
+
+// Guards against numbers of an endpoint that no endpoint has: it would be preferred, be cold for
+// ever, or seem older than it is.
+Test(platform_codec, decode_endpoint_odd_number_is_rejected)
+{
+    const std::string head = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready")";
+    const std::vector<std::string> huge = {"1e999",
+                                           "-1e999",
+                                           "1e300",
+                                           "-1e300",
+                                           "18446744073709551616",
+                                           "9223372036854775808",
+                                           "-9223372036854775808",
+                                           "9007199254740992",
+                                           std::string(400, '9')};
+    for (const std::string field : {"slots", "cold_ms", "born"})
+    {
+        std::vector<std::string> odd = huge;
+        odd.insert(odd.end(), {"\"8\"", "null", "[]"});
+        for (const std::string& number : odd)
+            cr_assert_not(
+                codec::decode_endpoint(record(head + ",\"" + field + "\":" + number + "}")),
+                "%s %s", field.c_str(), number.substr(0, 30).c_str());
+    }
+    cr_assert_not(codec::decode_endpoint(record(head + R"(,"slots":4294967296})")));
+    cr_assert_not(codec::decode_endpoint(record(head + R"(,"slots":4294967295})")));
+    cr_assert_not(codec::decode_endpoint(record(head + R"(,"slots":-1})")));
+    const auto late = codec::decode_endpoint(record(head + R"(,"cold_ms":-250.5,"slots":8.0})"));
+    cr_assert(late && late->cold_for == milliseconds(0) && late->slots == 8);
+}
+
+// Guards against a VM that gets all work, or none, because of its capacity.
+Test(platform_codec, decode_vm_odd_capacity_is_rejected)
+{
+    for (const std::string capacity : {"1e999", "-1e999", "1e300", "18446744073709551616",
+                                       "1000001", "0", "-1", "\"4\"", "null"})
+        cr_assert_not(
+            codec::decode_vm(record(R"({"address":"10.0.0.1:80","capacity":)" + capacity + "}")),
+            "%s", capacity.c_str());
+    cr_assert(codec::decode_vm(record(R"({"address":"10.0.0.1:80","capacity":0.5})")));
+    cr_assert(codec::decode_vm(record(R"({"address":"10.0.0.1:80"})"))->capacity == 1.0);
+}
+
+// Guards against a desired state with numbers that the operator cannot have meant.
+Test(platform_codec, decode_desired_odd_number_is_rejected)
+{
+    for (const std::string number :
+         {"1e999", "1e300", "18446744073709551616", "9223372036854775808"})
+    {
+        const std::vector<std::string> parts = {
+            R"("routes":[{"priority":)" + number + "}]",
+            R"("routes":[{"attempts":)" + number + "}]",
+            R"("routes":[{"timeout_ms":)" + number + "}]",
+            R"("routes":[{"slo_ms":)" + number + "}]",
+            R"("routes":[{"backends":[{"service":"s","weight":)" + number + "}]}]",
+            R"("routes":[{"stages":[{"after":[)" + number + "]}]}]",
+            R"("routes":[{"stages":[{"bytes":)" + number + "}]}]",
+            R"("services":[{"max_conns":)" + number + "}]",
+            R"("services":[{"warmup_s":)" + number + "}]",
+            R"("services":[{"cold_per_s":)" + number + "}]",
+            R"("services":[{"engine":{"slots":)" + number + "}}]",
+            R"("services":[{"pieces":{"batch":)" + number + "}}]",
+            R"("services":[{"pieces":{"slots":)" + number + "}}]",
+            R"("services":[{"pieces":{"call_ms":)" + number + "}}]",
+            R"("services":[{"pieces":{"item_ms":)" + number + "}}]",
+            R"("services":[{"pieces":{"room_mb":)" + number + "}}]",
+            R"("services":[{"pieces":{"handle_s":)" + number + "}}]",
+            R"("tenants":[{"priority":)" + number + "}]",
+            R"("limits":{"max_header_bytes":)" + number + "}",
+            R"("limits":{"max_body_bytes":)" + number + "}",
+            R"("limits":{"header_timeout_ms":)" + number + "}",
+            R"("limits":{"idle_timeout_ms":)" + number + "}"};
+        for (const std::string& part : parts)
+        {
+            state_record row = record(R"({"version":7,)" + part + "}");
+            row.name = "config";
+            cr_assert_not(codec::decode_desired(row), "%s", part.c_str());
+        }
+    }
+    state_record row = record(
+        R"({"version":7,"routes":[{"attempts":-1,"timeout_ms":-5}],"services":[{"warmup_s":-1}]})");
+    row.name = "config";
+    const auto state = codec::decode_desired(row);
+    cr_assert(state && std::get<serving_state>(*state).routes[0].attempts == 1);
+    cr_assert(std::get<serving_state>(*state).routes[0].timeout == milliseconds(5000));
+}
