Keep the idle timeout under which a client connection became idle

What callers saw: when a new version lowered the idle timeout, connections that the version before let them reuse were closed at once. A slow upload was refused with 408 while its bytes arrived.

Change: a connection keeps the idle timeout that held when it became idle, or gets the longer present one. A body times out after that much silence since its last byte, and not while bytes wait in the socket, as after a pause of the process. The header timeout is unchanged.

--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace zinnianotch
@@ -40,7 +41,7 @@
 
 void server_connection::start(time_point now)
 {
-    idle_since_ = now;
+    become_idle(now);
     boost::system::error_code ignored;
     (void)socket_.set_option(tcp::no_delay(true), ignored);
     (void)socket_.non_blocking(true, ignored);
@@ -91,7 +92,6 @@
 
 void server_connection::sweep(time_point now)
 {
-    const connection_limits& limits = owner_.limits_;
     if (closed_)
         return;
     if (lingering_)
@@ -107,15 +107,18 @@
     }
     if (busy_)
         return;
+    // Clients may use what their connection was allowed when it became idle.
+    const milliseconds idle_timeout = std::max(idle_timeout_, owner_.limits_.idle_timeout);
     if (has_partial_request())
     {
-        const bool head_timed_out =
-            !parser_->head_done() && now - first_byte_at_ > limits.header_timeout;
-        if (head_timed_out || now - first_byte_at_ > limits.idle_timeout)
+        const bool timed_out = parser_->head_done()
+                                   ? now - last_byte_at_ > idle_timeout
+                                   : now - first_byte_at_ > owner_.limits_.header_timeout;
+        if (timed_out && !has_unread_bytes())
             refuse(408, "Request Timeout");
         return;
     }
-    if (now - idle_since_ > limits.idle_timeout && !has_unparsed_bytes())
+    if (now - idle_since_ > idle_timeout && !has_unparsed_bytes())
         close();
 }
 
@@ -175,6 +178,7 @@
         parser_.emplace(owner_.limits_.header_bytes, owner_.limits_.body_bytes);
         first_byte_at_ = now;
     }
+    last_byte_at_ = now;
     const bool had_head = parser_->head_done();
     boost::beast::error_code error;
     const std::size_t consumed = parser_->feed(unparsed_, error);
@@ -268,12 +272,18 @@
     if (!keep_alive_ || (close_when_idle_ && !has_unparsed_bytes()))
         return start_linger(now);
     busy_ = false;
-    idle_since_ = now;
+    become_idle(now);
     if (!unparsed_.empty())
         parse(now);
     read();
 }
 
+void server_connection::become_idle(time_point now)
+{
+    idle_since_ = now;
+    idle_timeout_ = owner_.limits_.idle_timeout;
+}
+
 void server_connection::start_linger(time_point now)
 {
     boost::system::error_code error;
@@ -296,9 +306,14 @@
 }
 
 bool server_connection::has_unparsed_bytes() const
+{
+    return !unparsed_.empty() || has_unread_bytes();
+}
+
+bool server_connection::has_unread_bytes() const
 {
     boost::system::error_code ignored;
-    return !unparsed_.empty() || socket_.available(ignored) > 0;
+    return socket_.available(ignored) > 0;
 }
 
 void server_connection::close()
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -26,8 +26,8 @@
 {
     std::uint32_t header_bytes = 16384;
     std::uint64_t body_bytes = 4 * 1024 * 1024;
-    milliseconds header_timeout{3000};
-    milliseconds idle_timeout{15000};
+    milliseconds header_timeout{3000}; // from the first byte of a request to the end of its head
+    milliseconds idle_timeout{15000};  // between requests, and between bytes of a body
 };
 
 // Reading stops once this many bytes of pipelined requests wait for the current one to end.
@@ -92,8 +92,10 @@
     void write_next();
     void write_some();
     void finish_response();
+    void become_idle(time_point now);
     void start_linger(time_point now);
     void handle_disconnect();
+    bool has_unread_bytes() const; // in the socket
     void close();
 
     boost::asio::ip::tcp::socket socket_;
@@ -113,8 +115,10 @@
     bool request_received_ = false;
     bool lingering_ = false;
     bool closed_ = false;
-    time_point first_byte_at_{};
+    time_point first_byte_at_{}; // of the current request
+    time_point last_byte_at_{};
     time_point idle_since_{};
+    milliseconds idle_timeout_{}; // limit that held when the connection became idle
     time_point linger_until_{};
     std::size_t written_bytes_ = 0; // of write_buffer_
     time_point write_progress_at_{};
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -39,6 +39,9 @@
 constexpr connection_limits short_idle{16384, 4 * 1024 * 1024, milliseconds(3000),
                                        milliseconds(1000)};
 
+constexpr connection_limits long_idle{16384, 4 * 1024 * 1024, milliseconds(3000),
+                                      milliseconds(60000)};
+
 // A client whose second request arrives after the server has read the first one, and is received
 // together with the server's next read: asio tries to read at once after a read that has filled its
 // buffer.
@@ -209,3 +212,88 @@
         { it.listener.close_connections_when_idle(steady_clock::now()); });
     cr_assert(harness.serves_both());
 }
+
+// Guards against closing connections at once when a new version lowers the idle timeout, although
+// their clients may reuse them for as long as the version before allowed.
+Test(server_listener, sweep_idle_timeout_lowered_idle_connection_is_kept)
+{
+    listening_server server;
+    server.listener.set_limits(long_idle);
+    tcp::socket client(server.io);
+    client.connect(server.address());
+    (void)server.io.run_for(milliseconds(50));
+    const time_point idle_since = steady_clock::now();
+    server.listener.set_limits(short_idle);
+    server.listener.sweep(idle_since + long_idle.idle_timeout - milliseconds(1000));
+    cr_assert(server.listener.connections() == 1);
+    server.listener.sweep(idle_since + long_idle.idle_timeout + milliseconds(1000));
+    cr_assert(server.listener.connections() == 0);
+}
+
+// Guards against closing a connection that a longer idle timeout of a new version lets a client
+// use.
+Test(server_listener, sweep_idle_timeout_raised_idle_connection_is_kept)
+{
+    listening_server server;
+    server.listener.set_limits(short_idle);
+    tcp::socket client(server.io);
+    client.connect(server.address());
+    (void)server.io.run_for(milliseconds(50));
+    const time_point idle_since = steady_clock::now();
+    server.listener.set_limits(long_idle);
+    server.listener.sweep(idle_since + long_idle.idle_timeout - milliseconds(1000));
+    cr_assert(server.listener.connections() == 1);
+}
+
+// Guards against refusing an upload that is slow but goes on.
+Test(server_listener, sweep_slow_body_is_refused_only_after_silence)
+{
+    listening_server server;
+    server.listener.set_limits(short_idle);
+    const time_point begun = steady_clock::now();
+    tcp::socket client(server.io);
+    client.connect(server.address());
+    boost::asio::write(
+        client, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n")));
+    const auto sweep_after_bytes_until = [&](time_point end)
+    {
+        while (steady_clock::now() < end)
+        {
+            boost::asio::write(client, boost::asio::buffer(std::string("x")));
+            server.io.restart();
+            (void)server.io.run_for(short_idle.idle_timeout / 20);
+            server.listener.sweep(steady_clock::now());
+        }
+    };
+    sweep_after_bytes_until(begun + short_idle.idle_timeout * 3 / 2);
+    cr_assert(client.available() == 0, "refused while bytes arrive");
+    cr_assert(server.listener.busy_count() == 1);
+    server.listener.sweep(steady_clock::now() + 2 * short_idle.idle_timeout);
+    server.io.restart();
+    (void)server.io.run_for(milliseconds(50));
+    std::array<char, 256> buffer{};
+    boost::system::error_code error;
+    const std::size_t count = client.read_some(boost::asio::buffer(buffer), error);
+    cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 408 "));
+}
+
+// Guards against refusing a request whose next bytes have arrived but were not read yet.
+Test(server_listener, sweep_unread_body_is_not_refused)
+{
+    listening_server server;
+    server.listener.set_limits(short_idle);
+    tcp::socket client(server.io);
+    client.connect(server.address());
+    boost::asio::write(
+        client, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx")));
+    (void)server.io.run_for(milliseconds(50));
+    cr_assert(server.listener.busy_count() == 1);
+    boost::asio::write(client, boost::asio::buffer(std::string("x")));
+    server.listener.sweep(steady_clock::now() + 2 * short_idle.idle_timeout);
+    server.io.restart();
+    (void)server.io.run_for(milliseconds(200));
+    std::array<char, 256> buffer{};
+    boost::system::error_code error;
+    const std::size_t count = client.read_some(boost::asio::buffer(buffer), error);
+    cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 200 "));
+}
