Leave out VMs whose address names no socket

Operators would see a VM in `vm status` that nobody reaches: an entry with port 70000, 0, -1 or of 20 digits, or with 999.1.1.1 or no host. It was chosen as a relay and for batching, no link to it was ever opened, and nothing was logged. Entries of endpoints with such addresses were left out already (apply_endpoint checks them).

The VM is now left out and logged as bad_record, as an endpoint is. The checks of the edge test now also wait until every VM knows a VM that is added later.

--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -154,9 +154,10 @@
     for (const state_record& record : records)
     {
         const auto vm = record.deleted ? std::nullopt : Codec::decode_vm(record);
-        if (!vm && !record.deleted)
+        const bool is_usable = vm && parse_socket_address(vm->address);
+        if (!is_usable && !record.deleted)
             log_bad_record(state_table::vms, record);
-        if (vm)
+        if (is_usable)
             known_vms_[record.name] = *vm;
         else
             known_vms_.erase(record.name);
--- a/tests/unit/edge_odd_record_test.cpp
+++ b/tests/unit/edge_odd_record_test.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 using namespace serving;
 using web::json::value;
 using zinnianotch::state_table;
@@ -74,6 +76,12 @@
                       }),
                   "desired state, %s", when.c_str());
         cr_assert(run_until([&] { return all_route_to(id); }), "endpoints, %s", when.c_str());
+        cr_assert(run_until(
+                      [&] {
+                          return all_vms([&](std::size_t i)
+                                         { return known_vms(i).contains(later_vm); });
+                      }),
+                  "VMs, %s", when.c_str());
         for (std::size_t i = 0; i < vm_count; ++i)
         {
             const auto answer = send_and_wait(
@@ -83,11 +91,15 @@
         store.remove("vms", later_vm);
     }
 
-    // Number of VMs that a VM knows, by its status report.
-    std::size_t known_vms(std::size_t number)
+    // Names of the VMs that a VM knows, by its status report.
+    std::set<std::string> known_vms(std::size_t number)
     {
+        std::set<std::string> names;
         const auto answer = get_from_metrics_port(number, "/vm/status");
-        return value::parse(answer->body).at("vms").size();
+        const value report = value::parse(answer->body);
+        for (const value& name : report.at("vms").as_array())
+            names.insert(name.as_string());
+        return names;
     }
 
     std::string endpoint_entry(const std::string& fields) const
@@ -165,3 +177,26 @@
         cr_assert(metrics.find(counted) != std::string::npos, "%s", metrics.c_str());
     }
 }
+
+// Guards against VMs that choose as relay or for batching a VM whose address names no socket.
+Test(edge_odd_record, vm_address_odd_vm_is_not_known)
+{
+    odd_record_deployment harness;
+    harness.start();
+    const std::vector<std::string> odd_vms = {
+        R"({"domain":"dom-a","address":"127.0.0.1:70000"})",
+        R"({"domain":"dom-a","address":"127.0.0.1:99999999999999999999"})",
+        R"({"domain":"dom-a","address":"127.0.0.1:-1"})",
+        R"({"domain":"dom-a","address":"127.0.0.1:0"})",
+        R"({"domain":"dom-a","address":"127.0.0.1"})",
+        R"({"domain":"dom-a","address":":9"})",
+        R"({"domain":"dom-a","address":"999.1.1.1:9"})"};
+    for (std::size_t i = 0; i < odd_vms.size(); ++i)
+        harness.store.put_bytes("vms", "odd-" + std::to_string(i), odd_vms[i]);
+    harness.check_all_follow("odd addresses");
+    for (std::size_t vm = 0; vm < harness.vm_count; ++vm)
+    {
+        for (const std::string& name : harness.known_vms(vm))
+            cr_assert_not(name.starts_with("odd-"), "%s", name.c_str());
+    }
+}
