Report client connections that are closed with an unanswered request

What callers saw: closed channels without an answer; the record of the VM did not tell who closed them, nor why. Connections above the maximum were dropped without a trace.

Change: server_connection::close() takes its reason. If a request was read whole or in part and neither answered nor refused, server_listener calls on_unanswered_close, and the edge counts it by reason and writes one unanswered_close event. A VM that exits closes what is still open with the reason stop. Bytes behind a response that ends the connection are reported as well.

The connection to counters and log in edge_impl.h has no test of its own.

--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -131,6 +131,14 @@
     callers_->set_max_connections(options_.max_connections);
     callers_->on_refused = [this](int status)
     { counters_.count("requests_malformed_" + std::to_string(status) + "_total"); };
+    callers_->on_unanswered_close = [this](close_reason why, request_progress progress)
+    {
+        counters_.count("unanswered_closes_" + std::string(to_string(why)) + "_total");
+        log_event(
+            why == close_reason::client_left ? log_level::info : log_level::warning,
+            "unanswered_close",
+            {{"why", std::string(to_string(why))}, {"progress", std::string(to_string(progress))}});
+    };
     readiness_ = std::make_unique<server_listener>(
         io_, options_.readiness.host, options_.readiness.port,
         [this](const std::shared_ptr<server_connection>& client, received_request&&)
@@ -512,6 +520,7 @@
                {"after_ms", edge_detail::milliseconds_text(
                                 std::chrono::duration_cast<milliseconds>(now - stop_->began()))},
                {"open_responses", std::to_string(callers_->busy_count())}});
+    callers_->close_all();
     io_.stop();
 }
 
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "transport/server_connection.h"
 
+#include "state/enum_names.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -16,6 +18,12 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+constexpr std::array<std::string_view, 7> close_reason_names = {
+    "idle",          "client_left", "write_timeout",       "broken_off",
+    "last_response", "stop",        "too_many_connections"};
+constexpr std::array<std::string_view, 4> request_progress_names = {"none", "partly_read",
+                                                                    "unanswered", "answer_begun"};
+
 // After these, other connections have their turn.
 constexpr int max_reads_per_wait = 16;
 
@@ -34,6 +42,16 @@
 
 } // namespace
 
+std::string_view to_string(close_reason value)
+{
+    return name_of(close_reason_names, value);
+}
+
+std::string_view to_string(request_progress value)
+{
+    return name_of(request_progress_names, value);
+}
+
 server_connection::server_connection(tcp::socket socket, server_listener& owner)
     : socket_(std::move(socket)), owner_(owner)
 {
@@ -52,6 +70,7 @@
 {
     if (closed_)
         return;
+    response_begun_ = busy_; // not by an interim response
     unsent_bytes_ += bytes.size();
     if (write_queue_.empty())
         write_queue_ = std::move(bytes);
@@ -78,7 +97,7 @@
         return;
     boost::system::error_code ignored;
     (void)socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    close();
+    close(close_reason::broken_off);
 }
 
 void server_connection::close_when_idle(time_point now)
@@ -87,7 +106,7 @@
     if (!request_received_ && now - idle_since_ < first_request_time)
         return;
     if (!busy_ && !has_partial_request() && !has_unparsed_bytes())
-        close();
+        close(close_reason::stop);
 }
 
 void server_connection::sweep(time_point now)
@@ -97,13 +116,13 @@
     if (lingering_)
     {
         if (now >= linger_until_)
-            close();
+            close(close_reason::last_response);
         return;
     }
     if (write_pending_ && now - write_progress_at_ > write_timeout)
     {
         handle_disconnect();
-        return close();
+        return close(close_reason::write_timeout);
     }
     if (busy_)
         return;
@@ -119,7 +138,7 @@
         return;
     }
     if (now - idle_since_ > idle_timeout && !has_unparsed_bytes())
-        close();
+        close(close_reason::idle);
 }
 
 // Waits for input also while a request is served, in order to detect that the caller disconnects.
@@ -151,7 +170,7 @@
         if (error)
         {
             handle_disconnect();
-            return close();
+            return close(close_reason::client_left);
         }
         on_read(count);
         if (busy_ && unparsed_.size() >= pipelined_bytes_limit)
@@ -200,6 +219,7 @@
     if (!parser_->done())
         return;
     busy_ = true;
+    response_begun_ = false;
     request_received_ = true;
     keep_alive_ = parser_->keep_alive();
     received_request request{std::move(parser_->head), std::move(parser_->body), first_byte_at_};
@@ -214,6 +234,7 @@
     if (owner_.on_refused)
         owner_.on_refused(status);
     busy_ = true;
+    refused_ = true;
     parser_.reset();
     unparsed_.clear();
     send("HTTP/1.1 " + std::to_string(status) + " " + std::string(reason_phrase) +
@@ -247,7 +268,7 @@
             {
                 self->write_pending_ = false;
                 self->handle_disconnect();
-                return self->close();
+                return self->close(close_reason::client_left);
             }
             self->written_bytes_ += count;
             self->unsent_bytes_ -= count;
@@ -286,11 +307,14 @@
 
 void server_connection::start_linger(time_point now)
 {
+    // Further bytes after a refusal belong to the refused request.
+    if (!refused_ && has_unparsed_bytes())
+        report_unanswered(close_reason::last_response, request_progress::partly_read);
+    lingering_ = true;
     boost::system::error_code error;
     (void)socket_.shutdown(tcp::socket::shutdown_send, error);
     if (error)
-        return close();
-    lingering_ = true;
+        return close(close_reason::client_left);
     linger_until_ = now + linger_time;
     unparsed_.clear();
     read();
@@ -316,10 +340,28 @@
     return socket_.available(ignored) > 0;
 }
 
-void server_connection::close()
+request_progress server_connection::progress() const
+{
+    if (lingering_)
+        return request_progress::none;
+    if (busy_)
+        return response_begun_ ? request_progress::answer_begun : request_progress::unanswered;
+    return has_partial_request() || has_unparsed_bytes() ? request_progress::partly_read
+                                                         : request_progress::none;
+}
+
+void server_connection::report_unanswered(close_reason why, request_progress progress)
+{
+    if (owner_.on_unanswered_close)
+        owner_.on_unanswered_close(why, progress);
+}
+
+void server_connection::close(close_reason why)
 {
     if (closed_)
         return;
+    if (const request_progress left = progress(); left != request_progress::none)
+        report_unanswered(why, left);
     closed_ = true;
     const auto self = shared_from_this();
     boost::system::error_code ignored;
@@ -337,7 +379,11 @@
 void server_listener::add(tcp::socket socket)
 {
     if (connections_.size() >= max_connections_)
+    {
+        if (on_unanswered_close)
+            on_unanswered_close(close_reason::too_many_connections, request_progress::none);
         return;
+    }
     const auto connection = std::make_shared<server_connection>(std::move(socket), *this);
     connections_.insert(connection);
     connection->start(steady_clock::now());
@@ -351,6 +397,13 @@
         connection->close_when_idle(now);
 }
 
+void server_listener::close_all()
+{
+    const auto all = connections_;
+    for (const auto& connection : all)
+        connection->close(close_reason::stop);
+}
+
 void server_listener::sweep(time_point now)
 {
     const std::vector<std::shared_ptr<server_connection>> all(connections_.begin(),
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -43,6 +43,30 @@
 // A connection is closed when one write to the socket does not complete within this time.
 inline constexpr milliseconds write_timeout{10000};
 
+// Why a connection was closed.
+enum class close_reason
+{
+    idle,
+    client_left, // closed or reset by the client
+    write_timeout,
+    broken_off,    // a response that cannot be completed
+    last_response, // after which the connection ends
+    stop,
+    too_many_connections
+};
+
+// What has become of the request on a connection.
+enum class request_progress
+{
+    none,
+    partly_read,
+    unanswered, // read whole
+    answer_begun
+};
+
+std::string_view to_string(close_reason value);
+std::string_view to_string(request_progress value);
+
 struct received_request
 {
     message_head head;
@@ -65,6 +89,8 @@
     void end(bool keep_alive);
     // Resets the connection, so that a partial response does not look complete.
     void abort();
+    // Closes the connection, whatever has become of its request.
+    void close(close_reason why);
     // Closes the connection as soon as no request is being received, served or likely to arrive.
     void close_when_idle(time_point now);
     // Applies the timeouts; called periodically.
@@ -95,8 +121,9 @@
     void become_idle(time_point now);
     void start_linger(time_point now);
     void handle_disconnect();
+    request_progress progress() const;
+    void report_unanswered(close_reason why, request_progress progress);
     bool has_unread_bytes() const; // in the socket
-    void close();
 
     boost::asio::ip::tcp::socket socket_;
     server_listener& owner_;
@@ -109,7 +136,9 @@
     bool read_pending_ = false;
     bool write_pending_ = false;
     bool busy_ = false;
+    bool response_begun_ = false;
     bool response_ended_ = false;
+    bool refused_ = false;
     bool keep_alive_ = true;
     bool close_when_idle_ = false;
     bool request_received_ = false;
@@ -141,6 +170,8 @@
 
     // Closes each connection as soon as no request is being received, served or likely to arrive.
     void close_connections_when_idle(time_point now);
+    // Closes all connections, also those with a request.
+    void close_all();
     // Accepts no new connections.
     void stop_accepting() { acceptor_.close(); }
     void sweep(time_point now);
@@ -150,6 +181,9 @@
 
     // Called with the HTTP status when a request is refused before it reaches the handler.
     std::function<void(int status)> on_refused;
+    // Called when a connection is closed on which bytes of a request were received that was neither
+    // answered nor refused, and for a connection above the maximum.
+    std::function<void(close_reason why, request_progress progress)> on_unanswered_close;
 
 private:
     friend class server_connection;
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -87,6 +87,66 @@
     }
 };
 
+// A server that keeps the connections of its requests without answering, and the closes that it
+// reports.
+struct reporting_server
+{
+    using report = std::pair<close_reason, request_progress>;
+
+    boost::asio::io_context io{1};
+    std::vector<std::shared_ptr<server_connection>> served;
+    std::vector<report> reports;
+    server_listener listener{io, "127.0.0.1", 0,
+                             [this](const std::shared_ptr<server_connection>& client,
+                                    received_request&&) { served.push_back(client); }};
+
+    reporting_server()
+    {
+        listener.on_unanswered_close = [this](close_reason why, request_progress progress)
+        { reports.emplace_back(why, progress); };
+    }
+    template <typename Condition>
+    bool run_until(Condition condition)
+    {
+        const time_point end = steady_clock::now() + milliseconds(20000);
+        while (!condition())
+        {
+            if (steady_clock::now() >= end)
+                return false;
+            io.restart();
+            (void)io.run_for(milliseconds(1));
+        }
+        return true;
+    }
+    tcp::socket connect()
+    {
+        const std::size_t before = listener.connections();
+        tcp::socket client(io);
+        client.connect({boost::asio::ip::make_address("127.0.0.1"), listener.port()});
+        cr_assert(run_until([&] { return listener.connections() > before; }));
+        return client;
+    }
+    // Connects and sends; waits until the server has read a part of a request or a whole one.
+    tcp::socket send(const std::string& text)
+    {
+        tcp::socket client = connect();
+        const std::size_t busy = listener.busy_count();
+        boost::asio::write(client, boost::asio::buffer(text));
+        cr_assert(run_until([&] { return listener.busy_count() > busy; }));
+        return client;
+    }
+    void expect_report(close_reason why, request_progress progress)
+    {
+        cr_assert(run_until([&] { return !reports.empty(); }));
+        const std::vector<report> expected = {{why, progress}};
+        cr_assert(reports == expected, "%zu reports, %s %s", reports.size(),
+                  to_string(reports[0].first).data(), to_string(reports[0].second).data());
+    }
+};
+
+const std::string whole_request = "GET / HTTP/1.1\r\n\r\n";
+const std::string part_of_request = "GET / HT";
+
 } // namespace
 
 // Guards against connections that the kernel has established and that get no answer at a stop.
@@ -297,3 +357,95 @@
     const std::size_t count = client.read_some(boost::asio::buffer(buffer), error);
     cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 200 "));
 }
+
+// Guards against requests that end without an answer and leave no trace of it.
+Test(server_listener, client_leaves_unanswered_close_is_reported)
+{
+    {
+        reporting_server server;
+        server.send(whole_request).close();
+        server.expect_report(close_reason::client_left, request_progress::unanswered);
+    }
+    {
+        reporting_server server;
+        server.send(part_of_request).close();
+        server.expect_report(close_reason::client_left, request_progress::partly_read);
+    }
+    {
+        reporting_server server;
+        tcp::socket client = server.send(whole_request);
+        server.served[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+        client.close();
+        server.expect_report(close_reason::client_left, request_progress::answer_begun);
+    }
+}
+
+// Guards against the same for answers that are broken off or not taken by their client.
+Test(server_listener, answer_not_completed_unanswered_close_is_reported)
+{
+    {
+        reporting_server server;
+        const tcp::socket client = server.send(whole_request);
+        server.served[0]->abort();
+        server.expect_report(close_reason::broken_off, request_progress::unanswered);
+    }
+    {
+        reporting_server server;
+        const tcp::socket client = server.send(whole_request);
+        server.served[0]->send(std::string(64 * 1024 * 1024, 'x'));
+        server.listener.sweep(steady_clock::now() + 2 * write_timeout);
+        server.expect_report(close_reason::write_timeout, request_progress::answer_begun);
+    }
+}
+
+// Guards against the same at a stop, above the maximum number of connections, and for a request
+// behind one whose response ends the connection.
+Test(server_listener, connection_ended_by_server_unanswered_close_is_reported)
+{
+    {
+        reporting_server server;
+        const tcp::socket idle = server.connect();
+        const tcp::socket client = server.send(whole_request);
+        server.listener.close_all();
+        server.expect_report(close_reason::stop, request_progress::unanswered);
+        cr_assert(server.listener.connections() == 0);
+    }
+    {
+        reporting_server server;
+        server.listener.set_max_connections(0);
+        tcp::socket client(server.io);
+        client.connect({boost::asio::ip::make_address("127.0.0.1"), server.listener.port()});
+        server.expect_report(close_reason::too_many_connections, request_progress::none);
+    }
+    {
+        reporting_server server;
+        tcp::socket client = server.send(whole_request + whole_request);
+        server.served[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        server.served[0]->end(false);
+        server.expect_report(close_reason::last_response, request_progress::partly_read);
+    }
+}
+
+// Guards against reports of connections that owe no answer.
+Test(server_listener, answered_refused_or_idle_close_is_not_reported)
+{
+    reporting_server server;
+    server.listener.set_limits(short_idle);
+    const tcp::socket idle = server.connect();
+    tcp::socket answered = server.send(whole_request);
+    server.served[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    server.served[0]->end(false);
+    tcp::socket refused = server.connect();
+    boost::asio::write(refused, boost::asio::buffer(std::string("POST / HTTP/1.1\r\n"
+                                                                "Content-Length: 99999999\r\n"
+                                                                "\r\nx")));
+    for (tcp::socket* client : {&answered, &refused})
+    {
+        cr_assert(server.run_until([&] { return client->available() > 0; }));
+        client->close();
+    }
+    cr_assert(server.run_until([&] { return server.listener.connections() == 1; }));
+    server.listener.sweep(steady_clock::now() + 2 * short_idle.idle_timeout);
+    cr_assert(server.listener.connections() == 0);
+    cr_assert(server.reports.empty());
+}
