Read numbers of header fields whole and within their range

Operators would see endpoints that stay cold or are preferred without reason: Cold-Ms of 2^63 - 1 overflowed a time point, an Instance-Load of 4,294,967,295 slots drew all requests, and "12x" or "9e" counted as 12 or 9. A request with Pieces of "x" or "-1" had that stage skipped, by reading, and its model engine lacked the input; 4,294,967,295 pieces did no harm to the VM but were not answered with 400. Keep-Alive of more than 49 days wrapped around in 32 bits.

Now a number must fill its field, apart from spaces, and nan and inf are no numbers. By field, for what is out of range: - Deadline-Ms: clamped to 0 and 24.8 days, because the client has said that it waits long, or no more; an unreadable one is ignored, as without the field. - Last-Event-Id: ignored if unreadable, as before. - Pieces: the request is answered 400 bad_request at once if its route has stages; to ignore or clamp it would give an answer without all inputs. - Cold-Ms and Instance-Load: ignored, for an endpoint's own entry and this VM's own counts still say what is needed. - Retry-After: clamped to an hour as before; inf and trailing text are ignored. - Keep-Alive: computed in 64 bits.

No test covers Keep-Alive.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -30,6 +30,8 @@
     {
     case 200:
         return "OK";
+    case 400:
+        return "Bad Request";
     case 401:
         return "Unauthorized";
     case 404:
@@ -98,6 +100,11 @@
         fail(reason::unauthorized, verdict::not_run, "missing or unknown API key", now);
         return false;
     }
+    if (!call_.has_valid_pieces && !route_->stages.empty())
+    {
+        fail(reason::bad_request, verdict::not_run, "unreadable numbers of pieces", now);
+        return false;
+    }
     const milliseconds limit = std::min(call_.time_left.value_or(route_->timeout), route_->timeout);
     deadline_ = received_ + limit;
     service_name_ = choose_service();
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -32,6 +32,7 @@
     std::optional<milliseconds> time_left;
     std::optional<std::uint64_t> resume_after; // id of the last event the client received
     std::vector<std::uint32_t> pieces;         // number of pieces per stage; 0 skips the stage
+    bool has_valid_pieces = true;              // false if the numbers of pieces cannot be read
     std::string piece_key;                     // input key of stages without predecessors
     std::string prompt_prefix; // identifies the prompt parts shared with other requests
     // Ids of the parts of the prompt in their order, without the last one, which only requests of
--- a/packages/state/number_range.h
+++ b/packages/state/number_range.h
@@ -30,6 +30,10 @@
 inline constexpr number_range<std::int64_t> start_time_range{0, largest_exact};
 // Concurrent requests or pieces per call of an endpoint; its address has no more ports.
 inline constexpr number_range<std::uint32_t> slots_range{0, 65'535};
+// Pieces of one stage of a request; their handles reach the endpoint in one header field.
+inline constexpr number_range<std::uint32_t> pieces_range{0, 10'000};
+// Pause in seconds that an endpoint may ask for; an endpoint that is away longer leaves instead.
+inline constexpr number_range<double> pause_range{0.0, 3600.0};
 // Processing time of one piece in ms; that of a full batch must not overflow a time point.
 inline constexpr number_range<double> piece_time_range{0.0, 3'600'000.0};
 // Requests per second to a cold endpoint; more are no limit.
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -301,7 +301,8 @@
     const std::string_view digits = field->substr(at + key.size());
     std::uint32_t seconds = 0;
     if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec == std::errc{})
-        idle_timeout_ = std::max(milliseconds(0), milliseconds(seconds * 1000) - keep_alive_margin);
+        idle_timeout_ = std::max(milliseconds(0),
+                                 milliseconds(std::int64_t{seconds} * 1000) - keep_alive_margin);
 }
 
 // Ends an exchange whose response is complete. The connection is not reused when further bytes
--- a/tests/unit/edge_odd_record_test.cpp
+++ b/tests/unit/edge_odd_record_test.cpp
@@ -200,3 +200,25 @@
             cr_assert_not(name.starts_with("odd-"), "%s", name.c_str());
     }
 }
+
+// Guards against stages that are skipped because their number of pieces cannot be read.
+Test(edge_odd_record, request_with_odd_pieces_is_refused_and_vm_goes_on)
+{
+    deployment harness;
+    harness.add_endpoint("encoders", "encoder-1");
+    harness.add_endpoint("engines", "engine-1").event_count = 1;
+    harness.add_stage();
+    harness.configure(1);
+    const std::size_t vm = harness.add_vm();
+    cr_assert(harness.run_until([&] { return harness.is_ready(vm); }));
+    for (const std::string pieces : {"4294967295", "1000000000", "-1", "2x", "x"})
+    {
+        const auto answer = harness.send_and_wait(
+            vm, request_text("POST", "/stream/1", "odd-" + pieces,
+                             "Piece-Key: k\r\nPieces: " + pieces + "\r\n", "{}"));
+        cr_assert(answer->done && answer->head.status == 400, "%s", pieces.c_str());
+    }
+    const auto answer = harness.send_and_wait(
+        vm, request_text("POST", "/stream/1", "sound", "Piece-Key: k\r\nPieces: 2\r\n", "{}"));
+    cr_assert(answer->done && answer->head.status == 200);
+}
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -1,6 +1,8 @@
 // Encoding and decoding of the platform's protocols.
 #include "platform/codec.h"
 
+#include "state/number_range.h"
+
 #include "seeds.h"
 
 #include <criterion/criterion.h>
@@ -368,3 +370,49 @@
     cr_assert(state && std::get<serving_state>(*state).routes[0].attempts == 1);
     cr_assert(std::get<serving_state>(*state).routes[0].timeout == milliseconds(5000));
 }
+
+// Guards against numbers in a request that overflow its deadline, or are read in part.
+Test(platform_codec, decode_call_odd_numbers)
+{
+    const auto decoded = [](const std::string& name, const std::string& text)
+    {
+        message_head head = request_head({{name, text}});
+        return codec::decode_call(head, "");
+    };
+    for (const std::string text : {"", "x", "12x", "9e", "nan", "inf", "-inf", "1e999", "0x10"})
+        cr_assert_not(decoded("Deadline-Ms", text).time_left, "'%s'", text.c_str());
+    for (const std::string text : {"9223372036854775807", "99999999999999999999", "1e300"})
+        cr_assert(decoded("Deadline-Ms", text).time_left == milliseconds(duration_range.max),
+                  "'%s'", text.c_str());
+    cr_assert(decoded("Deadline-Ms", "-9223372036854775808").time_left == milliseconds(0));
+    cr_assert(decoded("Deadline-Ms", " 900.5 ").time_left == milliseconds(900));
+    for (const std::string text : {"", "x", "12x", "-1", "1e3", "18446744073709551616"})
+        cr_assert_not(decoded("Last-Event-Id", text).resume_after, "'%s'", text.c_str());
+    for (const std::string text :
+         {"4294967295", "4294967296", "99999999999999999999", "10001", "2,-1", "2,x", "2,,3", "3x"})
+        cr_assert_not(decoded("Pieces", text).has_valid_pieces, "'%s'", text.c_str());
+    const client_call call = decoded("Pieces", "10000, 0 ,7");
+    cr_assert(call.has_valid_pieces);
+    cr_assert(call.pieces == std::vector<std::uint32_t>({10000, 0, 7}));
+}
+
+// Guards against numbers of an endpoint that make it cold, paused or preferred for ever.
+Test(platform_codec, decode_answer_odd_numbers_are_ignored)
+{
+    const auto decoded = [](const std::string& name, const std::string& text)
+    {
+        message_head head;
+        head.status = 503;
+        head.fields = {{name, text}};
+        return codec::decode_answer(head);
+    };
+    for (const std::string text :
+         {"", "12x", "-1", "nan", "inf", "1e999", "9223372036854775807", "99999999999999999999"})
+        cr_assert_not(decoded("Cold-Ms", text).cold_for, "'%s'", text.c_str());
+    for (const std::string text : {"3,1,4294967295", "4294967295,1,8", "3,1,8x", "3,1e1,8"})
+        cr_assert_not(decoded("Instance-Load", text).load, "'%s'", text.c_str());
+    for (const std::string text : {"5x", "inf", "infinity", "1e999", "1;2"})
+        cr_assert_not(decoded("Retry-After", text).retry_after, "'%s'", text.c_str());
+    cr_assert(decoded("Cold-Ms", "700.0 ").cold_for == milliseconds(700));
+    cr_assert(decoded("Instance-Load", "3, 1, 8 ").load->slots == 8);
+}
