Drop the outcome of a stage that was cancelled while the outcome waited

What callers saw: a begun stream whose engine was silent for longer than 2.5 s was broken off if two of its stages were refused when they ran again.

Cause: stage_batcher posts outcomes to the event loop. A job of this VM's own batcher that was cancelled meanwhile still reported its outcome. After the first refusal had cancelled the move, the second one counted as that of a request without an engine, and ended the stream. An outcome with results would likewise have placed the request at a second engine while the first one had it; that was only read.

Ruled out: jobs at other VMs, whose outcomes are dropped once they are cancelled.

Change: stage_router drops such an outcome and releases its results, as it does for other VMs.

--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -282,7 +282,9 @@
         job.request,
         [this, id, done = std::move(job.done)](const stage_outcome& outcome)
         {
-            local_jobs_.erase(id);
+            // Cancelled while its outcome waited in the event loop.
+            if (local_jobs_.erase(id) == 0)
+                return batcher_.release(outcome.handles);
             done(outcome);
         },
         now);
--- a/tests/unit/edge_silent_endpoint_test.cpp
+++ b/tests/unit/edge_silent_endpoint_test.cpp
@@ -26,6 +26,7 @@
     fake_endpoint& engine_2 = add_endpoint("engines", "engine-2");
     fake_endpoint* first = nullptr; // the endpoint that has the request
     fake_endpoint* other = nullptr; // of the same service
+    std::string pieces = "1";       // of the stages of a request
 
     silent_deployment()
     {
@@ -79,9 +80,9 @@
             endpoint->silence_time = time;
             endpoint->silences_left = 1;
         }
-        auto exchange =
-            start_request(0, request_text(method, path, "s1", "Pieces: 1\r\nPiece-Key: k\r\n",
-                                          method == "POST" ? "x" : ""));
+        auto exchange = start_request(0, request_text(method, path, "s1",
+                                                      "Pieces: " + pieces + "\r\nPiece-Key: k\r\n",
+                                                      method == "POST" ? "x" : ""));
         const bool is_plain = path.starts_with("/read/") || path.starts_with("/order/");
         fake_endpoint& one = is_plain ? plain_1 : engine_1;
         fake_endpoint& two = is_plain ? plain_2 : engine_2;
@@ -721,6 +722,22 @@
     harness.check_stream_completed(*exchange);
 }
 
+// Guards against a begun stream that the refusal of its second stage ends.
+Test(edge_silent_endpoint, begun_stream_two_stages_refused_stream_is_completed)
+{
+    silent_deployment harness;
+    harness.add_stage();
+    const value stages = harness.routes["/stream/"].at("stages");
+    harness.routes["/stream/"]["stages"] = value::array({stages.at(0), stages.at(0)});
+    harness.pieces = "1,1";
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    harness.start();
+    const auto exchange = harness.begin_stream();
+    harness.store.remove("servers", encoder.id());
+    cr_assert(harness.run_until([&] { return !harness.vm(0).routes_to(encoder.id()); }));
+    harness.check_stream_completed(*exchange);
+}
+
 // Guards against a stream that leaves its engine before the first event and is sent on without the
 // results of its stages.
 Test(edge_silent_endpoint, stream_silent_after_head_next_engine_gets_inputs)
