Show requests that crash one endpoint after the other

Fails: three VMs before four plain endpoints that crash under a request; it comes again ten times a second at all VMs. Later than 3 s after the third crash 14 to 18 requests reach endpoints, where 3 may, and a quarter of the sound requests is answered.

--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -578,6 +578,15 @@
 void fake_endpoint::respond(const std::shared_ptr<server_connection>& client,
                             const recorded_request& request)
 {
+    if (is_crashing && is_crashing(request))
+    {
+        return run_after(crash_delay,
+                         [this]
+                         {
+                             if (!is_crashed_)
+                                 crash();
+                         });
+    }
     const std::string fields = "Attempt-Id: " + request.attempt + "\r\nResponse-Seal: seal-" +
                                request.attempt + "\r\n" + answer_fields;
     if (end_in_head > 0)
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -198,6 +198,9 @@
     bool inputs_gone_once = false;       // reports once that an input is gone (409)
     std::size_t result_limit = SIZE_MAX; // maximum of results held until they are freed
     std::string crash_part;              // crashes as it begins to answer a prompt with this part
+    // Crashes crash_delay after it begins to run such a request.
+    std::function<bool(const recorded_request&)> is_crashing;
+    milliseconds crash_delay{60};
     std::function<void()> on_crash;
 
     // Silences of a sound endpoint: for this long it reads and sends nothing on any connection, as
