Decide which single requests crash endpoints

Cause: only shared parts of prompts were suspects, so a plain request, or a prompt without shared parts, was sent to one endpoint after the other.

crashing_requests knows requests by a digest, on any route. VMs report the requests that were at an endpoint when it broke.

Ruled out: a second crash_suspects keyed by digests, which discounts requests without a response head, as plain requests are when they crash.

Reports use crash_report and its outbox; requests that broke with one endpoint share a report.

--- a/packages/state/crash_report_outbox.cpp
+++ b/packages/state/crash_report_outbox.cpp
@@ -60,7 +60,7 @@
 
 void crash_report_outbox::add(crash_report report, report_receivers to, time_point now)
 {
-    if (report.kind == crash_report_kind::sound && merge_sound(report, to))
+    if (merge(report, to, now))
         return;
     const time_point at = now - report.age;
     const waiting_report added{{to, std::move(report)}, at, now};
@@ -71,21 +71,30 @@
         waiting_.pop_back();
 }
 
-// Adds a report of sound parts to a waiting one with the same engines or the same parts.
-bool crash_report_outbox::merge_sound(const crash_report& report, report_receivers to)
+// Adds a report of sound parts to a waiting one with the same engines or the same parts, and
+// requests that broke with an engine to others that did.
+bool crash_report_outbox::merge(const crash_report& report, report_receivers to, time_point now)
 {
+    const bool is_sound = report.kind == crash_report_kind::sound;
+    const bool is_of_requests = report.subject == crash_report_subject::requests;
+    if (!is_sound && !(is_of_requests && report.kind == crash_report_kind::crash))
+        return false;
     for (waiting_report& each : waiting_)
     {
         crash_report& other = each.outgoing.report;
-        if (other.kind != crash_report_kind::sound)
+        if (other.kind != report.kind || other.subject != report.subject ||
+            other.route != report.route)
             continue;
         const bool is_merged =
             (other.engines == report.engines && unite(other.parts, report.parts)) ||
-            (other.parts == report.parts && unite(other.engines, report.engines));
+            (is_sound && other.parts == report.parts && unite(other.engines, report.engines));
         if (!is_merged)
             continue;
         if (to == report_receivers::all_links)
             each.outgoing.to = to;
+        // What was seen of requests holds since the earlier time only.
+        if (is_of_requests && is_sound)
+            each.at = std::min(each.at, now - report.age);
         return true;
     }
     return false;
@@ -102,7 +111,11 @@
     std::vector<waiting_report> left;
     for (waiting_report& each : waiting_)
     {
-        const bool is_sound = each.outgoing.report.kind == crash_report_kind::sound;
+        const crash_report& report = each.outgoing.report;
+        // A report of answered requests releases them.
+        const bool is_sound = report.kind == crash_report_kind::sound &&
+                              (report.subject == crash_report_subject::prompt_parts ||
+                               report.parts.empty());
         const bool may_be_merged =
             is_sound && now - each.added_at < static_cast<int>(links.vms) * sound_delay_per_vm;
         if (credit_ <= 0.0 || may_be_merged)
--- a/packages/state/crash_report_outbox.h
+++ b/packages/state/crash_report_outbox.h
@@ -70,7 +70,7 @@
         time_point added_at{};
     };
 
-    bool merge_sound(const crash_report& report, report_receivers to);
+    bool merge(const crash_report& report, report_receivers to, time_point now);
 
     double rate_; // bytes per second
     double credit_ = 0.0;
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -108,9 +108,17 @@
 std::string_view to_string(crash_report_kind value);
 bool from_string(std::string_view name, crash_report_kind& out);
 
+// What the parts of a report are.
+enum class crash_report_subject
+{
+    prompt_parts,
+    requests // digests of whole requests, see crashing_requests
+};
+
 // News for all VMs.
 struct crash_report
 {
+    crash_report_subject subject = crash_report_subject::prompt_parts;
     crash_report_kind kind = crash_report_kind::crash;
     // Identity of the broken request of a crash: the name of the VM process that sent it and a
     // number. A VM process must not use the name of an earlier one.
@@ -123,6 +131,7 @@
     milliseconds answering_for{0};                    // crash: time since the head of the response
     std::uint32_t probes = 0;                         // probe: number of probes including this one
     milliseconds age{0};                              // since the crash, or since the probe began
+    std::string route;                                // of the requests of a crash
 
     bool operator==(const crash_report&) const = default;
 };
