--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -100,6 +100,8 @@
   answeringForMs @7 :Int32;
   probes @8 :UInt32;
   ageMs @9 :Int32;
+  subject @10 :UInt8;         # crash_report_subject
+  route @11 :Text;
 }
 
 struct VmMessage {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -209,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dfb1e6f4ca7a0fdf, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(dfb1e6f4ca7a0fdf, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1404,6 +1404,11 @@
 
   inline  ::int32_t getAgeMs() const;
 
+  inline  ::uint8_t getSubject() const;
+
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1479,6 +1484,16 @@
   inline  ::int32_t getAgeMs();
   inline void setAgeMs( ::int32_t value);
 
+  inline  ::uint8_t getSubject();
+  inline void setSubject( ::uint8_t value);
+
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2966,6 +2981,54 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t CrashReport::Reader::getSubject() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashReport::Builder::getSubject() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setSubject( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashReport::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::zinnianotch::wire::VmMessage::Which VmMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -155,6 +155,8 @@
         to.setAnsweringForMs(clamp_to_int32(message.answering_for));
         to.setProbes(message.probes);
         to.setAgeMs(clamp_to_int32(message.age));
+        to.setSubject(static_cast<std::uint8_t>(message.subject));
+        to.setRoute(message.route);
     }
     void operator()(const state_notice& message)
     {
@@ -296,6 +298,8 @@
     message.answering_for = milliseconds(from.getAnsweringForMs());
     message.probes = from.getProbes();
     message.age = milliseconds(from.getAgeMs());
+    message.subject = to_enum(from.getSubject(), crash_report_subject::requests);
+    message.route = to_text(from.getRoute());
     return message;
 }
 
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -143,7 +143,9 @@
 Test(vm_message, crash_report_is_unchanged)
 {
     crash_report report;
+    report.subject = crash_report_subject::requests;
     report.kind = crash_report_kind::sound;
+    report.route = "jobs";
     report.origin = "vm-1/4f2a";
     report.sequence = 0xFFFFFFFFFFFFFFFFULL;
     report.engines = {{"engine-1", 1764867600123}, {"engine-2", -1}};
