Hold requests under which endpoints crash

On each route a request is refused at once, before its stages and before each attempt, while endpoints crash under it: reason crashing_request with Retry-After. A request that broke two endpoints in one client attempt is sent to no third, on any route. Its digest is computed once, and for an answered request with a body above 16 KB only while its route has suspects.

--- a/packages/cli/format.cpp
+++ b/packages/cli/format.cpp
@@ -227,6 +227,12 @@
                           never_read ? "-" : member_text(table, "answered_ms_ago")});
     }
     text += format_table(tables) + "\n";
+    if (const auto parts = items(response, "held_prompt_parts"); !parts.empty())
+        text += "held prompt parts " + join(parts, " ") + "\n\n";
+    if (const auto held = items(response, "held_requests"); !held.empty())
+        text += format_rows(held, {"HELD REQUEST", "ROUTE", "CRASHES", "HELD MS"},
+                            {"digest", "route", "crashes", "held_ms"}) +
+                "\n";
     text += format_rows(items(response, "endpoints"),
                         {"ENDPOINT", "SERVICE", "DOMAIN", "ADDRESS", "USE", "IN FLIGHT", "LOAD"},
                         {"id", "service", "failure_domain", "address", "use", "in_flight", "load"});
--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -12,6 +12,7 @@
 #include "coordination/state_follower.h"
 #include "state/crash_report_outbox.h"
 #include "state/crash_suspects.h"
+#include "state/crashing_requests.h"
 #include "state/pause_detector.h"
 #include "state/socket_address.h"
 #include "state/stage_shard.h"
@@ -173,6 +174,7 @@
     void on_crash_report(const crash_report& report, report_receivers to);
     std::vector<vm_message> crash_snapshot();
     void log_held_parts(time_point now);
+    void log_held_requests(time_point now);
     void log_bad_record(state_table table, const state_record& record);
     void send_text_response(const std::shared_ptr<server_connection>& client, int status,
                             const std::string& body);
@@ -220,8 +222,10 @@
     std::map<std::pair<state_table, std::string>, std::uint64_t> logged_bad_records_;
     std::map<exchange*, std::shared_ptr<exchange>> exchanges_;
     crash_suspects crash_suspects_;
+    crashing_requests crashing_requests_;
     crash_report_outbox crash_outbox_;
     std::set<std::string> logged_held_parts_;
+    std::set<std::string> logged_held_requests_;
     std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
     std::map<std::string, response_estimate, std::less<>> response_times_; // by route
     observed_stage_times stage_times_;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -56,8 +56,11 @@
 inline constexpr milliseconds failed_stage_time{3000};
 inline constexpr milliseconds retry_after_min{100};
 inline constexpr milliseconds retry_after_max{2000};
-// Largest Retry-After of a request that is held because of a prompt part.
+// Largest Retry-After of a request that is held because endpoints crash under it.
 inline constexpr milliseconds retry_after_held_max{30'000};
+// The digest of an answered request with a larger body is computed only if its route is under
+// suspicion.
+inline constexpr std::size_t eager_digest_limit = 16 * 1024;
 // Retry-After of a VM that has not read the desired state yet.
 inline constexpr milliseconds retry_after_not_ready{500};
 
@@ -165,6 +168,12 @@
     void record_sound(time_point now);
     std::optional<held_request> find_hold(time_point now);
     bool is_held(time_point now);
+    const std::string& digest();
+    std::optional<milliseconds> find_request_hold(time_point now);
+    bool is_request_held(time_point now);
+    void record_request_probe(time_point now);
+    void record_request_break(time_point now);
+    void record_answer(time_point now);
     void log_upstream_failure(std::string_view why, time_point now) const;
     void abandon_attempt(time_point now);
     void start_next_attempt(time_point now);
@@ -240,6 +249,7 @@
     // At the last placement: failure domain that holds large inputs, and affinity.
     std::string inputs_domain_;
     std::string affinity_;
+    std::string digest_; // empty until it is needed
     bool closed_ = false;
 };
 
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -1,6 +1,7 @@
 // Member definitions of edge::exchange, included by the source that instantiates edge.
 #pragma once
 
+#include "coordination/edge_crashing_request_impl.h"
 #include "coordination/edge_exchange.h"
 
 namespace zinnianotch
@@ -135,6 +136,8 @@
 template <typename Codec>
 bool edge<Codec>::exchange::is_held(time_point now)
 {
+    if (is_request_held(now))
+        return true;
     const auto held = find_hold(now);
     if (!held || owner_.crash_suspects_.may_probe(call_.prompt_parts, owner_.options_.vm,
                                                   owner_.endpoints_.vms(), now))
@@ -596,7 +599,7 @@
     excluded.insert(endpoint_->record.id);
     placement_request request = make_placement(now);
     request.excluded_ids = &excluded;
-    if (!ends_before_stop(now) || find_hold(now))
+    if (!ends_before_stop(now) || find_hold(now) || find_request_hold(now))
         return cancel_move(now);
     const endpoint_ptr next = owner_.endpoints_.acquire(request, service_, now);
     if (!next)
@@ -671,6 +674,7 @@
     extra.priority = std::min(priority(), least_urgent_priority);
     extra.inputs = inputs_of(last_stages());
     extra.resume_after = events_.last_id() ? events_.last_id() : call_.resume_after;
+    record_request_probe(now);
     if (is_generation() && owner_.crash_suspects_.held(call_.prompt_parts, now))
     {
         owner_.counters_.count("prompt_part_probes_total");
@@ -731,13 +735,12 @@
                   may_have_run_ ? verdict::may_have_run : verdict::not_run, now);
 }
 
-// Notes that the connection broke while a model engine had the request, as it does when the engine
+// Notes that the connection broke while the endpoint had the request, as it does when the endpoint
 // crashes.
 template <typename Codec>
 void edge<Codec>::exchange::record_break(upstream_failure failure, time_point now)
 {
-    if (!is_generation() || call_.prompt_parts.empty() ||
-        failure == upstream_failure::invalid_answer)
+    if (failure == upstream_failure::invalid_answer)
         return;
     const std::uint64_t events = events_.events() - events_before_attempt_;
     answer_progress progress = answer_progress::no_head;
@@ -748,7 +751,12 @@
     else if (status_ != 0)
         progress = answer_progress::head;
     if (progress != answer_progress::events)
+    {
         ++crashed_engines_;
+        record_request_break(now);
+    }
+    if (!is_generation() || call_.prompt_parts.empty())
+        return;
     const milliseconds answering_for =
         status_ != 0 ? std::chrono::duration_cast<milliseconds>(now - head_at_) : milliseconds(0);
     owner_.crash_suspects_.on_crash({endpoint_->record.id, endpoint_->record.started_at},
@@ -757,13 +765,16 @@
     owner_.send_crash_reports(now);
 }
 
-// Notes that an engine has answered the prompt without a crash.
+// Notes that an endpoint has answered the request, and an engine the prompt, without a crash.
 template <typename Codec>
 void edge<Codec>::exchange::record_sound(time_point now)
 {
-    if (sound_recorded_ || !is_generation())
+    if (sound_recorded_)
         return;
     sound_recorded_ = true;
+    record_answer(now);
+    if (!is_generation())
+        return;
     owner_.crash_suspects_.on_sound(call_.prompt_parts, sent_at_, now);
 }
 
@@ -782,7 +793,8 @@
                {"after_ms", since(sent_at_)},
                {"since_head_ms", status_ != 0 ? since(head_at_) : "-"},
                {"events", std::to_string(events_.events() - events_before_attempt_)},
-               {"prompt_parts", parts.empty() ? "-" : parts}});
+               {"prompt_parts", parts.empty() ? "-" : parts},
+               {"digest", digest_.empty() ? "-" : digest_}});
 }
 
 // True if the request may be sent once more, as far as the retry budget allows.
@@ -897,10 +909,10 @@
         return fail(why, verdict::may_have_run, detail, now);
     owner_.counters_.count_refusal(why, verdict::not_run);
     drop_upstream();
+    const bool is_held = why == reason::crashing_prompt || why == reason::crashing_request;
     send_error_response(
         503, why, verdict::not_run,
-        std::clamp(retry_after, retry_after_min,
-                   why == reason::crashing_prompt ? retry_after_held_max : retry_after_max));
+        std::clamp(retry_after, retry_after_min, is_held ? retry_after_held_max : retry_after_max));
     close(std::string(to_string(why)) + ": " + std::string(detail), 503, now);
 }
 
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -113,8 +113,8 @@
                     [this](const std::string& vm, const vm_message& message)
                     { on_peer_state(vm, message); }),
       reading_(state_table_count, table_reading(edge_detail::spread_of(options_.vm))),
-      crash_suspects_(options_.vm + "/" + random_id()), crash_outbox_(options_.link_speed),
-      tick_timer_(io)
+      crash_suspects_(options_.vm + "/" + random_id()), crashing_requests_(options_.vm),
+      crash_outbox_(options_.link_speed), tick_timer_(io)
 {
 }
 
@@ -290,6 +290,8 @@
 {
     for (crash_report& report : crash_suspects_.take_reports(now))
         crash_outbox_.add(std::move(report), report_receivers::all_links, now);
+    for (crash_report& report : crashing_requests_.take_reports(now))
+        crash_outbox_.add(std::move(report), report_receivers::all_links, now);
     const std::size_t accepted = peers_->connections();
     for (const outgoing_report& each : crash_outbox_.take(
              {accepted, accepted + stage_router_.links_up(), endpoints_.vms().size()}, now))
@@ -306,15 +308,22 @@
 void edge<Codec>::on_crash_report(const crash_report& report, report_receivers to)
 {
     const time_point now = steady_clock::now();
-    if (crash_suspects_.on_report(report, now))
+    const bool is_news = report.subject == crash_report_subject::requests
+                             ? crashing_requests_.on_report(report, now)
+                             : crash_suspects_.on_report(report, now);
+    if (is_news)
         crash_outbox_.add(report, to, now);
 }
 
 template <typename Codec>
 std::vector<vm_message> edge<Codec>::crash_snapshot()
 {
-    const std::vector<crash_report> reports = crash_suspects_.snapshot(steady_clock::now());
-    return {reports.begin(), reports.end()};
+    const time_point now = steady_clock::now();
+    const std::vector<crash_report> of_parts = crash_suspects_.snapshot(now);
+    const std::vector<crash_report> of_requests = crashing_requests_.snapshot(now);
+    std::vector<vm_message> messages(of_parts.begin(), of_parts.end());
+    messages.insert(messages.end(), of_requests.begin(), of_requests.end());
+    return messages;
 }
 
 template <typename Codec>
@@ -463,6 +472,7 @@
         endpoints_.sweep(now);
         register_vm(now);
         log_held_parts(now);
+        log_held_requests(now);
         if (is_ready() != ready_logged_)
         {
             ready_logged_ = !ready_logged_;
--- a/packages/coordination/edge_report_impl.h
+++ b/packages/coordination/edge_report_impl.h
@@ -57,6 +57,7 @@
     result.active_requests = exchanges_.size();
     result.domains_out = endpoints_.domains_out();
     result.held_prompt_parts = crash_suspects_.held_parts(now);
+    result.held_requests = crashing_requests_.held_requests(now);
     for (const state_table table : all_state_tables)
     {
         const state_follower<Codec>& followed = follower(table);
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -82,6 +82,9 @@
     if (metadata.cold_for)
         endpoint_->health.set_cold_until(now + *metadata.cold_for);
     disposition_ = choose_disposition(head, metadata);
+    if (!metadata.not_run)
+        owner_.crashing_requests_.on_alive({endpoint_->record.id, endpoint_->record.started_at},
+                                           sent_at_, now);
     if (metadata.not_run)
         endpoint_->health.on_full(now);
     else
@@ -282,6 +285,8 @@
     client_->end(keep_alive_ && !close_delimited_);
     if (status_ == 200)
         record_sound(now);
+    else
+        record_answer(now);
     owner_.counters_.count("answers_total");
     if (status_ / 100 == 2)
     {
--- a/packages/protocol/vm_report_codec.cpp
+++ b/packages/protocol/vm_report_codec.cpp
@@ -36,6 +36,16 @@
     return object;
 }
 
+value encode_held_request(const held_request_report& held)
+{
+    value object = value::object();
+    object["digest"] = text(held.digest);
+    object["route"] = text(held.route);
+    object["crashes"] = number(held.crashes);
+    object["held_ms"] = value::number(std::int64_t{held.held_for.count()});
+    return object;
+}
+
 value encode_endpoint(const endpoint_report& endpoint)
 {
     value object = value::object();
@@ -66,6 +76,7 @@
     object["requests_in_hand"] = number(report.active_requests);
     object["domains_out"] = texts(report.domains_out);
     object["held_prompt_parts"] = texts(report.held_prompt_parts);
+    object["held_requests"] = write_list(report.held_requests, encode_held_request);
     object["tables"] = write_list(report.tables, encode_table);
     object["endpoints"] = write_list(report.endpoints, encode_endpoint);
     object["refusals"] = write_counts(report.refusals);
--- a/packages/state/crashing_requests.h
+++ b/packages/state/crashing_requests.h
@@ -12,6 +12,7 @@
 
 #include "state/crash_suspects.h"
 #include "state/time.h"
+#include "state/vm_report.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,7 +34,7 @@
 inline constexpr milliseconds answered_memory{10'000};
 // An endpoint that answers a request sent within this time after a connection broke has not
 // crashed; one that has crashed takes longer to start again.
-inline constexpr milliseconds alive_evidence_max{1500};
+inline constexpr milliseconds alive_evidence_max{1000};
 // Crashes of a request in one domain within domain_cause_window count as one if more than this
 // number of times as many engines broke there: the domain is lost.
 inline constexpr std::size_t domain_loss_factor = 3;
@@ -67,17 +68,6 @@
 inline constexpr std::size_t request_digest_size = 32; // characters
 inline constexpr std::size_t max_route_name_size = 128;
 
-// A request that is held at present, for status reports.
-struct held_request_report
-{
-    std::string digest;
-    std::string route;
-    std::size_t crashes = 0;
-    milliseconds held_for{0};
-
-    bool operator==(const held_request_report&) const = default;
-};
-
 class crashing_requests
 {
 public:
--- a/packages/state/verdict.cpp
+++ b/packages/state/verdict.cpp
@@ -53,6 +53,7 @@
     {"version_conflict", 409},
     {"invalid_configuration", 422},
     {"crashing_prompt", 503},
+    {"crashing_request", 503},
 }};
 
 } // namespace
--- a/packages/state/verdict.h
+++ b/packages/state/verdict.h
@@ -56,10 +56,11 @@
     store_unavailable,
     version_conflict,
     invalid_configuration,
-    crashing_prompt
+    crashing_prompt,
+    crashing_request
 };
 
-inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::crashing_prompt) + 1;
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::crashing_request) + 1;
 
 // Returns the name of the value as it appears in answers, logs and metrics.
 std::string_view to_string(verdict value);
--- a/packages/state/vm_report.h
+++ b/packages/state/vm_report.h
@@ -47,6 +47,17 @@
     std::string source;                // "store", or the VM whose copy this one follows
 };
 
+// A request that is refused because endpoints crash under it.
+struct held_request_report
+{
+    std::string digest;
+    std::string route;
+    std::size_t crashes = 0;
+    milliseconds held_for{0};
+
+    bool operator==(const held_request_report&) const = default;
+};
+
 struct vm_report
 {
     std::string vm;
@@ -61,6 +72,7 @@
     std::size_t active_requests = 0;
     std::vector<std::string> domains_out;
     std::vector<std::string> held_prompt_parts; // engines crash under them
+    std::vector<held_request_report> held_requests;
     std::vector<table_report> tables;
     std::vector<endpoint_report> endpoints;
     std::map<std::string, std::uint64_t> refusals; // by reason
--- a/packages/transport/request_digest.cpp
+++ b/packages/transport/request_digest.cpp
@@ -29,8 +29,7 @@
     {
         // The same bytes on all VMs, whatever their byte order.
         const std::string length = std::to_string(field.size()) + ":";
-        is_valid = is_valid &&
-                   EVP_DigestUpdate(context.get(), length.data(), length.size()) == 1 &&
+        is_valid = is_valid && EVP_DigestUpdate(context.get(), length.data(), length.size()) == 1 &&
                    EVP_DigestUpdate(context.get(), field.data(), field.size()) == 1;
     }
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/tests/unit/edge_crashing_request_test.cpp
+++ b/tests/unit/edge_crashing_request_test.cpp
@@ -24,7 +24,7 @@
     std::string method;
     std::string target;
     std::string body;
-    std::vector<time_point> crashes;
+    std::vector<time_point> crashes{};
 
     bool matches(const recorded_request& request) const
     {
@@ -227,3 +227,17 @@
         {{"GET", "/read/job-86", "", {}}, {"POST", "/order/new", std::string(200'000, 'x'), {}}});
     expect_requests_are_held(harness);
 }
+
+// Guards against one client attempt that crashes more endpoints than a request may.
+Test(edge_crashing_request, plain_request_crashes_two_endpoints_it_is_sent_to_no_third)
+{
+    crashing_deployment harness({{"GET", "/read/job-86", ""}});
+    harness.routes["/read/"]["attempts"] = web::json::value::number(4);
+    harness.configure(2);
+    cr_assert(harness.run_until(
+        [&] { return harness.vm(0).report(steady_clock::now()).desired_version == 2; }));
+    const auto exchange = harness.start(0, "GET", "/read/job-86", "");
+    cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    cr_assert(harness.crashing.front().crashes.size() == zinnianotch::max_crashes_per_request);
+    cr_assert(exchange->done && exchange->head.status == 502);
+}
