Tell a kept connection that was lost apart in upstream_connection

What callers saw: nothing directly. An endpoint was taken for failing, and the stage batcher paused it, when kept connections to it had been lost while idle.

Cause: lost_connection_max_delay was judged in edge::exchange::on_failure() only, for crash records.

Change: upstream_failure::connection_lost, for a connection that was open before the exchange, brought no byte of a response and broke within that delay. It counts neither against endpoint_health nor against the endpoint in the stage queue. The verdict of the request is unchanged: it may have run. A job's failures and the retry budget count it as before, since the call may have arrived. A connection kept after it confirmed the end of a response counts as kept.

That health and stage queue are spared has no test of its own.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -19,9 +19,6 @@
 // just have closed a connection that was idle for longer; the request would then fail with
 // may_have_run.
 inline constexpr milliseconds unrepeatable_max_idle{1200};
-// Time from sending on a kept connection until it shows that the connection was lost before: a
-// round trip. An engine that crashes under a request has worked on it for longer.
-inline constexpr milliseconds lost_connection_max_delay{30};
 // Number of failed connection attempts (nothing was sent) after which a request is refused.
 inline constexpr std::uint32_t connect_failure_limit = 4;
 // Maximum time that a request waits for an available endpoint before it is refused.
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -701,10 +701,6 @@
 void edge<Codec>::exchange::on_failure(upstream_failure failure)
 {
     const time_point now = steady_clock::now();
-    // A kept connection that was lost while idle breaks as soon as it is used again.
-    const bool was_lost_before = failure == upstream_failure::broken_before_answer &&
-                                 upstream_->is_reused() &&
-                                 now - sent_at_ <= lost_connection_max_delay;
     upstream_.reset();
     endpoint_->health.on_finished();
     tried_.insert(endpoint_->record.id);
@@ -722,7 +718,8 @@
         return refuse(reason::connect_failed, "all connection attempts failed", retry_after_min,
                       now);
     }
-    if (failure == upstream_failure::broken_before_answer || status_ == 0)
+    const bool was_lost_before = failure == upstream_failure::connection_lost;
+    if (status_ == 0 && !was_lost_before)
         endpoint_->health.on_outcome(false, now);
     if (!discarded)
     {
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -85,6 +85,7 @@
         return std::chrono::duration_cast<milliseconds>(now - started_);
     }
     bool was_unreachable() const { return failure_ == upstream_failure::connect_failed; }
+    bool was_connection_lost() const { return failure_ == upstream_failure::connection_lost; }
     std::string outcome() const
     {
         if (failure_)
@@ -515,7 +516,10 @@
 {
     stage_queue& queue = queues_[call.key()].queue;
     const std::string& endpoint = call.endpoint()->record.id;
-    queue.on_failed(endpoint, now);
+    if (call.was_connection_lost())
+        queue.on_call_dropped(endpoint);
+    else
+        queue.on_failed(endpoint, now);
     // Without a connection no piece has reached the endpoint, so neither a failure nor a retry is
     // counted for the jobs.
     const bool reached_endpoint = !call.was_unreachable();
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -261,6 +261,13 @@
     ++state.failures;
 }
 
+void stage_queue::on_call_dropped(const std::string& endpoint)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        found->second.calls_in_flight -= std::min(found->second.calls_in_flight, 1U);
+}
+
 void stage_queue::pause_endpoint(const std::string& endpoint, time_point until)
 {
     const auto found = endpoints_.find(endpoint);
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -22,7 +22,8 @@
 constexpr std::uint32_t response_header_limit = 64 * 1024;
 constexpr std::uint64_t response_body_limit = 1ULL << 32;
 
-constexpr std::array<std::string_view, 4> failure_names = {"connect_failed", "broken_before_answer",
+constexpr std::array<std::string_view, 5> failure_names = {"connect_failed", "connection_lost",
+                                                           "broken_before_answer",
                                                            "broken_in_answer", "invalid_answer"};
 
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -61,10 +62,13 @@
 }
 
 void upstream_connection::start(const tcp::endpoint& peer, std::string request,
-                                upstream_response_handler& handler, bool response_has_body)
+                                upstream_response_handler& handler, bool response_has_body,
+                                time_point now)
 {
     handler_ = &handler;
     ++exchanges_;
+    kept_ = open_;
+    sent_at_ = now;
     request_ = std::move(request);
     response_has_body_ = response_has_body;
     head_delivered_ = false;
@@ -193,7 +197,7 @@
             // A server may send its response and close before it has read the whole request, so
             // a pending read decides the outcome. Without one, the error is reported here.
             if (error && !self->reading_ && !self->closed_ && !self->confirming_end_)
-                self->fail(upstream_failure::broken_before_answer);
+                self->fail(self->break_failure(steady_clock::now()));
         });
     read();
 }
@@ -229,8 +233,7 @@
         if (!parse_error && parser_->done())
             return confirm_end();
     }
-    fail(head_delivered_ ? upstream_failure::broken_in_answer
-                         : upstream_failure::broken_before_answer);
+    fail(break_failure(steady_clock::now()));
 }
 
 void upstream_connection::parse()
@@ -324,6 +327,16 @@
     handler->on_end();
 }
 
+upstream_failure upstream_connection::break_failure(time_point now) const
+{
+    if (head_delivered_)
+        return upstream_failure::broken_in_answer;
+    const bool answer_begun = parser_->started() || !unparsed_.empty();
+    return kept_ && !answer_begun && now - sent_at_ <= lost_connection_max_delay
+               ? upstream_failure::connection_lost
+               : upstream_failure::broken_before_answer;
+}
+
 void upstream_connection::fail(upstream_failure failure)
 {
     upstream_response_handler* const handler = handler_;
@@ -396,7 +409,7 @@
         ++connection_count_;
         ++opened_;
     }
-    connection->start(peer_, std::move(request), handler, response_has_body);
+    connection->start(peer_, std::move(request), handler, response_has_body, now);
     return connection;
 }
 
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -40,9 +40,14 @@
 // Idle timeout of connections whose server sends no Keep-Alive timeout.
 inline constexpr milliseconds default_idle_timeout{4000};
 
+// Time from sending on a kept connection until it shows that the connection was lost before: a
+// round trip. A server that crashes under a request has worked on it for longer.
+inline constexpr milliseconds lost_connection_max_delay{30};
+
 enum class upstream_failure
 {
     connect_failed,       // nothing was sent
+    connection_lost,      // the request was sent on a kept connection that was probably lost before
     broken_before_answer, // the request was sent, at least in part
     broken_in_answer,     // part of the response was received
     invalid_answer        // the received bytes are not a valid HTTP response
@@ -75,7 +80,7 @@
 
     // Sends the request, after connecting to `peer` if the connection is not open yet.
     void start(const boost::asio::ip::tcp::endpoint& peer, std::string request,
-               upstream_response_handler& handler, bool response_has_body);
+               upstream_response_handler& handler, bool response_has_body, time_point now);
     // Ends the exchange without a callback. Closes the connection, because the response may still
     // arrive.
     void cancel();
@@ -104,6 +109,8 @@
     void parse();
     bool deliver();
     void finish();
+    // The failure of an exchange whose connection has ended.
+    upstream_failure break_failure(time_point now) const;
     void fail(upstream_failure failure);
     void close();
     void read_keep_alive();
@@ -123,6 +130,8 @@
     bool confirming_end_ = false;
     std::size_t skipped_bytes_ = 0;
     std::uint64_t exchanges_ = 0;
+    bool kept_ = false; // the connection was open before the current exchange
+    time_point sent_at_{};
     std::uint64_t connect_attempts_ = 0; // completions of earlier ones are ignored
     bool open_ = false;
     bool closed_ = false;
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -90,6 +90,18 @@
         pollfd readable{socket.descriptor(), POLLIN, 0};
         return ::poll(&readable, 1, 0) > 0;
     }
+    // Completes an exchange; the returned socket is that of a kept connection.
+    raw_socket keep_connection()
+    {
+        send("GET / HTTP/1.1\r\n\r\n");
+        raw_socket server = accept();
+        cr_assert(run_until([&] { return is_readable(server); }));
+        (void)server.read_until("\r\n\r\n");
+        (void)server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        cr_assert(ends() && response.done);
+        response = {};
+        return server;
+    }
     // Accepts the connection of the exchange and answers without a length; the end of the returned
     // socket ends the response.
     raw_socket respond_without_length()
@@ -212,3 +224,59 @@
     cr_assert(harness.ends());
     cr_assert(harness.response.done && harness.response.status == 200);
 }
+
+// Guards against blaming a server for a kept connection that was lost before the request was sent.
+Test(upstream, kept_connection_lost_while_idle_is_told_apart)
+{
+    pool_of_raw_server harness;
+    harness.keep_connection().reset();
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::connection_lost);
+}
+
+// Guards against the same for a connection that was kept because it confirmed a response's end.
+Test(upstream, confirming_connection_lost_while_idle_is_told_apart)
+{
+    pool_of_raw_server harness;
+    harness.respond_without_length().close();
+    raw_socket kept = harness.accept();
+    cr_assert(harness.ends() && harness.response.done);
+    harness.response = {};
+    kept.reset();
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::connection_lost);
+}
+
+// Guards against taking a server that crashes under a request for a lost connection.
+Test(upstream, connection_broken_under_request_is_not_taken_for_lost)
+{
+    {
+        pool_of_raw_server harness;
+        harness.send("GET / HTTP/1.1\r\n\r\n");
+        raw_socket server = harness.accept();
+        cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+        server.reset();
+        cr_assert(harness.ends());
+        cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
+    }
+    {
+        pool_of_raw_server harness;
+        raw_socket server = harness.keep_connection();
+        harness.send("GET / HTTP/1.1\r\n\r\n");
+        cr_assert(harness.waits_for(2 * lost_connection_max_delay));
+        server.reset();
+        cr_assert(harness.ends());
+        cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
+    }
+    {
+        pool_of_raw_server harness;
+        raw_socket server = harness.keep_connection();
+        harness.send("GET / HTTP/1.1\r\n\r\n");
+        (void)server.send("HTTP/1.1 2");
+        server.shutdown_send();
+        cr_assert(harness.ends());
+        cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
+    }
+}
