Rank suspect prompt parts by the fraction of crashes they were at

A popular part at five of the first six crashes was held in place of the part at all.

Cause: the rank summed evidence and did not count crashes that a part misses. Now it is multiplied by the fraction of crashes at which the part is suspect, to the power 1.5, and crashes of an ambiguous held part keep 3/4 of their weight for other parts instead of 1/2.

--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -34,9 +34,11 @@
 // Fraction of the crashes of a held part at which another part makes it ambiguous.
 constexpr double ambiguity_ratio = 0.5;
 // Fraction of the crashes of an ambiguous held part that still counts for others.
-constexpr double ambiguous_unexplained = 0.5;
+constexpr double ambiguous_unexplained = 0.75;
 // Weight of crashes before which a part was sound, relative to crashes at which it is suspect.
 constexpr double sound_presence_factor = 0.5;
+// Exponent of the fraction of the crashes at which a part is suspect, in its rank.
+constexpr double coverage_exponent = 1.5;
 constexpr std::size_t max_holds = 64;
 constexpr std::size_t max_sound_parts = 64; // per crash
 constexpr std::size_t max_pending_reports = 1024;
@@ -324,6 +326,14 @@
     return suspect / (suspect + sound_presence_factor * sound);
 }
 
+// A part at more of the crashes is rather the cause: one cause of all of them is more likely than
+// several.
+double coverage(const suspect_index& index, std::string_view part, std::size_t crashes)
+{
+    const auto suspect = static_cast<double>(index.crashes.at(part).size());
+    return std::pow(suspect / static_cast<double>(crashes), coverage_exponent);
+}
+
 struct suspect_part
 {
     std::string_view part;
@@ -342,7 +352,8 @@
     {
         std::vector<std::size_t> left = unexplained(crashes, index.crashes.at(part));
         const double score = score_of(crashes, part, left);
-        const double rank = score * specificity(index, part);
+        const double rank =
+            score * specificity(index, part) * coverage(index, part, crashes.size());
         if (score < combination_threshold || rank <= top_rank)
             continue;
         top = suspect_part{part, score, std::move(left)};
