Do not run stages again for a stream that cannot leave its silent engine

What callers saw: nothing; the stages of a begun stream ran again twice a second while its engine was silent, although no other engine could take the stream, or no retry was left.

Cause: stages ran first, and the engine and the retry were sought when they were done. An engine that was acquired without a retry was given back, but its time of last use and its share while cold were not: an engine that counts as failing could miss its probe (that part was only read).

Change: stages run again only if another engine may take the request now and a retry is left. The retry is checked before an engine is acquired.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -133,6 +133,7 @@
     void place(time_point now);
     placement_request make_placement(time_point now);
     void move_from_silent_endpoint(time_point now);
+    bool may_complete_move(time_point now);
     void complete_move(time_point now);
     void cancel_move(time_point now);
     bool may_return_to_silent_endpoint() const;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -586,12 +586,26 @@
     if (!owner_.endpoints_.is_serving(endpoint_->record.id) &&
         now - progress_at_ < progress_timeout() + leaving_endpoint_allowance)
         return;
+    if (!may_complete_move(now))
+        return cancel_move(now);
     if (holds_inputs())
         return complete_move(now);
     is_moving_ = true;
     rerun_stages(now);
 }
 
+// False if no other endpoint can take the request now, or no retry is left.
+template <typename Codec>
+bool edge<Codec>::exchange::may_complete_move(time_point now)
+{
+    std::set<std::string> excluded = tried_;
+    excluded.insert(endpoint_->record.id);
+    placement_request request = make_placement(now);
+    request.excluded_ids = &excluded;
+    const auto available_at = owner_.endpoints_.next_available_at(request, now);
+    return available_at && *available_at <= now && owner_.endpoints_.may_retry(service_name_, now);
+}
+
 template <typename Codec>
 void edge<Codec>::exchange::complete_move(time_point now)
 {
@@ -599,16 +613,14 @@
     excluded.insert(endpoint_->record.id);
     placement_request request = make_placement(now);
     request.excluded_ids = &excluded;
-    if (!ends_before_stop(now) || find_hold(now) || find_request_hold(now))
+    // An endpoint that is acquired and not used would miss a probe or a part of its cold share.
+    if (!ends_before_stop(now) || find_hold(now) || find_request_hold(now) ||
+        !owner_.endpoints_.may_retry(service_name_, now))
         return cancel_move(now);
     const endpoint_ptr next = owner_.endpoints_.acquire(request, service_, now);
     if (!next)
         return cancel_move(now);
-    if (!owner_.endpoints_.try_acquire_retry(service_name_, now))
-    {
-        next->health.on_finished();
-        return cancel_move(now);
-    }
+    (void)owner_.endpoints_.try_acquire_retry(service_name_, now);
     log_event(log_level::warning, "endpoint_silent",
               {{"request", call_.attempt},
                {"endpoint", endpoint_->record.id},
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -293,6 +293,11 @@
     budgets_[service].on_first_attempt(limits_.retries, now);
 }
 
+bool endpoint_directory::may_retry(const std::string& service, time_point now)
+{
+    return budgets_[service].may_retry(limits_.retries, vms_.size(), now);
+}
+
 bool endpoint_directory::try_acquire_retry(const std::string& service, time_point now)
 {
     return budgets_[service].try_retry(limits_.retries, vms_.size(), now);
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -110,6 +110,8 @@
 
     // Counts the first arrival of a request or stage at a service, which adds to its retry budget.
     void count_new_request(const std::string& service, time_point now);
+    // True if the retry budget of the service is not exhausted.
+    bool may_retry(const std::string& service, time_point now);
     // Takes one retry from the retry budget of the service; false when the budget is exhausted.
     bool try_acquire_retry(const std::string& service, time_point now);
     // The same for a stage: its slack is shared by the VMs that batch it, not by the whole fleet.
--- a/packages/state/shares.cpp
+++ b/packages/state/shares.cpp
@@ -99,14 +99,20 @@
     first_attempts_.push_back(now);
 }
 
-bool service_retry_budget::try_retry(const service_retry_limits& limits, std::size_t vms,
+bool service_retry_budget::may_retry(const service_retry_limits& limits, std::size_t vms,
                                      time_point now)
 {
     remove_expired(limits, now);
     const double share = limits.slack / static_cast<double>(std::max<std::size_t>(vms, 1));
     const double allowed =
         limits.ratio * static_cast<double>(first_attempts_.size()) + std::floor(share);
-    if (static_cast<double>(retries_sent_.size() + 1) > allowed)
+    return static_cast<double>(retries_sent_.size() + 1) <= allowed;
+}
+
+bool service_retry_budget::try_retry(const service_retry_limits& limits, std::size_t vms,
+                                     time_point now)
+{
+    if (!may_retry(limits, vms, now))
         return false;
     retries_sent_.push_back(now);
     return true;
--- a/packages/state/shares.h
+++ b/packages/state/shares.h
@@ -75,7 +75,9 @@
 {
 public:
     void on_first_attempt(const service_retry_limits& limits, time_point now);
-    // Consumes one retry; false if the budget is exhausted. `vms` is the number of VMs.
+    // False if the budget is exhausted. `vms` is the number of VMs.
+    bool may_retry(const service_retry_limits& limits, std::size_t vms, time_point now);
+    // Consumes one retry; false if the budget is exhausted.
     bool try_retry(const service_retry_limits& limits, std::size_t vms, time_point now);
 
 private:
--- a/tests/unit/edge_silent_endpoint_test.cpp
+++ b/tests/unit/edge_silent_endpoint_test.cpp
@@ -738,6 +738,34 @@
     harness.check_stream_completed(*exchange);
 }
 
+// Guards against stages that run again for a stream that no other engine can take.
+Test(edge_silent_endpoint, begun_stream_no_other_engine_stages_do_not_run_again)
+{
+    silent_deployment harness;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    harness.start();
+    const auto exchange = harness.begin_stream();
+    harness.store.remove("servers", harness.other->id());
+    cr_assert(harness.run_until([&] { return !harness.vm(0).routes_to(harness.other->id()); }));
+    harness.check_stream_completed(*exchange);
+    cr_assert(encoder.pieces_completed == 1, "%zu pieces", encoder.pieces_completed);
+}
+
+// Guards against the same where no retry is left.
+Test(edge_silent_endpoint, begun_stream_no_retry_left_stages_do_not_run_again)
+{
+    silent_deployment harness;
+    harness.limits.retries.ratio = 0.0;
+    harness.limits.retries.slack = 0;
+    harness.add_stage();
+    fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+    harness.start();
+    const auto exchange = harness.begin_stream();
+    harness.check_stream_completed(*exchange);
+    cr_assert(encoder.pieces_completed == 1, "%zu pieces", encoder.pieces_completed);
+}
+
 // Guards against a stream that leaves its engine before the first event and is sent on without the
 // results of its stages.
 Test(edge_silent_endpoint, stream_silent_after_head_next_engine_gets_inputs)
