--- a/packages/state/crash_report_outbox.cpp
+++ b/packages/state/crash_report_outbox.cpp
@@ -113,9 +113,9 @@
     {
         const crash_report& report = each.outgoing.report;
         // A report of answered requests releases them.
-        const bool is_sound = report.kind == crash_report_kind::sound &&
-                              (report.subject == crash_report_subject::prompt_parts ||
-                               report.parts.empty());
+        const bool is_sound =
+            report.kind == crash_report_kind::sound &&
+            (report.subject == crash_report_subject::prompt_parts || report.parts.empty());
         const bool may_be_merged =
             is_sound && now - each.added_at < static_cast<int>(links.vms) * sound_delay_per_vm;
         if (credit_ <= 0.0 || may_be_merged)
