Close the gaps that the review of moves from silent endpoints found

A stream that waits for the retry budget while its stages run again could have been sent to two engines within one tick, so the move is cancelled first. A move is completed only on a confirmed state, as after a pause of the VM. A stream that waits for a retry ends as soon as no endpoint is left to return to, not at its deadline.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -614,8 +614,8 @@
     placement_request request = make_placement(now);
     request.excluded_ids = &excluded;
     // An endpoint that is acquired and not used would miss a probe or a part of its cold share.
-    if (!ends_before_stop(now) || find_hold(now) || find_request_hold(now) ||
-        !owner_.endpoints_.may_retry(service_name_, now))
+    if (!ends_before_stop(now) || !owner_.is_state_confirmed(now) || find_hold(now) ||
+        find_request_hold(now) || !owner_.endpoints_.may_retry(service_name_, now))
         return cancel_move(now);
     const endpoint_ptr next = owner_.endpoints_.acquire(request, service_, now);
     if (!next)
@@ -839,6 +839,7 @@
     }
     if (may && has_left_sound_endpoint())
     {
+        cancel_move(now);
         waiting_for_retry_ = true;
         return;
     }
@@ -851,6 +852,9 @@
 template <typename Codec>
 void edge<Codec>::exchange::retry_after_silence(time_point now)
 {
+    if (!may_retry(now))
+        return fail(reason::silent_connection, verdict::may_have_run, "no further retry allowed",
+                    now);
     if (!owner_.endpoints_.try_acquire_retry(service_name_, now))
         return;
     waiting_for_retry_ = false;
