Bound the time that the body of a request may take

Since a body is no longer measured from its first byte against the idle timeout, a client that sends a byte now and then could occupy a connection without end. It is refused with 408 after 60 s, however it arrives.

--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -130,9 +130,10 @@
     const milliseconds idle_timeout = std::max(idle_timeout_, owner_.limits_.idle_timeout);
     if (has_partial_request())
     {
-        const bool timed_out = parser_->head_done()
-                                   ? now - last_byte_at_ > idle_timeout
-                                   : now - first_byte_at_ > owner_.limits_.header_timeout;
+        const bool timed_out =
+            parser_->head_done()
+                ? now - last_byte_at_ > idle_timeout || now - first_byte_at_ > body_timeout
+                : now - first_byte_at_ > owner_.limits_.header_timeout;
         if (timed_out && !has_unread_bytes())
             refuse(408, "Request Timeout");
         return;
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -38,6 +38,9 @@
 // A connection on which no request was received yet is kept open for this long when connections
 // close: its first request is probably in transit.
 inline constexpr milliseconds first_request_time{500};
+// A request whose body takes longer than this from its first byte on is refused, even if bytes keep
+// arriving: a caller must not occupy a connection without end.
+inline constexpr milliseconds body_timeout{60'000};
 // Bytes waiting to be sent to a slow caller above which the source of the response is paused.
 inline constexpr std::size_t unsent_bytes_limit = 256 * 1024;
 // A connection is closed when one write to the socket does not complete within this time.
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -337,6 +337,33 @@
     cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 408 "));
 }
 
+// Guards against a body that arrives so slowly that it never ends.
+Test(server_listener, sweep_body_takes_too_long_is_refused)
+{
+    listening_server server;
+    connection_limits limits;
+    limits.idle_timeout = 2 * body_timeout;
+    server.listener.set_limits(limits);
+    tcp::socket client(server.io);
+    client.connect(server.address());
+    boost::asio::write(
+        client, boost::asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx")));
+    (void)server.io.run_for(milliseconds(50));
+    cr_assert(server.listener.busy_count() == 1);
+    const time_point now = steady_clock::now();
+    server.listener.sweep(now + body_timeout / 2);
+    server.io.restart();
+    (void)server.io.run_for(milliseconds(50));
+    cr_assert(client.available() == 0);
+    server.listener.sweep(now + body_timeout + milliseconds(1));
+    server.io.restart();
+    (void)server.io.run_for(milliseconds(50));
+    std::array<char, 256> buffer{};
+    boost::system::error_code error;
+    const std::size_t count = client.read_some(boost::asio::buffer(buffer), error);
+    cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 408 "));
+}
+
 // Guards against refusing a request whose next bytes have arrived but were not read yet.
 Test(server_listener, sweep_unread_body_is_not_refused)
 {
