--- a/tests/unit/edge_odd_record_test.cpp
+++ b/tests/unit/edge_odd_record_test.cpp
@@ -84,8 +84,10 @@
                   "VMs, %s", when.c_str());
         for (std::size_t i = 0; i < vm_count; ++i)
         {
-            const auto answer = send_and_wait(
-                i, request_text("GET", "/read/1", when + std::to_string(i) + later_vm));
+            std::string attempt = when;
+            attempt += std::to_string(i);
+            attempt += later_vm;
+            const auto answer = send_and_wait(i, request_text("GET", "/read/1", attempt));
             cr_assert(answer->done && answer->head.status == 200, "request, %s", when.c_str());
         }
         store.remove("vms", later_vm);
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -304,9 +304,12 @@
         std::vector<std::string> odd = huge;
         odd.insert(odd.end(), {"\"8\"", "null", "[]"});
         for (const std::string& number : odd)
-            cr_assert_not(
-                codec::decode_endpoint(record(head + ",\"" + field + "\":" + number + "}")),
-                "%s %s", field.c_str(), number.substr(0, 30).c_str());
+        {
+            std::string text = head;
+            text.append(",\"").append(field).append("\":").append(number).append("}");
+            cr_assert_not(codec::decode_endpoint(record(text)), "%s %s", field.c_str(),
+                          number.substr(0, 30).c_str());
+        }
     }
     cr_assert_not(codec::decode_endpoint(record(head + R"(,"slots":4294967296})")));
     cr_assert_not(codec::decode_endpoint(record(head + R"(,"slots":4294967295})")));
