--- a/review/kit/kit.h
+++ b/review/kit/kit.hpp
@@ -227,10 +227,7 @@
         const std::size_t first = start_line.find(' ') + 1;
         return start_line.substr(first, start_line.find(' ', first) - first);
     }
-    int status() const
-    {
-        return start_line.size() > 12 ? std::atoi(start_line.c_str() + 9) : 0;
-    }
+    int status() const { return start_line.size() > 12 ? std::atoi(start_line.c_str() + 9) : 0; }
     std::string field(const std::string& name) const
     {
         const auto found = fields.find(name);
@@ -431,7 +428,8 @@
         at.sin_family = AF_INET;
         at.sin_port = htons(static_cast<std::uint16_t>(port));
         at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(fd_, 512) != 0)
+        if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
+            ::listen(fd_, 512) != 0)
         {
             std::perror("listen");
             std::exit(2);
@@ -469,17 +467,24 @@
     int port_ = 0;
 };
 
+// A port below those that the system gives to outgoing connections, which could take it while the
+// process that it is for restarts. Programs that run at the same time look in different places.
 inline int free_port()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
-    socklen_t size = sizeof at;
-    (void)::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-    ::close(fd);
-    return ntohs(at.sin_port);
+    static int next = 10'000 + static_cast<int>(::getpid() % 100) * 60;
+    for (;;)
+    {
+        const int port = next++;
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool is_free = ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+        ::close(fd);
+        if (is_free)
+            return port;
+    }
 }
 
 // The platform's store: rows, transactions, reads and the feed. Answers take 4 ms.
@@ -492,9 +497,9 @@
     std::string add_address()
     {
         const std::size_t path = servers_.size();
-        servers_.push_back(std::make_unique<server>(
-            [this, path](const channel_ptr& from, const message& call)
-            { return serve(path, from, call); }));
+        servers_.push_back(
+            std::make_unique<server>([this, path](const channel_ptr& from, const message& call)
+                                     { return serve(path, from, call); }));
         return servers_.back()->address();
     }
     // Calls on these paths get no answer.
@@ -638,8 +643,7 @@
             sleep_ms(100'000);
             return false;
         }
-        const bool sent =
-            from->send(answer(status, body, "Content-Type: application/json\r\n"));
+        const bool sent = from->send(answer(status, body, "Content-Type: application/json\r\n"));
         if (on_answer)
             on_answer(path, what, table);
         return sent;
@@ -667,20 +671,20 @@
 
     vm(std::string root, std::string folder, std::string name, std::string zone,
        std::string store_address, std::vector<std::string> seeds, int peers_port, bounds limits)
-        : root_(std::move(root)), name_(std::move(name)), callers_(free_port()),
-          ready_(free_port())
+        : root_(std::move(root)), name_(std::move(name)), callers_(free_port()), ready_(free_port())
     {
         path_ = folder + "/" + name_ + ".yaml";
         log_ = folder + "/" + name_ + ".log";
         std::ofstream file(path_);
-        file << "vm: " << name_ << "\nfailure_domain: " << zone << "\nlisten: {callers: \"127.0.0.1:"
-             << callers_ << "\", peers: \"127.0.0.1:" << peers_port << "\"}\nplatform: {table: \"http://"
+        file << "vm: " << name_ << "\nfailure_domain: " << zone
+             << "\nlisten: {callers: \"127.0.0.1:" << callers_
+             << "\", peers: \"127.0.0.1:" << peers_port << "\"}\nplatform: {table: \"http://"
              << store_address << "\"}\nseeds: [";
         for (std::size_t i = 0; i < seeds.size(); ++i)
             file << (i > 0 ? "," : "") << '"' << seeds[i] << '"';
-        file << "]\nkeys: {accounts: [], operators: []}\nserving:\n  readiness: \"127.0.0.1:" << ready_
-             << "\"\n  metrics: \"127.0.0.1:" << free_port() << "\"\n  store: \"" << store_address
-             << "\"\n  repeat_ratio: 0.2\n  repeat_slack: " << limits.retry_slack
+        file << "]\nkeys: {accounts: [], operators: []}\nserving:\n  readiness: \"127.0.0.1:"
+             << ready_ << "\"\n  metrics: \"127.0.0.1:" << free_port() << "\"\n  store: \""
+             << store_address << "\"\n  repeat_ratio: 0.2\n  repeat_slack: " << limits.retry_slack
              << "\n  repeat_window_s: 10\n  cold_over: " << limits.cold_over
              << "\n  cold_slack: " << limits.cold_slack << "\n  stop_grace_s: " << limits.grace_s
              << "\n  processor_share: 0.25\n  link_mbps: 1000\n";
