--- a/review/kit/kit.hpp
+++ b/review/kit/kit.hpp
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -696,6 +697,7 @@
         pid_ = ::fork();
         if (pid_ != 0)
             return;
+        (void)::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with this program in any case
         const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         (void)::dup2(out, 1);
         (void)::dup2(out, 2);
