Tell an engine that exits with its last response from one that crashes

Cause: the end of such a response is confirmed by a new connection, and a refused one counted as a crash. An endpoint that leaves refuses connections as well once it has exited in order.

Change: the transport reports the end as unconfirmed (on_unconfirmed_end); state/endpoint_exit decides by what the VM knows of the endpoint: whether it had said that it leaves, whether its record is withdrawn at its exit (that of a crashed one stays for two check-in intervals at least), whether other exchanges broke with it, and, where its record tells nothing, how long it had been leaving. Endpoints that never said so count as crashed at once, as before.

Ruled out: taking each such end of a leaving endpoint for complete, since a crash between two events would look complete again; passing the end of the connection on to the client.

Related paths: plain bodies, orders and errors use the same code. A refusal that is not passed on needs no end. Stage results go with their endpoint.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/edge.h"
+#include "state/endpoint_exit.h"
 #include "state/event_stream.h"
 #include "transport/log.h"
 
@@ -81,6 +82,7 @@
     void on_body(std::string bytes) override;
     void on_end() override;
     void on_failure(upstream_failure failure) override;
+    void on_unconfirmed_end() override;
 
 private:
     // What is done with the current response of the endpoint.
@@ -105,6 +107,14 @@
         std::vector<std::string> handles;
     };
 
+    // The end of a response whose endpoint has exited.
+    struct unconfirmed_end
+    {
+        time_point at{};
+        bool follows_break = false;         // another exchange broke right before
+        std::uint64_t broken_exchanges = 0; // of the endpoint so far
+    };
+
     bool admit(time_point now);
     bool is_generation() const { return service_ != nullptr && service_->generates; }
     std::optional<milliseconds> expected_time() const;
@@ -160,6 +170,8 @@
         return disposition_ != disposition::forward && disposition_ != disposition::buffer;
     }
     void on_discarded_end(time_point now);
+    void judge_unconfirmed_end(time_point now);
+    void on_broken(upstream_failure failure, time_point now);
     milliseconds progress_timeout() const;
     void retry_after_break(std::string_view why, time_point now);
     void record_break(upstream_failure failure, time_point now);
@@ -243,6 +255,7 @@
     bool close_delimited_ = false;
     event_stream events_;
     body_framing framing_ = body_framing::none;
+    std::optional<unconfirmed_end> unconfirmed_end_;
     time_point first_byte_at_{};
     // At the last placement: failure domain that holds large inputs, and affinity.
     std::string inputs_domain_;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -715,11 +715,10 @@
     const time_point now = steady_clock::now();
     upstream_.reset();
     endpoint_->health.on_finished();
-    tried_.insert(endpoint_->record.id);
-    silent_.erase(endpoint_->record.id);
-    const bool discarded = discards_response();
     if (failure == upstream_failure::connect_failed)
     {
+        tried_.insert(endpoint_->record.id);
+        silent_.erase(endpoint_->record.id);
         owner_.endpoints_.on_unreachable(*endpoint_, service_, now);
         --attempts_;
         ++connect_failures_;
@@ -730,10 +729,21 @@
         return refuse(reason::connect_failed, "all connection attempts failed", retry_after_min,
                       now);
     }
+    if (failure != upstream_failure::connection_lost)
+        endpoint_->on_exchange_broken(now);
+    on_broken(failure, now);
+}
+
+// Continues after the connection broke under the request.
+template <typename Codec>
+void edge<Codec>::exchange::on_broken(upstream_failure failure, time_point now)
+{
+    tried_.insert(endpoint_->record.id);
+    silent_.erase(endpoint_->record.id);
     const bool was_lost_before = failure == upstream_failure::connection_lost;
     if (status_ == 0 && !was_lost_before)
         endpoint_->health.on_outcome(false, now);
-    if (!discarded)
+    if (!discards_response())
     {
         may_have_run_ = true;
         if (!was_lost_before)
@@ -1006,6 +1016,8 @@
         return refuse(reason::deadline_unreachable, "deadline passed before the request was sent",
                       retry_after_min, now);
     }
+    if (unconfirmed_end_)
+        return judge_unconfirmed_end(now);
     if (!upstream_ && !ends_before_stop(now))
         return refuse(reason::draining, "VM is stopping", retry_after_min, now);
     if (waiting_for_endpoint_)
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -237,6 +237,62 @@
     finish_response(now);
 }
 
+// The endpoint has exited: after a complete response, or in the middle of one.
+template <typename Codec>
+void edge<Codec>::exchange::on_unconfirmed_end()
+{
+    const time_point now = steady_clock::now();
+    upstream_.reset();
+    endpoint_->health.on_finished();
+    const bool follows_break = now - endpoint_->broken_at < crash_spread;
+    endpoint_->on_exchange_broken(now);
+    if (discards_response())
+        return on_discarded_end(now);
+    if (ends_too_early())
+        return on_broken(upstream_failure::broken_in_answer, now);
+    if (is_moving_)
+        cancel_move(now);
+    unconfirmed_end_ = {now, follows_break, endpoint_->broken_exchanges};
+    judge_unconfirmed_end(now);
+}
+
+// Finishes or retries the request once it is known whether its endpoint has crashed.
+template <typename Codec>
+void edge<Codec>::exchange::judge_unconfirmed_end(time_point now)
+{
+    const unconfirmed_end& end = *unconfirmed_end_;
+    endpoint_exit known;
+    known.ended_at = end.at;
+    known.announced_at = endpoint_->announced_at;
+    known.withdrawn_at = endpoint_->withdrawn_at;
+    known.replaced = endpoint_->replaced;
+    known.is_list_current = owner_.is_current(state_table::endpoints, now) &&
+                            now >= owner_.store_regained_at() + lapse_grace;
+    known.others_broke = end.follows_break || endpoint_->broken_exchanges != end.broken_exchanges;
+    const response_end judged = judge_response_end(known, now);
+    if (judged == response_end::undecided)
+        return;
+    const auto since = [&](const std::optional<time_point>& at)
+    {
+        if (!at)
+            return std::string("-");
+        return edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(now - *at));
+    };
+    log_event(log_level::info, "endpoint_exited",
+              {{"request", call_.attempt},
+               {"endpoint", endpoint_->record.id},
+               {"response", std::string(to_string(judged))},
+               {"ended_ms", since(known.ended_at)},
+               {"announced_ms", since(known.announced_at)},
+               {"withdrawn_ms", since(known.withdrawn_at)},
+               {"list_current", known.is_list_current ? "true" : "false"},
+               {"others_broke", known.others_broke ? "true" : "false"}});
+    unconfirmed_end_.reset();
+    if (judged == response_end::complete)
+        return finish_response(now);
+    on_broken(upstream_failure::broken_in_answer, now);
+}
+
 // Continues after a response that is not passed on, whose body has ended or is not read further.
 template <typename Codec>
 void edge<Codec>::exchange::on_discarded_end(time_point now)
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -72,7 +72,7 @@
     if (!endpoint || !parse_socket_address(endpoint->address))
     {
         log_bad_record(state_table::endpoints, record);
-        return endpoints_.remove(record.name);
+        return endpoints_.remove(record.name, now);
     }
     const service_spec* const service = state_ ? find_service(*state_, endpoint->service) : nullptr;
     endpoints_.apply(*endpoint, service, !is_snapshot, now);
@@ -126,7 +126,7 @@
 {
     const time_point until = store_regained_at() + lapse_grace;
     if (now >= until)
-        return endpoints_.remove(id);
+        return endpoints_.remove(id, now);
     if (lapsed_endpoints_.emplace(id, until).second)
         log_event(log_level::info, "endpoint_lapsed", {{"endpoint", id}});
 }
@@ -139,7 +139,7 @@
                                    {
                                        if (now < entry.second)
                                            return false;
-                                       endpoints_.remove(entry.first);
+                                       endpoints_.remove(entry.first, now);
                                        return true;
                                    });
     if (due > 0)
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -61,11 +61,20 @@
     if (same_lifetime)
     {
         known->record = record;
+        if (record.draining && !known->announced_at)
+            known->announced_at = now;
+        else if (!record.draining && !known->leaving)
+            known->announced_at.reset();
         if (record.cold_for.count() > 0)
             known->health.set_cold_until(now + record.cold_for);
         return;
     }
-    remove(record.id);
+    remove(record.id, now);
+    if (known)
+    {
+        known->replaced = true;
+        known->withdrawn_at.reset();
+    }
     const auto added = std::make_shared<known_endpoint>(io_, record, *peer);
     milliseconds cold = record.cold_for;
     if (assume_just_started && service != nullptr)
@@ -77,8 +86,12 @@
         notice->second.address == record.address)
     {
         added->leaving = notice->second.leaving;
+        if (added->leaving)
+            added->announced_at = notice->second.noted_at;
         added->health.pause_until(notice->second.paused_until);
     }
+    if (record.draining && !added->announced_at)
+        added->announced_at = now;
     endpoints_[record.id] = added;
     by_service_[record.service].push_back(added);
     log_event(log_level::info, "endpoint_added",
@@ -90,13 +103,14 @@
                {"cold_ms", std::to_string(cold.count())}});
 }
 
-void endpoint_directory::remove(const std::string& id)
+void endpoint_directory::remove(const std::string& id, time_point now)
 {
     const auto found = endpoints_.find(id);
     if (found == endpoints_.end())
         return;
     const endpoint_ptr endpoint = found->second;
     endpoint->removed = true;
+    endpoint->withdrawn_at = now;
     endpoint->pool.close_idle();
     opened_by_removed_ += endpoint->pool.opened();
     remove_from(by_service_[endpoint->record.service], endpoint);
@@ -339,6 +353,8 @@
         log_event(log_level::info, "endpoint_paused",
                   {{"endpoint", record.id}, {"ms", std::to_string(answer.retry_after->count())}});
     }
+    if (begins_to_leave && !endpoint.announced_at)
+        endpoint.announced_at = now;
     if (begins_to_leave)
         log_event(log_level::info, "endpoint_leaving", {{"endpoint", record.id}});
     return begins_to_leave;
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -40,8 +40,20 @@
     endpoint_health health;
     window_counter cold_sends{cold_window};
     upstream_pool pool;
-    bool removed = false; // no longer listed; gets no new requests
-    bool leaving = false; // has said so with a response; gets no new requests either
+    bool removed = false;  // no longer listed; gets no new requests
+    bool replaced = false; // removed because a new lifetime has its id
+    bool leaving = false;  // has said so with a response; gets no new requests either
+    std::optional<time_point> announced_at; // has first said that it leaves, in any way
+    std::optional<time_point> withdrawn_at; // removed, but not replaced
+    // Exchanges that its end may have cut off, and the last of them.
+    std::uint64_t broken_exchanges = 0;
+    time_point broken_at{};
+
+    void on_exchange_broken(time_point now)
+    {
+        ++broken_exchanges;
+        broken_at = now;
+    }
 };
 
 using endpoint_ptr = std::shared_ptr<known_endpoint>;
@@ -77,7 +89,7 @@
     // begun, hence cold; otherwise only its record decides whether it is cold.
     void apply(const endpoint_record& record, const service_spec* service, bool assume_just_started,
                time_point now);
-    void remove(const std::string& id);
+    void remove(const std::string& id, time_point now);
     // Ids of the endpoints that are not in `ids`.
     std::vector<std::string> missing_from(const std::set<std::string>& ids) const;
 
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -143,7 +143,7 @@
     if (!confirming_end_)
         return fail(upstream_failure::connect_failed);
     if (error == asio::error::connection_refused)
-        return fail(upstream_failure::broken_in_answer);
+        return finish_unconfirmed();
     if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
     {
         // Established and then reset, as at a connection limit.
@@ -171,8 +171,9 @@
 
 // The end of its connection does not tell a complete response from the part that a server had sent
 // when it crashed. The host of a crashed server refuses connections, so the response is complete if
-// a new connection can be opened; the new one is kept for later exchanges. A server that is silent
-// may be sound, so this is repeated until it is known or the exchange is cancelled.
+// a new connection can be opened; the new one is kept for later exchanges. A refusal leaves it
+// open, since a server may also exit after its last response. A server that is silent may be sound,
+// so this is repeated until it is known or the exchange is cancelled.
 void upstream_connection::confirm_end()
 {
     boost::system::error_code ignored;
@@ -327,6 +328,14 @@
     handler->on_end();
 }
 
+void upstream_connection::finish_unconfirmed()
+{
+    upstream_response_handler* const handler = handler_;
+    handler_ = nullptr;
+    close();
+    handler->on_unconfirmed_end();
+}
+
 upstream_failure upstream_connection::break_failure(time_point now) const
 {
     if (head_delivered_)
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -55,9 +55,9 @@
 
 std::string_view to_string(upstream_failure value);
 
-// Callbacks for the response of one exchange. No function is called after on_end or on_failure, nor
-// after the exchange has been cancelled. A silent server ends no exchange: each user cancels its
-// own at a deadline.
+// Callbacks for the response of one exchange. No function is called after on_end, on_failure or
+// on_unconfirmed_end, nor after the exchange has been cancelled. A silent server ends no exchange:
+// each user cancels its own at a deadline.
 class upstream_response_handler
 {
 public:
@@ -69,6 +69,9 @@
     virtual void on_body(std::string bytes) = 0;
     virtual void on_end() = 0;
     virtual void on_failure(upstream_failure failure) = 0;
+    // Instead of on_end: the end of the connection ended the response, and the server then refused
+    // a new one. It has exited, after a complete response or in the middle of one.
+    virtual void on_unconfirmed_end() { on_failure(upstream_failure::broken_in_answer); }
 };
 
 class upstream_pool;
@@ -109,6 +112,7 @@
     void parse();
     bool deliver();
     void finish();
+    void finish_unconfirmed();
     // The failure of an exchange whose connection has ended.
     upstream_failure break_failure(time_point now) const;
     void fail(upstream_failure failure);
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -368,6 +368,8 @@
         [this, client, rest = text.substr(first_part), keep_alive]
         {
             client->send(rest);
+            if (!keep_alive && exits_after_answer)
+                exit_in_order();
             client->end(keep_alive);
             if (!keep_alive)
                 (void)falls_silent(silence_point::after_close);
@@ -460,6 +462,13 @@
     crash();
 }
 
+void fake_endpoint::exit_in_order()
+{
+    listener_.stop_accepting();
+    if (on_exit)
+        on_exit();
+}
+
 void fake_endpoint::send_endless(const std::shared_ptr<server_connection>& client)
 {
     const auto filler = [this]() -> std::string
@@ -682,6 +691,8 @@
             [this, client, until_close]
             {
                 client->send(until_close ? "" : "0\r\n\r\n");
+                if (until_close && exits_after_answer)
+                    exit_in_order();
                 client->end(!until_close);
                 if (until_close)
                     (void)falls_silent(silence_point::after_close);
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -202,6 +202,8 @@
     std::function<bool(const recorded_request&)> is_crashing;
     milliseconds crash_delay{60};
     std::function<void()> on_crash;
+    bool exits_after_answer = false; // with the end of its next response that has no length
+    std::function<void()> on_exit;
 
     // Silences of a sound endpoint: for this long it reads and sends nothing on any connection, as
     // a process that is paused, and then goes on where it was.
@@ -231,6 +233,8 @@
     void crash();
     // As crash(), and no connection is accepted any more.
     void crash_for_good();
+    // Accepts no connection any more; those with a request go on.
+    void exit_in_order();
     void restart() { is_crashed_ = false; }
 
 private:
