Count crashes that follow a request at once

Cause: a kept connection that breaks within 30 ms of a request counted as lost before, by its time alone, and neither the request nor its prompt parts nor the endpoint were blamed. A server that closes an idle connection as the request leaves looks the same.

Change: a new connection tells the two apart, since a crashed server refuses it. Refused: the failure is broken_before_answer, which counts as a crash. Accepted, or neither within 250 ms: connection_lost, as before. Both leave it open whether the request has run, so nothing is repeated because of it.

Ruled out: a shorter time; counting every such break; waiting for the withdrawal of the record.

--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -114,7 +114,9 @@
     (void)socket_.set_option(tcp::no_delay(true), error);
     (void)socket_.set_option(user_timeout(static_cast<int>(upstream_tcp_user_timeout.count())),
                              error);
-    connect_timer_.expires_after(upstream_connect_timeout);
+    connect_timer_.expires_after(connect_purpose_ == connect_purpose::check_for_loss
+                                     ? lost_connection_check_timeout
+                                     : upstream_connect_timeout);
     connect_timer_.async_wait(
         [self = shared_from_this(), attempt](const boost::system::error_code& cancelled)
         {
@@ -140,9 +142,18 @@
     if (closed_ || attempt != connect_attempts_)
         return;
     connect_timer_.cancel();
-    if (!confirming_end_)
+    const bool refused = error == asio::error::connection_refused;
+    switch (connect_purpose_)
+    {
+    case connect_purpose::send_request:
         return fail(upstream_failure::connect_failed);
-    if (error == asio::error::connection_refused)
+    case connect_purpose::check_for_loss:
+        return fail(refused ? upstream_failure::broken_before_answer
+                            : upstream_failure::connection_lost);
+    case connect_purpose::confirm_end:
+        break;
+    }
+    if (refused)
         return finish_unconfirmed();
     if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
     {
@@ -156,17 +167,23 @@
         [self = shared_from_this()](const boost::system::error_code& cancelled)
         {
             if (!cancelled && !self->closed_)
-                self->confirm_end();
+                self->reconnect(connect_purpose::confirm_end);
         });
 }
 
 void upstream_connection::on_connected()
 {
     open_ = true;
-    if (!confirming_end_)
+    switch (std::exchange(connect_purpose_, connect_purpose::send_request))
+    {
+    case connect_purpose::send_request:
         return write();
-    confirming_end_ = false;
-    finish();
+    case connect_purpose::confirm_end:
+        return finish();
+    case connect_purpose::check_for_loss:
+        break;
+    }
+    fail(upstream_failure::connection_lost);
 }
 
 // The end of its connection does not tell a complete response from the part that a server had sent
@@ -174,14 +191,17 @@
 // a new connection can be opened; the new one is kept for later exchanges. A refusal leaves it
 // open, since a server may also exit after its last response. A server that is silent may be sound,
 // so this is repeated until it is known or the exchange is cancelled.
-void upstream_connection::confirm_end()
+//
+// Nor does a kept connection that breaks under a request tell whether its server had closed it
+// before or has crashed at once. A crashed one refuses connections for a while.
+void upstream_connection::reconnect(connect_purpose purpose)
 {
     boost::system::error_code ignored;
     (void)socket_.close(ignored);
     open_ = false;
     server_will_close_ = false;
     exchanges_ = 0;
-    confirming_end_ = true;
+    connect_purpose_ = purpose;
     if (pool_ != nullptr)
         ++pool_->opened_;
     connect(peer_);
@@ -197,8 +217,9 @@
             self->writing_ = false;
             // A server may send its response and close before it has read the whole request, so
             // a pending read decides the outcome. Without one, the error is reported here.
-            if (error && !self->reading_ && !self->closed_ && !self->confirming_end_)
-                self->fail(self->break_failure(steady_clock::now()));
+            if (error && !self->reading_ && !self->closed_ &&
+                self->connect_purpose_ == connect_purpose::send_request)
+                self->on_broken(steady_clock::now());
         });
     read();
 }
@@ -232,9 +253,9 @@
     {
         parser_->feed_eof(parse_error);
         if (!parse_error && parser_->done())
-            return confirm_end();
+            return reconnect(connect_purpose::confirm_end);
     }
-    fail(break_failure(steady_clock::now()));
+    on_broken(steady_clock::now());
 }
 
 void upstream_connection::parse()
@@ -314,8 +335,7 @@
 // request: it would parse the next request as the rest of this one.
 void upstream_connection::finish()
 {
-    upstream_response_handler* const handler = handler_;
-    handler_ = nullptr;
+    upstream_response_handler* const handler = std::exchange(handler_, nullptr);
     if (server_will_close_ || writing_ || !unparsed_.empty() || pool_ == nullptr)
         close();
     else
@@ -330,20 +350,20 @@
 
 void upstream_connection::finish_unconfirmed()
 {
-    upstream_response_handler* const handler = handler_;
-    handler_ = nullptr;
+    upstream_response_handler* const handler = std::exchange(handler_, nullptr);
     close();
     handler->on_unconfirmed_end();
 }
 
-upstream_failure upstream_connection::break_failure(time_point now) const
+// Ends an exchange whose connection has ended before the response was complete.
+void upstream_connection::on_broken(time_point now)
 {
     if (head_delivered_)
-        return upstream_failure::broken_in_answer;
+        return fail(upstream_failure::broken_in_answer);
     const bool answer_begun = parser_->started() || !unparsed_.empty();
-    return kept_ && !answer_begun && now - sent_at_ <= lost_connection_max_delay
-               ? upstream_failure::connection_lost
-               : upstream_failure::broken_before_answer;
+    if (kept_ && !answer_begun && now - sent_at_ <= lost_connection_max_delay)
+        return reconnect(connect_purpose::check_for_loss);
+    fail(upstream_failure::broken_before_answer);
 }
 
 void upstream_connection::fail(upstream_failure failure)
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -41,13 +41,18 @@
 inline constexpr milliseconds default_idle_timeout{4000};
 
 // Time from sending on a kept connection until it shows that the connection was lost before: a
-// round trip. A server that crashes under a request has worked on it for longer.
+// round trip.
 inline constexpr milliseconds lost_connection_max_delay{30};
+// Longest wait for a new connection that tells a server which has closed a kept connection from one
+// that has crashed. Covers a round trip and a busy peer; sound requests wait for it as well.
+inline constexpr milliseconds lost_connection_check_timeout{250};
 
 enum class upstream_failure
 {
-    connect_failed,       // nothing was sent
-    connection_lost,      // the request was sent on a kept connection that was probably lost before
+    connect_failed, // nothing was sent
+    // The request was sent on a kept connection that was probably lost before: its server did not
+    // refuse a new one.
+    connection_lost,
     broken_before_answer, // the request was sent, at least in part
     broken_in_answer,     // part of the response was received
     invalid_answer        // the received bytes are not a valid HTTP response
@@ -101,11 +106,19 @@
 private:
     friend class upstream_pool;
 
+    // What an attempt to connect is for.
+    enum class connect_purpose
+    {
+        send_request,
+        confirm_end,   // of a response without a length
+        check_for_loss // of a kept connection, as against a crash
+    };
+
     void connect(const boost::asio::ip::tcp::endpoint& peer);
+    // Replaces the connection, which has ended, to find out why.
+    void reconnect(connect_purpose purpose);
     void on_connected();
     void on_connect_failed(std::uint64_t attempt, const boost::system::error_code& error);
-    // Ends an exchange whose response has no length and whose connection the server has closed.
-    void confirm_end();
     void write();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t count);
@@ -113,8 +126,7 @@
     bool deliver();
     void finish();
     void finish_unconfirmed();
-    // The failure of an exchange whose connection has ended.
-    upstream_failure break_failure(time_point now) const;
+    void on_broken(time_point now);
     void fail(upstream_failure failure);
     void close();
     void read_keep_alive();
@@ -131,7 +143,7 @@
     bool response_has_body_ = true;
     bool head_delivered_ = false;
     bool skipping_response_ = false; // the current response belongs to another request
-    bool confirming_end_ = false;
+    connect_purpose connect_purpose_ = connect_purpose::send_request;
     std::size_t skipped_bytes_ = 0;
     std::uint64_t exchanges_ = 0;
     bool kept_ = false; // the connection was open before the current exchange
--- a/tests/unit/edge_crashing_request_test.cpp
+++ b/tests/unit/edge_crashing_request_test.cpp
@@ -46,6 +46,8 @@
     std::vector<std::pair<time_point, std::unique_ptr<client_exchange>>> single;
     std::vector<std::unique_ptr<client_exchange>> crashing_sent;
     std::size_t sent = 0;
+    std::size_t steps = 0;             // of run_load, 20 ms each
+    std::size_t crashing_interval = 5; // in steps
 
     explicit crashing_deployment(std::vector<crashing_request> requests)
         : crashing(std::move(requests))
@@ -118,21 +120,23 @@
                              request_text(method, target, "r-" + std::to_string(++sent), "", body));
     }
 
-    // 50 popular and 50 single sound requests a second, and 10 of each crashing one if
-    // `with_crashing`.
+    // 50 popular and 50 single sound requests a second, and each crashing one every
+    // `crashing_interval` if `with_crashing`.
     void run_load(milliseconds time, bool with_crashing)
     {
         const time_point end = steady_clock::now() + time;
-        for (std::size_t i = 0; steady_clock::now() < end; ++i)
+        for (; steady_clock::now() < end; ++steps)
         {
+            const std::size_t i = steps;
             popular.emplace_back(steady_clock::now(), start(i % 3, "GET", "/read/popular", ""));
             single.emplace_back(steady_clock::now(),
                                 start((i + 1) % 3, "POST", "/order/new", std::to_string(sent)));
-            for (std::size_t k = 0; with_crashing && i % 5 == 0 && k < crashing.size(); ++k)
+            for (std::size_t k = 0;
+                 with_crashing && i % crashing_interval == 0 && k < crashing.size(); ++k)
             {
                 crashing_request& each = crashing[k];
                 crashing_sent.push_back(
-                    start((i / 5 + k) % 3, each.method, each.target, each.body));
+                    start((i / crashing_interval + k) % 3, each.method, each.target, each.body));
             }
             run_for(milliseconds(20));
         }
@@ -254,6 +258,43 @@
     expect_requests_are_held(harness);
 }
 
+// Guards against crashes that are taken for kept connections which were lost before, because they
+// follow the request at once.
+Test(edge_crashing_request, request_crashes_endpoints_at_once_it_is_held_on_all_vms)
+{
+    crashing_deployment harness({{"GET", "/read/job-86", "", {}}});
+    for (fake_endpoint* endpoint : harness.endpoints)
+    {
+        endpoint->processing_time = milliseconds(5);
+        endpoint->crash_delay = milliseconds(1);
+        endpoint->refuses_after_crash = true;
+    }
+    // Meanwhile sound requests open the connections that are kept.
+    harness.crashing_interval = 60;
+    expect_requests_are_held(harness);
+}
+
+// Guards against a sound request that is blamed because endpoints close kept connections under it.
+Test(edge_crashing_request, kept_connections_close_under_request_it_is_not_blamed)
+{
+    crashing_deployment harness({});
+    harness.routes["/read/"]["attempts"] = web::json::value::number(4);
+    harness.configure(2);
+    harness.run_load(milliseconds(1000), false); // opens connections
+    for (fake_endpoint* endpoint : harness.endpoints)
+        endpoint->break_before_answer = 1;
+    const auto exchange = harness.start(0, "GET", "/read/job-86", "");
+    cr_assert(harness.run_until([&] { return exchange->ended(); }));
+    std::size_t broken = 0;
+    for (const fake_endpoint* endpoint : harness.endpoints)
+        broken += endpoint->break_before_answer == 0 ? 1 : 0;
+    cr_assert(broken == harness.endpoints.size(), "%zu endpoints closed a connection", broken);
+    cr_assert(harness.vm(0).report(steady_clock::now()).held_requests.empty());
+    const auto again = harness.start(0, "GET", "/read/job-86", "");
+    cr_assert(harness.run_until([&] { return again->ended(); }));
+    cr_assert(again->done && again->head.status == 200, "status %d", again->head.status);
+}
+
 // Guards against one client attempt that crashes more endpoints than a request may.
 Test(edge_crashing_request, plain_request_crashes_two_endpoints_it_is_sent_to_no_third)
 {
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -282,16 +282,21 @@
 }
 
 fake_endpoint::fake_endpoint(asio::io_context& io, std::string id)
-    : io_(io), id_(std::move(id)),
-      listener_(io, loopback, 0,
-                [this](const std::shared_ptr<server_connection>& client, received_request&& request)
-                { receive(client, request); })
+    : io_(io), id_(std::move(id)), listener_(make_listener())
 {
 }
 
+std::unique_ptr<server_listener> fake_endpoint::make_listener()
+{
+    return std::make_unique<server_listener>(
+        io_, loopback, 0,
+        [this](const std::shared_ptr<server_connection>& client, received_request&& request)
+        { receive(client, request); });
+}
+
 std::string fake_endpoint::address() const
 {
-    return std::string(loopback) + ":" + std::to_string(listener_.port());
+    return std::string(loopback) + ":" + std::to_string(listener_->port());
 }
 
 void fake_endpoint::run_after(milliseconds time, std::function<void()> callback)
@@ -444,6 +449,8 @@
 {
     is_crashed_ = true;
     ++crashes;
+    if (refuses_after_crash)
+        listener_->stop_accepting();
     for (const auto& known : std::exchange(clients_, {}))
     {
         const auto client = known.lock();
@@ -456,15 +463,24 @@
         on_crash();
 }
 
+void fake_endpoint::restart()
+{
+    is_crashed_ = false;
+    if (!refuses_after_crash)
+        return;
+    listener_->close_all();
+    listener_ = make_listener();
+}
+
 void fake_endpoint::crash_for_good()
 {
-    listener_.stop_accepting();
+    listener_->stop_accepting();
     crash();
 }
 
 void fake_endpoint::exit_in_order()
 {
-    listener_.stop_accepting();
+    listener_->stop_accepting();
     if (on_exit)
         on_exit();
 }
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -185,8 +185,8 @@
     int end_in_head = 0;          // number of responses that end in order within their head
     bool close_delimited = false; // no length; the end of the connection ends the response
     endless_bytes endless = endless_bytes::none;
-    int stall_after_event = -1;        // then sends a byte now and then, once
-    bool repeats_answer_late = false;  // sends its previous answer again before the next one
+    int stall_after_event = -1;         // then sends a byte now and then, once
+    bool repeats_answer_late = false;   // sends its previous answer again before the next one
     bool repeats_refusal_late = false; // as soon as the next request on the same connection arrives
     bool refusals_have_id = false;     // refusals name the request that they answer
     bool refusal_copies_have_id = false; // as well
@@ -201,6 +201,7 @@
     // Crashes crash_delay after it begins to run such a request.
     std::function<bool(const recorded_request&)> is_crashing;
     milliseconds crash_delay{60};
+    bool refuses_after_crash = false; // accepts no connection before restart()
     std::function<void()> on_crash;
     bool exits_after_answer = false; // with the end of its next response that has no length
     std::function<void()> on_exit;
@@ -235,7 +236,8 @@
     void crash_for_good();
     // Accepts no connection any more; those with a request go on.
     void exit_in_order();
-    void restart() { is_crashed_ = false; }
+    // With refuses_after_crash, at another address.
+    void restart();
 
 private:
     void receive(const std::shared_ptr<zinnianotch::server_connection>& client,
@@ -262,10 +264,11 @@
     void send_endless(const std::shared_ptr<zinnianotch::server_connection>& client);
     void stall(const std::shared_ptr<zinnianotch::server_connection>& client);
     void run_after(milliseconds time, std::function<void()> callback);
+    std::unique_ptr<zinnianotch::server_listener> make_listener();
 
     boost::asio::io_context& io_;
     std::string id_;
-    zinnianotch::server_listener listener_;
+    std::unique_ptr<zinnianotch::server_listener> listener_;
     int next_handle_ = 0;
     std::weak_ptr<zinnianotch::server_connection> refused_on_;
     std::string refusal_copy_;
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -249,6 +249,51 @@
     cr_assert(harness.response.failure == upstream_failure::connection_lost);
 }
 
+// Guards against taking a server that crashes at once for a connection that was lost before.
+Test(upstream, kept_connection_broken_server_refuses_is_not_taken_for_lost)
+{
+    pool_of_raw_server harness;
+    raw_socket server = harness.keep_connection();
+    harness.listener.close();
+    server.reset();
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
+}
+
+// Guards against an exchange that waits for a server which neither accepts nor refuses.
+Test(upstream, kept_connection_lost_server_silent_ends_at_check_timeout)
+{
+    pool_of_raw_server harness(1);
+    raw_socket server = harness.keep_connection();
+    const auto waiting = harness.fill_backlog();
+    const time_point sent = steady_clock::now();
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    server.reset();
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::connection_lost);
+    cr_assert(steady_clock::now() - sent >= lost_connection_check_timeout);
+}
+
+// Guards against a server that accepts connections and resets each request on them: if it were
+// kept, the connection of the check would be lost again and again, and the server never blamed.
+Test(upstream, kept_connection_lost_connection_of_check_is_not_kept)
+{
+    pool_of_raw_server harness;
+    harness.keep_connection().reset();
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    raw_socket checked = harness.accept();
+    cr_assert(harness.ends());
+    cr_assert(checked.read_to_end().empty() && checked.disconnected());
+    harness.response = {};
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    raw_socket server = harness.accept();
+    cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+    server.reset();
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
+}
+
 // Guards against taking a server that crashes under a request for a lost connection.
 Test(upstream, connection_broken_under_request_is_not_taken_for_lost)
 {
