Bound what http_client holds of a response

Cause: cpprestsdk holds a head until it is whole and takes a body into its buffer as fast as it arrives; neither can be limited.

Change: http_client runs on upstream_connection, the client of the serving path, on one thread for the process: 64 KiB of a head or chunk header, 1 MiB of interim responses, 64 KiB of a body that the caller has not taken. A kept connection that was lost is replaced once, as cpprestsdk did.

Not played: many endless engines for a minute beside sound requests on the own interface.

--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -1,18 +1,23 @@
 #include "transport/http_client.h"
 
+#include "transport/event_loop.h"
 #include "transport/upstream.h"
 
-#include <cpprest/http_client.h>
+#include <cpprest/base_uri.h>
 
-#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <condition_variable>
 #include <list>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace zinnianotch
 {
@@ -20,20 +25,21 @@
 namespace
 {
 
-namespace client = web::http::client;
+namespace asio = boost::asio;
+using asio::ip::tcp;
 
 // Interval at which one thread polls the cancel flags of all calls in progress. A cancelled call
 // ends within this time.
 constexpr milliseconds cancel_poll_interval{20};
 
-// cpprestsdk's timeout for a connection without progress. The timeouts of the calls are shorter (no
-// request takes longer than 60 s); this one ends calls that were abandoned while connecting.
-constexpr std::chrono::seconds library_timeout{120};
-
 // Maximum size of a response body, and of a line of a streamed response. They keep a faulty
 // endpoint from exhausting the VM's memory.
 constexpr std::size_t max_body_bytes = 16 * 1024 * 1024;
 constexpr std::size_t max_line_bytes = 1024 * 1024;
+// Reading pauses while this many bytes of a response wait for the thread that made the call.
+constexpr std::size_t waiting_bytes_limit = 64 * 1024;
+// Never reuses a connection.
+constexpr milliseconds new_connection{-1};
 
 // Wakes the thread that made a call when a task of the call has finished or the call is cancelled.
 struct call_signal
@@ -138,175 +144,306 @@
     std::thread thread_;
 };
 
-// Outcome of an asynchronous task, set by a thread of cpprestsdk's pool.
-template <typename T>
-struct task_outcome
+// Runs the connections of all clients of the process on one thread.
+class connection_loop
 {
-    std::optional<T> value;
-    std::exception_ptr error;
-    bool done = false;
+public:
+    static connection_loop& instance()
+    {
+        static connection_loop loop;
+        return loop;
+    }
+    ~connection_loop()
+    {
+        io_.stop();
+        thread_.join();
+    }
+    connection_loop(const connection_loop&) = delete;
+    connection_loop& operator=(const connection_loop&) = delete;
+
+    asio::io_context& io() { return io_; }
+
+private:
+    connection_loop() : work_(io_.get_executor()), thread_([this] { run_event_loop(io_); }) {}
+
+    asio::io_context io_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::thread thread_;
 };
 
-// How waiting for a task ended.
-enum class wait_status
+// Connections to one server, by the addresses of its name. Used only on the loop's thread.
+class server_pools
 {
-    completed,
-    timeout,
-    cancelled
+public:
+    upstream_pool& at(const tcp::endpoint& peer)
+    {
+        return pools_.try_emplace(peer, connection_loop::instance().io(), peer).first->second;
+    }
+
+private:
+    std::map<tcp::endpoint, upstream_pool> pools_;
 };
 
-// Waits for a task without blocking the library's pool. The continuation observes the exception of
-// the task even after the wait was abandoned, because pplx terminates the process otherwise.
-template <typename T>
-wait_status await(const pplx::task<T>& task, const std::shared_ptr<call_signal>& signal,
-                  time_point deadline, task_outcome<T>& out)
+// Destroys the pools on the loop's thread as soon as no call uses them.
+std::shared_ptr<server_pools> make_pools()
 {
-    auto state = std::make_shared<task_outcome<T>>();
-    task.then(
-        [state, signal](const pplx::task<T>& finished)
-        {
-            std::optional<T> value;
-            std::exception_ptr error;
-            try
+    return {new server_pools, [](server_pools* pools)
             {
-                value = finished.get();
-            }
-            catch (...)
-            {
-                error = std::current_exception();
-            }
-            const std::lock_guard lock(signal->mutex);
-            state->value = std::move(value);
-            state->error = error;
-            state->done = true;
-            signal->changed.notify_all();
-        });
-    std::unique_lock lock(signal->mutex);
-    signal->changed.wait_until(lock, deadline, [&] { return state->done || signal->cancelled; });
-    if (state->done)
-    {
-        out = std::move(*state);
-        return wait_status::completed;
-    }
-    return signal->cancelled ? wait_status::cancelled : wait_status::timeout;
+                asio::post(connection_loop::instance().io(),
+                           [owned = std::unique_ptr<server_pools>(pools)] {});
+            }};
 }
 
-// Recognizes a failure to open a connection by cpprestsdk's error text. Its error code is the same
-// for a refused connection and for a broken pipe while sending.
-bool is_connect_error(std::string_view text)
+struct server_url
 {
-    return text.starts_with("Failed to connect to any resolved endpoint") ||
-           text.starts_with("Error resolving address");
-}
+    std::string host;
+    std::uint16_t port = 0;
+    std::string path; // prefix of the paths of requests
+
+    std::string authority() const { return host + ":" + std::to_string(port); }
+};
 
-// Converts an exception of the library. Unless connecting failed, the request may have reached the
-// endpoint.
-failure to_failure(const std::exception_ptr& error)
+// Nothing if the text is no URL of an HTTP server.
+std::optional<server_url> parse_url(const std::string& text)
 {
+    constexpr int default_port = 80;
     try
     {
-        std::rethrow_exception(error);
-    }
-    catch (const web::http::http_exception& e)
-    {
-        if (is_connect_error(e.what()))
-            return not_run(reason::connect_failed, e.what());
-        if (e.error_code() == std::errc::timed_out)
-            return may_have_run(reason::silent_connection, e.what());
-        return may_have_run(reason::connection_broken, e.what());
-    }
-    catch (const std::exception& e)
-    {
-        return may_have_run(reason::connection_broken, e.what());
+        const web::uri uri(text);
+        if (uri.scheme() != "http" || uri.host().empty() || uri.port() > UINT16_MAX)
+            return std::nullopt;
+        server_url out;
+        out.host = uri.host();
+        out.port = static_cast<std::uint16_t>(uri.port() > 0 ? uri.port() : default_port);
+        out.path = uri.path();
+        if (out.path.ends_with('/'))
+            out.path.pop_back();
+        return out;
     }
-    catch (...)
+    catch (const web::uri_exception&)
     {
-        return may_have_run(reason::connection_broken, "unknown error in the HTTP client");
+        return std::nullopt;
     }
 }
 
-failure to_failure(wait_status status)
+std::string lower_case(std::string text)
 {
-    if (status == wait_status::cancelled)
-        return may_have_run(reason::cancelled);
-    return may_have_run(reason::silent_connection, "no response within the timeout");
+    for (char& c : text)
+    {
+        if (c >= 'A' && c <= 'Z')
+            c = static_cast<char>(c - 'A' + 'a');
+    }
+    return text;
 }
 
-client::http_client_config make_config()
+bool is_printable(std::string_view text)
 {
-    client::http_client_config out;
-    out.set_timeout(library_timeout);
-    // A redirect could lead to an address that is not in the configuration.
-    out.set_max_redirects(0);
-    out.set_proxy(web::web_proxy(web::web_proxy::disabled));
-    return out;
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return static_cast<unsigned char>(c) < ' ' || c == 0x7f; });
 }
 
-// True if only the end of its connection ends the response.
-bool is_close_delimited(const web::http::http_response& response)
+// The request as HTTP text; nothing if a part of it cannot be sent.
+std::optional<std::string> encode_request(const server_url& server, const client_request& request)
 {
-    const web::http::http_headers& headers = response.headers();
-    return !headers.has(web::http::header_names::content_length) &&
-           !headers.has(web::http::header_names::transfer_encoding) &&
-           response.status_code() != web::http::status_codes::NoContent &&
-           response.status_code() != web::http::status_codes::NotModified;
+    const std::string target = server.path + request.path;
+    if (!target.starts_with('/') || !is_printable(target + request.method) ||
+        (target + request.method).find(' ') != std::string::npos)
+        return std::nullopt;
+    std::string text = request.method;
+    text += " ";
+    text += target;
+    text += " HTTP/1.1\r\nHost: ";
+    text += server.authority();
+    text += "\r\n";
+    for (const auto& [name, value] : request.headers)
+    {
+        if (!is_printable(name + value))
+            return std::nullopt;
+        text += name;
+        text += ":";
+        text += value;
+        text += "\r\n";
+    }
+    if (!request.body.empty())
+        text += "Content-Type: " + request.content_type + "\r\n";
+    if (!request.body.empty() || request.method != "GET")
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "\r\n";
+    return text + request.body;
 }
 
-// True if the server accepts a connection within the timeout.
-bool accepts_connections(const web::uri& server, milliseconds timeout)
+failure to_failure(upstream_failure why)
 {
-    using boost::asio::ip::tcp;
-    boost::asio::io_context io;
-    boost::system::error_code error;
-    tcp::resolver resolver(io);
-    const auto addresses = resolver.resolve(server.host(), std::to_string(server.port()), error);
-    if (error)
-        return false;
-    tcp::socket socket(io);
-    bool connected = false;
-    boost::asio::async_connect(socket, addresses,
-                               [&](const boost::system::error_code& failed, const tcp::endpoint&)
-                               { connected = !failed; });
-    io.run_for(timeout);
-    return connected;
+    const std::string detail(to_string(why));
+    if (why == upstream_failure::connect_failed)
+        return not_run(reason::connect_failed, detail);
+    return may_have_run(reason::connection_broken, detail);
 }
 
-std::string lower_case(std::string text)
+// One exchange with a server. Its callbacks run on the loop's thread; the thread that made the call
+// takes what they have received.
+class client_exchange : public upstream_response_handler,
+                        public std::enable_shared_from_this<client_exchange>
 {
-    for (char& c : text)
+public:
+    client_exchange(std::shared_ptr<server_pools> pools, std::shared_ptr<call_signal> signal,
+                    std::string text, bool may_reuse, bool response_has_body)
+        : pools_(std::move(pools)), signal_(std::move(signal)), text_(std::move(text)),
+          may_reuse_(may_reuse), response_has_body_(response_has_body),
+          resolver_(connection_loop::instance().io())
     {
-        if (c >= 'A' && c <= 'Z')
-            c = static_cast<char>(c - 'A' + 'a');
     }
-    return text;
-}
 
-web::http::http_request make_message(const client_request& request)
-{
-    web::http::http_request out(request.method);
-    out.set_request_uri(web::uri(request.path));
-    for (const auto& [name, value] : request.headers)
-        out.headers().add(name, value);
-    if (!request.body.empty())
-        out.set_body(request.body, request.content_type);
-    return out;
-}
+    void start(const server_url& server)
+    {
+        asio::post(connection_loop::instance().io(),
+                   [self = shared_from_this(), server] { self->resolve(server); });
+    }
+    // Closes the connection unless the response is complete.
+    void cancel()
+    {
+        asio::post(connection_loop::instance().io(),
+                   [self = shared_from_this()]
+                   {
+                       self->cancelled_ = true;
+                       self->resolver_.cancel();
+                       if (self->connection_)
+                           self->connection_->cancel();
+                       self->connection_.reset();
+                       self->in_progress_.reset();
+                   });
+    }
+
+    // upstream_response_handler
+    bool matches_request(const message_head&) override { return true; }
+    void on_head(message_head& head, body_framing, std::optional<std::uint64_t>) override
+    {
+        const std::lock_guard lock(signal_->mutex);
+        response_head = std::move(head);
+        signal_->changed.notify_all();
+    }
+    void on_body(std::string bytes) override
+    {
+        const std::lock_guard lock(signal_->mutex);
+        waiting_body += bytes;
+        if (waiting_body.size() > waiting_bytes_limit && !std::exchange(paused_, true))
+            connection_->set_paused(true);
+        signal_->changed.notify_all();
+    }
+    void on_end() override
+    {
+        const std::lock_guard lock(signal_->mutex);
+        has_ended = true;
+        signal_->changed.notify_all();
+        release();
+    }
+    void on_failure(upstream_failure why) override
+    {
+        // A connection that was kept open may have been closed by the server meanwhile. Requests
+        // that are sent on one are safe to repeat.
+        if (why == upstream_failure::connection_lost && std::exchange(may_reuse_, false))
+            return connect();
+        if (why == upstream_failure::connect_failed && ++address_ < addresses_.size())
+            return connect();
+        fail(to_failure(why));
+    }
+
+    // What the thread that made the call has not taken yet. Guarded by the signal's mutex.
+    std::optional<message_head> response_head;
+    std::string waiting_body;
+    bool has_ended = false;
+    std::optional<failure> error;
+
+    // Takes the received bytes of the body; the mutex is locked.
+    std::string take_body()
+    {
+        if (std::exchange(paused_, false))
+            asio::post(connection_loop::instance().io(),
+                       [self = shared_from_this()]
+                       {
+                           if (self->connection_)
+                               self->connection_->set_paused(false);
+                       });
+        return std::exchange(waiting_body, {});
+    }
+
+private:
+    void resolve(const server_url& server)
+    {
+        in_progress_ = shared_from_this();
+        boost::system::error_code error;
+        const auto address = asio::ip::make_address(server.host, error);
+        if (!error)
+        {
+            addresses_ = {tcp::endpoint(address, server.port)};
+            return connect();
+        }
+        resolver_.async_resolve(
+            server.host, std::to_string(server.port),
+            [self = shared_from_this()](const boost::system::error_code& failed,
+                                        const tcp::resolver::results_type& found)
+            {
+                for (const auto& each : found)
+                    self->addresses_.push_back(each.endpoint());
+                if (failed || found.empty())
+                    return self->fail(not_run(reason::connect_failed, "unknown host"));
+                self->connect();
+            });
+    }
+    void connect()
+    {
+        if (cancelled_)
+            return release();
+        const time_point now = steady_clock::now();
+        upstream_pool& pool = pools_->at(addresses_[address_]);
+        pool.sweep(now);
+        connection_ = pool.start(text_, *this, may_reuse_ ? default_idle_timeout : new_connection,
+                                 now, response_has_body_);
+    }
+    void fail(failure why)
+    {
+        const std::lock_guard lock(signal_->mutex);
+        error = std::move(why);
+        signal_->changed.notify_all();
+        release();
+    }
+    // The exchange has ended; its connection may serve another one.
+    void release()
+    {
+        connection_.reset();
+        // The caller of this callback still uses this object.
+        asio::post(connection_loop::instance().io(), [self = std::move(in_progress_)] {});
+    }
+
+    std::shared_ptr<server_pools> pools_;
+    std::shared_ptr<call_signal> signal_;
+    std::string text_;
+    bool may_reuse_;
+    bool response_has_body_;
+    bool paused_ = false;
+    bool cancelled_ = false;
+    tcp::resolver resolver_;
+    std::vector<tcp::endpoint> addresses_;
+    std::size_t address_ = 0;
+    std::shared_ptr<upstream_connection> connection_;
+    std::shared_ptr<client_exchange> in_progress_; // keeps this object while callbacks may follow
+};
 
 // One call in progress. The destructor closes the connection unless the response was read
 // completely, so that no later call on the connection receives the rest of this response.
 class call
 {
 public:
-    call(std::shared_ptr<client::http_client> library_client, const cancel_flag& cancelled,
-         time_point deadline)
-        : library_client_(std::move(library_client)), cancelled_(cancelled), deadline_(deadline),
-          registration_(cancelled, signal_)
+    call(std::optional<server_url> server, std::shared_ptr<server_pools> pools, bool may_reuse,
+         const cancel_flag& cancelled, time_point deadline)
+        : server_(std::move(server)), pools_(std::move(pools)), may_reuse_(may_reuse),
+          cancelled_(cancelled), deadline_(deadline), registration_(cancelled, signal_)
     {
     }
     ~call()
     {
-        if (!complete_)
-            cancellation_.cancel();
+        if (exchange_)
+            exchange_->cancel();
     }
     call(const call&) = delete;
     call& operator=(const call&) = delete;
@@ -319,101 +456,67 @@
         if (steady_clock::now() >= deadline_)
             return not_run(reason::silent_connection,
                            "timeout expired before the request was sent");
-        if (!library_client_)
+        if (!server_)
             return not_run(reason::connect_failed, "invalid base URL");
-        web::http::http_request message;
-        try
-        {
-            message = make_message(request);
-        }
-        catch (const std::exception& e)
-        {
-            return not_run(reason::bad_request, e.what());
-        }
-        task_outcome<web::http::http_response> outcome;
-        if (auto error = wait(start(message), until, outcome))
+        auto text = encode_request(*server_, request);
+        if (!text)
+            return not_run(reason::bad_request, "the request cannot be written as HTTP");
+        exchange_ = std::make_shared<client_exchange>(pools_, signal_, std::move(*text), may_reuse_,
+                                                      request.method != "HEAD");
+        exchange_->start(*server_);
+        std::unique_lock lock(signal_->mutex);
+        if (auto error = wait(lock, until, [&] { return exchange_->response_head.has_value(); }))
             return *error;
-        response_ = *outcome.value;
         client_reply out;
-        out.status = response_.status_code();
-        for (const auto& [name, value] : response_.headers())
-            out.headers[lower_case(name)] = value;
+        out.status = exchange_->response_head->status;
+        for (const header_field& field : exchange_->response_head->fields)
+        {
+            std::string& value = out.headers[lower_case(field.name)];
+            value += (value.empty() ? "" : ", ") + field.value;
+        }
         return out;
     }
 
     // Appends the bytes of the body that have arrived, at least one; false at the end of the body.
     result<bool> read_some(std::string& out, time_point until)
     {
-        auto buffer = response_.body().streambuf();
-        task_outcome<int> outcome;
-        // Read a single byte first: a longer read would wait until its whole length has arrived.
-        if (auto error = wait(buffer.bumpc(), until, outcome))
+        std::unique_lock lock(signal_->mutex);
+        const auto has_news = [&]
+        { return !exchange_->waiting_body.empty() || exchange_->has_ended; };
+        if (auto error = wait(lock, until, has_news))
             return *error;
-        if (*outcome.value == std::char_traits<char>::eof())
-            return confirm_complete(until);
-        out.push_back(static_cast<char>(*outcome.value));
-        const std::size_t available = std::min(buffer.in_avail(), max_body_bytes + 1);
-        if (available == 0)
-            return true;
-        // The task may outlive an abandoned call, so it shares ownership of its buffer.
-        auto chunk = std::make_shared<std::string>(available, '\0');
-        auto* chunk_data = reinterpret_cast<unsigned char*>(chunk->data());
-        const auto filled =
-            buffer.getn(chunk_data, available).then([chunk](std::size_t count) { return count; });
-        task_outcome<std::size_t> rest;
-        if (auto error = wait(filled, until, rest))
-            return *error;
-        out.append(*chunk, 0, *rest.value);
-        return true;
+        const bool has_bytes = !exchange_->waiting_body.empty();
+        out += exchange_->take_body();
+        return has_bytes;
     }
 
     time_point deadline() const { return deadline_; }
 
 private:
-    pplx::task<web::http::http_response> start(const web::http::http_request& message)
+    // Waits until the condition holds. Bytes that arrived before a failure are taken first.
+    template <typename Condition>
+    std::optional<failure> wait(std::unique_lock<std::mutex>& lock, time_point until,
+                                Condition condition)
     {
-        return library_client_->request(message, cancellation_.get_token());
+        const auto is_over = [&] { return condition() || exchange_->error || signal_->cancelled; };
+        (void)signal_->changed.wait_until(lock, std::min(until, deadline_), is_over);
+        if (condition())
+            return std::nullopt;
+        if (exchange_->error)
+            return exchange_->error;
+        if (signal_->cancelled)
+            return may_have_run(reason::cancelled);
+        return may_have_run(reason::silent_connection, "no response within the timeout");
     }
 
-    template <typename T>
-    std::optional<failure> wait(const pplx::task<T>& task, time_point until,
-                                task_outcome<T>& outcome)
-    {
-        const wait_status status = await(task, signal_, std::min(until, deadline_), outcome);
-        if (status != wait_status::completed)
-            return to_failure(status);
-        if (outcome.error)
-            return to_failure(outcome.error);
-        return std::nullopt;
-    }
-
-    // The body buffer also ends when the connection breaks; only the library's content_ready()
-    // tells whether the body is complete. For a body without a length it can't tell either: the
-    // connection also ends when the server crashes, which then accepts no connections.
-    result<bool> confirm_complete(time_point until)
-    {
-        task_outcome<web::http::http_response> outcome;
-        if (auto error = wait(response_.content_ready(), until, outcome))
-            return *error;
-        const auto left = std::chrono::duration_cast<milliseconds>(std::min(until, deadline_) -
-                                                                   steady_clock::now());
-        if (is_close_delimited(response_) &&
-            !accepts_connections(library_client_->base_uri(),
-                                 std::min(left, upstream_connect_timeout)))
-            return may_have_run(reason::connection_broken,
-                                "the server went away as it ended a response without a length");
-        complete_ = true;
-        return false;
-    }
-
-    std::shared_ptr<client::http_client> library_client_;
+    std::optional<server_url> server_;
+    std::shared_ptr<server_pools> pools_;
+    bool may_reuse_;
     cancel_flag cancelled_;
     time_point deadline_;
     std::shared_ptr<call_signal> signal_ = std::make_shared<call_signal>();
     cancel_poller::registration registration_;
-    pplx::cancellation_token_source cancellation_;
-    web::http::http_response response_;
-    bool complete_ = false;
+    std::shared_ptr<client_exchange> exchange_;
 };
 
 // Reads the response body into the reply.
@@ -453,53 +556,40 @@
 class http_client::impl
 {
 public:
-    explicit impl(std::string base_url)
-        : base_url_(std::move(base_url)), pooled_(make_library_client())
-    {
-    }
+    explicit impl(const std::string& base_url) : server_(parse_url(base_url)) {}
 
-    std::shared_ptr<client::http_client> pooled() const
+    call make_call(const cancel_flag& cancelled, milliseconds timeout) const
     {
         const std::lock_guard lock(mutex_);
-        return pooled_;
+        return {server_, pools_, true, cancelled, steady_clock::now() + timeout};
     }
-
-    // Null if the base URL is invalid.
-    std::shared_ptr<client::http_client> make_library_client() const
+    // A call on a connection of its own, which is closed after it.
+    call make_single_call(const cancel_flag& cancelled, milliseconds timeout) const
     {
-        try
-        {
-            return std::make_shared<client::http_client>(web::uri(base_url_), make_config());
-        }
-        catch (const std::exception&)
-        {
-            return nullptr;
-        }
+        return {server_, make_pools(), false, cancelled, steady_clock::now() + timeout};
     }
 
     void reset()
     {
-        auto new_client = make_library_client();
+        auto pools = make_pools();
         const std::lock_guard lock(mutex_);
-        pooled_.swap(new_client);
+        pools_.swap(pools);
     }
 
 private:
-    const std::string base_url_;
+    const std::optional<server_url> server_;
     mutable std::mutex mutex_;
-    std::shared_ptr<client::http_client> pooled_;
+    std::shared_ptr<server_pools> pools_ = make_pools();
 };
 
-http_client::http_client(std::string base_url) : impl_(std::make_unique<impl>(std::move(base_url)))
-{
-}
+http_client::http_client(const std::string& base_url) : impl_(std::make_unique<impl>(base_url)) {}
 
 http_client::~http_client() = default;
 
 result<client_reply> http_client::send(const client_request& request, milliseconds timeout,
                                        const cancel_flag& cancelled)
 {
-    call current(impl_->pooled(), cancelled, steady_clock::now() + timeout);
+    call current = impl_->make_call(cancelled, timeout);
     BOOST_OUTCOME_TRY(reply, current.send(request, current.deadline()));
     return read_body(current, std::move(reply), timeout);
 }
@@ -507,9 +597,7 @@
 result<client_reply> http_client::send_once(const client_request& request, milliseconds timeout,
                                             const cancel_flag& cancelled)
 {
-    // The connection is closed when its client is destroyed. The endpoint can't be told so by a
-    // "Connection: close" header, because cpprestsdk always adds "Connection: Keep-Alive".
-    call current(impl_->make_library_client(), cancelled, steady_clock::now() + timeout);
+    call current = impl_->make_single_call(cancelled, timeout);
     BOOST_OUTCOME_TRY(reply, current.send(request, current.deadline()));
     return read_body(current, std::move(reply), timeout);
 }
@@ -518,7 +606,7 @@
                                          milliseconds timeout, const line_handler& on_line,
                                          const cancel_flag& cancelled)
 {
-    call current(impl_->pooled(), cancelled, steady_clock::now() + timeout);
+    call current = impl_->make_call(cancelled, timeout);
     BOOST_OUTCOME_TRY(reply, current.send(request, steady_clock::now() + idle_timeout));
     if (reply.status != 200)
         return read_body(current, std::move(reply), idle_timeout);
--- a/packages/transport/http_client.h
+++ b/packages/transport/http_client.h
@@ -1,4 +1,4 @@
-// HTTP client for endpoints and platform services, based on cpprestsdk.
+// Blocking HTTP client for endpoints and platform services. Bounds what it holds of a response.
 #pragma once
 
 #include "state/time.h"
@@ -34,12 +34,11 @@
 // Called for each complete line of a streamed response; returning false ends the stream.
 using line_handler = std::function<bool(std::string_view line)>;
 
-// Client for one base URL. Thread-safe. All calls block the calling thread, which must not belong
-// to cpprestsdk's thread pool.
+// Client for one base URL. Thread-safe. All calls block the calling thread.
 class http_client
 {
 public:
-    explicit http_client(std::string base_url);
+    explicit http_client(const std::string& base_url);
     ~http_client();
 
     http_client(const http_client&) = delete;
@@ -52,8 +51,8 @@
     result<client_reply> send(const client_request& request, milliseconds timeout,
                               const cancel_flag& cancelled = nullptr);
 
-    // Sends a request that is not idempotent, always on a new connection: cpprestsdk silently
-    // resends a request if the peer has closed the reused connection.
+    // Sends a request that is not idempotent, always on a new connection: whether the peer had
+    // closed a kept one before it got the request is not known.
     result<client_reply> send_once(const client_request& request, milliseconds timeout,
                                    const cancel_flag& cancelled = nullptr);
 
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -21,6 +21,9 @@
 // For calls that are expected to time out.
 constexpr milliseconds short_timeout{200};
 
+// More than the buffers of a connection hold.
+constexpr std::size_t endless_bytes_max = 64 * 1024 * 1024;
+
 constexpr std::string_view ok_response =
     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Mixed-Case: Yes\r\n"
     "Content-Length: 2\r\n\r\n{}";
@@ -158,7 +161,6 @@
     cr_assert(outcome.value().body == "{}");
     cr_assert(outcome.value().headers.at("x-mixed-case") == "Yes");
     cr_assert(request_bytes.starts_with("POST /run?x=1 HTTP/1.1\r\n"));
-    // cpprestsdk writes no space after the colon.
     cr_assert(request_bytes.find("\r\nDeadline-Ms:100\r\n") != std::string::npos);
 }
 
@@ -299,8 +301,8 @@
                        reason::connection_broken);
 }
 
-// Guards against a non-idempotent request being sent on a reused connection, where cpprestsdk may
-// send it twice, and against the connections of such requests being left open.
+// Guards against a non-idempotent request being sent on a reused connection, which the endpoint may
+// have closed, and against the connections of such requests being left open.
 Test(http_client, send_once_repeated_new_connection_each)
 {
     const raw_listener listener;
@@ -327,8 +329,7 @@
     cr_assert(eventually([&] { return closed == 2; }));
 }
 
-// Guards against each call opening a connection of its own. cpprestsdk returns a connection to its
-// pool shortly after the response, so a call that follows immediately may still open a new one.
+// Guards against each call opening a connection of its own.
 Test(http_client, send_repeated_connection_reused)
 {
     std::atomic<int> last_connection{-1};
@@ -606,6 +607,96 @@
                    verdict::may_have_run, reason::endpoint_error);
 }
 
+// Guards against a response without end that fills the memory of the process until the timeout.
+Test(http_client, endless_response_is_refused_soon)
+{
+    const std::string filler(16 * 1024, 'x');
+    std::string interim;
+    for (int i = 0; i < 500; ++i)
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses = {
+        {"HTTP/1.1 200 OK\r\nX-Filler: ", filler},
+        {"HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n"},
+        {"", filler},
+        {"", interim},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", filler},
+        {"HTTP/1.1 200 OK\r\n\r\n", filler},
+    };
+    for (const auto& [first, rest] : responses)
+    {
+        const raw_listener listener;
+        std::size_t sent = 0;
+        {
+            const scripted_endpoint server(
+                [&]
+                {
+                    raw_socket peer = listener.accept();
+                    peer.read_until("\r\n\r\n");
+                    peer.send(first);
+                    while (sent < endless_bytes_max && peer.send(rest))
+                        sent += rest.size();
+                });
+            http_client client(listener.url());
+            expect_failure(client.send_once(get("/a"), long_timeout), verdict::may_have_run,
+                           first.ends_with("OK\r\n\r\n") ? reason::endpoint_error
+                                                         : reason::connection_broken);
+        }
+        cr_expect(sent < endless_bytes_max, "%s...: %zu bytes", first.c_str(), sent);
+    }
+}
+
+// Guards against a stream that is received faster than its lines are handled.
+Test(http_client, stream_slow_handler_endpoint_is_paused)
+{
+    const raw_listener listener;
+    std::atomic<std::size_t> sent{0};
+    const scripted_endpoint server(
+        [&]
+        {
+            raw_socket peer = listener.accept();
+            peer.read_until("\r\n\r\n");
+            peer.send(stream_header);
+            const std::string lines = chunk(std::string(64 * 1024 - 1, 'x') + "\n");
+            while (sent < endless_bytes_max && peer.send(lines))
+                sent += lines.size();
+        });
+    http_client client(listener.url());
+    bool was_paused = false;
+    const auto outcome =
+        client.stream(post("/generate", "{}"), long_timeout, long_timeout,
+                      [&](std::string_view)
+                      {
+                          was_paused = !eventually([&] { return sent >= endless_bytes_max; },
+                                                   std::chrono::seconds(2));
+                          return false;
+                      });
+    cr_assert(outcome.has_value());
+    cr_assert(was_paused, "%zu bytes were received", sent.load());
+}
+
+// Guards against a kept connection that the endpoint has closed meanwhile ending a call.
+Test(http_client, send_kept_connection_lost_is_sent_once_more)
+{
+    const raw_listener listener;
+    const scripted_endpoint server(
+        [&]
+        {
+            raw_socket kept = listener.accept();
+            kept.read_until("\r\n\r\n");
+            kept.send(ok_response);
+            kept.read_until("\r\n\r\n");
+            kept.close();
+            // The client also opens a connection to see whether the server lives.
+            raw_socket peer = listener.accept();
+            while (peer.valid() && peer.read_until("\r\n\r\n").empty())
+                peer = listener.accept();
+            peer.send(ok_response);
+        });
+    http_client client(listener.url());
+    cr_assert(client.send(get("/a"), long_timeout).has_value());
+    cr_assert(client.send(get("/b"), long_timeout).has_value());
+}
+
 // Guards against pooled connections, which may have stopped responding, being reused after
 // reset_connections(), and against the reset aborting calls in progress.
 Test(http_client, reset_connections_new_connection_and_calls_continue)
