Refuse transfer codings other than chunked

Cause: the parser of the library takes such a request for one without a body, and the body for the next request. Its end is not known (RFC 9112, section 6.3).

Change: message_parser refuses a message with any Transfer-Encoding but one "chunked" (400, or an invalid response); the listener of the own interface, which has its own parser, does the same.

Ruled out: dropping the field and going on, since the body stays unread.

Related paths: responses in another coding were passed on as if not encoded; invalid now.

--- a/packages/transport/http_server.cpp
+++ b/packages/transport/http_server.cpp
@@ -873,6 +873,16 @@
     if (handle_read_error(ec))
         return;
     const auto& message = parser_->get();
+    const auto codings = message.equal_range(http::field::transfer_encoding);
+    if (std::any_of(codings.first, codings.second,
+                    [](const auto& coding)
+                    { return !beast::iequals(coding.value(), "chunked"); }) ||
+        std::distance(codings.first, codings.second) > 1)
+    {
+        // The end of the body is not known: what follows could be read as another request.
+        reject(400, reason::bad_request, "unsupported Transfer-Encoding");
+        return;
+    }
     if (message.version() >= 11 && !parser_->is_done() &&
         beast::iequals(message[http::field::expect], "100-continue"))
     {
--- a/packages/transport/message_parser.cpp
+++ b/packages/transport/message_parser.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace zinnianotch
@@ -117,9 +118,20 @@
 }
 
 template <message_kind Kind>
-void message_parser<Kind>::on_header_impl(error_code&)
+void message_parser<Kind>::on_header_impl(error_code& error)
 {
     head_done_ = true;
+    // The end of a body in another coding is not known: what follows could be read as a message of
+    // its own. Two codings are either that or chunks within chunks.
+    const auto is_coding = [](const header_field& field)
+    { return equals_ignore_case(field.name, "Transfer-Encoding"); };
+    const auto codings = std::count_if(head.fields.begin(), head.fields.end(), is_coding);
+    const auto coding = find_field(head, "Transfer-Encoding");
+    if (codings > 1 || (coding && !equals_ignore_case(*coding, "chunked")))
+    {
+        error = boost::beast::http::error::bad_transfer_encoding;
+        return;
+    }
     if (this->chunked())
         framing_ = body_framing::chunked;
     else if (const auto length = this->content_length())
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -497,6 +497,10 @@
         "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
         "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;" + std::string(100000, 'e'),
         "GET / HTTP/1.1\r\nBad Name: x\r\n\r\n",
     };
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -385,6 +385,27 @@
     cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against a request hidden in a body whose end is not known.
+Test(server_listener, transfer_coding_other_than_chunked_is_refused)
+{
+    for (const std::string fields :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: xchunked",
+          "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding:"})
+    {
+        reporting_server server;
+        tcp::socket client = server.connect();
+        boost::asio::write(client, boost::asio::buffer("POST / HTTP/1.1\r\n" + fields + "\r\n\r\n" +
+                                                       whole_request));
+        cr_assert(server.run_until([&] { return client.available() > 0; }), "%s", fields.c_str());
+        std::array<char, 256> buffer{};
+        const std::size_t count = client.read_some(boost::asio::buffer(buffer));
+        cr_assert(std::string_view(buffer.data(), count).starts_with("HTTP/1.1 400 "), "%s",
+                  fields.c_str());
+        cr_assert(server.served.empty(), "%s", fields.c_str());
+    }
+}
+
 // Guards against requests that end without an answer and leave no trace of it.
 Test(server_listener, client_leaves_unanswered_close_is_reported)
 {
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -225,6 +225,18 @@
     cr_assert(harness.response.done && harness.response.status == 200);
 }
 
+// Guards against an encoded body that is passed on as if it were not.
+Test(upstream, response_in_other_transfer_coding_is_invalid)
+{
+    pool_of_raw_server harness;
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    raw_socket server = harness.accept();
+    cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+    (void)server.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nencoded");
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::invalid_answer);
+}
+
 // Guards against blaming a server for a kept connection that was lost before the request was sent.
 Test(upstream, kept_connection_lost_while_idle_is_told_apart)
 {
