Read the length of a message from the library's parser

Cause: message_parser::content_length hides the function of its base, so on_header_impl asked the member that it was about to set: no message had a length, and each response with one had the framing until_close.

Ruled out: a different name (both mean the same).

--- a/packages/transport/message_parser.cpp
+++ b/packages/transport/message_parser.cpp
@@ -134,7 +134,7 @@
     }
     if (this->chunked())
         framing_ = body_framing::chunked;
-    else if (const auto length = this->content_length())
+    else if (const auto length = base::content_length())
     {
         framing_ = body_framing::length;
         length_ = *length;
