Bound the request bodies of a VM together

Cause: only each body had a bound. Each is in memory twice while it is sent on, and a kept connection to an endpoint held the last request that it had sent.

Change: bodies that are being received or belong to requests in progress may have 72 MiB together. A request beyond is refused with 503 and Retry-After as soon as its length is known, a chunked one as it grows; one body alone is always accepted. A request is forgotten once it is sent.

Ruled out: reading more slowly (unread bytes count towards the limit too).

Open: responses that slow clients do not read.

--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -211,6 +211,9 @@
     // The parser leaves bytes only of an incomplete head or chunk header, which may never end.
     if (!parser_->done() && unparsed_.size() > owner_.limits_.header_bytes)
         return refuse(400, "Bad Request");
+    if (!reserve_body())
+        return refuse(503, "Service Unavailable",
+                      "Retry-After: " + std::to_string(retry_after_no_memory_s) + "\r\n");
     if (!had_head && parser_->head_done() && !parser_->done())
     {
         const auto expect = find_field(parser_->head, "Expect");
@@ -228,10 +231,34 @@
     owner_.on_request_(shared_from_this(), std::move(request));
 }
 
+// Counts the body of the request, with its whole length if that is known. False if it exceeds what
+// all bodies together may use.
+bool server_connection::reserve_body()
+{
+    const std::uint64_t needed =
+        std::max<std::uint64_t>(parser_->body.size(), parser_->content_length().value_or(0));
+    if (needed <= reserved_body_bytes_)
+        return true;
+    const std::uint64_t others = owner_.body_bytes_ - reserved_body_bytes_;
+    if (others > 0 && others + needed > owner_.limits_.total_body_bytes)
+        return false;
+    owner_.body_bytes_ = others + needed;
+    reserved_body_bytes_ = needed;
+    if (parser_->content_length())
+        parser_->body.reserve(needed);
+    return true;
+}
+
+void server_connection::release_body()
+{
+    owner_.body_bytes_ -= std::exchange(reserved_body_bytes_, 0);
+}
+
 // Sends an error response to a request that never reached the handler, and ends the connection. The
 // request has not run, but retrying it after 400, 413 or 431 would fail again.
-void server_connection::refuse(int status, std::string_view reason_phrase)
+void server_connection::refuse(int status, std::string_view reason_phrase, std::string_view fields)
 {
+    release_body();
     if (owner_.on_refused)
         owner_.on_refused(status);
     busy_ = true;
@@ -239,7 +266,7 @@
     parser_.reset();
     unparsed_.clear();
     send("HTTP/1.1 " + std::to_string(status) + " " + std::string(reason_phrase) +
-         "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+         "\r\nContent-Length: 0\r\n" + std::string(fields) + "Connection: close\r\n\r\n");
     end(false);
 }
 
@@ -289,6 +316,7 @@
 void server_connection::finish_response()
 {
     response_ended_ = false;
+    release_body();
     const time_point now = steady_clock::now();
     // A request that has arrived already is served before the connection closes.
     if (!keep_alive_ || (close_when_idle_ && !has_unparsed_bytes()))
@@ -364,6 +392,7 @@
     if (const request_progress left = progress(); left != request_progress::none)
         report_unanswered(why, left);
     closed_ = true;
+    release_body();
     const auto self = shared_from_this();
     boost::system::error_code ignored;
     (void)socket_.close(ignored);
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -28,8 +28,14 @@
     std::uint64_t body_bytes = 4 * 1024 * 1024;
     milliseconds header_timeout{3000}; // from the first byte of a request to the end of its head
     milliseconds idle_timeout{15000};  // between requests, and between bytes of a body
+    // All bodies that are being received or belong to requests in progress. A body is in memory
+    // twice while it is sent on; this keeps a VM with 260 MB below that.
+    std::uint64_t total_body_bytes = 72 * 1024 * 1024;
 };
 
+// Retry-After, in seconds, of a request that is refused because other bodies use the memory.
+inline constexpr int retry_after_no_memory_s = 1;
+
 // Reading stops once this many bytes of pipelined requests wait for the current one to end.
 inline constexpr std::size_t pipelined_bytes_limit = 64 * 1024;
 // How long input is read and discarded after the last response on a connection. Closing a socket
@@ -117,7 +123,10 @@
     void on_readable(boost::system::error_code error);
     void on_read(std::size_t count);
     void parse(time_point now);
-    void refuse(int status, std::string_view reason_phrase);
+    // `fields` are further header lines, each with its line end.
+    void refuse(int status, std::string_view reason_phrase, std::string_view fields = {});
+    bool reserve_body();
+    void release_body();
     void write_next();
     void write_some();
     void finish_response();
@@ -136,6 +145,7 @@
     std::string write_queue_; // to be written after write_buffer_
     std::string write_buffer_;
     std::size_t unsent_bytes_ = 0;
+    std::uint64_t reserved_body_bytes_ = 0; // of the current request
     bool read_pending_ = false;
     bool write_pending_ = false;
     bool busy_ = false;
@@ -181,6 +191,8 @@
     // Number of connections on which a request is being received or served.
     std::size_t busy_count() const;
     std::size_t connections() const { return connections_.size(); }
+    // Bytes of all bodies that count towards connection_limits::total_body_bytes.
+    std::uint64_t body_bytes() const { return body_bytes_; }
 
     // Called with the HTTP status when a request is refused before it reaches the handler.
     std::function<void(int status)> on_refused;
@@ -196,6 +208,7 @@
     handler on_request_;
     connection_limits limits_;
     std::size_t max_connections_ = 2048;
+    std::uint64_t body_bytes_ = 0;
     std::set<std::shared_ptr<server_connection>> connections_;
     socket_acceptor acceptor_;
 };
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -215,6 +215,7 @@
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
         {
             self->writing_ = false;
+            self->request_ = {}; // may be large
             // A server may send its response and close before it has read the whole request, so
             // a pending read decides the outcome. Without one, the error is reported here.
             if (error && !self->reading_ && !self->closed_ &&
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -406,6 +406,44 @@
     }
 }
 
+// Guards against bodies that fill the memory together although each is within its limit.
+Test(server_listener, bodies_exceed_total_request_is_refused_at_once)
+{
+    constexpr std::size_t body_bytes = 1000;
+    const std::string head =
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+    const std::string whole = head + std::string(body_bytes, 'x');
+    reporting_server server;
+    connection_limits limits;
+    limits.total_body_bytes = 2 * body_bytes + 500;
+    server.listener.set_limits(limits);
+    const tcp::socket first = server.send(whole);       // in progress
+    const tcp::socket second = server.send(head + "x"); // being received
+    cr_assert(server.listener.body_bytes() == 2 * body_bytes);
+    const auto expect_refused = [&](const std::string& request)
+    {
+        tcp::socket client = server.connect();
+        boost::asio::write(client, boost::asio::buffer(request));
+        cr_assert(server.run_until([&] { return client.available() > 0; }));
+        std::array<char, 256> buffer{};
+        const std::size_t count = client.read_some(boost::asio::buffer(buffer));
+        const std::string_view answer(buffer.data(), count);
+        cr_assert(answer.starts_with("HTTP/1.1 503 "));
+        cr_assert(answer.find("\r\nRetry-After: 1\r\n") != std::string_view::npos);
+        client.close();
+        cr_assert(server.run_until([&] { return server.listener.connections() == 2; }));
+    };
+    expect_refused(head);
+    expect_refused("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n258\r\n" +
+                   std::string(0x258, 'x'));
+    cr_assert(server.served.size() == 1);
+    server.served[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    server.served[0]->end(true);
+    cr_assert(server.run_until([&] { return server.listener.body_bytes() == body_bytes; }));
+    const tcp::socket third = server.send(whole);
+    cr_assert(server.run_until([&] { return server.served.size() == 2; }));
+}
+
 // Guards against requests that end without an answer and leave no trace of it.
 Test(server_listener, client_leaves_unanswered_close_is_reported)
 {
