Close connections on which a response of a stage was rejected

Cause: the copy is recognized by its handles and the pieces are queued again, but the connection is back in the pool by then, with the response to the call still to come. The next call on it takes that.

Change: such a connection is closed, and so is one on which a response brought no result, since that could be a copy too.

Ruled out: an id in responses of stages (the protocol has none).

Related paths: requests are named in each response. A copy that a release takes for its answer leaves the real one to the next stage call, which cannot read it and closes the connection (read only).

--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -55,7 +55,12 @@
         if (status_ == 200)
         {
             const auto results = Codec::decode_pieces(body_, batch_.pieces);
-            if (results && !owner_.holds_any(*results))
+            const bool is_own = results && !owner_.holds_any(*results);
+            // Without a new result it may be a copy of an earlier response, and the one to this
+            // call would be taken for that to the next.
+            if (!is_own || !has_result(*results))
+                connection_->cancel();
+            if (is_own)
                 return owner_.on_results(*this, *results, now);
         }
         else if (metadata_.not_run)
@@ -94,6 +99,13 @@
     }
 
 private:
+    static bool has_result(const std::vector<piece_result>& results)
+    {
+        return std::any_of(results.begin(), results.end(),
+                           [](const piece_result& result)
+                           { return std::holds_alternative<std::string>(result); });
+    }
+
     stage_batcher& owner_;
     std::string key_; // of the queue that the pieces come from
     endpoint_ptr endpoint_;
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -90,7 +90,7 @@
     void start(const boost::asio::ip::tcp::endpoint& peer, std::string request,
                upstream_response_handler& handler, bool response_has_body, time_point now);
     // Ends the exchange without a callback. Closes the connection, because the response may still
-    // arrive.
+    // arrive. In on_end, keeps the connection from being used again.
     void cancel();
     // Closes the connection after the current response.
     void disable_reuse() { server_will_close_ = true; }
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -79,6 +79,23 @@
         cr_assert(broken_off == 1, "%d broken off", broken_off);
     }
 
+    // Checks that the engines ran at least this many requests, each with results made for it.
+    void check_results_are_own(const fake_endpoint& encoder, std::size_t requests_min)
+    {
+        std::size_t checked = 0;
+        for (const fake_endpoint* engine : {&engine_1, &engine_2})
+        {
+            for (const recorded_request& request : engine->requests)
+            {
+                ++checked;
+                const std::string& made_for = encoder.made_for.at(request.fields.at("inputs"));
+                cr_assert(made_for == request.attempt, "%s got results of %s",
+                          request.attempt.c_str(), made_for.c_str());
+            }
+        }
+        cr_assert(checked >= requests_min);
+    }
+
     void check_reads_recover(endless_bytes fault)
     {
         start();
@@ -247,6 +264,33 @@
     cr_assert(inputs.size() >= 2);
 }
 
+// Guards against results that go to the next call: after a copy, the response to the call itself is
+// still due on its connection.
+Test(edge_faulty_endpoint, second_copy_of_stage_results_later_calls_get_their_own)
+{
+    for (const bool has_results : {true, false})
+    {
+        faulty_deployment harness;
+        // Longer than the pause after a lost call.
+        harness.stage_call_time = milliseconds(1000);
+        harness.add_stage();
+        fake_endpoint& encoder = harness.add_endpoint("encoders", "encoder-1");
+        harness.start();
+        encoder.processing_time = harness.stage_call_time;
+        encoder.piece_failure_reason = has_results ? "" : "error";
+        for (int i = 0; i < 4; ++i)
+        {
+            (void)harness.send_and_wait(0,
+                                        request_text("POST", "/stream/1", "s" + std::to_string(i),
+                                                     "Pieces: 1\r\nPiece-Key: k\r\n", "x"));
+            encoder.piece_failure_reason.clear();
+            encoder.repeats_results_early = i == 0 || encoder.repeats_results_early;
+        }
+        cr_assert(!encoder.repeats_results_early, "the fault was not met");
+        harness.check_results_are_own(encoder, 2);
+    }
+}
+
 // Guards against an order that runs twice, or is reported as not run: the copy of a refusal names
 // no request, although the refusal did.
 Test(edge_faulty_endpoint, second_copy_of_refusal_without_id_order_runs_once)
@@ -318,18 +362,7 @@
     for (int i = 0; i < 6; ++i)
         (void)harness.send_and_wait(0, request_text("POST", "/stream/1", "s" + std::to_string(i),
                                                     "Pieces: 1\r\nPiece-Key: k\r\n", "x"));
-    std::size_t checked = 0;
-    for (const fake_endpoint* engine : {&harness.engine_1, &harness.engine_2})
-    {
-        for (const recorded_request& request : engine->requests)
-        {
-            ++checked;
-            cr_assert(encoder.made_for.at(request.fields.at("inputs")) == request.attempt,
-                      "%s got results of %s", request.attempt.c_str(),
-                      encoder.made_for.at(request.fields.at("inputs")).c_str());
-        }
-    }
-    cr_assert(checked >= 5);
+    harness.check_results_are_own(encoder, 5);
 }
 
 // Guards against a batching VM that collects a response of a stage without end in its memory.
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -437,6 +437,11 @@
     }
     if (recorded.target == "/stage-run")
     {
+        if (repeats_results_early && answered_on_.lock() == client)
+        {
+            repeats_results_early = false;
+            client->send(last_answer_);
+        }
         (void)falls_silent(silence_point::before_stage_results);
         return run_after(processing_time,
                          [this, client, body = request.body] { run_pieces(client, body); });
@@ -575,6 +580,7 @@
     const std::string answer = response_text(200, answer_fields, response.serialize());
     client->send((repeats_answer_late ? last_answer_ : "") + answer);
     last_answer_ = answer;
+    answered_on_ = client;
     client->end(true);
 }
 
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -187,6 +187,7 @@
     endless_bytes endless = endless_bytes::none;
     int stall_after_event = -1;         // then sends a byte now and then, once
     bool repeats_answer_late = false;   // sends its previous answer again before the next one
+    bool repeats_results_early = false; // those of the last call as soon as the next arrives, once
     bool repeats_refusal_late = false; // as soon as the next request on the same connection arrives
     bool refusals_have_id = false;     // refusals name the request that they answer
     bool refusal_copies_have_id = false; // as well
@@ -273,6 +274,7 @@
     std::weak_ptr<zinnianotch::server_connection> refused_on_;
     std::string refusal_copy_;
     std::string last_answer_;
+    std::weak_ptr<zinnianotch::server_connection> answered_on_; // results of a stage
     bool is_crashed_ = false;
     int silences_in_progress_ = 0;
     std::deque<std::function<void()>> held_back_; // until the silence is over
