--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -53,6 +53,13 @@
     return out;
 }
 
+// A response that begins with `first` and goes on with `rest` without end.
+struct endless_response
+{
+    std::string first;
+    std::string rest;
+};
+
 // Endpoint whose side of the exchange is a function, run on a thread of its own. The destructor
 // joins the thread.
 class scripted_endpoint
@@ -614,7 +621,7 @@
     std::string interim;
     for (int i = 0; i < 500; ++i)
         interim += "HTTP/1.1 102 Processing\r\n\r\n";
-    const std::vector<std::pair<std::string, std::string>> responses = {
+    const std::vector<endless_response> responses = {
         {"HTTP/1.1 200 OK\r\nX-Filler: ", filler},
         {"HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n"},
         {"", filler},
@@ -622,7 +629,7 @@
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", filler},
         {"HTTP/1.1 200 OK\r\n\r\n", filler},
     };
-    for (const auto& [first, rest] : responses)
+    for (const endless_response& response : responses)
     {
         const raw_listener listener;
         std::size_t sent = 0;
@@ -632,16 +639,16 @@
                 {
                     raw_socket peer = listener.accept();
                     peer.read_until("\r\n\r\n");
-                    peer.send(first);
-                    while (sent < endless_bytes_max && peer.send(rest))
-                        sent += rest.size();
+                    peer.send(response.first);
+                    while (sent < endless_bytes_max && peer.send(response.rest))
+                        sent += response.rest.size();
                 });
             http_client client(listener.url());
             expect_failure(client.send_once(get("/a"), long_timeout), verdict::may_have_run,
-                           first.ends_with("OK\r\n\r\n") ? reason::endpoint_error
-                                                         : reason::connection_broken);
+                           response.first.ends_with("OK\r\n\r\n") ? reason::endpoint_error
+                                                                  : reason::connection_broken);
         }
-        cr_expect(sent < endless_bytes_max, "%s...: %zu bytes", first.c_str(), sent);
+        cr_expect(sent < endless_bytes_max, "%s...: %zu bytes", response.first.c_str(), sent);
     }
 }
 
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -395,8 +395,11 @@
     {
         reporting_server server;
         tcp::socket client = server.connect();
-        boost::asio::write(client, boost::asio::buffer("POST / HTTP/1.1\r\n" + fields + "\r\n\r\n" +
-                                                       whole_request));
+        std::string request = "POST / HTTP/1.1\r\n";
+        request += fields;
+        request += "\r\n\r\n";
+        request += whole_request;
+        boost::asio::write(client, boost::asio::buffer(request));
         cr_assert(server.run_until([&] { return client.available() > 0; }), "%s", fields.c_str());
         std::array<char, 256> buffer{};
         const std::size_t count = client.read_some(boost::asio::buffer(buffer));
