Do not report a lost request as not run

What callers would see: a request on a kept connection that was lost, which may have run, is sent once more; if no connection is accepted then, http_client reported not_run, so a caller may repeat what has run.

Cause: the verdict was that of the last attempt. Change: once a request was sent, a later failure to connect is connection_broken, may_have_run. Ruled out: no second attempt (cpprestsdk made one too).

Evidence: http_client/send_kept_connection_lost_and_none_accepted_may_have_run fails without the change (connect_failed), passes with it; 28 of 28 tests of http_client, three times; 13 of 13 of upstream.

--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -341,11 +341,13 @@
     {
         // A connection that was kept open may have been closed by the server meanwhile. Requests
         // that are sent on one are safe to repeat.
+        was_sent_ = was_sent_ || why != upstream_failure::connect_failed;
         if (why == upstream_failure::connection_lost && std::exchange(may_reuse_, false))
             return connect();
         if (why == upstream_failure::connect_failed && ++address_ < addresses_.size())
             return connect();
-        fail(to_failure(why));
+        fail(was_sent_ ? may_have_run(reason::connection_broken, std::string(to_string(why)))
+                       : to_failure(why));
     }
 
     // What the thread that made the call has not taken yet. Guarded by the signal's mutex.
@@ -422,6 +424,7 @@
     bool response_has_body_;
     bool paused_ = false;
     bool cancelled_ = false;
+    bool was_sent_ = false; // on an earlier connection
     tcp::resolver resolver_;
     std::vector<tcp::endpoint> addresses_;
     std::size_t address_ = 0;
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -704,6 +704,26 @@
     cr_assert(client.send(get("/b"), long_timeout).has_value());
 }
 
+// Guards against a request reported as not_run because only its second attempt was not sent.
+Test(http_client, send_kept_connection_lost_and_none_accepted_may_have_run)
+{
+    const raw_listener listener(1);
+    http_client client(listener.url());
+    std::vector<raw_socket> waiting;
+    const scripted_endpoint server(
+        [&]
+        {
+            raw_socket kept = listener.accept();
+            kept.read_until("\r\n\r\n");
+            waiting = listener.fill_backlog();
+            kept.send(ok_response);
+            kept.read_until("\r\n\r\n");
+        });
+    cr_assert(client.send(get("/a"), long_timeout).has_value());
+    expect_failure(client.send(get("/b"), long_timeout), verdict::may_have_run,
+                   reason::connection_broken);
+}
+
 // Guards against pooled connections, which may have stopped responding, being reused after
 // reset_connections(), and against the reset aborting calls in progress.
 Test(http_client, reset_connections_new_connection_and_calls_continue)
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace zinnianotch::test
 {
@@ -191,6 +192,26 @@
         return raw_socket(::accept4(socket_.descriptor(), nullptr, nullptr, SOCK_CLOEXEC));
     }
 
+    // Connects until the listener's backlog is full. The last one is not established.
+    std::vector<raw_socket> fill_backlog() const
+    {
+        constexpr int established_within_ms = 100;
+        std::vector<raw_socket> out;
+        for (int i = 0; i < 64; ++i)
+        {
+            raw_socket client(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+            const sockaddr_in address = raw_socket::loopback_address(port_);
+            (void)::connect(client.descriptor(), reinterpret_cast<const sockaddr*>(&address),
+                            sizeof address);
+            pollfd writable{client.descriptor(), POLLOUT, 0};
+            const bool established = ::poll(&writable, 1, established_within_ms) > 0;
+            out.push_back(std::move(client));
+            if (!established)
+                return out;
+        }
+        return {}; // it takes every connection
+    }
+
 private:
     raw_socket socket_;
     std::uint16_t port_ = 0;
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -114,26 +114,6 @@
         cr_assert(run_until([&] { return response.body == "whole"; }));
         return server;
     }
-    // Connects until the listener's backlog is full. The last one is not established.
-    std::vector<raw_socket> fill_backlog() const
-    {
-        constexpr int established_within_ms = 100;
-        std::vector<raw_socket> out;
-        for (int i = 0; i < 64; ++i)
-        {
-            raw_socket client(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-            const sockaddr_in address = raw_socket::loopback_address(listener.port());
-            (void)::connect(client.descriptor(), reinterpret_cast<const sockaddr*>(&address),
-                            sizeof address);
-            pollfd writable{client.descriptor(), POLLOUT, 0};
-            const bool established = ::poll(&writable, 1, established_within_ms) > 0;
-            out.push_back(std::move(client));
-            if (!established)
-                return out;
-        }
-        cr_assert(false, "the backlog takes every connection");
-        return out;
-    }
 };
 
 } // namespace
@@ -168,7 +148,8 @@
 {
     pool_of_raw_server harness(1);
     raw_socket server = harness.respond_without_length();
-    const auto waiting = harness.fill_backlog();
+    const auto waiting = harness.listener.fill_backlog();
+    cr_assert_not(waiting.empty(), "the backlog takes every connection");
     server.close();
     cr_assert(harness.waits_for(longest_silence), "%s",
               harness.response.failure ? to_string(*harness.response.failure).data() : "done");
@@ -278,7 +259,8 @@
 {
     pool_of_raw_server harness(1);
     raw_socket server = harness.keep_connection();
-    const auto waiting = harness.fill_backlog();
+    const auto waiting = harness.listener.fill_backlog();
+    cr_assert_not(waiting.empty(), "the backlog takes every connection");
     const time_point sent = steady_clock::now();
     harness.send("GET / HTTP/1.1\r\n\r\n");
     server.reset();
