--- /dev/null
+++ b/packages/state/rollout.h
@@ -0,0 +1,104 @@
+// Data of roll-outs: the traffic of a service moves to endpoints of another version, under the
+// judgement of all VMs. docs/design/rollouts.md describes who decides and how.
+#pragma once
+
+#include "state/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinnianotch
+{
+
+// Bounds that the operators of an installation set for all VMs together.
+struct rollout_limits
+{
+    double exposure_share = 0.1;  // of the service's requests that a bad version may get ...
+    double exposure_slack = 0.0;  // ... plus this many requests
+    milliseconds roll_back{5000}; // from the sign that a version is bad to its last request
+};
+
+// Order of the operators: the service moves to `version` within `duration`.
+struct rollout_order
+{
+    std::string service;
+    std::string version;
+    milliseconds duration{0};
+    std::uint64_t revision = 0; // of the order's record; tells orders apart
+};
+
+// Phases in their order; only rolled_back may follow any phase but completed.
+enum class rollout_phase
+{
+    canary,     // a small share of each route, at few endpoints under usual load
+    ramp,       // rising shares, see rollout_record::step
+    full,       // all new requests; those at the old endpoints end
+    completed,  // final: the old endpoints stop
+    rolled_back // final: no further request
+};
+
+std::string_view to_string(rollout_phase value);
+bool from_string(std::string_view name, rollout_phase& out);
+bool is_final(rollout_phase value);
+
+// What the VMs have decided on an order. Kept in the store, where it is replaced only under the
+// condition that its revision is still the one that the decision was based on.
+struct rollout_record
+{
+    std::string service;
+    std::string version;
+    std::uint64_t order = 0; // revision of the order
+    rollout_phase phase = rollout_phase::canary;
+    std::uint32_t step = 0;     // within the phase
+    milliseconds age{0};        // of the order when the record was written
+    std::string why;            // reason of a roll-back, for operators
+    std::uint64_t revision = 0; // of the record; 0: not in the store yet
+};
+
+// Upper bounds of the buckets in which answers are counted by duration; the last one is unbounded.
+inline constexpr std::array<std::uint32_t, 15> rollout_duration_bounds_ms{
+    10, 20, 40, 60, 90, 135, 200, 300, 450, 675, 1000, 1500, 2250, 3400, 5000};
+inline constexpr std::size_t rollout_buckets = rollout_duration_bounds_ms.size() + 1;
+
+// Answers of one route since the order. Entries of the old version are summed over its endpoints.
+struct rollout_counts
+{
+    std::string route;
+    std::string endpoint; // empty for the old version
+    bool is_candidate = false;
+    std::uint32_t answers = 0;  // complete ones, successful or not, and attempts that broke
+    std::uint32_t failures = 0; // of these
+    std::array<std::uint32_t, rollout_buckets> by_duration{}; // time to the first byte of successes
+};
+
+// Counts of one lifetime of a VM, sent to the VMs that judge. They only grow, so a report replaces
+// the ones before it and may be lost or repeated.
+struct rollout_report
+{
+    std::string vm;
+    std::uint64_t lifetime = 0; // random; tells a VM that has started again from the one before
+    std::uint64_t sequence = 0;
+    std::string service;
+    std::uint64_t order = 0;
+    std::uint64_t sent = 0;            // requests of the service since the order
+    std::uint64_t candidate_sent = 0;  // of these, to the new version
+    std::uint32_t old_in_flight = 0;   // requests at endpoints of the old version
+    milliseconds age{0};               // of the order, as far as this VM knows
+    std::vector<rollout_counts> counts; // those that changed since the receiver's last report
+};
+
+// Answer of a VM that judges: its latest verdict, which holds before the store has it.
+struct rollout_verdict
+{
+    std::string service;
+    std::uint64_t order = 0;
+    rollout_phase phase = rollout_phase::canary;
+    std::uint32_t step = 0;
+    milliseconds age{0};
+};
+
+} // namespace zinnianotch
