Check a configuration before it is sent

Ruled out: a second parser (the decoders of the server and of the platform are used), checks on the server alone (no VM is needed to tell these faults), a finding for a timeout that equals a deadline. Attempts against endpoints are not checked: a desired state does not list endpoints.

--- a/packages/cli/arguments.cpp
+++ b/packages/cli/arguments.cpp
@@ -34,6 +34,7 @@
     body,
     limit,
     expected_version,
+    against,
     target,
     setting,
     value,
@@ -49,7 +50,7 @@
     const char* description;
 };
 
-constexpr std::array<option_spec, 18> options = {{
+constexpr std::array<option_spec, 19> options = {{
     {option_id::server, "server", "URL",
      "address of an entry VM, http://HOST:PORT (or ZINNIANOTCH_SERVER)"},
     {option_id::key_file, "key-file", "FILE",
@@ -68,6 +69,7 @@
     {option_id::limit, "limit", "N", "number of versions to list, 1 to 100, 20 by default"},
     {option_id::expected_version, "expected-version", "N",
      "configuration version to replace, by default that of the file"},
+    {option_id::against, "against", "FILE", "file to compare with, such as the version in effect"},
     {option_id::target, "target", "TARGET", "pool:NAME or endpoint:ID"},
     {option_id::setting, "setting", "NAME", "name of the default to override, such as warm_limit"},
     {option_id::value, "value", "N", "value that overrides the default"},
@@ -114,8 +116,9 @@
          "config check",
          "FILE",
          {},
-         {option_id::expected_version},
-         "validate a file; with a server, also against the configuration in effect"},
+         {option_id::expected_version, option_id::against},
+         "check a file, - for standard input: errors, entries without effect, limits that "
+         "contradict each other; with a server, also rights and changes"},
         {command_id::config_put,
          "config put",
          "FILE",
@@ -372,6 +375,9 @@
             return "--expected-version must be a whole number";
         line.expected_version = version;
         return {};
+    case option_id::against:
+        line.against = value;
+        return {};
     case option_id::target:
         if (!value.starts_with("pool:") && !value.starts_with("endpoint:"))
             return "--target must be pool:NAME or endpoint:ID";
--- a/packages/cli/arguments.h
+++ b/packages/cli/arguments.h
@@ -63,6 +63,7 @@
     std::string body;
     std::uint32_t limit = 20;
     std::optional<std::uint64_t> expected_version;
+    std::string against; // file to compare with; empty if not given
     std::string target;
     std::string setting;
     std::uint32_t value = 0;
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.h"
 
+#include "cli/config_check.h"
 #include "cli/document.h"
 #include "cli/format.h"
 #include "cli/response.h"
@@ -263,7 +264,7 @@
     return document.at("version").as_number().to_uint64();
 }
 
-// Reads and validates the file of `config check` and `config put`. Reports all errors found.
+// Reads and validates the file of `config put`. Reports all errors found.
 std::optional<web::json::value> load_document(const std::string& path, const console& to)
 {
     const result<std::string> text = read_file(path);
@@ -286,20 +287,85 @@
     return document.value();
 }
 
+// Prints the findings of `config check`, and the differences from the file of --against. JSON
+// output is one object, to which `response` adds the server's part.
+void print_check(const std::vector<config_finding>& findings,
+                 const std::optional<std::vector<config_difference>>& differences,
+                 const client_reply* reply, const console& to)
+{
+    if (to.output == output_format::json)
+    {
+        web::json::value body = reply != nullptr ? parse_body(*reply) : web::json::value::object();
+        if (!body.is_object())
+            body = web::json::value::object();
+        body["findings"] = to_json(findings);
+        if (differences)
+        {
+            web::json::value& list = body["differences"] = web::json::value::array();
+            for (const config_difference& difference : *differences)
+                list[list.size()] = web::json::value::string(difference.text);
+        }
+        to.out << body.serialize() << "\n";
+        return;
+    }
+    to.out << format_findings(findings);
+    if (differences && differences->empty())
+        to.out << "no differences\n";
+    for (const config_difference& difference :
+         differences.value_or(std::vector<config_difference>{}))
+        to.out << "  " << difference.text << "\n";
+    if (reply != nullptr)
+        print_response(command_id::config_check, *reply, to);
+}
+
+// Reads a file of `config check`. Reports all problems if it cannot be used.
+std::optional<config_file> load_config_file(const std::string& path, const console& to)
+{
+    const result<std::string> text = read_file(path);
+    if (text.has_error())
+    {
+        report_usage_error(text.error().detail, to);
+        return std::nullopt;
+    }
+    config_file file = read_config_file(text.value());
+    for (const std::string& problem : file.problems)
+        to.err << path << ": " << problem << "\n";
+    if (!file.problems.empty())
+        return std::nullopt;
+    return file;
+}
+
 exit_code run_config_check(const command_line& line, const std::string& key, api_client* client,
                            const console& to)
 {
-    const std::optional<web::json::value> document = load_document(line.operands[0], to);
-    if (!document)
+    const std::string& path = line.operands[0];
+    const std::optional<config_file> file = load_config_file(path, to);
+    if (!file)
         return exit_code::usage;
-    if (!client)
+    const std::vector<config_finding> findings = find_faults(*file);
+    std::optional<std::vector<config_difference>> differences;
+    if (!line.against.empty())
     {
-        to.err << line.operands[0]
-               << ": keys and types are valid; references, ranges and rights were not checked, "
-                  "because no server is given\n";
-        return exit_code::done;
+        const std::optional<config_file> before = load_config_file(line.against, to);
+        if (!before)
+            return exit_code::usage;
+        differences = compare(*before, *file);
+        if (!differences)
+            return report_usage_error(line.against + " and " + path + " have different formats",
+                                      to);
     }
-    std::optional<std::uint64_t> version = version_to_replace(line, *document);
+    const bool is_faulty = has_errors(findings);
+    // A desired state of the serving path is written to the store, not to a server.
+    if (is_faulty || !client || !file->document)
+    {
+        print_check(findings, differences, nullptr, to);
+        if (!is_faulty)
+            to.err << path << ": rights and running endpoints were not checked"
+                   << (file->document ? ", because no server is given\n" : "\n");
+        return is_faulty ? exit_code::usage : exit_code::done;
+    }
+    const web::json::value& document = *file->document;
+    std::optional<std::uint64_t> version = version_to_replace(line, document);
     if (!version)
     {
         const exit_code code = send_request(
@@ -314,11 +380,11 @@
         if (code != exit_code::done)
             return code;
     }
-    return send_request(line, put_config_request(key, *document, version.value_or(0), true), true,
+    return send_request(line, put_config_request(key, document, version.value_or(0), true), true,
                         *client, to,
                         [&](const client_reply& reply)
                         {
-                            print_response(line.command, reply, to);
+                            print_check(findings, differences, &reply, to);
                             return exit_code::done;
                         });
 }
--- a/packages/protocol/config_diff.h
+++ b/packages/protocol/config_diff.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "state/configuration.h"
+#include "state/serving.h"
 #include "state/verdict.h"
 
 #include <string>
@@ -20,6 +21,8 @@
 
 // Differences by section, the defaults first. Entries are matched by name or id.
 std::vector<config_difference> compare(const configuration& before, const configuration& after);
+// The same for two desired states of the serving path. Never holds an API key.
+std::vector<config_difference> compare(const serving_state& before, const serving_state& after);
 
 // Fails with forbidden if an operator of `team` changes anything but the team's pipelines and
 // exceptions for pools that serve only the team's pipelines. An empty team stands for a fleet
