Wait for the domain of large results by its queue

Results that cross failure domains were the largest price on the sites whose stage pools are one shard. In a burst every job had waited for 40 ms, after which any domain was as good, so each call took the most urgent jobs of all domains.

A job now leaves its domain when the pieces ahead of it there take longer than the part of its spare time that it may wait, or when an endpoint would stay idle.

New metrics: pieces run in and outside the preferred domain, result bytes read and crossing.

--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -148,6 +148,11 @@
     void cancel_move(time_point now);
     bool may_return_to_silent_endpoint() const;
     bool holds_inputs() const;
+    std::map<std::string, std::uint64_t>
+    result_bytes_by_domain(const std::vector<std::uint32_t>& stages) const;
+    void count_result_bytes(const std::vector<std::uint32_t>& stages, const std::string& domain,
+                            std::uint64_t readers);
+    void count_stage_result_bytes(std::size_t index);
     std::string results_domain(const std::vector<std::uint32_t>& stages,
                                std::uint32_t readers) const;
     void send(endpoint_ptr endpoint, time_point now);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -3,6 +3,7 @@
 
 #include "coordination/edge_crashing_request_impl.h"
 #include "coordination/edge_exchange.h"
+#include "coordination/edge_transfers_impl.h"
 
 namespace zinnianotch
 {
@@ -389,6 +390,7 @@
             owner_.stage_times_.record(
                 stage.queue, std::chrono::duration_cast<milliseconds>(now - stage.submitted_at),
                 now);
+        count_stage_result_bytes(index);
         for (const std::uint32_t before : route_->stages[index].after)
             release_consumed_results(before);
         return submit_ready(now);
@@ -481,31 +483,6 @@
     stages_[index].handles.clear();
 }
 
-// Failure domain whose endpoints hold the most bytes of the stages' results; empty when the readers
-// fetch less than large_results_bytes from it.
-template <typename Codec>
-std::string edge<Codec>::exchange::results_domain(const std::vector<std::uint32_t>& stages,
-                                                  std::uint32_t readers) const
-{
-    std::map<std::string, std::uint64_t> bytes;
-    for (const std::uint32_t index : stages)
-    {
-        if (index >= stages_.size())
-            continue;
-        for (const std::string& handle : stages_[index].handles)
-        {
-            const endpoint_ptr producer =
-                owner_.endpoints_.find_address(Codec::producer_address(handle));
-            if (producer)
-                bytes[producer->record.domain] += route_->stages[index].result_bytes * readers;
-        }
-    }
-    const auto most =
-        std::max_element(bytes.begin(), bytes.end(),
-                         [](const auto& a, const auto& b) { return a.second < b.second; });
-    return most == bytes.end() || most->second < large_results_bytes ? std::string() : most->first;
-}
-
 template <typename Codec>
 void edge<Codec>::exchange::place(time_point now)
 {
@@ -686,6 +663,7 @@
     extra.priority = std::min(priority(), least_urgent_priority);
     extra.inputs = inputs_of(last_stages());
     extra.resume_after = events_.last_id() ? events_.last_id() : call_.resume_after;
+    count_result_bytes(last_stages(), endpoint_->record.domain, 1);
     record_request_probe(now);
     if (is_generation() && owner_.crash_suspects_.held(call_.prompt_parts, now))
     {
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -413,6 +413,11 @@
         const auto left =
             std::chrono::duration_cast<milliseconds>(found->second.queued.deadline_at - now);
         parts.push_back({part, request.result_bytes});
+        if (!request.preferred_domain.empty())
+            counters_.count(request.preferred_domain == endpoint->record.domain
+                                ? "stage_pieces_in_domain_total"
+                                : "stage_pieces_spilled_total",
+                            part.count);
         for (std::uint32_t i = 0; i < part.count; ++i)
             pieces.push_back({request.attempt, request.stage, part.first + i, left, request.key,
                               request.inputs});
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -14,8 +14,6 @@
 constexpr double near_slowdown_margin = 0.5;
 // A job does not wait if an endpoint in its preferred domain becomes free more rarely than this.
 constexpr milliseconds locality_wait_max_expected{80};
-// A job whose goal is nearer than this many calls does not wait for its preferred domain.
-constexpr int locality_slack = 2;
 // Weight of the newest call in the moving average of an endpoint's slowdown.
 constexpr double slowdown_weight = 0.5;
 // Usable percentage of an endpoint's result memory; result sizes are known only approximately.
@@ -132,22 +130,16 @@
     if (free.empty())
         return std::nullopt;
     sort_queue(now);
+    update_locality(now);
     std::set<std::string> full; // without free result memory
-    std::size_t first = 0;
-    while (first < queue_.size() && full.size() < free.size())
+    while (const auto start = choose_start(free, full, now))
     {
-        const std::string id = choose_endpoint_for(queue_[first], free, full, now);
-        if (id.empty())
-        {
-            ++first;
-            continue;
-        }
         stage_batch batch;
-        batch.endpoint = id;
-        fill(batch, first, now);
+        batch.endpoint = start->endpoint;
+        fill(batch, start->first, now);
         if (batch.pieces == 0)
         {
-            full.insert(id);
+            full.insert(batch.endpoint);
             continue;
         }
         batch.left_pieces_waiting = !queue_.empty();
@@ -157,7 +149,7 @@
                 saturated_batch_pieces_ = batch.pieces;
             saturated_batch_pieces_ += saturation_weight * (batch.pieces - saturated_batch_pieces_);
         }
-        endpoint_state& endpoint = endpoints_[id];
+        endpoint_state& endpoint = endpoints_[batch.endpoint];
         batch.expected = milliseconds(
             std::llround(static_cast<double>(call_time(batch.pieces).count()) * lowest_slowdown()));
         ++endpoint.calls_in_flight;
@@ -167,19 +159,82 @@
     return std::nullopt;
 }
 
-// Delay scheduling: a job with a preferred domain waits briefly for an endpoint there, which saves
-// the transfer of large results between domains.
-bool stage_queue::may_leave_domain(const waiting_part& part, time_point now) const
+// First part in queue order that an endpoint can take. An endpoint that would stay idle takes one
+// that has waited for its domain long enough.
+std::optional<stage_queue::call_start>
+stage_queue::choose_start(const std::vector<std::string>& free, const std::set<std::string>& full,
+                          time_point now) const
 {
-    const stage_job& job = part.job;
-    if (job.preferred_domain.empty() || now - part.queued_at >= locality_wait ||
-        now + locality_slack * call_time(part.count) >= job.goal_at)
-        return true;
-    const auto found = endpoints_by_domain_.find(job.preferred_domain);
-    if (found == endpoints_by_domain_.end())
-        return true;
-    // Mean time until an endpoint there is done with a call.
-    return call_time(spec_.batch) / found->second > locality_wait_max_expected;
+    if (full.size() >= free.size())
+        return std::nullopt;
+    for (const bool is_idle_otherwise : {false, true})
+    {
+        for (std::size_t i = 0; i < queue_.size(); ++i)
+        {
+            const waiting_part& part = queue_[i];
+            const bool leaves =
+                is_idle_otherwise ? has_waited_for_domain(part, now) : part.may_leave_domain;
+            std::string endpoint = choose_endpoint_for(part, free, full, leaves);
+            if (!endpoint.empty())
+                return call_start{std::move(endpoint), i};
+        }
+    }
+    return std::nullopt;
+}
+
+// Time that the part may spend to run in its preferred domain.
+milliseconds stage_queue::locality_allowance(const waiting_part& part, time_point now) const
+{
+    if (part.queued_at == time_point{})
+        return milliseconds(0);
+    const time_point done = next_call_done(now);
+    const time_point latest = done <= part.job.goal_at ? part.job.goal_at : part.job.deadline_at;
+    const auto spare = std::chrono::duration_cast<milliseconds>(latest - done);
+    return std::clamp(spare / locality_slack_divisor, milliseconds(0), locality_wait);
+}
+
+bool stage_queue::has_waited_for_domain(const waiting_part& part, time_point now) const
+{
+    return now - part.queued_at >= locality_allowance(part, now);
+}
+
+// Delay scheduling: a job with a preferred domain waits for an endpoint there, which saves the
+// transfer of large results between domains. It may leave if the pieces ahead of it that prefer the
+// same domain keep the endpoints there busy for longer than it may wait, so load that is uneven
+// spreads over all domains, while load that is even does not leave them in a burst either.
+void stage_queue::update_locality(time_point now)
+{
+    struct backlog
+    {
+        double call_interval_ms = 0.0; // between the ends of two calls; 0 if too long to wait for
+        std::uint64_t pieces = 0;
+    };
+    std::map<std::string_view, backlog> backlogs;
+    for (waiting_part& part : queue_)
+    {
+        part.may_leave_domain = true;
+        if (part.job.preferred_domain.empty())
+            continue;
+        const auto [entry, added] = backlogs.try_emplace(part.job.preferred_domain);
+        backlog& ahead = entry->second;
+        if (added)
+        {
+            const auto found = endpoints_by_domain_.find(part.job.preferred_domain);
+            const auto call_ms = static_cast<double>(call_time(spec_.batch).count());
+            if (found != endpoints_by_domain_.end())
+                ahead.call_interval_ms = call_ms / static_cast<double>(found->second);
+            if (ahead.call_interval_ms > static_cast<double>(locality_wait_max_expected.count()))
+                ahead.call_interval_ms = 0.0;
+        }
+        if (ahead.call_interval_ms > 0.0)
+        {
+            const double calls =
+                0.5 + static_cast<double>(ahead.pieces) / std::max(spec_.batch, 1U);
+            part.may_leave_domain = ahead.call_interval_ms * calls >=
+                                    static_cast<double>(locality_allowance(part, now).count());
+        }
+        ahead.pieces += part.count;
+    }
 }
 
 // A free endpoint for the part, the fastest one unless one in the preferred domain is nearly as
@@ -187,7 +242,7 @@
 std::string stage_queue::choose_endpoint_for(const waiting_part& part,
                                              const std::vector<std::string>& free,
                                              const std::set<std::string>& full,
-                                             time_point now) const
+                                             bool leaves_domain) const
 {
     std::string fastest;
     double lowest = 0.0;
@@ -205,7 +260,7 @@
             endpoint.slowdown <= lowest + near_slowdown_margin)
             return id;
     }
-    return may_leave_domain(part, now) ? fastest : std::string();
+    return leaves_domain ? fastest : std::string();
 }
 
 std::vector<std::uint64_t> stage_queue::take_expired(time_point now)
@@ -521,7 +576,7 @@
             add_part(part, fitting);
     };
     const auto may_run_here = [&](const waiting_part& part)
-    { return part.job.preferred_domain == endpoint.domain || may_leave_domain(part, now); };
+    { return part.job.preferred_domain == endpoint.domain || part.may_leave_domain; };
     // Jobs that prefer this domain, or none, come before those that prefer another one.
     add_if_fitting(queue_[first]);
     for (waiting_part& part : queue_)
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -70,8 +70,12 @@
 // the results of the first call occupy memory until the second one ends.
 inline constexpr std::uint32_t split_below_percent = 50;
 
-// Time that a job waits for an endpoint in its preferred domain while others are free.
-inline constexpr milliseconds locality_wait{40};
+// Longest time that a job waits for an endpoint in its preferred domain while others are free:
+// about one call, after which a domain without a queue has had an endpoint free.
+inline constexpr milliseconds locality_wait{200};
+// A job waits for at most this part of the time that it has to spare: the stages that follow need
+// some of it as well.
+inline constexpr int locality_slack_divisor = 2;
 
 class stage_queue
 {
@@ -125,6 +129,7 @@
         std::uint32_t first = 0;
         std::uint32_t count = 0;
         time_point queued_at{};
+        bool may_leave_domain = true; // when the queue was last examined
     };
 
     struct endpoint_state
@@ -142,6 +147,13 @@
         bool listed = true;
     };
 
+    // The endpoint of a call and the index of the first part in it.
+    struct call_start
+    {
+        std::string endpoint;
+        std::size_t first = 0;
+    };
+
     milliseconds call_time(std::uint32_t pieces) const;
     std::uint32_t saturated_batch_size() const;
     double saturated_call_ms() const;
@@ -155,9 +167,13 @@
     std::uint32_t pieces_that_fit(const endpoint_state& endpoint, const stage_batch& batch,
                                   std::uint64_t batch_bytes, const stage_job& job,
                                   time_point now) const;
-    bool may_leave_domain(const waiting_part& part, time_point now) const;
+    milliseconds locality_allowance(const waiting_part& part, time_point now) const;
+    bool has_waited_for_domain(const waiting_part& part, time_point now) const;
+    void update_locality(time_point now);
     std::string choose_endpoint_for(const waiting_part& part, const std::vector<std::string>& free,
-                                    const std::set<std::string>& full, time_point now) const;
+                                    const std::set<std::string>& full, bool leaves_domain) const;
+    std::optional<call_start> choose_start(const std::vector<std::string>& free,
+                                           const std::set<std::string>& full, time_point now) const;
     void fill(stage_batch& batch, std::size_t first, time_point now);
     std::size_t usable_endpoints(time_point now) const;
     // Pieces per second that jobs on time have brought, as a moving average.
