Read the sizes of requests and the pace of endpoints

Load reports with a fourth figure, how long work takes at the moment, were dropped whole, so on such services every endpoint counted as unreported. The figure is read now; three figures are read as before, anything else is still dropped.

The codec also reads the prompt's parts with their tokens, the token counts and the length hint; the configuration gives an engine's memory and the tokens of an event. work_estimate derives from them what a request will cost: tokens not cached at the endpoint by what this VM has sent there, and the length of the answer by the hint and by earlier answers of the route with hints of its size.

--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -6,6 +6,7 @@
 #include "state/serving.h"
 #include "state/stage_request.h"
 #include "state/time.h"
+#include "state/work_estimate.h"
 #include "transport/message_parser.h"
 
 #include <concepts>
@@ -38,6 +39,7 @@
     // Ids of the parts of the prompt in their order, without the last one, which only requests of
     // the same session have.
     std::vector<std::string> prompt_parts;
+    request_size size;
 };
 
 // Endpoints accept priorities 0 to 9; 0 is the most urgent.
--- a/packages/state/number_range.h
+++ b/packages/state/number_range.h
@@ -30,6 +30,10 @@
 inline constexpr number_range<std::int64_t> start_time_range{0, largest_exact};
 // Concurrent requests or pieces per call of an endpoint; its address has no more ports.
 inline constexpr number_range<std::uint32_t> slots_range{0, 65'535};
+// Time for work in per cent of the usual time; beyond that an endpoint does not work at all.
+inline constexpr number_range<double> pace_percent_range{1.0, 100'000.0};
+// Tokens of a prompt, of an answer or in the memory of an engine.
+inline constexpr number_range<std::uint32_t> tokens_range{0, 1'000'000'000};
 // Pieces of one stage of a request; their handles reach the endpoint in one header field.
 inline constexpr number_range<std::uint32_t> pieces_range{0, 10'000};
 // Pause in seconds that an endpoint may ask for; an endpoint that is away longer leaves instead.
--- a/packages/state/placement.h
+++ b/packages/state/placement.h
@@ -26,6 +26,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    // Factor by which work takes longer than usual at the moment; nothing if not told.
+    std::optional<double> pace = std::nullopt;
 };
 
 // Thresholds and backoff times of endpoint_health.
--- a/packages/state/serving.h
+++ b/packages/state/serving.h
@@ -76,8 +76,10 @@
     milliseconds warm_up{0};           // an endpoint is cold for this long after its start
     double cold_rate = 0.0;          // requests per second allowed to a cold endpoint; 0: no limit
     std::uint32_t slots = 0;         // concurrent requests per endpoint; 0: unknown
-    bool generates = false;          // model engine, which caches prompt prefixes
-    std::optional<batch_spec> batch; // only for services that run stages
+    std::uint32_t memory_tokens = 0; // of one engine, for running requests; 0: unknown
+    std::uint32_t tokens_per_event = 1; // of a stream
+    bool generates = false;             // model engine, which caches prompt prefixes
+    std::optional<batch_spec> batch;    // only for services that run stages
 };
 
 // Bounds on what a client may send.
