--- a/packages/state/shares.cpp
+++ b/packages/state/shares.cpp
@@ -19,11 +19,20 @@
 
 } // namespace
 
+// A zero byte separates the names, so that pairs with equal concatenations differ.
+rendezvous_key::rendezvous_key(std::string_view a)
+    : hash_(fnv_1a(fnv_1a(fnv_offset_basis, a), std::string_view("\0", 1)))
+{
+}
+
+std::uint64_t rendezvous_key::weight(std::string_view b) const
+{
+    return avalanche(fnv_1a(hash_, b));
+}
+
 std::uint64_t rendezvous_weight(std::string_view a, std::string_view b)
 {
-    // A zero byte separates the names, so that pairs with equal concatenations differ.
-    const std::uint64_t first = fnv_1a(fnv_1a(fnv_offset_basis, a), std::string_view("\0", 1));
-    return avalanche(fnv_1a(first, b));
+    return rendezvous_key(a).weight(b);
 }
 
 std::vector<std::string> rendezvous_order(std::string_view key,
--- a/packages/state/shares.h
+++ b/packages/state/shares.h
@@ -17,6 +17,17 @@
 // Stable hash of two names, the same on every VM; for rendezvous hashing.
 std::uint64_t rendezvous_weight(std::string_view a, std::string_view b);
 
+// Computes rendezvous_weight(a, b) for one `a` and many `b`.
+class rendezvous_key
+{
+public:
+    explicit rendezvous_key(std::string_view a);
+    std::uint64_t weight(std::string_view b) const;
+
+private:
+    std::uint64_t hash_;
+};
+
 // The names sorted by their weight for `key`, highest first. Each VM computes the same order, and
 // adding or removing a name moves only the keys assigned to that name.
 std::vector<std::string> rendezvous_order(std::string_view key,
