Place requests by time where endpoints report their pace

The exchange keeps the backlog of each endpoint, learns waits from first bytes and speeds from complete streams and plain answers, and places by expected time once enough is known. In force for services whose endpoints report their pace; on others nothing is learned and the choice is the same code as before.

One VM of 59 sees a request to each of 90 engines every half minute, so VMs exchange observations once a second by way of the relays.

The request line tells placed_by, placement and sent_ms; metrics placed_by_*_total, pace_reports_sent_total.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -20,6 +20,7 @@
 #include "state/state_source.h"
 #include "state/stop_schedule.h"
 #include "state/verdict.h"
+#include "state/work_book.h"
 #include "transport/metrics.h"
 #include "transport/server_connection.h"
 
@@ -172,6 +173,10 @@
     // Tells all VMs what this one has learnt about crashing engines.
     void send_crash_reports(time_point now);
     void on_crash_report(const crash_report& report, report_receivers to);
+    // Exchanges with all VMs, by way of the relays, what each has seen of endpoints that report
+    // their pace.
+    void send_pace_reports(time_point now);
+    void on_pace_reports(const pace_reports& message, bool from_accepted);
     std::vector<vm_message> crash_snapshot();
     void log_held_parts(time_point now);
     void log_held_requests(time_point now);
@@ -204,6 +209,7 @@
     std::vector<table_reading> reading_; // by state_table
     std::array<std::string, state_table_count> logged_sources_;
     bool is_relay_ = true;
+    std::vector<std::string> relays_; // that this VM takes the state from
     bool has_followers_ = false; // VMs of the domain that are not relays take the state from here
     table_copies noticed_copies_;
     time_point noticed_at_{};
@@ -229,6 +235,8 @@
     std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
     std::map<std::string, response_estimate, std::less<>> response_times_; // by route
     observed_stage_times stage_times_;
+    work_book work_;
+    std::uint64_t last_work_id_ = 0;
     std::map<std::string, std::vector<stage_shard>> shards_; // by service
     std::unique_ptr<registration> registration_;
     boost::asio::steady_timer tick_timer_;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -150,7 +150,16 @@
     bool holds_inputs() const;
     std::string results_domain(const std::vector<std::uint32_t>& stages,
                                std::uint32_t readers) const;
+    endpoint_ptr acquire(const placement_request& request, time_point now);
     void send(endpoint_ptr endpoint, time_point now);
+    void begin_work(time_point now);
+    void leave_endpoint();
+    void on_load(const endpoint_load_report& load, time_point now);
+    void record_first_byte(time_point now);
+    void record_plain_time(time_point now);
+    void record_work(time_point now);
+    std::string placement_text() const;
+    void share_sample(pace_sample_kind kind, double value);
     bool may_retry(time_point now) const;
     void retry_or_fail(reason why, verdict outcome, time_point now);
     void retry_after_silence(time_point now);
@@ -261,6 +270,12 @@
     std::string inputs_domain_;
     std::string affinity_;
     std::string digest_; // empty until it is needed
+    // Work of the current attempt at an endpoint of a service whose pace is observed.
+    request_work work_;
+    timed_choice choice_;
+    std::uint64_t work_id_ = 0;  // in the endpoint's backlog; 0: none
+    double unread_before_ = 0.0; // own prompt tokens that the endpoint had to read first
+    double reported_pace_ = 1.0; // with the head of the response
     bool closed_ = false;
 };
 
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -522,12 +522,12 @@
     placement_request request = make_placement(now);
     endpoint_ptr endpoint;
     if (silent_.empty() || attempts_ < route_->attempts)
-        endpoint = owner_.endpoints_.acquire(request, service_, now);
+        endpoint = acquire(request, now);
     if (!endpoint && !silent_.empty())
     {
         request.excluded_ids = nullptr;
         request.only_ids = &silent_;
-        endpoint = owner_.endpoints_.acquire(request, service_, now);
+        endpoint = acquire(request, now);
     }
     if (endpoint)
     {
@@ -572,9 +572,28 @@
     // domain, so a request with a prefix goes where this is cached.
     request.stay_in_preferred = !inputs_domain_.empty() && request.affinity.empty();
     request.excluded_ids = &tried_;
+    const milliseconds goal = route_->goal.count() > 0 ? route_->goal : route_->timeout;
+    if (owner_.work_.is_observed(service_name_, now))
+        work_ = owner_.work_.estimate(service_name_, route_->name, call_.size, goal - elapsed(now),
+                                      now);
+    if (owner_.work_.is_timed(service_name_, route_->name, work_.has_prompt(), now))
+    {
+        request.work = &work_;
+        request.rates = &owner_.work_.rates(service_name_);
+    }
     return request;
 }
 
+template <typename Codec>
+endpoint_ptr edge<Codec>::exchange::acquire(const placement_request& request, time_point now)
+{
+    timed_choice choice;
+    endpoint_ptr endpoint = owner_.endpoints_.acquire(request, service_, now, &choice);
+    if (endpoint)
+        choice_ = choice;
+    return endpoint;
+}
+
 // Begins to move a request whose endpoint is silent to another endpoint. The silent one may be
 // sound, so it keeps the request until the other can take it.
 template <typename Codec>
@@ -617,7 +636,7 @@
     if (!ends_before_stop(now) || !owner_.is_state_confirmed(now) || find_hold(now) ||
         find_request_hold(now) || !owner_.endpoints_.may_retry(service_name_, now))
         return cancel_move(now);
-    const endpoint_ptr next = owner_.endpoints_.acquire(request, service_, now);
+    const endpoint_ptr next = acquire(request, now);
     if (!next)
         return cancel_move(now);
     (void)owner_.endpoints_.try_acquire_retry(service_name_, now);
@@ -673,10 +692,11 @@
 void edge<Codec>::exchange::send(endpoint_ptr endpoint, time_point now)
 {
     endpoint_ = std::move(endpoint);
+    begin_work(now);
     // The deadline may have passed while the process was paused.
     if (now >= deadline_)
     {
-        endpoint_->health.on_finished();
+        leave_endpoint();
         return tick(now);
     }
     endpoint_call extra;
@@ -707,6 +727,118 @@
                                       repeatable ? default_idle_timeout : unrepeatable_max_idle,
                                       now, call_.method != "HEAD");
     owner_.counters_.count("sends_total");
+    owner_.counters_.count("placed_by_" + std::string(to_string(choice_.cause)) + "_total");
+}
+
+// Notes the work that the endpoint gets with this attempt.
+template <typename Codec>
+void edge<Codec>::exchange::begin_work(time_point now)
+{
+    if (!owner_.work_.is_observed(service_name_, now))
+        return;
+    if (choice_.cause == placement_cause::load)
+        choice_.tokens_to_read = work_.prompt_tokens - work_.shared_tokens;
+    backlog_item item;
+    item.id = ++owner_.last_work_id_;
+    item.unread = choice_.tokens_to_read;
+    item.memory = work_.memory_tokens();
+    item.sent_at = now;
+    item.expected_ms = choice_.expected_ms;
+    unread_before_ = endpoint_->backlog.unread();
+    reported_pace_ = 1.0;
+    work_id_ = item.id;
+    endpoint_->backlog.add(item);
+    owner_.work_.prompts.on_sent(endpoint_->key, call_.size.parts, now);
+}
+
+// The endpoint no longer works for the request.
+template <typename Codec>
+void edge<Codec>::exchange::leave_endpoint()
+{
+    endpoint_->health.on_finished();
+    if (work_id_ != 0)
+        endpoint_->backlog.remove(std::exchange(work_id_, 0));
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::on_load(const endpoint_load_report& load, time_point now)
+{
+    endpoint_->health.on_load(load, now);
+    if (!load.pace)
+        return;
+    owner_.work_.on_pace_reported(endpoint_->record.service, now);
+    endpoint_->pace.on_report(*load.pace, now);
+    reported_pace_ = *load.pace;
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::share_sample(pace_sample_kind kind, double value)
+{
+    owner_.work_.exchange().add({endpoint_->key, kind, static_cast<float>(value)});
+}
+
+// Learns from the time to the first byte of a stream how long requests wait at the endpoint.
+template <typename Codec>
+void edge<Codec>::exchange::record_first_byte(time_point now)
+{
+    if (work_id_ == 0 || !work_.has_prompt() || status_ != 200 || endpoint_->health.is_cold(now))
+        return;
+    endpoint_->backlog.on_begun(work_id_);
+    const double elapsed_ms = std::chrono::duration<double, std::milli>(now - sent_at_).count();
+    const double slowness = endpoint_->pace.slowness(now);
+    const double tokens = choice_.tokens_to_read + unread_before_;
+    work_rates& rates = owner_.work_.rates(service_name_);
+    rates.on_first_byte(tokens, elapsed_ms / slowness);
+    if (!rates.knows_first_byte())
+        return;
+    const double wait_ms = std::max(0.0, elapsed_ms - slowness * rates.first_byte_ms(tokens));
+    rates.on_wait(wait_ms);
+    endpoint_->pace.on_wait(wait_ms, own_wait_weight, now);
+    share_sample(pace_sample_kind::wait, wait_ms);
+}
+
+// Learns from the time of a complete plain response how fast the endpoint is.
+template <typename Codec>
+void edge<Codec>::exchange::record_plain_time(time_point now)
+{
+    if (work_id_ == 0 || work_.has_prompt() || status_ / 100 != 2)
+        return;
+    const double elapsed_ms =
+        std::chrono::duration<double, std::milli>(now - sent_at_).count() / reported_pace_;
+    work_rates& rates = owner_.work_.rates(service_name_);
+    rates.on_plain(route_->name, elapsed_ms);
+    if (!rates.knows_plain(route_->name))
+        return;
+    const double factor = elapsed_ms / std::max(1.0, rates.plain_ms(route_->name));
+    endpoint_->pace.on_sample(factor, 1.0, now);
+    share_sample(pace_sample_kind::factor, factor);
+}
+
+// Learns from a complete stream how long the answers of its route are and how fast its endpoint is.
+template <typename Codec>
+void edge<Codec>::exchange::record_work(time_point now)
+{
+    const std::uint64_t events = events_.events() - events_before_attempt_;
+    if (!work_.has_prompt() || service_ == nullptr || status_ != 200 || events < 2 ||
+        !owner_.work_.is_observed(service_name_, now))
+        return;
+    const auto since = [&](time_point at)
+    { return std::chrono::duration<double, std::milli>(now - at).count(); };
+    const double tokens_per_event = service_->tokens_per_event;
+    if (events_before_attempt_ == 0)
+        owner_.work_.lengths.record(route_->name, call_.size,
+                                    tokens_per_event * static_cast<double>(events), now);
+    work_rates& rates = owner_.work_.rates(service_name_);
+    rates.on_end(since(sent_at_) - since(head_at_), since(sent_at_), choice_.tokens_to_read,
+                 work_.memory_tokens());
+    const double tokens = tokens_per_event * static_cast<double>(events - 1);
+    const double elapsed_ms = since(head_at_) / reported_pace_;
+    rates.on_tokens(tokens, elapsed_ms);
+    if (rates.token_made_ms() <= 0.0)
+        return;
+    const double factor = elapsed_ms / tokens / rates.token_made_ms();
+    endpoint_->pace.on_sample(factor, 1.0, now);
+    share_sample(pace_sample_kind::factor, factor);
 }
 
 template <typename Codec>
@@ -714,7 +846,7 @@
 {
     const time_point now = steady_clock::now();
     upstream_.reset();
-    endpoint_->health.on_finished();
+    leave_endpoint();
     if (failure == upstream_failure::connect_failed)
     {
         tried_.insert(endpoint_->record.id);
@@ -917,7 +1049,7 @@
 {
     if (!upstream_)
         return;
-    endpoint_->health.on_finished();
+    leave_endpoint();
     upstream_->cancel();
     upstream_.reset();
 }
@@ -1058,6 +1190,18 @@
     retry_or_fail(reason::connection_broken, verdict::may_have_run, now);
 }
 
+// Estimates on which the last placement by time relied.
+template <typename Codec>
+std::string edge<Codec>::exchange::placement_text() const
+{
+    if (choice_.expected_ms <= 0.0)
+        return "-";
+    std::array<char, 96> text{};
+    (void)std::snprintf(text.data(), text.size(), "expected_ms:%.0f,read:%.0f,slowness:%.2f",
+                        choice_.expected_ms, choice_.tokens_to_read, choice_.slowness);
+    return text.data();
+}
+
 // Ends the exchange: releases stage results, writes the request's log line and removes it from the
 // edge.
 template <typename Codec>
@@ -1089,6 +1233,9 @@
                {"domain", endpoint_ ? endpoint_->record.domain : "-"},
                {"inputs_domain", inputs_domain_.empty() ? "-" : inputs_domain_},
                {"attempts", std::to_string(attempts_)},
+               {"placed_by", attempts_ > 0 ? std::string(to_string(choice_.cause)) : "-"},
+               {"placement", placement_text()},
+               {"sent_ms", since(sent_at_)},
                {"stages_ms", since(stages_done_at_)},
                {"first_ms", since(first_byte_at_)},
                {"total_ms", edge_detail::milliseconds_text(elapsed(now))},
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -114,7 +114,7 @@
                     { on_peer_state(vm, message); }),
       reading_(state_table_count, table_reading(edge_detail::spread_of(options_.vm))),
       crash_suspects_(options_.vm + "/" + random_id()), crashing_requests_(options_.vm),
-      crash_outbox_(options_.link_speed), tick_timer_(io)
+      crash_outbox_(options_.link_speed), work_(random_number()), tick_timer_(io)
 {
 }
 
@@ -315,6 +315,48 @@
         crash_outbox_.add(report, to, now);
 }
 
+template <typename Codec>
+void edge<Codec>::send_pace_reports(time_point now)
+{
+    outgoing_pace outgoing = work_.exchange().take(now);
+    if (is_relay_ && !outgoing.to_accepted.empty())
+        peers_->broadcast(pace_reports{std::move(outgoing.to_accepted)});
+    if (outgoing.to_made.empty())
+        return;
+    const pace_reports message{std::move(outgoing.to_made)};
+    for (const std::string& relay : relays_)
+        stage_router_.send(relay, message);
+    counters_.count("pace_reports_sent_total");
+}
+
+template <typename Codec>
+void edge<Codec>::on_pace_reports(const pace_reports& message, bool from_accepted)
+{
+    const time_point now = steady_clock::now();
+    std::unordered_map<std::uint64_t, endpoint_ptr> by_key;
+    for (const pace_report& report : message.reports)
+    {
+        if (!work_.exchange().on_report(report, from_accepted, now))
+            continue;
+        if (by_key.empty())
+            by_key = endpoints_.by_key();
+        for (const pace_sample& sample : report.samples)
+        {
+            const auto found = by_key.find(sample.endpoint);
+            if (found == by_key.end())
+                continue;
+            known_endpoint& endpoint = *found->second;
+            if (sample.kind == pace_sample_kind::factor)
+                endpoint.pace.on_shared_sample(sample.value, 1.0, now);
+            else
+            {
+                endpoint.pace.on_wait(sample.value, shared_wait_weight, now);
+                work_.rates(endpoint.record.service).on_wait(sample.value);
+            }
+        }
+    }
+}
+
 template <typename Codec>
 std::vector<vm_message> edge<Codec>::crash_snapshot()
 {
@@ -386,6 +428,8 @@
         return on_held_records(*held);
     if (const auto* report = std::get_if<crash_report>(&message))
         return on_crash_report(*report, report_receivers::all_links);
+    if (const auto* paces = std::get_if<pace_reports>(&message))
+        return on_pace_reports(*paces, true);
     stage_router_.on_message(from, std::move(message));
 }
 
@@ -454,6 +498,7 @@
     expire_held_records(now);
     check_held_records_known(now);
     send_crash_reports(now);
+    send_pace_reports(now);
     serve_deferred_requests(now);
     if (!exchanges_.empty())
     {
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -78,7 +78,7 @@
     owner_.on_endpoint_notice(*endpoint_, metadata, now);
     may_have_run_ = may_have_run_ || !metadata.not_run;
     if (metadata.load)
-        endpoint_->health.on_load(*metadata.load, now);
+        on_load(*metadata.load, now);
     if (metadata.cold_for)
         endpoint_->health.set_cold_until(now + *metadata.cold_for);
     disposition_ = choose_disposition(head, metadata);
@@ -101,6 +101,7 @@
         response_fields_ = std::move(head.fields);
     if (disposition_ == disposition::buffer)
         return;
+    record_first_byte(now);
     if (first_byte_at_ == time_point{})
     {
         first_byte_at_ = now;
@@ -231,7 +232,9 @@
 {
     const time_point now = steady_clock::now();
     upstream_.reset();
-    endpoint_->health.on_finished();
+    if (disposition_ == disposition::buffer)
+        record_plain_time(now);
+    leave_endpoint();
     if (discards_response())
         return on_discarded_end(now);
     finish_response(now);
@@ -243,7 +246,7 @@
 {
     const time_point now = steady_clock::now();
     upstream_.reset();
-    endpoint_->health.on_finished();
+    leave_endpoint();
     const bool follows_break = now - endpoint_->broken_at < crash_spread;
     endpoint_->on_exchange_broken(now);
     if (discards_response())
@@ -339,6 +342,7 @@
             client_->send("0\r\n\r\n");
     }
     client_->end(keep_alive_ && !close_delimited_);
+    record_work(now);
     if (status_ == 200)
         record_sound(now);
     else
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -196,6 +196,7 @@
     remote = rendezvous_order("state/" + options_.vm, remote);
     remote.resize(std::min(remote.size(), remote_relays));
     peers.insert(peers.end(), remote.begin(), remote.end());
+    relays_ = peers;
     stage_router_.set_state_peers(std::move(peers));
     const milliseconds wait = has_followers_ ? relay_long_poll_wait : desired_timing.long_poll_wait;
     desired_follower_->set_long_poll_wait(wait);
@@ -319,6 +320,8 @@
         return on_held_records(*held);
     if (const auto* report = std::get_if<crash_report>(&message))
         return on_crash_report(*report, report_receivers::accepted_links);
+    if (const auto* paces = std::get_if<pace_reports>(&message))
+        return on_pace_reports(*paces, false);
     if (std::holds_alternative<leaving_message>(message))
         sources_.remove(vm);
 }
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -30,7 +30,8 @@
 
 known_endpoint::known_endpoint(boost::asio::io_context& io, endpoint_record initial_record,
                                const boost::asio::ip::tcp::endpoint& peer)
-    : record(std::move(initial_record)), pool(io, peer)
+    : record(std::move(initial_record)), key(endpoint_key(record.id, record.started_at)),
+      pool(io, peer)
 {
 }
 
@@ -176,8 +177,30 @@
     return endpoint.cold_sends.count(now) < cold_share(endpoint.record.id, own_vm_, vms_, bound);
 }
 
+std::optional<timed_choice>
+endpoint_directory::choose(const std::vector<placement_candidate>& candidates,
+                           const std::vector<endpoint_ptr>& endpoints,
+                           const placement_request& request, const placement_query& query,
+                           const service_spec* service, time_point now) const
+{
+    if (request.work == nullptr)
+    {
+        const auto index = choose_endpoint(candidates, query, now);
+        return index ? std::optional(timed_choice{*index}) : std::nullopt;
+    }
+    std::vector<timed_candidate> timed;
+    timed.reserve(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        timed.push_back(
+            {candidates[i], &endpoints[i]->pace, &endpoints[i]->backlog, endpoints[i]->key});
+    const std::uint64_t memory = service != nullptr ? service->memory_tokens : 0;
+    const std::uint64_t salt = rendezvous_weight(own_vm_, request.affinity) + query.tie_breaker;
+    return choose_by_time(timed, {query, request.work, request.rates, memory, salt}, now);
+}
+
 endpoint_ptr endpoint_directory::acquire(const placement_request& request,
-                                         const service_spec* service, time_point now)
+                                         const service_spec* service, time_point now,
+                                         timed_choice* choice)
 {
     const auto found = by_service_.find(request.service);
     if (found == by_service_.end())
@@ -201,10 +224,12 @@
     query.stay_in_preferred = request.stay_in_preferred;
     query.default_slots = service != nullptr ? service->slots : 1;
     query.tie_breaker = ++tie_breaker_;
-    const auto chosen = choose_endpoint(candidates, query, now);
+    const auto chosen = choose(candidates, endpoints, request, query, service, now);
     if (!chosen)
         return nullptr;
-    endpoint_ptr endpoint = endpoints[*chosen];
+    if (choice != nullptr)
+        *choice = *chosen;
+    endpoint_ptr endpoint = endpoints[chosen->index];
     endpoint->pool.set_limit(connections);
     endpoint->health.on_sent(now);
     if (service != nullptr && service->cold_rate > 0.0)
@@ -215,17 +240,20 @@
 std::string endpoint_directory::home_domain(std::string_view service, std::string_view affinity,
                                             time_point now) const
 {
-    std::vector<placement_candidate> candidates;
+    std::vector<timed_candidate> candidates;
     const auto found = by_service_.find(service);
     if (found == by_service_.end() || affinity.empty())
         return {};
     for (const endpoint_ptr& endpoint : found->second)
     {
         if (is_usable(*endpoint))
-            candidates.push_back({&endpoint->record, &endpoint->health, true});
+            candidates.push_back({{&endpoint->record, &endpoint->health, true},
+                                  &endpoint->pace,
+                                  &endpoint->backlog,
+                                  endpoint->key});
     }
-    const auto home = home_endpoint(candidates, affinity, now);
-    return home ? candidates[*home].endpoint->domain : std::string();
+    const auto home = timed_home(candidates, affinity, now);
+    return home ? candidates[*home].base.endpoint->domain : std::string();
 }
 
 std::optional<time_point> endpoint_directory::next_available_at(const placement_request& request,
@@ -302,6 +330,15 @@
     return nullptr;
 }
 
+std::unordered_map<std::uint64_t, endpoint_ptr> endpoint_directory::by_key() const
+{
+    std::unordered_map<std::uint64_t, endpoint_ptr> found;
+    found.reserve(endpoints_.size());
+    for (const auto& [id, endpoint] : endpoints_)
+        found.emplace(endpoint->key, endpoint);
+    return found;
+}
+
 void endpoint_directory::count_new_request(const std::string& service, time_point now)
 {
     budgets_[service].on_first_attempt(limits_.retries, now);
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -6,6 +6,7 @@
 #include "state/placement.h"
 #include "state/serving.h"
 #include "state/shares.h"
+#include "state/timed_placement.h"
 #include "transport/upstream.h"
 
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace zinnianotch
@@ -37,7 +39,10 @@
                    const boost::asio::ip::tcp::endpoint& peer);
 
     endpoint_record record;
+    std::uint64_t key; // see endpoint_key
     endpoint_health health;
+    endpoint_pace pace;
+    endpoint_backlog backlog;
     window_counter cold_sends{cold_window};
     upstream_pool pool;
     bool removed = false;  // no longer listed; gets no new requests
@@ -66,6 +71,9 @@
     bool stay_in_preferred = false;
     const std::set<std::string>* excluded_ids = nullptr; // of endpoints; null for none
     const std::set<std::string>* only_ids = nullptr;     // the only endpoints allowed; null for all
+    // For a placement by expected time; null for one by requests and slots.
+    const request_work* work = nullptr;
+    const work_rates* rates = nullptr;
 
     bool allows(const std::string& id) const
     {
@@ -99,8 +107,9 @@
     bool is_domain_out(std::string_view domain) const;
 
     // Chooses an endpoint and counts the request as sent to it; null when none is available.
+    // `choice` receives why it was chosen.
     endpoint_ptr acquire(const placement_request& request, const service_spec* service,
-                         time_point now);
+                         time_point now, timed_choice* choice = nullptr);
     // Failure domain of the endpoint that requests with this affinity go to while it is not loaded
     // above the others; empty when the service has no warm endpoint.
     std::string home_domain(std::string_view service, std::string_view affinity,
@@ -118,6 +127,8 @@
     bool is_serving(std::string_view id) const;
     endpoint_ptr find(std::string_view id) const;
     endpoint_ptr find_address(std::string_view address) const;
+    // All endpoints by their endpoint_key.
+    std::unordered_map<std::uint64_t, endpoint_ptr> by_key() const;
     std::size_t size() const { return endpoints_.size(); }
 
     // Counts the first arrival of a request or stage at a service, which adds to its retry budget.
@@ -139,6 +150,11 @@
     std::vector<std::string> domains_out() const;
 
 private:
+    std::optional<timed_choice> choose(const std::vector<placement_candidate>& candidates,
+                                       const std::vector<endpoint_ptr>& endpoints,
+                                       const placement_request& request,
+                                       const placement_query& query, const service_spec* service,
+                                       time_point now) const;
     bool is_usable(const known_endpoint& endpoint) const;
     bool within_cold_share(known_endpoint& endpoint, const service_spec* service, time_point now);
     std::uint32_t connection_share(const service_spec* service) const;
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -104,6 +104,18 @@
   route @11 :Text;
 }
 
+struct PaceSample {
+  endpoint @0 :UInt64;        # endpoint_key
+  kind @1 :UInt8;             # pace_sample_kind
+  value @2 :Float32;
+}
+
+struct PaceReport {
+  origin @0 :UInt64;
+  sequence @1 :UInt32;
+  samples @2 :List(PaceSample);
+}
+
 struct VmMessage {
   union {
     ping @0 :Void;
@@ -119,5 +131,6 @@
     returned @10 :UInt64;     # a submitted job that the sender has not begun and gives up: submit it elsewhere
     crash @11 :CrashReport;   # passed on to all VMs
     held @12 :HeldRecords;    # records that the store has lost
+    paces @13 :List(PaceReport);  # passed on to all VMs
   }
 }
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -28,6 +28,8 @@
 CAPNP_DECLARE_SCHEMA(dccd13c7e0d2a6cf);
 CAPNP_DECLARE_SCHEMA(dc11f6ecd491614d);
 CAPNP_DECLARE_SCHEMA(dfb1e6f4ca7a0fdf);
+CAPNP_DECLARE_SCHEMA(ed0cc4a5f18653da);
+CAPNP_DECLARE_SCHEMA(85d750203be8bd4f);
 CAPNP_DECLARE_SCHEMA(f939ea7cbcbf7edb);
 
 }  // namespace schemas
@@ -216,6 +218,36 @@
   };
 };
 
+struct PaceSample {
+  PaceSample() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed0cc4a5f18653da, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PaceReport {
+  PaceReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(85d750203be8bd4f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct VmMessage {
   VmMessage() = delete;
 
@@ -236,6 +268,7 @@
     RETURNED,
     CRASH,
     HELD,
+    PACES,
   };
 
   struct _capnpPrivate {
@@ -1520,6 +1553,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class PaceSample::Reader {
+public:
+  typedef PaceSample Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline float getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PaceSample::Builder {
+public:
+  typedef PaceSample Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint();
+  inline void setEndpoint( ::uint64_t value);
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline float getValue();
+  inline void setValue(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PaceSample::Pipeline {
+public:
+  typedef PaceSample Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PaceReport::Reader {
+public:
+  typedef PaceReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOrigin() const;
+
+  inline  ::uint32_t getSequence() const;
+
+  inline bool hasSamples() const;
+  inline  ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Reader getSamples() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PaceReport::Builder {
+public:
+  typedef PaceReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOrigin();
+  inline void setOrigin( ::uint64_t value);
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline bool hasSamples();
+  inline  ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Builder getSamples();
+  inline void setSamples( ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Builder initSamples(unsigned int size);
+  inline void adoptSamples(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>> disownSamples();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PaceReport::Pipeline {
+public:
+  typedef PaceReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class VmMessage::Reader {
 public:
   typedef VmMessage Reads;
@@ -1585,6 +1795,10 @@
   inline bool hasHeld() const;
   inline  ::zinnianotch::wire::HeldRecords::Reader getHeld() const;
 
+  inline bool isPaces() const;
+  inline bool hasPaces() const;
+  inline  ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Reader getPaces() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1698,6 +1912,14 @@
   inline void adoptHeld(::capnp::Orphan< ::zinnianotch::wire::HeldRecords>&& value);
   inline ::capnp::Orphan< ::zinnianotch::wire::HeldRecords> disownHeld();
 
+  inline bool isPaces();
+  inline bool hasPaces();
+  inline  ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Builder getPaces();
+  inline void setPaces( ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Builder initPaces(unsigned int size);
+  inline void adoptPaces(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>> disownPaces();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3029,6 +3251,110 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PaceSample::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PaceSample::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PaceSample::Builder::setEndpoint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PaceSample::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PaceSample::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PaceSample::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PaceSample::Reader::getValue() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float PaceSample::Builder::getValue() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PaceSample::Builder::setValue(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PaceReport::Reader::getOrigin() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PaceReport::Builder::getOrigin() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PaceReport::Builder::setOrigin( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PaceReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PaceReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PaceReport::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PaceReport::Reader::hasSamples() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PaceReport::Builder::hasSamples() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Reader PaceReport::Reader::getSamples() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Builder PaceReport::Builder::getSamples() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PaceReport::Builder::setSamples( ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Builder PaceReport::Builder::initSamples(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PaceReport::Builder::adoptSamples(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>> PaceReport::Builder::disownSamples() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::zinnianotch::wire::VmMessage::Which VmMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3600,6 +3926,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool VmMessage::Reader::isPaces() const {
+  return which() == VmMessage::PACES;
+}
+inline bool VmMessage::Builder::isPaces() {
+  return which() == VmMessage::PACES;
+}
+inline bool VmMessage::Reader::hasPaces() const {
+  if (which() != VmMessage::PACES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmMessage::Builder::hasPaces() {
+  if (which() != VmMessage::PACES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Reader VmMessage::Reader::getPaces() const {
+  KJ_IREQUIRE((which() == VmMessage::PACES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Builder VmMessage::Builder::getPaces() {
+  KJ_IREQUIRE((which() == VmMessage::PACES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::setPaces( ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::PACES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>::Builder VmMessage::Builder::initPaces(unsigned int size) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::PACES);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VmMessage::Builder::adoptPaces(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::PACES);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>> VmMessage::Builder::disownPaces() {
+  KJ_IREQUIRE((which() == VmMessage::PACES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::PaceReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -6,6 +6,7 @@
 #include <capnp/serialize.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <limits>
 
@@ -137,6 +138,23 @@
                 held.time_left == held_until_changed ? -1 : clamp_to_int32(held.time_left));
         }
     }
+    void operator()(const pace_reports& message)
+    {
+        auto list = out_.initPaces(static_cast<capnp::uint>(message.reports.size()));
+        for (capnp::uint i = 0; i < list.size(); ++i)
+        {
+            const pace_report& report = message.reports[i];
+            list[i].setOrigin(report.origin);
+            list[i].setSequence(report.sequence);
+            auto samples = list[i].initSamples(static_cast<capnp::uint>(report.samples.size()));
+            for (capnp::uint n = 0; n < samples.size(); ++n)
+            {
+                samples[n].setEndpoint(report.samples[n].endpoint);
+                samples[n].setKind(static_cast<std::uint8_t>(report.samples[n].kind));
+                samples[n].setValue(report.samples[n].value);
+            }
+        }
+    }
     void operator()(const crash_report& message)
     {
         auto to = out_.initCrash();
@@ -303,6 +321,24 @@
     return message;
 }
 
+pace_reports read_paces(capnp::List<wire::PaceReport>::Reader from)
+{
+    pace_reports message;
+    for (const auto entry : from)
+    {
+        pace_report report{entry.getOrigin(), entry.getSequence(), {}};
+        for (const auto sample : entry.getSamples())
+        {
+            const float number = sample.getValue();
+            KJ_REQUIRE(std::isfinite(number) && number >= 0.0F, "odd pace in a VM message");
+            report.samples.push_back(
+                {sample.getEndpoint(), to_enum(sample.getKind(), pace_sample_kind::wait), number});
+        }
+        message.reports.push_back(std::move(report));
+    }
+    return message;
+}
+
 vm_message read_message(wire::VmMessage::Reader from)
 {
     switch (from.which())
@@ -331,6 +367,8 @@
         return read_crash(from.getCrash());
     case wire::VmMessage::HELD:
         return read_held(from.getHeld());
+    case wire::VmMessage::PACES:
+        return read_paces(from.getPaces());
     case wire::VmMessage::RETURNED:
         return returned_message{from.getReturned()};
     }
--- a/packages/protocol/vm_message.h
+++ b/packages/protocol/vm_message.h
@@ -6,6 +6,7 @@
 #include "state/stage_request.h"
 #include "state/state_source.h"
 #include "state/table_replica.h"
+#include "state/work_book.h"
 
 #include <cstdint>
 #include <optional>
@@ -75,11 +76,16 @@
 {
     std::uint64_t job = 0;
 };
+// What VMs have seen of endpoints.
+struct pace_reports
+{
+    std::vector<pace_report> reports;
+};
 
 using vm_message =
     std::variant<ping_message, pong_message, submit_message, done_message, cancel_message,
                  release_message, state_query, state_answer, leaving_message, state_notice,
-                 returned_message, crash_report, held_records>;
+                 returned_message, crash_report, held_records, pace_reports>;
 
 // Largest accepted message in bytes, without the length prefix.
 inline constexpr std::size_t frame_limit = 16 * 1024 * 1024;
