--- a/tests/unit/timed_placement_test.cpp
+++ b/tests/unit/timed_placement_test.cpp
@@ -370,8 +370,7 @@
 // Guards against a choice that gains little of what full knowledge of all endpoints would.
 Test(timed_placement, mixed_sizes_and_speeds_two_thirds_of_full_knowledge)
 {
-    const std::vector<arrival> arrivals =
-        make_arrivals(7, 30.0, 400.0);
+    const std::vector<arrival> arrivals = make_arrivals(7, 30.0, 400.0);
     const outcome slots_only = simulation(policy::by_slots, 7).play(arrivals);
     const outcome timed = simulation(policy::by_time, 7).play(arrivals);
     const outcome best = simulation(policy::full_knowledge, 7).play(arrivals);
