Admit whole requests and reserve stage capacity by urgency

Cause: estimates of later stages were kept over all routes, so an urgent request with a short goal was judged by the waits of less urgent ones; a client account's priority hid the urgency of its routes, so jobs of equal accounts were ordered by goal alone; and each stage decided for itself, so requests were refused after stages had run.

Ruled out: estimates by route without an admission of the whole request (what urgent requests gained was paid by others refused late); calls that are never shortened, or down to a quarter of a batch.

Change: the VM that batches a queue reports with each outcome how long a job of each rank waits, and how long a late one. The VM that read the request admits it by the sum over its stages, or refuses it at once. Later stages of an admitted request are refused only by their deadline. In force only where a less urgent route shares a stage service with a more urgent one of a goal half as long or shorter.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -228,6 +228,9 @@
     std::set<std::string> logged_held_requests_;
     std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
     std::map<std::string, response_estimate, std::less<>> response_times_; // by route
+    std::map<std::string, time_estimate, std::less<>> route_first_byte_times_;
+    std::set<std::string, std::less<>> contended_services_; // of state_
+    queue_delay_reports queue_delays_;
     observed_stage_times stage_times_;
     std::map<std::string, std::vector<stage_shard>> shards_; // by service
     std::unique_ptr<registration> registration_;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/edge.h"
+#include "state/chain_admission.h"
 #include "state/endpoint_exit.h"
 #include "state/event_stream.h"
 #include "transport/log.h"
@@ -128,6 +129,13 @@
     void submit_stage(std::size_t index, time_point now);
     void on_stage_outcome(std::size_t index, const stage_outcome& outcome);
     bool stages_done() const;
+    bool is_contended() const;
+    bool admit_chain(time_point now);
+    chain_estimate estimate_stage(std::size_t index, time_point now) const;
+    // From the end of the stage to the first byte of the response.
+    chain_estimate estimate_after(std::size_t index, time_point now) const;
+    milliseconds first_byte_time() const;
+    milliseconds goal() const { return route_->goal.count() > 0 ? route_->goal : route_->timeout; }
     milliseconds time_after(std::size_t index, time_point now) const;
     milliseconds expected_stage_time(std::size_t index, time_point now) const;
     milliseconds nominal_stage_time(std::size_t index) const;
@@ -138,6 +146,7 @@
     std::vector<std::uint32_t> last_stages() const;
     void rerun_stages(time_point now);
     void release_results();
+    void count_unused_results(bool client_left);
     void release_consumed_results(std::size_t index);
 
     void place(time_point now);
@@ -197,6 +206,8 @@
     void close(std::string_view outcome, int status, time_point now);
 
     std::uint32_t priority() const;
+    // Rank among the jobs of stages.
+    std::uint32_t stage_priority() const;
     milliseconds elapsed(time_point now) const
     {
         return std::chrono::duration_cast<milliseconds>(now - received_);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -220,6 +220,8 @@
         stages_[i].pieces = i < call_.pieces.size() ? call_.pieces[i] : 0;
         stages_[i].done = stages_[i].pieces == 0;
     }
+    if (!stages_rerun_ && !admit_chain(now))
+        return;
     submit_ready(now);
 }
 
@@ -291,10 +293,108 @@
     return domain;
 }
 
+// True if a stage of the request runs in a service whose capacity is reserved by urgency.
+template <typename Codec>
+bool edge<Codec>::exchange::is_contended() const
+{
+    return std::any_of(route_->stages.begin(), route_->stages.end(),
+                       [&](const stage_spec& stage)
+                       { return owner_.contended_services_.contains(stage.service); });
+}
+
+template <typename Codec>
+std::uint32_t edge<Codec>::exchange::stage_priority() const
+{
+    if (!is_contended())
+        return priority();
+    return urgency_rank(account_ != nullptr ? account_->priority : std::nullopt, route_->priority);
+}
+
+template <typename Codec>
+milliseconds edge<Codec>::exchange::first_byte_time() const
+{
+    const auto own = owner_.route_first_byte_times_.find(route_->name);
+    return own == owner_.route_first_byte_times_.end() ? first_byte_default
+                                                       : own->second.upper_bound();
+}
+
+// Uses the fastest shard that its batching VM has reported lately.
+template <typename Codec>
+chain_estimate edge<Codec>::exchange::estimate_stage(std::size_t index, time_point now) const
+{
+    const std::string& service = route_->stages[index].service;
+    std::optional<chain_estimate> best;
+    for (const stage_shard& shard : owner_.shards_of(service))
+    {
+        const queue_delays* const delays =
+            owner_.queue_delays_.find(queue_name(service, shard.domain), now);
+        const auto delay = delays == nullptr ? std::nullopt : find_delay(*delays, stage_priority());
+        if (delay && (!best || *delay < best->on_time))
+            best = chain_estimate{*delay, std::max(*delay, delays->late)};
+    }
+    const milliseconds nominal = nominal_stage_time(index);
+    if (!best)
+        return {nominal, nominal};
+    return {std::max(nominal, best->on_time), std::max(nominal, best->late)};
+}
+
+template <typename Codec>
+chain_estimate edge<Codec>::exchange::estimate_after(std::size_t index, time_point now) const
+{
+    chain_estimate longest;
+    bool followed = false;
+    for (std::size_t i = index + 1; i < stages_.size(); ++i)
+    {
+        const auto& after = route_->stages[i].after;
+        if (stages_[i].pieces == 0 || std::find(after.begin(), after.end(), index) == after.end())
+            continue;
+        followed = true;
+        const chain_estimate own = estimate_stage(i, now);
+        const chain_estimate rest = estimate_after(i, now);
+        longest.on_time = std::max(longest.on_time, own.on_time + rest.on_time);
+        longest.late = std::max(longest.late, own.late + rest.late);
+    }
+    return followed ? longest : chain_estimate{first_byte_time(), first_byte_time()};
+}
+
+// Refuses a request that does not fit through all its stages, before the first one is queued.
+template <typename Codec>
+bool edge<Codec>::exchange::admit_chain(time_point now)
+{
+    if (!is_contended())
+        return true;
+    chain_estimate whole;
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (stages_[i].done || !route_->stages[i].after.empty())
+            continue;
+        const chain_estimate own = estimate_stage(i, now);
+        const chain_estimate rest = estimate_after(i, now);
+        whole.on_time = std::max(whole.on_time, own.on_time + rest.on_time);
+        whole.late = std::max(whole.late, own.late + rest.late);
+    }
+    const chain_verdict verdict = decide_chain(whole, goal() - elapsed(now), remaining(now));
+    if (verdict.decision != chain_decision::refused)
+        return true;
+    owner_.counters_.count("chain_refusals_total");
+    std::string detail =
+        "all stages take " + edge_detail::milliseconds_text(whole.on_time) + " ms:";
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (!stages_[i].done)
+            detail += " " + edge_detail::milliseconds_text(estimate_stage(i, now).on_time);
+    }
+    detail += " and " + edge_detail::milliseconds_text(first_byte_time());
+    refuse(reason::overloaded, detail, verdict.retry_after, now);
+    return false;
+}
+
 // Expected time from the end of this stage to the first byte of the response.
 template <typename Codec>
 milliseconds edge<Codec>::exchange::time_after(std::size_t index, time_point now) const
 {
+    if (is_contended())
+        return estimate_after(index, now).on_time;
     milliseconds longest{0};
     bool followed = false;
     for (std::size_t i = index + 1; i < stages_.size(); ++i)
@@ -344,7 +444,7 @@
     request.attempt = call_.attempt;
     request.service = spec.service;
     request.stage = static_cast<std::uint32_t>(index);
-    request.priority = priority();
+    request.priority = stage_priority();
     request.pieces = stages_[index].pieces;
     request.result_bytes = spec.result_bytes;
     if (spec.after.empty())
@@ -355,8 +455,7 @@
     request.shard = choose_stage_shard(index, request.preferred_domain, now);
     stages_[index].queue = queue_name(request.service, request.shard);
     const milliseconds rest = time_after(index, now);
-    const milliseconds goal = route_->goal.count() > 0 ? route_->goal : route_->timeout;
-    request.goal_left = goal - elapsed(now) - rest;
+    request.goal_left = goal() - elapsed(now) - rest;
     request.deadline_left = remaining(now) - rest;
     stages_[index].submitted = true;
     stages_[index].submitted_at = now;
@@ -375,6 +474,8 @@
 void edge<Codec>::exchange::on_stage_outcome(std::size_t index, const stage_outcome& outcome)
 {
     const time_point now = steady_clock::now();
+    if (!outcome.delays.by_priority.empty())
+        owner_.queue_delays_.record(stages_[index].queue, outcome.delays, now);
     if (closed_)
     {
         owner_.stage_router_.release(stages_[index].queue, outcome.handles);
@@ -465,6 +566,21 @@
     }
 }
 
+// Counts the pieces of stages that ran for a request which ends before an engine read them.
+template <typename Codec>
+void edge<Codec>::exchange::count_unused_results(bool client_left)
+{
+    if (first_byte_at_ != time_point{})
+        return;
+    std::uint64_t pieces = 0;
+    for (const stage_progress& stage : stages_)
+        pieces += stage.submitted && stage.done ? stage.pieces : 0;
+    if (pieces > 0)
+        owner_.counters_.count(client_left ? "stage_pieces_of_left_clients_total"
+                                           : "stage_pieces_of_refused_requests_total",
+                               pieces);
+}
+
 // Releases the results of a stage once all stages that read them are done.
 template <typename Codec>
 void edge<Codec>::exchange::release_consumed_results(std::size_t index)
@@ -936,6 +1052,7 @@
     send_error_response(
         503, why, verdict::not_run,
         std::clamp(retry_after, retry_after_min, is_held ? retry_after_held_max : retry_after_max));
+    count_unused_results(false);
     close(std::string(to_string(why)) + ": " + std::string(detail), 503, now);
 }
 
@@ -954,6 +1071,7 @@
     if (outcome != verdict::not_run && edge_detail::promises_not_run(status))
         status = 502;
     send_error_response(status, why, outcome, std::nullopt);
+    count_unused_results(false);
     close(std::string(to_string(why)) + ": " + std::string(detail), status, now);
 }
 
@@ -994,6 +1112,7 @@
 {
     owner_.counters_.count("callers_left_total");
     drop_upstream();
+    count_unused_results(true);
     close("caller disconnected", 0, steady_clock::now());
 }
 
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -353,7 +353,7 @@
 {
     if (!state_)
         return;
-    stage_batcher_.refresh(*state_);
+    stage_batcher_.refresh(*state_, contended_services_);
     std::vector<routed_queue> queues;
     for (const auto& [name, service] : state_->services)
     {
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -106,6 +106,8 @@
         first_byte_at_ = now;
         owner_.first_byte_times_[service_name_].record(
             std::chrono::duration_cast<milliseconds>(now - sent_at_));
+        owner_.route_first_byte_times_[route_->name].record(
+            std::chrono::duration_cast<milliseconds>(now - sent_at_));
     }
     // An endpoint that begins to respond has already read its inputs.
     release_results();
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -47,6 +47,9 @@
         state_since_ = steady_clock::now();
         std::erase_if(response_times_,
                       [&](const auto& entry) { return !has_route(*state_, entry.first); });
+        std::erase_if(route_first_byte_times_,
+                      [&](const auto& entry) { return !has_route(*state_, entry.first); });
+        contended_services_ = find_contended_services(*state_);
         const client_limits& limits = state_->limits;
         callers_->set_limits(
             {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -44,6 +45,8 @@
 // Releases of results are sent together at this interval; at once while pieces wait in the queue,
 // because calls may lack free result memory.
 inline constexpr milliseconds release_flush_interval{100};
+// Delays of a queue are computed again after this time. The cost grows with the queue.
+inline constexpr milliseconds delays_interval{50};
 
 template <typename Codec>
 class stage_batcher
@@ -61,7 +64,8 @@
     stage_batcher& operator=(const stage_batcher&) = delete;
 
     // Updates the queues from the settings of the services and from the listed endpoints.
-    void refresh(const serving_state& state);
+    // Capacity of the services in `contended` is reserved by urgency.
+    void refresh(const serving_state& state, const std::set<std::string, std::less<>>& contended);
     // The endpoint gets no calls until this time.
     void pause_endpoint(const endpoint_record& endpoint, time_point until);
 
@@ -108,8 +112,11 @@
 
         stage_queue queue;
         batch_spec spec;
+        queue_delays delays;
+        time_point delays_at{};
     };
 
+    const queue_delays& delays_of(service_queue& entry, time_point now);
     void dispatch(const std::string& key, time_point now);
     void send(const std::string& key, stage_batch batch, time_point now);
     void on_results(batch_call& call, const std::vector<piece_result>& results, time_point now);
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -187,7 +187,8 @@
 stage_batcher<Codec>::~stage_batcher() = default;
 
 template <typename Codec>
-void stage_batcher<Codec>::refresh(const serving_state& state)
+void stage_batcher<Codec>::refresh(const serving_state& state,
+                                   const std::set<std::string, std::less<>>& contended)
 {
     for (const auto& [name, service] : state.services)
     {
@@ -211,6 +212,7 @@
             entry.service = name;
             entry.spec = *service.batch;
             entry.queue.set_service(*service.batch);
+            entry.queue.set_reserving(contended.contains(name));
             entry.queue.set_endpoints(listed);
         }
         for (const endpoint_ptr& endpoint : endpoints_.serving(name))
@@ -242,13 +244,15 @@
                            request.result_bytes,
                            now + request.goal_left,
                            now + request.deadline_left,
-                           request.preferred_domain};
+                           request.preferred_domain,
+                           !request.inputs.empty()};
     const milliseconds expected = entry.queue.expected_time(queued, now);
     if (!entry.queue.admits(queued, expected, now))
     {
         stage_outcome outcome;
         outcome.end = stage_end::refused;
         outcome.expected = expected;
+        outcome.delays = delays_of(entry, now);
         boost::asio::post(io_, [done = std::move(done), outcome = std::move(outcome)]
                           { done(outcome); });
         return id;
@@ -266,6 +270,17 @@
     return id;
 }
 
+template <typename Codec>
+const queue_delays& stage_batcher<Codec>::delays_of(service_queue& entry, time_point now)
+{
+    if (now - entry.delays_at >= delays_interval)
+    {
+        entry.delays = entry.queue.delays(now);
+        entry.delays_at = now;
+    }
+    return entry.delays;
+}
+
 template <typename Codec>
 void stage_batcher<Codec>::cancel(std::uint64_t id)
 {
@@ -481,6 +496,8 @@
                              now);
         }
         release(unused);
+        if (!unused.empty())
+            counters_.count("stage_results_unused_total", unused.size());
         if (why)
             fail(part.job, *why);
         else if (const auto current = jobs_.find(part.job);
@@ -583,6 +600,9 @@
 {
     const auto found = jobs_.find(id);
     const stage_callback done = std::move(found->second.done);
+    const stage_request& request = found->second.request;
+    outcome.delays =
+        delays_of(queues_[queue_name(request.service, request.shard)], steady_clock::now());
     jobs_.erase(found);
     boost::asio::post(io_, [done, outcome = std::move(outcome)] { done(outcome); });
 }
@@ -626,6 +646,8 @@
     }
     for (const std::string& handle : expired)
         (void)free_result(handle);
+    if (!expired.empty())
+        counters_.count("stage_results_expired_total", expired.size());
     while (!freed_expiries_.empty() && now >= freed_expiries_.front().at)
     {
         freed_.erase(freed_expiries_.front().handle);
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -21,12 +21,19 @@
   shard @12 :Text;
 }
 
+struct QueueDelay {
+  priority @0 :UInt32;
+  expectedMs @1 :Int32;
+}
+
 struct StageDone {
   job @0 :UInt64;
   end @1 :UInt8;              # stage_end
   why @2 :UInt8;              # piece_failure
   expectedMs @3 :Int32;
   handles @4 :List(Text);
+  delays @5 :List(QueueDelay); # of the queue now, by ascending priority
+  lateDelayMs @6 :Int32;       # of a job that cannot meet its goal
 }
 
 struct ReleaseResults {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(d2f244f02d0b756b);
+CAPNP_DECLARE_SCHEMA(f8b88c7079bfd716);
 CAPNP_DECLARE_SCHEMA(eb61a71fd3791e0c);
 CAPNP_DECLARE_SCHEMA(f4c5a4a8801bfb9a);
 CAPNP_DECLARE_SCHEMA(cf3530ae833444dc);
@@ -51,6 +52,21 @@
   };
 };
 
+struct QueueDelay {
+  QueueDelay() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f8b88c7079bfd716, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StageDone {
   StageDone() = delete;
 
@@ -59,7 +75,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eb61a71fd3791e0c, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(eb61a71fd3791e0c, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -415,6 +431,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class QueueDelay::Reader {
+public:
+  typedef QueueDelay Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::int32_t getExpectedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QueueDelay::Builder {
+public:
+  typedef QueueDelay Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::int32_t getExpectedMs();
+  inline void setExpectedMs( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QueueDelay::Pipeline {
+public:
+  typedef QueueDelay Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StageDone::Reader {
 public:
   typedef StageDone Reads;
@@ -443,6 +540,11 @@
   inline bool hasHandles() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHandles() const;
 
+  inline bool hasDelays() const;
+  inline  ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Reader getDelays() const;
+
+  inline  ::int32_t getLateDelayMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -491,6 +593,16 @@
   inline void adoptHandles(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHandles();
 
+  inline bool hasDelays();
+  inline  ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Builder getDelays();
+  inline void setDelays( ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Builder initDelays(unsigned int size);
+  inline void adoptDelays(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>> disownDelays();
+
+  inline  ::int32_t getLateDelayMs();
+  inline void setLateDelayMs( ::int32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2032,6 +2144,34 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t QueueDelay::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QueueDelay::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QueueDelay::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t QueueDelay::Reader::getExpectedMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t QueueDelay::Builder::getExpectedMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QueueDelay::Builder::setExpectedMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StageDone::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2126,6 +2266,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool StageDone::Reader::hasDelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageDone::Builder::hasDelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Reader StageDone::Reader::getDelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Builder StageDone::Builder::getDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StageDone::Builder::setDelays( ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>::Builder StageDone::Builder::initDelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StageDone::Builder::adoptDelays(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>> StageDone::Builder::disownDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::QueueDelay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t StageDone::Reader::getLateDelayMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t StageDone::Builder::getLateDelayMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StageDone::Builder::setLateDelayMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ReleaseResults::Reader::hasHandles() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -91,6 +91,15 @@
         to.setExpectedMs(clamp_to_int32(message.outcome.expected));
         write_texts(to.initHandles(static_cast<capnp::uint>(message.outcome.handles.size())),
                     message.outcome.handles);
+        const queue_delays& delays = message.outcome.delays;
+        auto entries = to.initDelays(static_cast<capnp::uint>(delays.by_priority.size()));
+        for (std::size_t i = 0; i < delays.by_priority.size(); ++i)
+        {
+            entries[static_cast<capnp::uint>(i)].setPriority(delays.by_priority[i].priority);
+            entries[static_cast<capnp::uint>(i)].setExpectedMs(
+                clamp_to_int32(delays.by_priority[i].expected));
+        }
+        to.setLateDelayMs(clamp_to_int32(delays.late));
     }
     void operator()(const release_message& message)
     {
@@ -214,6 +223,14 @@
     message.outcome.why = to_enum(from.getWhy(), piece_failure::failed);
     message.outcome.expected = milliseconds(from.getExpectedMs());
     message.outcome.handles = read_texts(from.getHandles());
+    for (const auto entry : from.getDelays())
+    {
+        if (message.outcome.delays.by_priority.size() == queue_delays_max_priorities)
+            break;
+        message.outcome.delays.by_priority.push_back(
+            {entry.getPriority(), milliseconds(entry.getExpectedMs())});
+    }
+    message.outcome.delays.late = milliseconds(from.getLateDelayMs());
     return message;
 }
 
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -26,13 +26,17 @@
 // A job that would miss its goal is admitted only while the waiting pieces amount to fewer than
 // this many full calls per usable endpoint.
 constexpr std::size_t max_late_rounds = 2;
-// Time constant of the average rate of jobs on time. It covers several bursts: what jobs that are
-// late can count on is the capacity left between these.
-constexpr milliseconds on_time_window{8000};
 // Least time over which the rate is averaged after the first job.
 constexpr milliseconds on_time_window_min{1000};
 // Safety margin on the time in which spare capacity finishes a late job.
 constexpr double spare_margin = 1.3;
+// A call with a job whose goal is near is kept short, but not below this share of the batch: each
+// call has a fixed cost.
+constexpr std::uint32_t short_call_divisor = 2;
+// A goal is near if it was fewer than this many full calls away when the job was queued.
+constexpr int near_goal_calls = 2;
+// A priority with fewer pieces per second is left out of the reported delays.
+constexpr double rate_forgotten = 0.2;
 // Weight of the newest call in the moving averages of calls under saturation.
 constexpr double saturation_weight = 0.2;
 
@@ -50,6 +54,12 @@
     return late_a ? a.deadline_at < b.deadline_at : a.goal_at < b.goal_at;
 }
 
+// Bounds the number of rates that are kept.
+std::uint32_t priority_level(const stage_job& job)
+{
+    return std::min(job.priority, queue_priority_max);
+}
+
 bool is_expected_by(time_point latest, milliseconds expected, time_point now)
 {
     return now + expected * expected_margin_percent / 100 <= latest;
@@ -57,6 +67,29 @@
 
 } // namespace
 
+void piece_rate::add(std::uint32_t pieces, time_point now)
+{
+    if (since_ == time_point{})
+        since_ = now;
+    pieces_ = decayed(now) + pieces;
+    at_ = now;
+}
+
+double piece_rate::decayed(time_point now) const
+{
+    const std::chrono::duration<double> age = now - at_;
+    return pieces_ * std::exp(-age / window_);
+}
+
+double piece_rate::per_second(time_point now) const
+{
+    // Early on, the average covers only the time since the first job.
+    const std::chrono::duration<double> covered =
+        std::max<time_point::duration>(now - since_, on_time_window_min);
+    const std::chrono::duration<double> window = window_;
+    return decayed(now) / (window.count() * (1.0 - std::exp(-covered / window)));
+}
+
 void stage_queue::set_service(const batch_spec& spec)
 {
     spec_ = spec;
@@ -82,10 +115,10 @@
 {
     if (is_expected_by(job.goal_at, expected, now))
     {
-        if (on_time_since_ == time_point{})
-            on_time_since_ = now;
-        on_time_pieces_ = decayed_on_time_pieces(now) + job.pieces;
-        on_time_at_ = now;
+        on_time_.add(job.pieces, now);
+        if (reserving_)
+            added_.try_emplace(priority_level(job), priority_rate_window)
+                .first->second.add(job.pieces, now);
     }
     enqueue({job, 0, job.pieces, now});
 }
@@ -132,6 +165,8 @@
     if (free.empty())
         return std::nullopt;
     sort_queue(now);
+    if (reserving_)
+        promote_starved(now);
     std::set<std::string> full; // without free result memory
     std::size_t first = 0;
     while (first < queue_.size() && full.size() < free.size())
@@ -304,18 +339,109 @@
         if (!is_scheduled_before(job, part.job, next_done))
             ahead += part.count;
     }
+    return time_behind(ahead, job.pieces,
+                       reserving_ ? reserve_factor(priority_level(job), now) : 1.0, now);
+}
+
+milliseconds stage_queue::time_behind(std::uint64_t ahead, std::uint32_t pieces, double factor,
+                                      time_point now) const
+{
     const std::size_t usable = std::max<std::size_t>(usable_endpoints(now), 1);
     const std::uint32_t batch_size = saturated_batch_size();
-    const std::uint64_t calls = (ahead + job.pieces + batch_size - 1) / batch_size;
+    const std::uint64_t calls = (ahead + pieces + batch_size - 1) / batch_size;
     const double call_ms = saturated_call_ms();
+    const double own_call_ms = reserving_ ? short_call_ms(pieces) : call_ms;
     const double start_interval_ms = call_ms / static_cast<double>(usable); // between call starts
+    if (reserving_ && !queue_.empty())
+        return milliseconds(
+            std::llround(own_call_ms + start_interval_ms * static_cast<double>(calls) * factor));
     if (ahead == 0)
-        return call_time(std::min(job.pieces, batch_size)) +
+        return call_time(std::min(pieces, batch_size)) +
                milliseconds(std::llround(start_interval_ms * static_cast<double>(calls - 1)));
     // All endpoints are busy if pieces wait; the next one becomes free after half the interval
     // between call starts on average.
-    return milliseconds(
-        std::llround(call_ms + start_interval_ms * (static_cast<double>(calls) - 0.5)));
+    const double waiting_ms = start_interval_ms * (static_cast<double>(calls) - 0.5);
+    return milliseconds(std::llround(own_call_ms + waiting_ms * factor));
+}
+
+// More urgent jobs that arrive while a job waits go ahead of it.
+double stage_queue::reserve_factor(std::uint32_t priority, time_point now) const
+{
+    double urgent = 0.0;
+    for (const auto& [level, rate] : added_)
+    {
+        if (level < priority)
+            urgent += rate.per_second(now);
+    }
+    const double total = std::max(capacity(now), 1e-3);
+    return total / std::max(total - urgent, capacity_floor * total);
+}
+
+queue_delays stage_queue::delays(time_point now) const
+{
+    queue_delays result;
+    if (!reserving_)
+        return result;
+    const time_point next_done = next_call_done(now);
+    std::map<std::uint32_t, std::uint64_t> waiting; // pieces of jobs on time
+    for (const waiting_part& part : queue_)
+    {
+        if (next_done <= part.job.goal_at)
+            waiting[priority_level(part.job)] += part.count;
+    }
+    std::uint64_t ahead = 0;
+    for (const auto& [priority, rate] : added_)
+    {
+        ahead += waiting[priority];
+        if (rate.per_second(now) < rate_forgotten)
+            continue;
+        const milliseconds expected = time_behind(ahead, 1, reserve_factor(priority, now), now);
+        result.by_priority.push_back({priority, std::min(expected, unbounded_delay)});
+        if (result.by_priority.size() == queue_delays_max_priorities)
+            break;
+    }
+    result.late = late_delay(now);
+    return result;
+}
+
+milliseconds stage_queue::late_delay(time_point now) const
+{
+    const milliseconds unhindered = time_behind(waiting_pieces(), 1, 1.0, now);
+    if (waiting_pieces() < max_late_rounds * saturated_batch_size() * usable_endpoints(now))
+        return unhindered;
+    const double total = capacity(now);
+    const double spare = total - on_time_.per_second(now);
+    if (spare <= 0.0)
+        return unbounded_delay;
+    return std::min(unbounded_delay, milliseconds(std::llround(
+                                         static_cast<double>(unhindered.count()) * total / spare)));
+}
+
+// Moves the first job on time of a priority that got less than its floor to the front.
+void stage_queue::promote_starved(time_point now)
+{
+    double all = 0.0;
+    for (const auto& [priority, rate] : sent_)
+        all += rate.per_second(now);
+    const time_point next_done = next_call_done(now);
+    std::set<std::uint32_t> seen;
+    for (std::size_t i = 0; i < queue_.size(); ++i)
+    {
+        const stage_job& job = queue_[i].job;
+        if (next_done > job.goal_at)
+            return; // only late jobs follow
+        if (!seen.insert(priority_level(job)).second || i == 0)
+            continue;
+        const auto sent = sent_.find(priority_level(job));
+        const double own = sent == sent_.end() ? 0.0 : sent->second.per_second(now);
+        const auto added = added_.find(priority_level(job));
+        const double asked = added == added_.end() ? 0.0 : added->second.per_second(now);
+        if (own >= capacity_floor * all || own >= asked / 2.0)
+            continue;
+        const auto at = queue_.begin() + static_cast<std::ptrdiff_t>(i);
+        std::rotate(queue_.begin(), at, at + 1);
+        return;
+    }
 }
 
 // On-time jobs are scheduled first, so a late job runs only on spare capacity. Under sustained
@@ -328,31 +454,22 @@
         return false;
     if (is_expected_by(job.goal_at, expected, now))
         return true;
+    if (reserving_ && job.is_continuation)
+        return true;
     return waiting_pieces() < max_late_rounds * saturated_batch_size() * usable_endpoints(now) ||
            spare_capacity_finishes(job, now);
 }
 
-double stage_queue::decayed_on_time_pieces(time_point now) const
+double stage_queue::capacity(time_point now) const
 {
-    const std::chrono::duration<double> age = now - on_time_at_;
-    return on_time_pieces_ * std::exp(-age / on_time_window);
-}
-
-double stage_queue::on_time_rate(time_point now) const
-{
-    // Early on, the average covers only the time since the first job.
-    const std::chrono::duration<double> covered =
-        std::max<time_point::duration>(now - on_time_since_, on_time_window_min);
-    const std::chrono::duration<double> window = on_time_window;
-    return decayed_on_time_pieces(now) / (window.count() * (1.0 - std::exp(-covered / window)));
+    return static_cast<double>(usable_endpoints(now) * saturated_batch_size()) * 1000.0 /
+           saturated_call_ms();
 }
 
 bool stage_queue::spare_capacity_finishes(const stage_job& job, time_point now) const
 {
     const double call_seconds = saturated_call_ms() / 1000.0;
-    const double capacity =
-        static_cast<double>(usable_endpoints(now) * saturated_batch_size()) / call_seconds;
-    const double spare = capacity - on_time_rate(now);
+    const double spare = capacity(now) - on_time_.per_second(now);
     if (spare <= 0.0)
         return false;
     const double seconds =
@@ -382,9 +499,35 @@
                : static_cast<double>(call_time(saturated_batch_size()).count());
 }
 
-// A part shares its call with others, so the estimate covers all waiting pieces up to a full batch.
+double stage_queue::short_call_ms(std::uint32_t pieces) const
+{
+    const std::uint32_t batch = std::max(spec_.batch, 1U);
+    const std::uint32_t least = std::max(batch / short_call_divisor, 1U);
+    const double configured =
+        std::max<double>(static_cast<double>(call_time(saturated_batch_size()).count()), 1.0);
+    return static_cast<double>(call_time(std::clamp(pieces, least, batch)).count()) *
+           std::min(1.0, saturated_call_ms() / configured);
+}
+
+std::uint32_t stage_queue::pieces_by_goal(const waiting_part& part, time_point now) const
+{
+    const std::uint32_t batch = std::max(spec_.batch, 1U);
+    const time_point goal = part.job.goal_at;
+    if (!reserving_ || spec_.piece_time_ms <= 0.0 || now >= goal ||
+        goal - part.queued_at >= near_goal_calls * call_time(batch))
+        return batch;
+    const std::chrono::duration<double, std::milli> left = goal - now - spec_.call_time;
+    const double fitting = std::max(left.count(), 0.0) / spec_.piece_time_ms;
+    const std::uint32_t least = std::min(batch, std::max(batch / short_call_divisor, part.count));
+    return std::clamp(static_cast<std::uint32_t>(std::min<double>(fitting, batch)), least, batch);
+}
+
+// A part shares its call with others, so the estimate covers all waiting pieces up to a full batch,
+// unless calls are kept short for near goals.
 time_point stage_queue::next_call_done(time_point now) const
 {
+    if (reserving_)
+        return now + milliseconds(std::llround(short_call_ms(1)));
     const auto pieces = static_cast<std::uint32_t>(
         std::min<std::size_t>(std::max(spec_.batch, 1U), waiting_pieces()));
     return now + call_time(pieces);
@@ -502,8 +645,13 @@
 {
     endpoint_state& endpoint = endpoints_[batch.endpoint];
     std::uint64_t batch_bytes = 0;
+    std::uint32_t limit = spec_.batch;
     const auto add_part = [&](waiting_part& part, std::uint32_t count)
     {
+        limit = std::min(limit, pieces_by_goal(part, now));
+        if (reserving_)
+            sent_.try_emplace(priority_level(part.job), priority_rate_window)
+                .first->second.add(count, now);
         batch.parts.push_back({part.job.id, part.first, count});
         batch.pieces += count;
         batch_bytes += count * part.job.result_bytes;
@@ -512,7 +660,10 @@
     };
     const auto add_if_fitting = [&](waiting_part& part)
     {
-        if (part.count == 0 || batch.pieces >= spec_.batch)
+        if (part.count == 0 || batch.pieces >= limit)
+            return;
+        if (batch.pieces > 0 &&
+            batch.pieces + part.count > std::min(limit, pieces_by_goal(part, now)))
             return;
         const std::uint32_t fitting = pieces_that_fit(endpoint, batch, batch_bytes, part.job, now);
         if (fitting >= part.count)
@@ -536,7 +687,7 @@
     }
     for (waiting_part& part : queue_)
     {
-        if (batch.pieces * 100 >= spec_.batch * split_below_percent)
+        if (batch.pieces * 100 >= limit * split_below_percent)
             break;
         const std::uint32_t fitting = pieces_that_fit(endpoint, batch, batch_bytes, part.job, now);
         if (part.count > 0 && fitting > 0 && may_run_here(part))
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -7,6 +7,7 @@
 // produced it until it is freed, so the size of a call is limited by the free result memory.
 #pragma once
 
+#include "state/queue_delay.h"
 #include "state/serving.h"
 #include "state/time.h"
 
@@ -30,6 +31,7 @@
     time_point goal_at{};           // latest completion that meets the response-time goal
     time_point deadline_at{};       // latest completion that meets the request's deadline
     std::string preferred_domain;   // failure domain that saves large transfers, or empty
+    bool is_continuation = false;   // earlier stages of its request have run
 };
 
 // Range of pieces of one job within a call.
@@ -70,9 +72,35 @@
 // the results of the first call occupy memory until the second one ends.
 inline constexpr std::uint32_t split_below_percent = 50;
 
+// Time constant of the average rate of jobs on time. It covers several bursts: what jobs that are
+// late can count on is the capacity left between these.
+inline constexpr milliseconds on_time_window{8000};
+// The same by priority, for the time that a job may wait behind more urgent ones.
+inline constexpr milliseconds priority_rate_window{2000};
+// Share of the capacity that each priority keeps while more urgent jobs would take all.
+inline constexpr double capacity_floor = 0.05;
+
 // Time that a job waits for an endpoint in its preferred domain while others are free.
 inline constexpr milliseconds locality_wait{40};
 
+// Rate of pieces per second, as a moving average with a time constant.
+class piece_rate
+{
+public:
+    explicit piece_rate(milliseconds window) : window_(window) {}
+
+    void add(std::uint32_t pieces, time_point now);
+    double per_second(time_point now) const;
+
+private:
+    double decayed(time_point now) const;
+
+    milliseconds window_;
+    double pieces_ = 0.0;
+    time_point at_{};
+    time_point since_{}; // the first pieces
+};
+
 class stage_queue
 {
 public:
@@ -80,6 +108,10 @@
     // endpoints that are no longer listed are not affected.
     void set_service(const batch_spec& spec);
     void set_endpoints(const std::vector<stage_endpoint>& listed);
+    // Whether capacity is reserved by urgency: estimates then count what more urgent jobs will
+    // take, continuations are refused only if they miss their deadline, and each priority keeps
+    // capacity_floor.
+    void set_reserving(bool reserving) { reserving_ = reserving; }
 
     // `expected` is the job's expected_time.
     void add(const stage_job& job, milliseconds expected, time_point now);
@@ -112,6 +144,8 @@
     // False if `expected` exceeds the job's deadline, or exceeds its goal and the capacity that
     // jobs on time leave would not finish it by its deadline either.
     bool admits(const stage_job& job, milliseconds expected, time_point now) const;
+    // Expected times of small jobs by priority; empty unless capacity is reserved by urgency.
+    queue_delays delays(time_point now) const;
     std::size_t waiting_pieces() const { return waiting_pieces_; }
     // Pieces of the job that are in no call.
     std::uint32_t waiting_pieces(std::uint64_t job) const;
@@ -145,6 +179,10 @@
     milliseconds call_time(std::uint32_t pieces) const;
     std::uint32_t saturated_batch_size() const;
     double saturated_call_ms() const;
+    // Duration of the shortest call that a job may count on, and of one with all its pieces.
+    double short_call_ms(std::uint32_t pieces) const;
+    // Largest call that ends by the job's goal, if the goal is near.
+    std::uint32_t pieces_by_goal(const waiting_part& part, time_point now) const;
     time_point next_call_done(time_point now) const;
     double lowest_slowdown() const;
     bool is_slow(const endpoint_state& endpoint, double lowest) const;
@@ -160,10 +198,14 @@
                                     const std::set<std::string>& full, time_point now) const;
     void fill(stage_batch& batch, std::size_t first, time_point now);
     std::size_t usable_endpoints(time_point now) const;
-    // Pieces per second that jobs on time have brought, as a moving average.
-    double on_time_rate(time_point now) const;
-    double decayed_on_time_pieces(time_point now) const;
+    double capacity(time_point now) const; // pieces per second
     bool spare_capacity_finishes(const stage_job& job, time_point now) const;
+    // Factor on a waiting time that allows for more urgent jobs that will come.
+    double reserve_factor(std::uint32_t priority, time_point now) const;
+    milliseconds time_behind(std::uint64_t ahead, std::uint32_t pieces, double factor,
+                             time_point now) const;
+    milliseconds late_delay(time_point now) const;
+    void promote_starved(time_point now);
     void sort_queue(time_point now);
     void enqueue(const waiting_part& part);
 
@@ -171,9 +213,11 @@
     // Moving averages over the calls that left pieces waiting; 0 before the first one.
     double saturated_batch_pieces_ = 0.0;
     double saturated_call_ms_ = 0.0;
-    double on_time_pieces_ = 0.0; // decays with on_time_window
-    time_point on_time_at_{};
-    time_point on_time_since_{}; // the first job on time
+    piece_rate on_time_{on_time_window}; // of jobs that are on time when they are added
+    bool reserving_ = false;
+    // Of jobs on time by priority: added, and put into calls.
+    std::map<std::uint32_t, piece_rate> added_;
+    std::map<std::uint32_t, piece_rate> sent_;
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
     std::map<std::string, std::size_t, std::less<>> endpoints_by_domain_;
     std::vector<waiting_part> queue_;
--- a/packages/state/stage_request.h
+++ b/packages/state/stage_request.h
@@ -2,6 +2,7 @@
 // the store.
 #pragma once
 
+#include "state/queue_delay.h"
 #include "state/time.h"
 
 #include <array>
@@ -62,6 +63,7 @@
     std::vector<std::string> handles; // of all pieces in order, if done
     piece_failure why = piece_failure::failed;
     milliseconds expected{0}; // estimated completion time, if refused
+    queue_delays delays;      // of the queue now, if it reserves capacity by urgency
 };
 
 // One entry of the store.
