--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -11,6 +11,7 @@
 #include "state/serving.h"
 #include "state/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -34,6 +35,12 @@
     bool is_continuation = false;   // earlier stages of its request have run
 };
 
+// Priority of a job for its queue, which bounds the number of rates that the queue keeps.
+inline std::uint32_t priority_level(const stage_job& job)
+{
+    return std::min(job.priority, queue_priority_max);
+}
+
 // Range of pieces of one job within a call.
 struct batch_part
 {
@@ -80,6 +87,10 @@
 // Share of the capacity that each priority keeps while more urgent jobs would take all.
 inline constexpr double capacity_floor = 0.05;
 
+// A job that would miss its goal is admitted only while the waiting pieces amount to fewer than
+// this many full calls per usable endpoint.
+inline constexpr std::size_t max_late_rounds = 2;
+
 // Time that a job waits for an endpoint in its preferred domain while others are free.
 inline constexpr milliseconds locality_wait{40};
 
