Merge the admission of whole requests

Where both parts meet in stage_queue::next, starved jobs are promoted before the waits for domains are computed, which depend on the order.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -234,6 +234,9 @@
     std::set<std::string> logged_held_requests_;
     std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
     std::map<std::string, response_estimate, std::less<>> response_times_; // by route
+    std::map<std::string, time_estimate, std::less<>> route_first_byte_times_;
+    std::set<std::string, std::less<>> contended_services_; // of state_
+    queue_delay_reports queue_delays_;
     observed_stage_times stage_times_;
     work_book work_;
     std::uint64_t last_work_id_ = 0;
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -21,14 +21,6 @@
 // Safety margin on the expected time, which is a mean: without it, jobs admitted with little slack
 // become late and fall behind all jobs that are still on time.
 constexpr int expected_margin_percent = 115;
-// A job that would miss its goal is admitted only while the waiting pieces amount to fewer than
-// this many full calls per usable endpoint.
-constexpr std::size_t max_late_rounds = 2;
-// Time constant of the average rate of jobs on time. It covers several bursts: what jobs that are
-// late can count on is the capacity left between these.
-constexpr milliseconds on_time_window{8000};
-// Least time over which the rate is averaged after the first job.
-constexpr milliseconds on_time_window_min{1000};
 // Safety margin on the time in which spare capacity finishes a late job.
 constexpr double spare_margin = 1.3;
 // Weight of the newest call in the moving averages of calls under saturation.
@@ -80,10 +72,10 @@
 {
     if (is_expected_by(job.goal_at, expected, now))
     {
-        if (on_time_since_ == time_point{})
-            on_time_since_ = now;
-        on_time_pieces_ = decayed_on_time_pieces(now) + job.pieces;
-        on_time_at_ = now;
+        on_time_.add(job.pieces, now);
+        if (reserving_)
+            added_.try_emplace(priority_level(job), priority_rate_window)
+                .first->second.add(job.pieces, now);
     }
     enqueue({job, 0, job.pieces, now});
 }
@@ -130,6 +122,8 @@
     if (free.empty())
         return std::nullopt;
     sort_queue(now);
+    if (reserving_)
+        promote_starved(now);
     update_locality(now);
     std::set<std::string> full; // without free result memory
     while (const auto start = choose_start(free, full, now))
@@ -359,18 +353,29 @@
         if (!is_scheduled_before(job, part.job, next_done))
             ahead += part.count;
     }
+    return time_behind(ahead, job.pieces,
+                       reserving_ ? reserve_factor(priority_level(job), now) : 1.0, now);
+}
+
+milliseconds stage_queue::time_behind(std::uint64_t ahead, std::uint32_t pieces, double factor,
+                                      time_point now) const
+{
     const std::size_t usable = std::max<std::size_t>(usable_endpoints(now), 1);
     const std::uint32_t batch_size = saturated_batch_size();
-    const std::uint64_t calls = (ahead + job.pieces + batch_size - 1) / batch_size;
+    const std::uint64_t calls = (ahead + pieces + batch_size - 1) / batch_size;
     const double call_ms = saturated_call_ms();
+    const double own_call_ms = reserving_ ? short_call_ms(pieces) : call_ms;
     const double start_interval_ms = call_ms / static_cast<double>(usable); // between call starts
+    if (reserving_ && !queue_.empty())
+        return milliseconds(
+            std::llround(own_call_ms + start_interval_ms * static_cast<double>(calls) * factor));
     if (ahead == 0)
-        return call_time(std::min(job.pieces, batch_size)) +
+        return call_time(std::min(pieces, batch_size)) +
                milliseconds(std::llround(start_interval_ms * static_cast<double>(calls - 1)));
     // All endpoints are busy if pieces wait; the next one becomes free after half the interval
     // between call starts on average.
-    return milliseconds(
-        std::llround(call_ms + start_interval_ms * (static_cast<double>(calls) - 0.5)));
+    const double waiting_ms = start_interval_ms * (static_cast<double>(calls) - 0.5);
+    return milliseconds(std::llround(own_call_ms + waiting_ms * factor));
 }
 
 // On-time jobs are scheduled first, so a late job runs only on spare capacity. Under sustained
@@ -383,31 +388,22 @@
         return false;
     if (is_expected_by(job.goal_at, expected, now))
         return true;
+    if (reserving_ && job.is_continuation)
+        return true;
     return waiting_pieces() < max_late_rounds * saturated_batch_size() * usable_endpoints(now) ||
            spare_capacity_finishes(job, now);
 }
 
-double stage_queue::decayed_on_time_pieces(time_point now) const
+double stage_queue::capacity(time_point now) const
 {
-    const std::chrono::duration<double> age = now - on_time_at_;
-    return on_time_pieces_ * std::exp(-age / on_time_window);
-}
-
-double stage_queue::on_time_rate(time_point now) const
-{
-    // Early on, the average covers only the time since the first job.
-    const std::chrono::duration<double> covered =
-        std::max<time_point::duration>(now - on_time_since_, on_time_window_min);
-    const std::chrono::duration<double> window = on_time_window;
-    return decayed_on_time_pieces(now) / (window.count() * (1.0 - std::exp(-covered / window)));
+    return static_cast<double>(usable_endpoints(now) * saturated_batch_size()) * 1000.0 /
+           saturated_call_ms();
 }
 
 bool stage_queue::spare_capacity_finishes(const stage_job& job, time_point now) const
 {
     const double call_seconds = saturated_call_ms() / 1000.0;
-    const double capacity =
-        static_cast<double>(usable_endpoints(now) * saturated_batch_size()) / call_seconds;
-    const double spare = capacity - on_time_rate(now);
+    const double spare = capacity(now) - on_time_.per_second(now);
     if (spare <= 0.0)
         return false;
     const double seconds =
@@ -437,9 +433,12 @@
                : static_cast<double>(call_time(saturated_batch_size()).count());
 }
 
-// A part shares its call with others, so the estimate covers all waiting pieces up to a full batch.
+// A part shares its call with others, so the estimate covers all waiting pieces up to a full batch,
+// unless calls are kept short for near goals.
 time_point stage_queue::next_call_done(time_point now) const
 {
+    if (reserving_)
+        return now + milliseconds(std::llround(short_call_ms(1)));
     const auto pieces = static_cast<std::uint32_t>(
         std::min<std::size_t>(std::max(spec_.batch, 1U), waiting_pieces()));
     return now + call_time(pieces);
@@ -557,8 +556,13 @@
 {
     endpoint_state& endpoint = endpoints_[batch.endpoint];
     std::uint64_t batch_bytes = 0;
+    std::uint32_t limit = spec_.batch;
     const auto add_part = [&](waiting_part& part, std::uint32_t count)
     {
+        limit = std::min(limit, pieces_by_goal(part, now));
+        if (reserving_)
+            sent_.try_emplace(priority_level(part.job), priority_rate_window)
+                .first->second.add(count, now);
         batch.parts.push_back({part.job.id, part.first, count});
         batch.pieces += count;
         batch_bytes += count * part.job.result_bytes;
@@ -567,7 +571,10 @@
     };
     const auto add_if_fitting = [&](waiting_part& part)
     {
-        if (part.count == 0 || batch.pieces >= spec_.batch)
+        if (part.count == 0 || batch.pieces >= limit)
+            return;
+        if (batch.pieces > 0 &&
+            batch.pieces + part.count > std::min(limit, pieces_by_goal(part, now)))
             return;
         const std::uint32_t fitting = pieces_that_fit(endpoint, batch, batch_bytes, part.job, now);
         if (fitting >= part.count)
@@ -591,7 +598,7 @@
     }
     for (waiting_part& part : queue_)
     {
-        if (batch.pieces * 100 >= spec_.batch * split_below_percent)
+        if (batch.pieces * 100 >= limit * split_below_percent)
             break;
         const std::uint32_t fitting = pieces_that_fit(endpoint, batch, batch_bytes, part.job, now);
         if (part.count > 0 && fitting > 0 && may_run_here(part))
