Send one job at a time to a domain that cannot be reached

After failed calls to two endpoints of a domain without a success in between, the domain gets the last job of the queue every 0.5 s until one succeeds. A call that is overdue no longer counts as a success of its endpoint.

--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -604,8 +604,8 @@
     for (const auto& call : overdue)
     {
         call->cancel();
-        queues_[call->key()].queue.on_done(call->endpoint()->record.id, call->batch(),
-                                           call->elapsed(now));
+        queues_[call->key()].queue.on_overdue(call->endpoint()->record.id, call->batch(),
+                                              call->elapsed(now));
         on_call_lost(*call, now);
     }
     for (auto& [name, entry] : queues_)
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -9,11 +9,6 @@
 namespace
 {
 
-// An endpoint in the preferred domain is taken if its slowdown exceeds the lowest one of a free
-// endpoint by no more than this.
-constexpr double near_slowdown_margin = 0.5;
-// A job does not wait if an endpoint in its preferred domain becomes free more rarely than this.
-constexpr milliseconds locality_wait_max_expected{80};
 // Weight of the newest call in the moving average of an endpoint's slowdown.
 constexpr double slowdown_weight = 0.5;
 // Usable percentage of an endpoint's result memory; result sizes are known only approximately.
@@ -70,6 +65,11 @@
         endpoints_[endpoint.id].listed = true;
         endpoints_[endpoint.id].domain = endpoint.domain;
     }
+    for (const auto& [id, endpoint] : endpoints_)
+    {
+        if (!endpoint.listed)
+            domains_.forget(endpoint.domain, id);
+    }
     std::erase_if(endpoints_, [](const auto& entry) { return !entry.second.listed; });
     endpoints_by_domain_.clear();
     for (const auto& [id, endpoint] : endpoints_)
@@ -142,127 +142,27 @@
             full.insert(batch.endpoint);
             continue;
         }
-        batch.left_pieces_waiting = !queue_.empty();
+        endpoint_state& endpoint = endpoints_[batch.endpoint];
+        const bool is_probe = domains_.is_unreachable(endpoint.domain);
+        // The size of a probe says nothing about calls under saturation.
+        batch.left_pieces_waiting = !queue_.empty() && !is_probe;
         if (batch.left_pieces_waiting)
         {
             if (saturated_batch_pieces_ == 0.0)
                 saturated_batch_pieces_ = batch.pieces;
             saturated_batch_pieces_ += saturation_weight * (batch.pieces - saturated_batch_pieces_);
         }
-        endpoint_state& endpoint = endpoints_[batch.endpoint];
         batch.expected = milliseconds(
             std::llround(static_cast<double>(call_time(batch.pieces).count()) * lowest_slowdown()));
         ++endpoint.calls_in_flight;
         endpoint.last_sent = now;
+        if (is_probe)
+            domains_.on_probe(endpoint.domain, batch.endpoint, now);
         return batch;
     }
     return std::nullopt;
 }
 
-// First part in queue order that an endpoint can take. An endpoint that would stay idle takes one
-// that has waited for its domain long enough.
-std::optional<stage_queue::call_start>
-stage_queue::choose_start(const std::vector<std::string>& free, const std::set<std::string>& full,
-                          time_point now) const
-{
-    if (full.size() >= free.size())
-        return std::nullopt;
-    for (const bool is_idle_otherwise : {false, true})
-    {
-        for (std::size_t i = 0; i < queue_.size(); ++i)
-        {
-            const waiting_part& part = queue_[i];
-            const bool leaves =
-                is_idle_otherwise ? has_waited_for_domain(part, now) : part.may_leave_domain;
-            std::string endpoint = choose_endpoint_for(part, free, full, leaves);
-            if (!endpoint.empty())
-                return call_start{std::move(endpoint), i};
-        }
-    }
-    return std::nullopt;
-}
-
-// Time that the part may spend to run in its preferred domain.
-milliseconds stage_queue::locality_allowance(const waiting_part& part, time_point now) const
-{
-    if (part.queued_at == time_point{})
-        return milliseconds(0);
-    const time_point done = next_call_done(now);
-    const time_point latest = done <= part.job.goal_at ? part.job.goal_at : part.job.deadline_at;
-    const auto spare = std::chrono::duration_cast<milliseconds>(latest - done);
-    return std::clamp(spare / locality_slack_divisor, milliseconds(0), locality_wait);
-}
-
-bool stage_queue::has_waited_for_domain(const waiting_part& part, time_point now) const
-{
-    return now - part.queued_at >= locality_allowance(part, now);
-}
-
-// Delay scheduling: a job with a preferred domain waits for an endpoint there, which saves the
-// transfer of large results between domains. It may leave if the pieces ahead of it that prefer the
-// same domain keep the endpoints there busy for longer than it may wait, so load that is uneven
-// spreads over all domains, while load that is even does not leave them in a burst either.
-void stage_queue::update_locality(time_point now)
-{
-    struct backlog
-    {
-        double call_interval_ms = 0.0; // between the ends of two calls; 0 if too long to wait for
-        std::uint64_t pieces = 0;
-    };
-    std::map<std::string_view, backlog> backlogs;
-    for (waiting_part& part : queue_)
-    {
-        part.may_leave_domain = true;
-        if (part.job.preferred_domain.empty())
-            continue;
-        const auto [entry, added] = backlogs.try_emplace(part.job.preferred_domain);
-        backlog& ahead = entry->second;
-        if (added)
-        {
-            const auto found = endpoints_by_domain_.find(part.job.preferred_domain);
-            const auto call_ms = static_cast<double>(call_time(spec_.batch).count());
-            if (found != endpoints_by_domain_.end())
-                ahead.call_interval_ms = call_ms / static_cast<double>(found->second);
-            if (ahead.call_interval_ms > static_cast<double>(locality_wait_max_expected.count()))
-                ahead.call_interval_ms = 0.0;
-        }
-        if (ahead.call_interval_ms > 0.0)
-        {
-            const double calls =
-                0.5 + static_cast<double>(ahead.pieces) / std::max(spec_.batch, 1U);
-            part.may_leave_domain = ahead.call_interval_ms * calls >=
-                                    static_cast<double>(locality_allowance(part, now).count());
-        }
-        ahead.pieces += part.count;
-    }
-}
-
-// A free endpoint for the part, the fastest one unless one in the preferred domain is nearly as
-// fast; empty if there is none now.
-std::string stage_queue::choose_endpoint_for(const waiting_part& part,
-                                             const std::vector<std::string>& free,
-                                             const std::set<std::string>& full,
-                                             bool leaves_domain) const
-{
-    std::string fastest;
-    double lowest = 0.0;
-    for (const std::string& id : free)
-    {
-        if (full.contains(id))
-            continue;
-        const endpoint_state& endpoint = endpoints_.find(id)->second;
-        if (fastest.empty())
-        {
-            fastest = id;
-            lowest = endpoint.slowdown;
-        }
-        if (!part.job.preferred_domain.empty() && endpoint.domain == part.job.preferred_domain &&
-            endpoint.slowdown <= lowest + near_slowdown_margin)
-            return id;
-    }
-    return leaves_domain ? fastest : std::string();
-}
-
 std::vector<std::uint64_t> stage_queue::take_expired(time_point now)
 {
     std::vector<std::uint64_t> expired;
@@ -291,11 +191,26 @@
     endpoint_state& state = found->second;
     state.calls_in_flight -= std::min(state.calls_in_flight, 1U);
     state.failures = 0;
+    domains_.on_success(state.domain);
+    record_time(state, batch, elapsed);
+}
+
+void stage_queue::on_overdue(const std::string& endpoint, const stage_batch& batch,
+                             milliseconds elapsed)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        record_time(found->second, batch, elapsed);
+}
+
+void stage_queue::record_time(endpoint_state& endpoint, const stage_batch& batch,
+                              milliseconds elapsed)
+{
     const double expected = std::max(1.0, static_cast<double>(call_time(batch.pieces).count()));
     // Pieces of some stages take less than the service's configured time, so a call faster than
     // expected does not show a faster endpoint.
     const double slowdown = std::max(1.0, static_cast<double>(elapsed.count()) / expected);
-    state.slowdown = (1.0 - slowdown_weight) * state.slowdown + slowdown_weight * slowdown;
+    endpoint.slowdown = (1.0 - slowdown_weight) * endpoint.slowdown + slowdown_weight * slowdown;
     if (!batch.left_pieces_waiting)
         return;
     const auto elapsed_ms = static_cast<double>(elapsed.count());
@@ -314,13 +229,16 @@
     const milliseconds backoff = failure_backoff * (1U << std::min(state.failures, 6U));
     state.blocked_until = now + std::min(backoff, failure_backoff_max);
     ++state.failures;
+    domains_.on_failure(state.domain, endpoint);
 }
 
 void stage_queue::on_call_dropped(const std::string& endpoint)
 {
     const auto found = endpoints_.find(endpoint);
-    if (found != endpoints_.end())
-        found->second.calls_in_flight -= std::min(found->second.calls_in_flight, 1U);
+    if (found == endpoints_.end())
+        return;
+    found->second.calls_in_flight -= std::min(found->second.calls_in_flight, 1U);
+    domains_.on_dropped(found->second.domain, endpoint);
 }
 
 void stage_queue::pause_endpoint(const std::string& endpoint, time_point until)
@@ -455,6 +373,8 @@
     if (endpoint.calls_in_flight >= std::max(spec_.slots, 1U) ||
         now < std::max(endpoint.blocked_until, endpoint.paused_until))
         return false;
+    if (domains_.is_unreachable(endpoint.domain))
+        return domains_.may_probe(endpoint.domain, now);
     return !is_slow(endpoint, lowest) || now >= endpoint.last_sent + slow_probe_interval;
 }
 
@@ -468,7 +388,8 @@
     return std::max(best, 1.0);
 }
 
-// Free endpoints, ordered by speed, then least recently used.
+// Free endpoints, ordered by speed, then least recently used. Those of unreachable domains are
+// last.
 std::vector<std::string> stage_queue::free_endpoints(time_point now) const
 {
     constexpr double slowdown_step = 0.25; // smaller differences in speed are ignored
@@ -482,6 +403,9 @@
     std::sort(free.begin(), free.end(),
               [&](const auto* a, const auto* b)
               {
+                  const bool unreachable_a = domains_.is_unreachable(a->second.domain);
+                  if (unreachable_a != domains_.is_unreachable(b->second.domain))
+                      return !unreachable_a;
                   const auto step_a = static_cast<int>(a->second.slowdown / slowdown_step);
                   const auto step_b = static_cast<int>(b->second.slowdown / slowdown_step);
                   return step_a != step_b ? step_a < step_b
@@ -500,7 +424,7 @@
     std::size_t count = 0;
     for (const auto& [id, endpoint] : endpoints_)
     {
-        if (!is_slow(endpoint, lowest) &&
+        if (!is_slow(endpoint, lowest) && !domains_.is_unreachable(endpoint.domain) &&
             now >= std::max(endpoint.blocked_until, endpoint.paused_until))
             ++count;
     }
@@ -556,6 +480,7 @@
 void stage_queue::fill(stage_batch& batch, std::size_t first, time_point now)
 {
     endpoint_state& endpoint = endpoints_[batch.endpoint];
+    const bool takes_one_job = domains_.is_unreachable(endpoint.domain);
     std::uint64_t batch_bytes = 0;
     const auto add_part = [&](waiting_part& part, std::uint32_t count)
     {
@@ -567,7 +492,7 @@
     };
     const auto add_if_fitting = [&](waiting_part& part)
     {
-        if (part.count == 0 || batch.pieces >= spec_.batch)
+        if (part.count == 0 || batch.pieces >= spec_.batch || (takes_one_job && batch.pieces > 0))
             return;
         const std::uint32_t fitting = pieces_that_fit(endpoint, batch, batch_bytes, part.job, now);
         if (fitting >= part.count)
@@ -591,7 +516,7 @@
     }
     for (waiting_part& part : queue_)
     {
-        if (batch.pieces * 100 >= spec_.batch * split_below_percent)
+        if (takes_one_job || batch.pieces * 100 >= spec_.batch * split_below_percent)
             break;
         const std::uint32_t fitting = pieces_that_fit(endpoint, batch, batch_bytes, part.job, now);
         if (part.count > 0 && fitting > 0 && may_run_here(part))
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -7,6 +7,7 @@
 // produced it until it is freed, so the size of a call is limited by the free result memory.
 #pragma once
 
+#include "state/domain_reachability.h"
 #include "state/serving.h"
 #include "state/time.h"
 
@@ -98,6 +99,8 @@
     std::vector<std::uint64_t> take_expired(time_point now);
 
     void on_done(const std::string& endpoint, const stage_batch& batch, milliseconds elapsed);
+    // The call has taken so long that it is given up; on_failed follows.
+    void on_overdue(const std::string& endpoint, const stage_batch& batch, milliseconds elapsed);
     // The endpoint refused the call, or the call ended without a response.
     void on_failed(const std::string& endpoint, time_point now);
     // A call ended for a reason that is not the endpoint's.
@@ -161,6 +164,7 @@
     double lowest_slowdown() const;
     bool is_slow(const endpoint_state& endpoint, double lowest) const;
     bool is_free(const endpoint_state& endpoint, double lowest, time_point now) const;
+    void record_time(endpoint_state& endpoint, const stage_batch& batch, milliseconds elapsed);
     std::vector<std::string> free_endpoints(time_point now) const;
     std::uint64_t usable_memory() const;
     std::uint64_t foreign_bytes(const endpoint_state& endpoint, time_point now) const;
@@ -192,6 +196,7 @@
     time_point on_time_since_{}; // the first job on time
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
     std::map<std::string, std::size_t, std::less<>> endpoints_by_domain_;
+    domain_reachability domains_;
     std::vector<waiting_part> queue_;
     std::size_t waiting_pieces_ = 0; // in queue_
     // No job expires before this time.
--- /dev/null
+++ b/tests/unit/domain_reachability_test.cpp
@@ -0,0 +1,61 @@
+// Failure domains that cannot be reached.
+#include "state/domain_reachability.h"
+
+#include <criterion/criterion.h>
+
+using namespace zinnianotch;
+
+namespace
+{
+
+constexpr time_point start{std::chrono::hours(1)};
+
+} // namespace
+
+// Guards against a domain that is given up because one of its endpoints has crashed.
+Test(domain_reachability, one_failing_endpoint_domain_is_reachable)
+{
+    domain_reachability domains;
+    for (int i = 0; i < 10; ++i)
+        domains.on_failure("a", "e1");
+    cr_assert_not(domains.is_unreachable("a"));
+    domains.on_success("a");
+    domains.on_failure("a", "e2");
+    cr_assert_not(domains.is_unreachable("a"), "a success between the failures");
+}
+
+// Guards against calls that are lost in a domain that is cut off, and against a domain that stays
+// without calls after it is back.
+Test(domain_reachability, unreachable_domain_gets_one_probe_per_interval)
+{
+    domain_reachability domains;
+    domains.on_failure("a", "e1");
+    domains.on_failure("a", "e2");
+    cr_assert(domains.is_unreachable("a"));
+    cr_assert_not(domains.is_unreachable("b"));
+    cr_assert(domains.may_probe("a", start));
+    domains.on_probe("a", "e3", start);
+    const time_point later = start + 2 * domain_probe_interval;
+    cr_assert_not(domains.may_probe("a", later), "a probe is running");
+    domains.on_failure("a", "e3");
+    cr_assert_not(domains.may_probe("a", start + domain_probe_interval - milliseconds(1)));
+    cr_assert(domains.may_probe("a", start + domain_probe_interval));
+    domains.on_probe("a", "e1", later);
+    domains.on_success("a");
+    cr_assert_not(domains.is_unreachable("a"));
+}
+
+// Guards against a probe that never ends because its endpoint is gone or its connection was lost.
+Test(domain_reachability, probe_ends_with_its_endpoint)
+{
+    domain_reachability domains;
+    domains.on_failure("a", "e1");
+    domains.on_failure("a", "e2");
+    domains.on_probe("a", "e3", start);
+    domains.on_dropped("a", "e3");
+    cr_assert(domains.may_probe("a", start + domain_probe_interval));
+    domains.on_probe("a", "e1", start);
+    domains.forget("a", "e1");
+    cr_assert(domains.may_probe("a", start + domain_probe_interval));
+    cr_assert_not(domains.is_unreachable("a"), "one failed endpoint is left");
+}
--- a/tests/unit/stage_locality_test.cpp
+++ b/tests/unit/stage_locality_test.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t domain_count = 3;
 constexpr std::size_t endpoints_per_domain = 6;
 constexpr std::uint64_t large_result_bytes = 1'500'000;
+constexpr milliseconds connect_timeout{500};
 // From the end of a call until the reader has fetched the results.
 constexpr milliseconds reading_time{250};
 
@@ -70,6 +71,7 @@
 {
     time_point ends;
     stage_batch batch;
+    bool is_unreachable = false;
     bool operator>(const running_call& other) const { return ends > other.ends; }
 };
 
@@ -81,9 +83,17 @@
     bool operator>(const held_results& other) const { return read_at > other.read_at; }
 };
 
+// Seconds in which the batching VM reaches no endpoint outside domain a.
+struct domain_cut
+{
+    int from = 0;
+    int to = 0;
+};
+
 // Plays jobs with large results that arrive at random in a pool of three domains. One in four jobs
 // has small results and prefers no domain.
-locality_result simulate(const std::vector<load_phase>& phases, std::uint64_t seed)
+locality_result simulate(const std::vector<load_phase>& phases, std::uint64_t seed,
+                         domain_cut cut = {})
 {
     batch_spec service;
     service.batch = 12;
@@ -115,6 +125,20 @@
     locality_result result;
     const auto finish = [&](const running_call& call)
     {
+        if (call.is_unreachable)
+        {
+            queue.on_failed(call.batch.endpoint, call.ends);
+            for (const batch_part& part : call.batch.parts)
+            {
+                const auto found = open.find(part.job);
+                if (found == open.end())
+                    continue;
+                queue.on_result_bytes_released(call.batch.endpoint,
+                                               part.count * found->second.job.result_bytes);
+                queue.requeue(found->second.job, part);
+            }
+            return;
+        }
         queue.on_done(call.batch.endpoint, call.batch, call.batch.expected);
         std::uint64_t bytes = 0;
         for (const batch_part& part : call.batch.parts)
@@ -179,7 +203,12 @@
         for (const std::uint64_t id : queue.take_expired(now))
             open.erase(id);
         while (const auto batch = queue.next(now))
-            running.push({now + batch->expected, *batch});
+        {
+            const bool is_cut = now >= start + std::chrono::seconds(cut.from) &&
+                                now < start + std::chrono::seconds(cut.to) &&
+                                domain_of[batch->endpoint] != domain_name(0);
+            running.push({now + (is_cut ? connect_timeout : batch->expected), *batch, is_cut});
+        }
         now += milliseconds(1);
     };
     for (const load_phase& phase : phases)
@@ -252,3 +281,28 @@
                   result.share_in_goal(0), result.share_in_goal(2));
     }
 }
+
+// Guards against a VM that is cut off with its domain and sends its jobs to endpoints in other
+// domains, where each loses the time of a failed connection.
+Test(stage_locality, domain_cut_off_jobs_run_in_reachable_domain)
+{
+    for (const std::uint64_t seed : seeds)
+    {
+        const locality_result result =
+            simulate({{4, {30, 15, 15}}, {6, {30, 15, 15}}, {4, {30, 15, 15}}}, seed, {4, 10});
+        cr_assert(result.share_in_goal() >= 0.95, "seed %lu: %.3f in goal",
+                  static_cast<unsigned long>(seed), result.share_in_goal());
+    }
+}
+
+// Guards against a domain that stays without calls after its connection is back.
+Test(stage_locality, domain_back_after_cut_is_used_again)
+{
+    for (const std::uint64_t seed : seeds)
+    {
+        const locality_result result =
+            simulate({{8, {30, 15, 15}}, {1, {30, 15, 15}}, {8, {80, 70, 60}}}, seed, {4, 8});
+        cr_assert(result.share_in_goal() >= 0.95, "seed %lu: %.3f in goal",
+                  static_cast<unsigned long>(seed), result.share_in_goal());
+    }
+}
