--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -330,7 +330,8 @@
         for (const auto sample : entry.getSamples())
         {
             const float number = sample.getValue();
-            KJ_REQUIRE(std::isfinite(number) && number >= 0.0F, "odd pace in a VM message");
+            const bool is_valid = std::isfinite(number) && number >= 0.0F;
+            KJ_REQUIRE(is_valid, "odd pace in a VM message");
             report.samples.push_back(
                 {sample.getEndpoint(), to_enum(sample.getKind(), pace_sample_kind::wait), number});
         }
--- a/packages/state/timed_placement.h
+++ b/packages/state/timed_placement.h
@@ -76,7 +76,7 @@
 inline constexpr double reread_share = 1.0;
 // Share of the time of a plain request that another failure domain has to save: requests that stay
 // in their own domain are not hit by the loss of another.
-inline constexpr double remote_time_share = 0.25;
+inline constexpr double remote_time_share = 0.5;
 // A hop to another failure domain and back adds a millisecond.
 inline constexpr double domain_hop_ms = 1.0;
 // Number of endpoints, first in the order of a prefix, of which the lastingly fastest is its home.
