--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -6,7 +6,6 @@
 #include <capnp/serialize.h>
 
 #include <algorithm>
-#include <cmath>
 #include <cstring>
 #include <limits>
 
@@ -321,6 +320,14 @@
     return message;
 }
 
+// Throws kj::Exception for a negative or infinite number and for nan.
+float to_pace(float number)
+{
+    const float largest = std::numeric_limits<float>::max();
+    KJ_REQUIRE(number >= 0.0F && number <= largest, "odd pace in a VM message");
+    return number;
+}
+
 pace_reports read_paces(capnp::List<wire::PaceReport>::Reader from)
 {
     pace_reports message;
@@ -329,11 +336,9 @@
         pace_report report{entry.getOrigin(), entry.getSequence(), {}};
         for (const auto sample : entry.getSamples())
         {
-            const float number = sample.getValue();
-            const bool is_valid = std::isfinite(number) && number >= 0.0F;
-            KJ_REQUIRE(is_valid, "odd pace in a VM message");
-            report.samples.push_back(
-                {sample.getEndpoint(), to_enum(sample.getKind(), pace_sample_kind::wait), number});
+            report.samples.push_back({sample.getEndpoint(),
+                                      to_enum(sample.getKind(), pace_sample_kind::wait),
+                                      to_pace(sample.getValue())});
         }
         message.reports.push_back(std::move(report));
     }
--- a/packages/state/timed_placement.cpp
+++ b/packages/state/timed_placement.cpp
@@ -106,11 +106,8 @@
     to.crowded =
         query.memory_tokens != 0 &&
         memory + work.memory_tokens() > usable_memory * static_cast<double>(query.memory_tokens);
-    // The time after the first byte counts where it makes the answer late.
-    const double end = to.expected_ms + to.slowness * work.output_tokens * rates.token_made_ms();
-    const double late = to.expected_ms - static_cast<double>(work.goal_left.count());
-    if (late > 0.0 && work.goal_left.count() > 0)
-        to.cost_ms += std::min(late, end);
+    if (work.goal_left.count() > 0)
+        to.cost_ms += std::max(0.0, to.expected_ms - static_cast<double>(work.goal_left.count()));
 }
 
 void estimate_plain(estimate& to, const timed_candidate& candidate, const timed_query& query,
