Choose the version of each request during a roll-out

Each VM takes its share of its own requests at random points, so the sum over VMs keeps the share whatever their views are. Ruled out: one counter per route, which sends nothing at VMs with few requests, and plain rounding, which sends one each.

--- a/packages/state/rollout.h
+++ b/packages/state/rollout.h
@@ -43,6 +43,10 @@
     rolled_back // final: no further request
 };
 
+std::string_view to_string(rollout_phase value);
+bool from_string(std::string_view name, rollout_phase& out);
+bool is_final(rollout_phase value);
+
 // Share of a route's requests that go to the new version.
 struct rollout_share
 {
@@ -55,16 +59,13 @@
 // Shares of the routes at one step.
 struct rollout_shares
 {
-    double usual = 0.0;                // of a route that is not listed
+    double usual = 0.0; // of all requests, and of those of a route that is not listed
+    double bound = 0.0; // of the requests between order and deadline, as a limit on every VM
     std::vector<rollout_share> routes; // at most rollout_max_routes
 
     bool operator==(const rollout_shares&) const = default;
 };
 
-std::string_view to_string(rollout_phase value);
-bool from_string(std::string_view name, rollout_phase& out);
-bool is_final(rollout_phase value);
-
 // What the VMs have decided on an order. Kept in the store, where it is replaced only under the
 // condition that its revision is still the one that the decision was based on.
 struct rollout_record
@@ -110,8 +111,8 @@
     std::string service;
     std::uint64_t order = 0;
     rollout_phase phase = rollout_phase::canary; // that this VM follows
-    std::uint64_t sent = 0;                      // attempts of the service since the order
-    std::uint64_t candidate_sent = 0;            // of these, to the new version
+    std::uint64_t sent = 0;                      // requests of the service since the order
+    std::uint64_t candidate_sent = 0;            // attempts at the new version
     std::uint32_t old_in_flight = 0;             // attempts at endpoints of the old version
     std::uint32_t old_unrepeatable = 0;          // of these, of requests that may run only once
     milliseconds age{0};                         // of the order, as far as this VM knows
@@ -145,11 +146,12 @@
 std::vector<std::string> rollout_judges(std::string_view service, std::vector<std::string> vms);
 // VMs that receive the reports: the first ones of rollout_judges that can be reached.
 inline constexpr std::size_t rollout_judge_count = 3;
-// Interval of a VM's reports to each judge.
-inline constexpr milliseconds rollout_report_interval{500};
+// Interval of a VM's reports to each judge. It is shorter while the shares are large, since a bad
+// version gets its share until the judge knows.
+milliseconds rollout_report_interval(rollout_phase phase);
 
-// Stages of a roll-out before `full`. Each has two steps; the second one moves the share to the
-// next endpoints, to tell a faulty endpoint from a bad version.
+// Steps of `canary` and `ramp` come in pairs. The second of a pair moves the share to the next
+// endpoints, to tell a faulty endpoint from a bad version.
 bool is_second_opinion(rollout_phase phase, std::uint32_t step);
 
 // Number of new endpoints that take a share of the requests, so that each works under about the
--- a/packages/state/rollout_gate.h
+++ b/packages/state/rollout_gate.h
@@ -88,12 +88,7 @@
     struct endpoint_state
     {
         rollout_endpoint endpoint;
-        std::size_t order = 0; // among the new endpoints, in the order in which they take a share
-    };
-
-    struct route_tokens
-    {
-        double tokens = 0.0; // requests due to the new version
+        std::size_t place = 0; // among the new endpoints, in the order in which they take a share
     };
 
     struct decision
@@ -105,13 +100,17 @@
 
     std::optional<decision> current(time_point now) const;
     bool has_permission(time_point now) const;
-    bool is_banned(const std::string& version) const;
     bool is_held(const std::string& version, time_point now) const;
     bool is_canary(const endpoint_state& of, const decision& by) const;
-    bool is_within_bound(time_point now) const;
-    double share_of(std::string_view route, const decision& by) const;
-    void order_candidates();
-    void know_versions();
+    // Counts the request towards the new version's share; true if it is due to the new version.
+    bool take_share(std::string_view route, const decision& by, time_point now);
+    double sampling_point(std::uint64_t index) const;
+    void close_order(time_point now);
+    void settle_without_order(const rollout_record& record);
+    void on_completed();
+    void trust_usable_versions(time_point now);
+    void place_candidates();
+    void learn_versions(time_point now);
 
     std::string service_;
     rollout_limits limits_;
@@ -121,14 +120,19 @@
     std::optional<rollout_record> stored_;   // last one heard of, of any order
     std::optional<rollout_record> record_;   // furthest one of the order
     std::optional<rollout_verdict> verdict_; // furthest one of the order
+    std::optional<rollout_record> settled_;  // furthest one that held without an order
     time_point verdict_at_{};                // last verdict or new record
     time_point store_at_{};
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
+    std::size_t old_count_ = 0; // endpoints of the old version while there is an order
+    std::size_t candidate_count_ = 0;
+    time_point learning_until_ = time_point::max(); // the first endpoints are still arriving
     std::map<std::string, time_point, std::less<>> versions_; // usable without an order from then
-    std::set<std::string, std::less<>> banned_; // versions that were rolled back or withdrawn
-    std::map<std::string, route_tokens, std::less<>> tokens_;
-    std::uint64_t sent_ = 0; // since the order
-    std::uint64_t candidate_sent_ = 0;
+    std::set<std::string, std::less<>> trusted_;              // versions that have had all requests
+    std::set<std::string, std::less<>> banned_; // versions rolled back, withdrawn or replaced
+    double share_sum_ = 0.0;                    // of the requests since the order
+    std::uint64_t sent_ = 0;                    // requests since the order
+    std::uint64_t candidate_sent_ = 0;          // of these, due to the new version
 };
 
 } // namespace zinnianotch
--- a/packages/state/rollout_samples.h
+++ b/packages/state/rollout_samples.h
@@ -20,6 +20,8 @@
 // version, and at least overlong_min.
 inline constexpr double overlong_factor = 4.0;
 inline constexpr milliseconds overlong_min{1000};
+// Every so many reports to a receiver start over with all entries: it may have restarted.
+inline constexpr std::uint32_t complete_report_interval = 12;
 // Most attempts whose answers are awaited at once; further ones are sent but not counted.
 inline constexpr std::size_t max_awaited_attempts = 65'536;
 
@@ -31,6 +33,7 @@
     std::string domain; // of the endpoint
     bool is_candidate = false;
     bool is_repeatable = true; // the request may run more than once
+    bool is_retry = false;     // the request has been sent before
 };
 
 // Samples of one service, one order and one lifetime of this VM. A new order needs a new object.
@@ -79,6 +82,12 @@
         bool is_counted = false;
     };
 
+    struct receiver_state
+    {
+        std::uint64_t changed = 0; // last change number that it was sent
+        std::uint32_t reports = 0;
+    };
+
     counts_entry& changed_entry(const rollout_attempt& attempt);
     void count_duration(awaited_attempt& of, milliseconds elapsed);
     void count_overlong(time_point now);
@@ -97,7 +106,7 @@
     std::uint32_t old_unrepeatable_ = 0;
     std::map<counts_key, counts_entry> entries_;
     std::unordered_map<std::uint64_t, awaited_attempt> awaited_;
-    std::map<std::string, std::uint64_t, std::less<>> reported_; // change number by receiver
+    std::map<std::string, receiver_state, std::less<>> reported_;
 };
 
 } // namespace zinnianotch
