Judge the new version of a roll-out against the old one

Answers are compared by route in slices of time, so bursts and slow failure domains cancel out; the sum since any slice shows a version that turns bad late. One endpoint's evidence is capped, so a faulty endpoint does not condemn a version. Ruled out: a constant bound on failures, which a burst breaks.

--- /dev/null
+++ b/packages/state/rollout_evidence.cpp
@@ -0,0 +1,313 @@
+#include "state/rollout_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+constexpr milliseconds slice_length_min{500};
+// Slices before and after one whose answers of the old version are compared with it: reports of
+// the same time arrive up to a report interval apart.
+constexpr std::size_t slices_before = 3;
+constexpr std::size_t slices_after = 1;
+// Answers of the old version from which a window, or a failure domain in it, is a measure.
+constexpr std::uint64_t window_answers_min = 20;
+
+std::size_t index_of(std::vector<std::string>& names, const std::string& name)
+{
+    const auto found = std::find(names.begin(), names.end(), name);
+    if (found != names.end())
+        return static_cast<std::size_t>(found - names.begin());
+    names.push_back(name);
+    return names.size() - 1;
+}
+
+template <typename Counts>
+std::uint64_t slower_than(const Counts& by_duration, std::size_t bucket)
+{
+    std::uint64_t sum = 0;
+    for (std::size_t i = bucket + 1; i < by_duration.size(); ++i)
+        sum += by_duration[i];
+    return sum;
+}
+
+template <typename Counts>
+std::uint64_t sum_of(const Counts& by_duration)
+{
+    std::uint64_t sum = 0;
+    for (const auto count : by_duration)
+        sum += count;
+    return sum;
+}
+
+double share_of(std::uint64_t part, std::uint64_t total)
+{
+    return (static_cast<double>(part) + 0.5) / (static_cast<double>(total) + 1.0);
+}
+
+double log_likelihood_ratio(std::uint64_t bad, std::uint64_t total, double expected)
+{
+    const double worse = expected + (1.0 - expected) * rollout_bad_share;
+    return static_cast<double>(bad) * std::log(worse / expected) +
+           static_cast<double>(total - bad) * std::log((1.0 - worse) / (1.0 - expected));
+}
+
+// Evidence by endpoint, summed over slices.
+struct evidence_sum
+{
+    std::map<std::size_t, double> by_endpoint;
+    double total = 0.0;
+
+    void add(std::size_t endpoint, double evidence)
+    {
+        by_endpoint[endpoint] += evidence;
+        total += evidence;
+    }
+
+    // That the version is worse rather than as good, but for at most one faulty endpoint.
+    double against_version() const
+    {
+        double worst = 0.0;
+        for (const auto& [endpoint, evidence] : by_endpoint)
+            worst = std::max(worst, evidence);
+        return total - std::max(worst - faulty_endpoint_evidence, 0.0);
+    }
+};
+
+// Failures and slow answers of one route, or of all.
+struct route_sums
+{
+    evidence_sum failed;
+    evidence_sum late;
+    bool is_touched = false; // by the present slice
+
+    void assess_from_here(bool has_one_endpoint, bool is_in_step, rollout_assessment& out) const
+    {
+        for (const evidence_sum* sum : {&failed, &late})
+        {
+            out.evidence =
+                std::max(out.evidence, has_one_endpoint ? sum->total : sum->against_version());
+            if (sum->by_endpoint.size() == 1)
+                out.single_evidence = std::max(out.single_evidence, sum->total);
+        }
+        // The evidence since the step began is the sum at its first slice.
+        if (is_in_step)
+            out.step_evidence = std::max(failed.against_version(), late.against_version());
+    }
+};
+
+} // namespace
+
+double bad_evidence()
+{
+    return std::log((1.0 - rollout_miss_rate) / rollout_false_alarm_rate);
+}
+
+double sound_evidence()
+{
+    return std::log(rollout_miss_rate / (1.0 - rollout_false_alarm_rate));
+}
+
+rollout_evidence::rollout_evidence(milliseconds duration_of_order)
+    : slice_length_(
+          std::max(slice_length_min, duration_of_order / static_cast<int>(rollout_max_slices)))
+{
+}
+
+void rollout_evidence::add(const rollout_counts& growth, time_point now)
+{
+    if (routes_.size() >= rollout_max_routes &&
+        std::find(routes_.begin(), routes_.end(), growth.route) == routes_.end())
+        return;
+    if (endpoints_.size() >= rollout_max_endpoints)
+        return;
+    const std::size_t route = index_of(routes_, growth.route);
+    old_totals_.resize(routes_.size());
+    const auto [found, is_new] = endpoint_indexes_.try_emplace(
+        {growth.is_candidate ? growth.endpoint : std::string(), growth.domain}, endpoints_.size());
+    if (is_new)
+        endpoints_.push_back({index_of(domains_, growth.domain), growth.is_candidate, now});
+    const endpoint_info& endpoint = endpoints_[found->second];
+
+    if (slices_.empty() || now - slices_.back().begin >= slice_length_)
+        slices_.push_back({now, {}});
+    if (slices_.size() > rollout_max_slices)
+        slices_.pop_front();
+    const bool is_warm = !endpoint.is_candidate || now - endpoint.first_at >= endpoint_warm_up;
+    const auto add_to = [&](answer_counts& counts)
+    {
+        counts.answers += growth.answers;
+        counts.failures += growth.failures;
+        for (std::size_t i = 0; i < rollout_buckets; ++i)
+            counts.by_duration[i] += growth.by_duration[i];
+    };
+    add_to(slices_.back().samples[{route, found->second, is_warm}]);
+    if (!endpoint.is_candidate)
+        add_to(old_totals_[route]);
+}
+
+std::vector<rollout_assessment> rollout_evidence::assess(time_point step_began,
+                                                         bool has_one_endpoint,
+                                                         std::optional<time_point> full_since) const
+{
+    // The last entry stands for all routes: with few requests, what is bad on all of them shows
+    // first there.
+    const std::size_t all = routes_.size();
+    std::vector<rollout_assessment> result(all + 1);
+    std::vector<std::size_t> slow(all);
+    for (std::size_t route = 0; route < all; ++route)
+    {
+        slow[route] = slow_bucket(old_totals_[route]);
+        result[route].route = routes_[route];
+        result[route].old_answers = old_totals_[route].answers;
+        result[route].old_failures = old_totals_[route].failures;
+        result[all].old_answers += old_totals_[route].answers;
+        result[all].old_failures += old_totals_[route].failures;
+    }
+    const auto old = old_by_slice(slow);
+
+    std::vector<route_sums> sums(all + 1);
+    for (std::size_t i = slices_.size(); i-- > 0;)
+    {
+        const slice& of = slices_[i];
+        const bool is_full = full_since && of.begin >= *full_since;
+        const bool is_in_step = of.begin >= step_began;
+        for (const auto& [key, counts] : of.samples)
+        {
+            const auto [route, index, is_warm] = key;
+            const endpoint_info& endpoint = endpoints_[index];
+            if (!endpoint.is_candidate)
+                continue;
+            const bool is_judged = old_totals_[route].answers >= old_answers_min;
+            const expected_shares share = expected(old, i, route, endpoint.domain, is_full);
+            const double failed = log_likelihood_ratio(std::min(counts.failures, counts.answers),
+                                                       counts.answers, share.failures);
+            const std::uint64_t timed = is_warm ? sum_of(counts.by_duration) : 0;
+            const std::uint64_t slow_answers =
+                is_warm ? slower_than(counts.by_duration, slow[route]) : 0;
+            const double late = log_likelihood_ratio(slow_answers, timed, share.slow);
+            for (const std::size_t to : {route, all})
+            {
+                result[to].answers += counts.answers;
+                result[to].failures += counts.failures;
+                result[to].slow += slow_answers;
+                result[to].step_answers += is_in_step ? counts.answers : 0;
+                if (!is_judged)
+                    continue;
+                sums[to].is_touched = true;
+                sums[to].failed.add(index, failed);
+                if (timed > 0)
+                    sums[to].late.add(index, late);
+            }
+        }
+        for (std::size_t to = 0; to <= all; ++to)
+        {
+            if (sums[to].is_touched)
+                sums[to].assess_from_here(has_one_endpoint, is_in_step, result[to]);
+            sums[to].is_touched = false;
+        }
+    }
+    return result;
+}
+
+std::size_t rollout_evidence::slow_bucket(const answer_counts& old_total) const
+{
+    const std::uint64_t total = sum_of(old_total.by_duration);
+    std::size_t median_bucket = 0;
+    std::uint64_t below = 0;
+    while (median_bucket + 1 < rollout_buckets &&
+           2 * (below + old_total.by_duration[median_bucket]) < total)
+        below += old_total.by_duration[median_bucket++];
+    const std::size_t last = rollout_duration_bounds_ms.size() - 1;
+    if (median_bucket > last)
+        return last;
+    const double lower = median_bucket == 0 ? 0.0 : rollout_duration_bounds_ms[median_bucket - 1];
+    const double upper = rollout_duration_bounds_ms[median_bucket];
+    const auto in_bucket = static_cast<double>(old_total.by_duration[median_bucket]);
+    const double part =
+        in_bucket > 0.0
+            ? (static_cast<double>(total) / 2.0 - static_cast<double>(below)) / in_bucket
+            : 1.0;
+    const double median = lower + part * (upper - lower);
+    for (std::size_t bucket = median_bucket; bucket < last; ++bucket)
+    {
+        const auto slower = static_cast<double>(slower_than(old_total.by_duration, bucket));
+        if (rollout_duration_bounds_ms[bucket] >= slow_factor * median &&
+            slower <= slow_share_max * static_cast<double>(total))
+            return bucket;
+    }
+    return last;
+}
+
+// By slice; in each, for a route, its failure domains and then all of them.
+std::vector<std::vector<rollout_evidence::old_counts>>
+rollout_evidence::old_by_slice(const std::vector<std::size_t>& slow) const
+{
+    const std::size_t columns = domains_.size() + 1;
+    std::vector<std::vector<old_counts>> result(slices_.size(),
+                                                std::vector<old_counts>(routes_.size() * columns));
+    for (std::size_t i = 0; i < slices_.size(); ++i)
+    {
+        for (const auto& [key, counts] : slices_[i].samples)
+        {
+            const auto [route, index, is_warm] = key;
+            if (endpoints_[index].is_candidate)
+                continue;
+            for (const std::size_t column : {endpoints_[index].domain, domains_.size()})
+            {
+                old_counts& out = result[i][route * columns + column];
+                out.answers += counts.answers;
+                out.failures += counts.failures;
+                out.timed += sum_of(counts.by_duration);
+                out.slow += slower_than(counts.by_duration, slow[route]);
+            }
+        }
+    }
+    return result;
+}
+
+// The largest of the old version's shares: since the order, around the slice, and there in the
+// endpoint's failure domain.
+rollout_evidence::expected_shares
+rollout_evidence::expected(const std::vector<std::vector<old_counts>>& old, std::size_t at,
+                           std::size_t route, std::size_t domain, bool is_full) const
+{
+    const answer_counts& total = old_totals_[route];
+    const std::uint64_t timed = sum_of(total.by_duration);
+    expected_shares result;
+    result.failures = is_full ? expected_failures_min_full : expected_failures_min;
+    result.slow = is_full ? expected_slow_min_full : expected_slow_min;
+    result.failures = std::max(result.failures, share_of(total.failures, total.answers));
+    result.slow =
+        std::max(result.slow, share_of(slower_than(total.by_duration, slow_bucket(total)), timed));
+
+    const std::size_t columns = domains_.size() + 1;
+    const std::size_t first = at - std::min(at, slices_before);
+    const std::size_t last = std::min(at + slices_after, slices_.size() - 1);
+    for (const std::size_t column : {domain, domains_.size()})
+    {
+        old_counts window;
+        for (std::size_t i = first; i <= last; ++i)
+        {
+            const old_counts& each = old[i][route * columns + column];
+            window.answers += each.answers;
+            window.failures += each.failures;
+            window.timed += each.timed;
+            window.slow += each.slow;
+        }
+        if (window.answers >= window_answers_min)
+            result.failures = std::max(result.failures, share_of(window.failures, window.answers));
+        if (window.timed >= window_answers_min)
+            result.slow = std::max(result.slow, share_of(window.slow, window.timed));
+    }
+    result.failures = std::min(result.failures, 0.95);
+    result.slow = std::min(result.slow, 0.95);
+    return result;
+}
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/state/rollout_evidence.h
@@ -0,0 +1,142 @@
+// Evidence that the new version of a roll-out is worse than the old one.
+//
+// Answers are counted in slices of time. In each slice, the old version's answers to a route give
+// the share of bad ones to expect of the new one, so a burst or a slow failure domain that hits
+// both says nothing about it. The evidence is the log-likelihood ratio of "this much worse" to "as
+// good", summed from the start of any slice until now: a version that turns bad late shows as soon
+// as one that was bad from the start (CUSUM).
+#pragma once
+
+#include "state/rollout.h"
+#include "state/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace zinnianotch
+{
+
+// Rates of the sequential test (Wald): a route of a good version is taken for bad with at most the
+// first probability per start of the sum, and a route that is worse by rollout_bad_share for sound
+// with at most the second one.
+inline constexpr double rollout_false_alarm_rate = 2e-4;
+inline constexpr double rollout_miss_rate = 0.02;
+// Share of the answers that a bad version spoils, on top of those that are bad anyway.
+inline constexpr double rollout_bad_share = 0.2;
+// Shares of bad answers expected at least, however good the old version is.
+inline constexpr double expected_failures_min = 0.01;
+inline constexpr double expected_slow_min = 0.03;
+// The same while the new version takes over all requests: its endpoints are new to most of them.
+inline constexpr double expected_failures_min_full = 0.04;
+inline constexpr double expected_slow_min_full = 0.15;
+// An answer is slow above this multiple of the old version's median ...
+inline constexpr double slow_factor = 1.8;
+// ... and if at most this share of the old version's answers takes longer.
+inline constexpr double slow_share_max = 0.15;
+// Evidence of one endpoint above this is taken for a fault of that endpoint: about one in twenty
+// roll-outs has a faulty one.
+inline constexpr double faulty_endpoint_evidence = 3.0;
+// Durations of an endpoint's answers do not count for this time after its first one, while its
+// caches are empty.
+inline constexpr milliseconds endpoint_warm_up{1500};
+// Answers of the old version without which a route is not judged.
+inline constexpr std::uint64_t old_answers_min = 8;
+// Bounds on memory.
+inline constexpr std::size_t rollout_max_slices = 48;
+inline constexpr std::size_t rollout_max_endpoints = 4096;
+
+// Logarithms of the likelihood ratios at which a route is decided.
+double bad_evidence();
+double sound_evidence();
+
+// Evidence on one route, for decisions, logs and metrics.
+struct rollout_assessment
+{
+    std::string route;
+    std::uint64_t old_answers = 0;
+    std::uint64_t old_failures = 0;
+    std::uint64_t answers = 0; // of the new version, as the next two
+    std::uint64_t failures = 0;
+    std::uint64_t slow = 0;
+    std::uint64_t step_answers = 0; // of the new version since the step began
+    // Evidence that the version is bad, rather than one of its endpoints; that of an endpoint which
+    // alone has answered; and that since the step began.
+    double evidence = 0.0;
+    double single_evidence = 0.0;
+    double step_evidence = 0.0;
+};
+
+class rollout_evidence
+{
+public:
+    explicit rollout_evidence(milliseconds duration_of_order);
+
+    // Adds answers that have become known.
+    void add(const rollout_counts& growth, time_point now);
+    // By route, and then for all routes together with an empty name. `has_one_endpoint` is true if
+    // the version has no other, so that its faults are the version's.
+    std::vector<rollout_assessment> assess(time_point step_began, bool has_one_endpoint,
+                                           std::optional<time_point> full_since) const;
+
+private:
+    struct answer_counts
+    {
+        std::uint64_t answers = 0;
+        std::uint64_t failures = 0;
+        std::array<std::uint32_t, rollout_buckets> by_duration{};
+    };
+
+    struct endpoint_info
+    {
+        std::size_t domain = 0;
+        bool is_candidate = false;
+        time_point first_at{};
+    };
+
+    // Of a slice: route, endpoint, and whether the endpoint has warmed up.
+    using sample_key = std::tuple<std::size_t, std::size_t, bool>;
+
+    struct slice
+    {
+        time_point begin{};
+        std::map<sample_key, answer_counts> samples;
+    };
+
+    // Answers of the old version: counts of one slice, or of several.
+    struct old_counts
+    {
+        std::uint64_t answers = 0;
+        std::uint64_t failures = 0;
+        std::uint64_t timed = 0; // with a duration
+        std::uint64_t slow = 0;
+    };
+
+    struct expected_shares
+    {
+        double failures = 0.0;
+        double slow = 0.0;
+    };
+
+    std::size_t slow_bucket(const answer_counts& old_total) const;
+    std::vector<std::vector<old_counts>> old_by_slice(const std::vector<std::size_t>& slow) const;
+    expected_shares expected(const std::vector<std::vector<old_counts>>& old, std::size_t at,
+                             std::size_t route, std::size_t domain, bool is_full) const;
+
+    milliseconds slice_length_;
+    std::vector<std::string> routes_;
+    std::vector<std::string> domains_;
+    std::vector<endpoint_info> endpoints_;
+    std::map<std::pair<std::string, std::string>, std::size_t> endpoint_indexes_;
+    std::vector<answer_counts> old_totals_; // by route
+    std::deque<slice> slices_;
+};
+
+} // namespace zinnianotch
--- /dev/null
+++ b/packages/state/rollout_judge.cpp
@@ -0,0 +1,492 @@
+#include "state/rollout_judge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace zinnianotch
+{
+
+namespace
+{
+
+// Time without endpoints of the old version after which the new one takes over regardless.
+constexpr milliseconds no_old_endpoints_min{3000};
+// Endpoints that the new version needs, relative to those of the old one that it replaces.
+constexpr double replacement_min = 0.5;
+// Requests expected at least, before rates are known.
+constexpr double expected_requests_min = 1.0;
+// Age from which the rate of requests is known.
+constexpr milliseconds rate_known_after{1000};
+// Steps of the ramp, two for each share.
+constexpr std::uint32_t ramp_last_stage = static_cast<std::uint32_t>(ramp_shares.size()) - 1;
+
+// Growth of a cumulative count; nothing if the report is older than what is known.
+template <typename Number>
+Number grow(Number& known, Number reported)
+{
+    if (reported <= known)
+        return 0;
+    const Number growth = reported - known;
+    known = reported;
+    return growth;
+}
+
+} // namespace
+
+rollout_judge::rollout_judge(const rollout_limits& limits) : limits_(limits) {}
+
+void rollout_judge::set_order(const std::optional<rollout_order>& order, time_point now)
+{
+    const bool is_same = order_ && order && order_->revision == order->revision;
+    if (!order && (order_ || !has_order_been_set_))
+        order_missing_since_ = now;
+    if (!order && order_)
+        withdrawn_ = order_->revision;
+    has_order_been_set_ = true;
+    const bool was_known = order_.has_value();
+    order_ = order;
+    if (is_same || (!order && !was_known))
+        return;
+    restart(now);
+    if (stored_)
+        set_record(std::optional<rollout_record>(*stored_), now);
+}
+
+void rollout_judge::restart(time_point now)
+{
+    age_ = {};
+    furthest_.reset();
+    step_began_ = now;
+    full_since_.reset();
+    condemned_.clear();
+    evidence_.reset();
+    sources_.clear();
+    route_answers_.clear();
+    assessments_.clear();
+    due_.reset();
+    no_old_since_ = time_point::max();
+    if (!order_)
+        return;
+    age_.hear(milliseconds{0}, now);
+    evidence_.emplace(order_->duration);
+}
+
+void rollout_judge::set_record(const std::optional<rollout_record>& stored, time_point now)
+{
+    stored_ = stored;
+    if (!stored || !order_ || stored->order != order_->revision)
+        return;
+    age_.hear(stored->age, now);
+    if (furthest_ && !supersedes(*stored, *furthest_))
+        return;
+    furthest_ = stored;
+    step_began_ = now - std::max(age_.at(now) - stored->age, milliseconds{0});
+    if (stored->phase == rollout_phase::full)
+        full_since_ = step_began_;
+}
+
+void rollout_judge::on_report(const rollout_report& report, time_point now)
+{
+    if (!order_ || report.order != order_->revision || report.service != order_->service)
+        return;
+    age_.hear(report.age, now);
+    const std::pair<std::string, std::uint64_t> key(report.vm, report.lifetime);
+    if (!sources_.contains(key) && sources_.size() >= max_report_sources)
+        return;
+    report_source& source = sources_[key];
+    if (report.sequence > source.sequence)
+    {
+        source.sequence = report.sequence;
+        source.heard_at = now;
+        source.phase = report.phase;
+        source.sent = report.sent;
+        source.old_in_flight = report.old_in_flight;
+        source.old_unrepeatable = report.old_unrepeatable;
+    }
+    std::size_t entries = 0;
+    for (const rollout_counts& counts : report.counts)
+    {
+        if (++entries > rollout_max_counts)
+            break;
+        const auto entry = std::tie(counts.route, counts.endpoint, counts.domain);
+        if (source.counts.size() >= rollout_max_endpoints && !source.counts.contains(entry))
+            continue;
+        answer_counts& known = source.counts[entry];
+        rollout_counts growth = counts;
+        growth.answers = grow(known.answers, counts.answers);
+        growth.failures = grow(known.failures, counts.failures);
+        for (std::size_t i = 0; i < rollout_buckets; ++i)
+            growth.by_duration[i] = grow(known.by_duration[i], counts.by_duration[i]);
+        if (growth.answers == 0 && growth.failures == 0)
+            continue;
+        evidence_->add(growth, now);
+        if (route_answers_.size() < rollout_max_routes || route_answers_.contains(counts.route))
+            route_answers_[counts.route] += growth.answers;
+    }
+}
+
+std::optional<rollout_record> rollout_judge::propose(const rollout_situation& situation,
+                                                     time_point now)
+{
+    if (!has_order_been_set_)
+        return std::nullopt;
+    rollout_record next;
+    std::optional<decision> decided;
+    if (order_)
+    {
+        decided = decide(situation, now);
+        next.service = order_->service;
+        next.version = order_->version;
+        next.order = order_->revision;
+        next.age = age_.at(now);
+    }
+    else if (stored_ && !is_final(stored_->phase) &&
+             now - order_missing_since_ >=
+                 (stored_->order == withdrawn_ ? order_withdrawn_after : order_missing_max))
+    {
+        next = *stored_;
+        decided = decision{rollout_phase::rolled_back, 0, "the order was withdrawn"};
+    }
+    if (!decided)
+    {
+        due_.reset();
+        return std::nullopt;
+    }
+    next.phase = decided->phase;
+    next.step = decided->step;
+    next.why = decided->why;
+    next.revision = stored_ ? stored_->revision : 0;
+    next.shares = order_ ? shares_at(next.phase, next.step, now) : rollout_shares{};
+
+    const auto position = std::pair(next.phase, next.step);
+    if (due_ != position)
+    {
+        due_ = position;
+        due_since_ = now;
+    }
+    const milliseconds delay =
+        next.phase == rollout_phase::rolled_back ? roll_back_rank_delay : step_rank_delay;
+    if (now - due_since_ < delay * static_cast<milliseconds::rep>(situation.rank))
+        return std::nullopt;
+    return next;
+}
+
+std::optional<rollout_verdict> rollout_judge::verdict(time_point now) const
+{
+    if (!order_ || (!furthest_ && condemned_.empty()))
+        return std::nullopt;
+    rollout_verdict result;
+    result.service = order_->service;
+    result.order = order_->revision;
+    result.age = age_.at(now);
+    if (furthest_)
+    {
+        result.phase = furthest_->phase;
+        result.step = furthest_->step;
+    }
+    if (!condemned_.empty() && !is_final(result.phase))
+    {
+        result.phase = rollout_phase::rolled_back;
+        result.step = 0;
+    }
+    result.shares = shares_at(result.phase, result.step, now);
+    return result;
+}
+
+bool rollout_judge::is_stored_current() const
+{
+    return stored_ && stored_->order == order_->revision && furthest_ &&
+           !supersedes(*furthest_, *stored_);
+}
+
+std::optional<rollout_judge::decision> rollout_judge::decide(const rollout_situation& situation,
+                                                             time_point now)
+{
+    no_old_since_ = situation.old_endpoints > 0 ? time_point::max() : std::min(no_old_since_, now);
+    assessments_ = evidence_->assess(step_began_, situation.candidate_endpoints <= 1, full_since_);
+    if (!furthest_)
+        return decision{rollout_phase::canary, 0};
+    // The store came back from an older copy.
+    if (!is_stored_current())
+        return decision{furthest_->phase, furthest_->step, furthest_->why};
+    if (is_final(furthest_->phase))
+        return std::nullopt;
+
+    if (condemned_.empty())
+        condemned_ = describe_bad(assessments_);
+    if (!condemned_.empty())
+        return decision{rollout_phase::rolled_back, 0, condemned_};
+    if (!has_enough_reports(situation, now))
+        return std::nullopt;
+    if (situation.candidate_endpoints > 0 && no_old_since_ < now - no_old_endpoints_min)
+        return decision{rollout_phase::completed, 0, "no endpoint of the old version is left"};
+
+    std::optional<decision> decided;
+    switch (furthest_->phase)
+    {
+    case rollout_phase::canary:
+        decided = decide_canary(situation, now);
+        break;
+    case rollout_phase::ramp:
+        decided = decide_ramp(situation, now);
+        break;
+    default:
+        decided = decide_full(now);
+        break;
+    }
+    if (decided && decided->phase == rollout_phase::rolled_back)
+        condemned_ = decided->why;
+    return decided;
+}
+
+std::optional<rollout_judge::decision>
+rollout_judge::decide_canary(const rollout_situation& situation, time_point now) const
+{
+    if (needs_second_opinion(situation))
+        return decision{rollout_phase::canary, furthest_->step + 1};
+    const milliseconds age = age_.at(now);
+    if (age < part_of_order(canary_part))
+        return std::nullopt;
+    if (!has_endpoints_for(ramp_shares.front(), situation))
+        return decide_without_endpoints(now);
+    if (is_second_opinion(furthest_->phase, furthest_->step) && step_age(now) < second_opinion_min)
+        return std::nullopt;
+    if (is_suspect())
+    {
+        if (age < part_of_order(undecided_part_max))
+            return std::nullopt;
+        return decision{rollout_phase::rolled_back, 0, "still suspect when its time was over"};
+    }
+    if (!is_sound() && age < part_of_order(canary_part_max))
+        return std::nullopt;
+    return next_stage();
+}
+
+std::optional<rollout_judge::decision>
+rollout_judge::decide_ramp(const rollout_situation& situation, time_point now) const
+{
+    if (needs_second_opinion(situation))
+        return decision{rollout_phase::ramp, furthest_->step + 1};
+    const milliseconds age = age_.at(now);
+    if (is_suspect())
+    {
+        if (age < part_of_order(undecided_part_max))
+            return std::nullopt;
+        return decision{rollout_phase::rolled_back, 0, "still suspect when its time was over"};
+    }
+    const bool is_second = is_second_opinion(furthest_->phase, furthest_->step);
+    if (step_age(now) < (is_second ? second_opinion_min : ramp_step_time()))
+        return std::nullopt;
+    std::uint64_t answers = 0;
+    for (const rollout_assessment& each : assessments_)
+        answers += each.route.empty() ? 0 : each.step_answers;
+    if (answers < ramp_step_answers && step_age(now) < 2 * ramp_step_time())
+        return std::nullopt;
+    const decision next = next_stage();
+    const double share = next.phase == rollout_phase::full ? 1.0 : ramp_shares[next.step / 2];
+    if (!has_endpoints_for(share, situation))
+        return decide_without_endpoints(now);
+    return next;
+}
+
+// The new version has too few endpoints for the next step.
+std::optional<rollout_judge::decision> rollout_judge::decide_without_endpoints(time_point now) const
+{
+    if (age_.at(now) < order_->duration)
+        return std::nullopt;
+    return decision{rollout_phase::rolled_back, 0, "too few endpoints of the version"};
+}
+
+std::optional<rollout_judge::decision> rollout_judge::decide_full(time_point now) const
+{
+    if (step_age(now) < decision_spread)
+        return std::nullopt;
+    std::uint64_t in_flight = 0;
+    std::uint64_t unrepeatable = 0;
+    bool do_all_follow = true;
+    for (const auto& [key, source] : sources_)
+    {
+        if (now - source.heard_at > report_max_age)
+            continue;
+        in_flight += source.old_in_flight;
+        unrepeatable += source.old_unrepeatable;
+        do_all_follow = do_all_follow && source.phase >= rollout_phase::full;
+    }
+    const milliseconds left = order_->duration - age_.at(now);
+    const milliseconds margin = part_of_order(completion_margin);
+    if (in_flight == 0 && do_all_follow && (!is_suspect() || left < margin))
+        return decision{rollout_phase::completed, 0};
+    if ((left < margin && unrepeatable == 0 && do_all_follow) || left < margin / 2)
+        return decision{rollout_phase::completed, 0};
+    return std::nullopt;
+}
+
+rollout_judge::decision rollout_judge::next_stage() const
+{
+    if (furthest_->phase == rollout_phase::canary)
+        return {rollout_phase::ramp, 0};
+    const std::uint32_t stage = furthest_->step / 2;
+    if (stage >= ramp_last_stage)
+        return {rollout_phase::full, 0};
+    return {rollout_phase::ramp, 2 * (stage + 1)};
+}
+
+// True if the evidence may soon decide against the version.
+bool rollout_judge::is_suspect() const
+{
+    const bool is_second = is_second_opinion(furthest_->phase, furthest_->step);
+    for (const rollout_assessment& each : assessments_)
+    {
+        if (each.evidence >= bad_evidence() / 2.0)
+            return true;
+        if (is_second && each.single_evidence >= bad_evidence() &&
+            each.step_evidence > sound_evidence() / 2.0)
+            return true;
+    }
+    return false;
+}
+
+bool rollout_judge::is_sound() const
+{
+    for (const rollout_assessment& each : assessments_)
+    {
+        if (each.old_answers > 0 && each.step_evidence > sound_evidence())
+            return false;
+    }
+    return !assessments_.empty();
+}
+
+bool rollout_judge::needs_second_opinion(const rollout_situation& situation) const
+{
+    if (is_second_opinion(furthest_->phase, furthest_->step) || situation.candidate_endpoints < 2)
+        return false;
+    for (const rollout_assessment& each : assessments_)
+    {
+        if (each.single_evidence >= bad_evidence())
+            return true;
+    }
+    return false;
+}
+
+bool rollout_judge::has_enough_reports(const rollout_situation& situation, time_point now) const
+{
+    std::size_t count = 0;
+    for (const auto& [key, source] : sources_)
+        count += now - source.heard_at <= report_max_age ? 1 : 0;
+    return count > 0 &&
+           static_cast<double>(count) >= reporting_share_min * static_cast<double>(situation.vms);
+}
+
+bool rollout_judge::has_endpoints_for(double share, const rollout_situation& situation) const
+{
+    const auto old = static_cast<double>(situation.old_endpoints);
+    return situation.candidate_endpoints > 0 &&
+           static_cast<double>(situation.candidate_endpoints) >= replacement_min * share * old;
+}
+
+milliseconds rollout_judge::part_of_order(double part) const
+{
+    return milliseconds(
+        static_cast<milliseconds::rep>(part * static_cast<double>(order_->duration.count())));
+}
+
+milliseconds rollout_judge::step_age(time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - step_began_);
+}
+
+// Shorter than ramp_step_part if the bound leaves less.
+milliseconds rollout_judge::ramp_step_time() const
+{
+    double shares = 0.0;
+    for (const double share : ramp_shares)
+        shares += share;
+    const double canary = canary_exposure * limits_.exposure_share * canary_part_max;
+    const double left = planned_exposure * limits_.exposure_share - canary;
+    return part_of_order(std::min(ramp_step_part, left / shares));
+}
+
+// Reason to roll back; empty if there is none.
+std::string rollout_judge::describe_bad(const std::vector<rollout_assessment>& list) const
+{
+    for (const rollout_assessment& each : list)
+    {
+        if (each.evidence < bad_evidence())
+            continue;
+        return (each.route.empty() ? "all routes" : "route " + each.route) + ": " +
+               std::to_string(each.failures) + " failed and " + std::to_string(each.slow) +
+               " slow of " + std::to_string(each.answers) + ", old version " +
+               std::to_string(each.old_failures) + " failed of " + std::to_string(each.old_answers);
+    }
+    return {};
+}
+
+// Share of the requests until the deadline that the new version may get before `full`.
+double rollout_judge::planned_bound(time_point now) const
+{
+    const milliseconds age = age_.at(now);
+    double bound = planned_exposure * limits_.exposure_share;
+    if (age < rate_known_after)
+        return bound;
+    std::uint64_t sent = 0;
+    for (const auto& [key, source] : sources_)
+        sent += source.sent;
+    const double longer = std::max(1.0, static_cast<double>(order_->duration.count()) /
+                                            static_cast<double>(age.count()));
+    const double expected = static_cast<double>(sent) * longer;
+    bound += planned_slack * limits_.exposure_slack / std::max(expected, expected_requests_min);
+    return std::min(bound, std::max(planned_share_max, limits_.exposure_share));
+}
+
+// Routes of few requests get a larger share, so that the canary brings enough answers of each.
+rollout_shares rollout_judge::shares_at(rollout_phase phase, std::uint32_t step,
+                                        time_point now) const
+{
+    rollout_shares result;
+    result.bound = planned_bound(now);
+    if (phase == rollout_phase::rolled_back)
+        return result;
+    if (phase == rollout_phase::ramp)
+    {
+        result.usual = ramp_shares[std::min(step / 2, ramp_last_stage)];
+        return result;
+    }
+    if (phase != rollout_phase::canary)
+    {
+        result.usual = 1.0;
+        return result;
+    }
+    result.usual = std::min(canary_exposure * result.bound, canary_share_max);
+    const milliseconds age = age_.at(now);
+    std::uint64_t total = 0;
+    for (const auto& [route, answers] : route_answers_)
+        total += answers;
+    if (age < rate_known_after || total == 0)
+        return result;
+
+    const double longer = canary_part * static_cast<double>(order_->duration.count()) /
+                          static_cast<double>(age.count());
+    double needed = 0.0; // answers of the canary, at the answers of both versions since the order
+    std::vector<rollout_share>& routes = result.routes;
+    for (const auto& [route, answers] : route_answers_)
+    {
+        const double expected = std::max(static_cast<double>(answers) * longer, 1.0);
+        routes.push_back(
+            {route, std::min(canary_route_answers / expected, canary_route_share_max)});
+        needed += routes.back().share * static_cast<double>(answers);
+    }
+    const double available = result.usual * static_cast<double>(total);
+    for (rollout_share& each : routes)
+    {
+        if (needed > available)
+            each.share *= available / needed;
+        else
+            each.share += (available - needed) / static_cast<double>(total);
+        // Steps of a thousandth keep the shares of VMs that ask at different times the same.
+        each.share = std::round(each.share * 1000.0) / 1000.0;
+    }
+    return result;
+}
+
+} // namespace zinnianotch
--- a/packages/state/rollout_judge.h
+++ b/packages/state/rollout_judge.h
@@ -1,51 +1,72 @@
-// Judges the new version of a roll-out against the old one and proposes the next decision.
-//
-// Answers are counted in slices of time. In each slice the old version's answers to a route give
-// the share of bad ones to expect, so a burst or a slow failure domain that hits both versions says
-// nothing about the new one. The evidence is the log-likelihood ratio of "this much worse" to "as
-// good", summed from the start of any slice until now, so a version that turns bad late shows as
-// quickly as one that was bad from the start (CUSUM).
+// Decides on the progress of a roll-out from the reports of all VMs: proposes the next decision to
+// write to the store, and answers reports with the latest verdict.
 #pragma once
 
 #include "state/rollout.h"
+#include "state/rollout_evidence.h"
 #include "state/time.h"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 namespace zinnianotch
 {
 
+// Plan of a roll-out, as parts of the time from order to deadline.
+inline constexpr double canary_part = 0.55;        // the canary ends at the earliest
+inline constexpr double canary_part_max = 0.65;    // the canary ends unless the version is suspect
+inline constexpr double ramp_step_part = 0.08;     // usual duration of a step of the ramp
+inline constexpr double undecided_part_max = 0.85; // a version that is still suspect is rolled back
+inline constexpr double completion_margin = 0.07;  // `completed` before the deadline
+// Shares of the steps of the ramp.
+inline constexpr std::array<double, 2> ramp_shares{0.15, 0.35};
+// Part of the exposure bound that is planned, and the part of that for the canary. The rest is for
+// the time between a sign and the last request.
+inline constexpr double planned_exposure = 0.95;
+inline constexpr double canary_exposure = 0.55;
+// Part of the exposure's slack that is planned.
+inline constexpr double planned_slack = 0.5;
+inline constexpr double planned_share_max = 0.4;
+inline constexpr double canary_share_max = 0.15;
+// Answers that the canary should bring of each route, and the largest share for that.
+inline constexpr double canary_route_answers = 36.0;
+inline constexpr double canary_route_share_max = 0.25;
+// Answers of a step of the ramp before the next one.
+inline constexpr std::uint64_t ramp_step_answers = 10;
+// Time after a second opinion was asked for before the roll-out proceeds.
+inline constexpr milliseconds second_opinion_min{1500};
+// Time from the decision until all VMs in touch follow it.
+inline constexpr milliseconds decision_spread{500};
+// A VM whose last report is older is out of touch.
+inline constexpr milliseconds report_max_age{2000};
+// Share of the VMs whose reports are needed for a step.
+inline constexpr double reporting_share_min = 0.5;
+// An order that is missing while its decision is running was withdrawn: after the first time if
+// this VM has seen it go, after the second if it has never seen it, since it may still arrive.
+inline constexpr milliseconds order_withdrawn_after{2000};
+inline constexpr milliseconds order_missing_max{10'000};
+// Delay of a proposal per rank of the VM, for steps and for a roll-back.
+inline constexpr milliseconds step_rank_delay{1000};
+inline constexpr milliseconds roll_back_rank_delay{300};
+// Bound on memory.
+inline constexpr std::size_t max_report_sources = 4096;
+
 // What a VM knows besides the reports when it judges.
 struct rollout_situation
 {
-    std::size_t old_endpoints = 0; // usable ones: neither draining nor gone
+    std::size_t old_endpoints = 0; // neither draining nor gone
     std::size_t candidate_endpoints = 0;
     std::size_t vms = 0;  // that should report, including this one
     std::size_t rank = 0; // of this VM in rollout_judges, among those that can be reached
 };
 
-// Evidence on one route, for logs and metrics.
-struct rollout_assessment
-{
-    std::string route;
-    std::uint64_t old_answers = 0;
-    std::uint64_t answers = 0; // of the new version, as the next ones
-    std::uint64_t failures = 0;
-    std::uint64_t slow = 0;
-    double evidence = 0.0;        // that the version is bad; at bad_evidence it is
-    double single_evidence = 0.0; // the same without leaving an endpoint out
-    double step_evidence = 0.0;   // since the step began; at sound_evidence the route is sound
-};
-
 class rollout_judge
 {
 public:
@@ -60,50 +81,82 @@
 
     // Decision to write now, or nothing. Its `revision` is that of the stored record on which it is
     // based (0: there must be none); the write must fail if the store has another one by then. It
-    // is proposed again until set_record shows a change.
+    // is proposed again until set_record shows a change. Call it at least every 100 ms while an
+    // order or a decision that is not final exists; a VM that only answers reports must call it,
+    // too.
     std::optional<rollout_record> propose(const rollout_situation& situation, time_point now);
 
     // Answer to a report. Nothing while the order or its first record is not known.
     std::optional<rollout_verdict> verdict(time_point now) const;
 
-    std::vector<rollout_assessment> assessments() const;
+    // Evidence as of the last call of propose.
+    const std::vector<rollout_assessment>& assessments() const { return assessments_; }
 
 private:
-    struct bad_counts
+    struct answer_counts
     {
         std::uint32_t answers = 0;
         std::uint32_t failures = 0;
         std::array<std::uint32_t, rollout_buckets> by_duration{};
     };
-    struct sample
-    {
-        std::size_t route = 0;
-        std::string endpoint; // empty: old version
-        std::string domain;
-        bool is_warm = true; // durations count
-        bad_counts counts;
-    };
-    struct slice
-    {
-        time_point begin{};
-        std::vector<sample> samples;
-    };
-    struct source
+
+    // One lifetime of a VM that reports.
+    struct report_source
     {
         std::uint64_t sequence = 0;
         time_point heard_at{};
         rollout_phase phase = rollout_phase::canary;
         std::uint64_t sent = 0;
-        std::uint64_t candidate_sent = 0;
         std::uint32_t old_in_flight = 0;
         std::uint32_t old_unrepeatable = 0;
-        std::map<std::pair<std::string, std::string>, bad_counts> counts;
+        std::map<std::tuple<std::string, std::string, std::string>, answer_counts> counts;
     };
 
+    struct decision
+    {
+        rollout_phase phase = rollout_phase::canary;
+        std::uint32_t step = 0;
+        std::string why = {};
+    };
+
+    void restart(time_point now);
+    bool is_stored_current() const;
+    std::optional<decision> decide(const rollout_situation& situation, time_point now);
+    std::optional<decision> decide_canary(const rollout_situation& situation, time_point now) const;
+    std::optional<decision> decide_ramp(const rollout_situation& situation, time_point now) const;
+    std::optional<decision> decide_without_endpoints(time_point now) const;
+    std::optional<decision> decide_full(time_point now) const;
+    decision next_stage() const;
+    bool is_suspect() const;
+    bool is_sound() const;
+    bool needs_second_opinion(const rollout_situation& situation) const;
+    bool has_enough_reports(const rollout_situation& situation, time_point now) const;
+    bool has_endpoints_for(double share, const rollout_situation& situation) const;
+    milliseconds part_of_order(double part) const;
+    milliseconds step_age(time_point now) const;
+    milliseconds ramp_step_time() const;
+    std::string describe_bad(const std::vector<rollout_assessment>& list) const;
+    double planned_bound(time_point now) const;
+    rollout_shares shares_at(rollout_phase phase, std::uint32_t step, time_point now) const;
+
     rollout_limits limits_;
     std::optional<rollout_order> order_;
+    std::uint64_t withdrawn_ = 0; // revision of the order that this VM has seen go
+    time_point order_missing_since_{};
+    bool has_order_been_set_ = false;
     rollout_age age_;
-    std::optional<rollout_record> stored_;
+    std::optional<rollout_record> stored_;   // as it is in the store
+    std::optional<rollout_record> furthest_; // of the order; the store may have come back older
+    time_point step_began_{};
+    std::optional<time_point> full_since_;
+    std::string condemned_; // reason; empty if the version is not bad
+    std::optional<rollout_evidence> evidence_;
+    std::map<std::pair<std::string, std::uint64_t>, report_source> sources_;
+    std::map<std::string, std::uint64_t> route_answers_; // of both versions
+    std::vector<rollout_assessment> assessments_;
+    std::optional<std::pair<rollout_phase, std::uint32_t>> due_; // proposal that waits for its rank
+    time_point due_since_{};
+    time_point no_old_since_ = time_point::max(); // no endpoint of the old version is left
 };
 
 } // namespace zinnianotch
