Raise a roll-out's shares so that canaries work under the usual load

Versions that are bad under load only passed at services with few endpoints: their canary worked below the load of an old endpoint. The last step of the ramp now lasts longer and its share is adjusted to whole endpoints. A second opinion moves through up to four groups of endpoints.

--- a/packages/state/rollout.cpp
+++ b/packages/state/rollout.cpp
@@ -88,11 +88,6 @@
     return phase == rollout_phase::canary ? canary_report_interval : ramp_report_interval;
 }
 
-bool is_second_opinion(rollout_phase phase, std::uint32_t step)
-{
-    return (phase == rollout_phase::canary || phase == rollout_phase::ramp) && step % 2 == 1;
-}
-
 std::size_t canary_count(double share, std::size_t old_endpoints, std::size_t new_endpoints)
 {
     if (new_endpoints == 0)
--- a/packages/state/rollout.h
+++ b/packages/state/rollout.h
@@ -150,9 +150,10 @@
 // version gets its share until the judge knows.
 milliseconds rollout_report_interval(rollout_phase phase);
 
-// Steps of `canary` and `ramp` come in pairs. The second of a pair moves the share to the next
-// endpoints, to tell a faulty endpoint from a bad version.
-bool is_second_opinion(rollout_phase phase, std::uint32_t step);
+// Steps of `canary` and `ramp` come in groups, one for each share. The first step of a group uses
+// the first new endpoints, the next ones move on to others, to tell a faulty endpoint from a bad
+// version.
+inline constexpr std::uint32_t rollout_rotations = 4;
 
 // Number of new endpoints that take a share of the requests, so that each works under about the
 // load of an endpoint of the old version.
--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds slice_length_min{500};
 // Slices before and after one whose answers of the old version are compared with it: reports of
 // the same time arrive up to a report interval apart.
-constexpr std::size_t slices_before = 3;
+constexpr std::size_t slices_before = 4;
 constexpr std::size_t slices_after = 1;
 // Answers of the old version from which a window, or a failure domain in it, is a measure.
 constexpr std::uint64_t window_answers_min = 20;
@@ -27,6 +27,9 @@
     return names.size() - 1;
 }
 
+// Expected shares above this would make the logarithms unbounded.
+constexpr double expected_share_max = 0.95;
+
 template <typename Counts>
 std::uint64_t slower_than(const Counts& by_duration, std::size_t bucket)
 {
@@ -57,6 +60,35 @@
            static_cast<double>(total - bad) * std::log((1.0 - worse) / (1.0 - expected));
 }
 
+// Index of the bound above which an answer is slow, given the old version's answers.
+std::size_t slow_bucket_of(const std::array<std::uint64_t, rollout_buckets>& by_duration)
+{
+    const std::uint64_t total = sum_of(by_duration);
+    std::size_t median_bucket = 0;
+    std::uint64_t below = 0;
+    while (median_bucket + 1 < rollout_buckets && 2 * (below + by_duration[median_bucket]) < total)
+        below += by_duration[median_bucket++];
+    const std::size_t last = rollout_duration_bounds_ms.size() - 1;
+    if (median_bucket > last)
+        return last;
+    const double lower = median_bucket == 0 ? 0.0 : rollout_duration_bounds_ms[median_bucket - 1];
+    const double upper = rollout_duration_bounds_ms[median_bucket];
+    const auto in_bucket = static_cast<double>(by_duration[median_bucket]);
+    const double part =
+        in_bucket > 0.0
+            ? (static_cast<double>(total) / 2.0 - static_cast<double>(below)) / in_bucket
+            : 1.0;
+    const double median = lower + part * (upper - lower);
+    for (std::size_t bucket = median_bucket; bucket < last; ++bucket)
+    {
+        const auto slower = static_cast<double>(slower_than(by_duration, bucket));
+        if (rollout_duration_bounds_ms[bucket] >= slow_factor * median &&
+            slower <= slow_share_max * static_cast<double>(total))
+            return bucket;
+    }
+    return last;
+}
+
 // Evidence by endpoint, summed over slices.
 struct evidence_sum
 {
@@ -92,7 +124,7 @@
         {
             out.evidence =
                 std::max(out.evidence, has_one_endpoint ? sum->total : sum->against_version());
-            if (sum->by_endpoint.size() == 1)
+            if (is_in_step && sum->by_endpoint.size() == 1)
                 out.single_evidence = std::max(out.single_evidence, sum->total);
         }
         // The evidence since the step began is the sum at its first slice.
@@ -135,20 +167,22 @@
     const endpoint_info& endpoint = endpoints_[found->second];
 
     if (slices_.empty() || now - slices_.back().begin >= slice_length_)
-        slices_.push_back({now, {}});
+        slices_.push_back({now, {}, {}});
     if (slices_.size() > rollout_max_slices)
         slices_.pop_front();
-    const bool is_warm = !endpoint.is_candidate || now - endpoint.first_at >= endpoint_warm_up;
-    const auto add_to = [&](answer_counts& counts)
+    answer_counts counts;
+    counts.answers = growth.answers;
+    counts.failures = growth.failures;
+    std::copy(growth.by_duration.begin(), growth.by_duration.end(), counts.by_duration.begin());
+    slice& last = slices_.back();
+    if (endpoint.is_candidate)
     {
-        counts.answers += growth.answers;
-        counts.failures += growth.failures;
-        for (std::size_t i = 0; i < rollout_buckets; ++i)
-            counts.by_duration[i] += growth.by_duration[i];
-    };
-    add_to(slices_.back().samples[{route, found->second, is_warm}]);
-    if (!endpoint.is_candidate)
-        add_to(old_totals_[route]);
+        const bool is_warm = now - endpoint.first_at >= endpoint_warm_up;
+        last.samples[{route, found->second, is_warm}].add(counts);
+        return;
+    }
+    last.old[{route, endpoint.domain}].add(counts);
+    old_totals_[route].add(counts);
 }
 
 std::vector<rollout_assessment> rollout_evidence::assess(time_point step_began,
@@ -159,17 +193,14 @@
     // first there.
     const std::size_t all = routes_.size();
     std::vector<rollout_assessment> result(all + 1);
-    std::vector<std::size_t> slow(all);
     for (std::size_t route = 0; route < all; ++route)
     {
-        slow[route] = slow_bucket(old_totals_[route]);
         result[route].route = routes_[route];
         result[route].old_answers = old_totals_[route].answers;
         result[route].old_failures = old_totals_[route].failures;
         result[all].old_answers += old_totals_[route].answers;
         result[all].old_failures += old_totals_[route].failures;
     }
-    const auto old = old_by_slice(slow);
 
     std::vector<route_sums> sums(all + 1);
     for (std::size_t i = slices_.size(); i-- > 0;)
@@ -177,19 +208,18 @@
         const slice& of = slices_[i];
         const bool is_full = full_since && of.begin >= *full_since;
         const bool is_in_step = of.begin >= step_began;
+        const std::vector<expectation> expected = expected_at(i, is_full);
         for (const auto& [key, counts] : of.samples)
         {
             const auto [route, index, is_warm] = key;
             const endpoint_info& endpoint = endpoints_[index];
-            if (!endpoint.is_candidate)
-                continue;
             const bool is_judged = old_totals_[route].answers >= old_answers_min;
-            const expected_shares share = expected(old, i, route, endpoint.domain, is_full);
+            const expectation& share = expected[route * domains_.size() + endpoint.domain];
             const double failed = log_likelihood_ratio(std::min(counts.failures, counts.answers),
                                                        counts.answers, share.failures);
             const std::uint64_t timed = is_warm ? sum_of(counts.by_duration) : 0;
             const std::uint64_t slow_answers =
-                is_warm ? slower_than(counts.by_duration, slow[route]) : 0;
+                is_warm ? slower_than(counts.by_duration, share.slow_bucket) : 0;
             const double late = log_likelihood_ratio(slow_answers, timed, share.slow);
             for (const std::size_t to : {route, all})
             {
@@ -215,98 +245,60 @@
     return result;
 }
 
-std::size_t rollout_evidence::slow_bucket(const answer_counts& old_total) const
+void rollout_evidence::answer_counts::add(const answer_counts& other)
 {
-    const std::uint64_t total = sum_of(old_total.by_duration);
-    std::size_t median_bucket = 0;
-    std::uint64_t below = 0;
-    while (median_bucket + 1 < rollout_buckets &&
-           2 * (below + old_total.by_duration[median_bucket]) < total)
-        below += old_total.by_duration[median_bucket++];
-    const std::size_t last = rollout_duration_bounds_ms.size() - 1;
-    if (median_bucket > last)
-        return last;
-    const double lower = median_bucket == 0 ? 0.0 : rollout_duration_bounds_ms[median_bucket - 1];
-    const double upper = rollout_duration_bounds_ms[median_bucket];
-    const auto in_bucket = static_cast<double>(old_total.by_duration[median_bucket]);
-    const double part =
-        in_bucket > 0.0
-            ? (static_cast<double>(total) / 2.0 - static_cast<double>(below)) / in_bucket
-            : 1.0;
-    const double median = lower + part * (upper - lower);
-    for (std::size_t bucket = median_bucket; bucket < last; ++bucket)
-    {
-        const auto slower = static_cast<double>(slower_than(old_total.by_duration, bucket));
-        if (rollout_duration_bounds_ms[bucket] >= slow_factor * median &&
-            slower <= slow_share_max * static_cast<double>(total))
-            return bucket;
-    }
-    return last;
+    answers += other.answers;
+    failures += other.failures;
+    for (std::size_t i = 0; i < rollout_buckets; ++i)
+        by_duration[i] += other.by_duration[i];
 }
 
-// By slice; in each, for a route, its failure domains and then all of them.
-std::vector<std::vector<rollout_evidence::old_counts>>
-rollout_evidence::old_by_slice(const std::vector<std::size_t>& slow) const
+// Bad answers to expect in a slice, by route and failure domain: the larger one of the old
+// version's shares in that domain and in all. They are those of the slices around it if these have
+// enough answers, else those since the order.
+std::vector<rollout_evidence::expectation> rollout_evidence::expected_at(std::size_t at,
+                                                                         bool is_full) const
 {
-    const std::size_t columns = domains_.size() + 1;
-    std::vector<std::vector<old_counts>> result(slices_.size(),
-                                                std::vector<old_counts>(routes_.size() * columns));
-    for (std::size_t i = 0; i < slices_.size(); ++i)
+    const std::size_t domains = domains_.size();
+    std::vector<answer_counts> by_domain(routes_.size() * domains);
+    std::vector<answer_counts> by_route(routes_.size());
+    const std::size_t first = at - std::min(at, slices_before);
+    const std::size_t last = std::min(at + slices_after, slices_.size() - 1);
+    for (std::size_t i = first; i <= last; ++i)
     {
-        for (const auto& [key, counts] : slices_[i].samples)
+        for (const auto& [key, counts] : slices_[i].old)
         {
-            const auto [route, index, is_warm] = key;
-            if (endpoints_[index].is_candidate)
-                continue;
-            for (const std::size_t column : {endpoints_[index].domain, domains_.size()})
-            {
-                old_counts& out = result[i][route * columns + column];
-                out.answers += counts.answers;
-                out.failures += counts.failures;
-                out.timed += sum_of(counts.by_duration);
-                out.slow += slower_than(counts.by_duration, slow[route]);
-            }
+            by_domain[key.first * domains + key.second].add(counts);
+            by_route[key.first].add(counts);
         }
     }
-    return result;
-}
 
-// The largest of the old version's shares: since the order, around the slice, and there in the
-// endpoint's failure domain.
-rollout_evidence::expected_shares
-rollout_evidence::expected(const std::vector<std::vector<old_counts>>& old, std::size_t at,
-                           std::size_t route, std::size_t domain, bool is_full) const
-{
-    const answer_counts& total = old_totals_[route];
-    const std::uint64_t timed = sum_of(total.by_duration);
-    expected_shares result;
-    result.failures = is_full ? expected_failures_min_full : expected_failures_min;
-    result.slow = is_full ? expected_slow_min_full : expected_slow_min;
-    result.failures = std::max(result.failures, share_of(total.failures, total.answers));
-    result.slow =
-        std::max(result.slow, share_of(slower_than(total.by_duration, slow_bucket(total)), timed));
-
-    const std::size_t columns = domains_.size() + 1;
-    const std::size_t first = at - std::min(at, slices_before);
-    const std::size_t last = std::min(at + slices_after, slices_.size() - 1);
-    for (const std::size_t column : {domain, domains_.size()})
+    std::vector<expectation> result(by_domain.size());
+    for (std::size_t route = 0; route < routes_.size(); ++route)
     {
-        old_counts window;
-        for (std::size_t i = first; i <= last; ++i)
+        const bool is_window_enough = by_route[route].answers >= window_answers_min;
+        const answer_counts& usual = is_window_enough ? by_route[route] : old_totals_[route];
+        const std::size_t slow_bucket = slow_bucket_of(usual.by_duration);
+        for (std::size_t domain = 0; domain < domains; ++domain)
         {
-            const old_counts& each = old[i][route * columns + column];
-            window.answers += each.answers;
-            window.failures += each.failures;
-            window.timed += each.timed;
-            window.slow += each.slow;
+            expectation& out = result[route * domains + domain];
+            out.slow_bucket = slow_bucket;
+            out.failures = is_full ? expected_failures_min_full : expected_failures_min;
+            out.slow = is_full ? expected_slow_min_full : expected_slow_min;
+            const answer_counts& own = by_domain[route * domains + domain];
+            for (const answer_counts* counts : {&usual, &own})
+            {
+                if (counts == &own && own.answers < window_answers_min)
+                    continue;
+                out.failures = std::max(out.failures, share_of(counts->failures, counts->answers));
+                out.slow =
+                    std::max(out.slow, share_of(slower_than(counts->by_duration, slow_bucket),
+                                                sum_of(counts->by_duration)));
+            }
+            out.failures = std::min(out.failures, expected_share_max);
+            out.slow = std::min(out.slow, expected_share_max);
         }
-        if (window.answers >= window_answers_min)
-            result.failures = std::max(result.failures, share_of(window.failures, window.answers));
-        if (window.timed >= window_answers_min)
-            result.slow = std::max(result.slow, share_of(window.slow, window.timed));
     }
-    result.failures = std::min(result.failures, 0.95);
-    result.slow = std::min(result.slow, 0.95);
     return result;
 }
 
--- a/packages/state/rollout_evidence.h
+++ b/packages/state/rollout_evidence.h
@@ -35,8 +35,8 @@
 inline constexpr double expected_failures_min = 0.01;
 inline constexpr double expected_slow_min = 0.03;
 // The same while the new version takes over all requests: its endpoints are new to most of them.
-inline constexpr double expected_failures_min_full = 0.04;
-inline constexpr double expected_slow_min_full = 0.15;
+inline constexpr double expected_failures_min_full = 0.02;
+inline constexpr double expected_slow_min_full = 0.08;
 // An answer is slow above this multiple of the old version's median ...
 inline constexpr double slow_factor = 1.8;
 // ... and if at most this share of the old version's answers takes longer.
@@ -46,7 +46,7 @@
 inline constexpr double faulty_endpoint_evidence = 3.0;
 // Durations of an endpoint's answers do not count for this time after its first one, while its
 // caches are empty.
-inline constexpr milliseconds endpoint_warm_up{1500};
+inline constexpr milliseconds endpoint_warm_up{1000};
 // Answers of the old version without which a route is not judged.
 inline constexpr std::uint64_t old_answers_min = 8;
 // Bounds on memory.
@@ -68,7 +68,7 @@
     std::uint64_t slow = 0;
     std::uint64_t step_answers = 0; // of the new version since the step began
     // Evidence that the version is bad, rather than one of its endpoints; that of an endpoint which
-    // alone has answered; and that since the step began.
+    // alone has answered since the step began; and that of all since the step began.
     double evidence = 0.0;
     double single_evidence = 0.0;
     double step_evidence = 0.0;
@@ -91,7 +91,9 @@
     {
         std::uint64_t answers = 0;
         std::uint64_t failures = 0;
-        std::array<std::uint32_t, rollout_buckets> by_duration{};
+        std::array<std::uint64_t, rollout_buckets> by_duration{};
+
+        void add(const answer_counts& other);
     };
 
     struct endpoint_info
@@ -101,34 +103,25 @@
         time_point first_at{};
     };
 
-    // Of a slice: route, endpoint, and whether the endpoint has warmed up.
+    // Route, new endpoint, and whether that has warmed up.
     using sample_key = std::tuple<std::size_t, std::size_t, bool>;
 
     struct slice
     {
         time_point begin{};
         std::map<sample_key, answer_counts> samples;
+        std::map<std::pair<std::size_t, std::size_t>, answer_counts> old; // by route and domain
     };
 
-    // Answers of the old version: counts of one slice, or of several.
-    struct old_counts
-    {
-        std::uint64_t answers = 0;
-        std::uint64_t failures = 0;
-        std::uint64_t timed = 0; // with a duration
-        std::uint64_t slow = 0;
-    };
-
-    struct expected_shares
+    // Shares of bad answers to expect of a version that is as good as the old one.
+    struct expectation
     {
         double failures = 0.0;
         double slow = 0.0;
+        std::size_t slow_bucket = 0; // an answer is slow above its bound
     };
 
-    std::size_t slow_bucket(const answer_counts& old_total) const;
-    std::vector<std::vector<old_counts>> old_by_slice(const std::vector<std::size_t>& slow) const;
-    expected_shares expected(const std::vector<std::vector<old_counts>>& old, std::size_t at,
-                             std::size_t route, std::size_t domain, bool is_full) const;
+    std::vector<expectation> expected_at(std::size_t at, bool is_full) const;
 
     milliseconds slice_length_;
     std::vector<std::string> routes_;
--- a/packages/state/rollout_gate.cpp
+++ b/packages/state/rollout_gate.cpp
@@ -238,7 +238,7 @@
     const std::size_t count = canary_count(by.shares->usual, old_count_, candidate_count_);
     if (count >= candidate_count_)
         return true;
-    const std::size_t first = is_second_opinion(by.phase, by.step) ? count : 0;
+    const std::size_t first = by.step % rollout_rotations * count % candidate_count_;
     return (of.place + candidate_count_ - first) % candidate_count_ < count;
 }
 
--- a/packages/state/rollout_judge.cpp
+++ b/packages/state/rollout_judge.cpp
@@ -18,7 +18,7 @@
 constexpr double expected_requests_min = 1.0;
 // Age from which the rate of requests is known.
 constexpr milliseconds rate_known_after{1000};
-// Steps of the ramp, two for each share.
+// Stages of the ramp, each with rollout_rotations steps.
 constexpr std::uint32_t ramp_last_stage = static_cast<std::uint32_t>(ramp_shares.size()) - 1;
 
 // Growth of a cumulative count; nothing if the report is older than what is known.
@@ -203,6 +203,7 @@
 std::optional<rollout_judge::decision> rollout_judge::decide(const rollout_situation& situation,
                                                              time_point now)
 {
+    old_endpoints_ = situation.old_endpoints;
     no_old_since_ = situation.old_endpoints > 0 ? time_point::max() : std::min(no_old_since_, now);
     assessments_ = evidence_->assess(step_began_, situation.candidate_endpoints <= 1, full_since_);
     if (!furthest_)
@@ -243,21 +244,17 @@
 std::optional<rollout_judge::decision>
 rollout_judge::decide_canary(const rollout_situation& situation, time_point now) const
 {
-    if (needs_second_opinion(situation))
+    if (needs_second_opinion(situation, now))
         return decision{rollout_phase::canary, furthest_->step + 1};
     const milliseconds age = age_.at(now);
     if (age < part_of_order(canary_part))
         return std::nullopt;
     if (!has_endpoints_for(ramp_shares.front(), situation))
         return decide_without_endpoints(now);
-    if (is_second_opinion(furthest_->phase, furthest_->step) && step_age(now) < second_opinion_min)
+    if (is_rotated() && step_age(now) < second_opinion_min)
         return std::nullopt;
     if (is_suspect())
-    {
-        if (age < part_of_order(undecided_part_max))
-            return std::nullopt;
-        return decision{rollout_phase::rolled_back, 0, "still suspect when its time was over"};
-    }
+        return decide_suspect(now);
     if (!is_sound() && age < part_of_order(canary_part_max))
         return std::nullopt;
     return next_stage();
@@ -266,17 +263,11 @@
 std::optional<rollout_judge::decision>
 rollout_judge::decide_ramp(const rollout_situation& situation, time_point now) const
 {
-    if (needs_second_opinion(situation))
-        return decision{rollout_phase::ramp, furthest_->step + 1};
-    const milliseconds age = age_.at(now);
     if (is_suspect())
-    {
-        if (age < part_of_order(undecided_part_max))
-            return std::nullopt;
-        return decision{rollout_phase::rolled_back, 0, "still suspect when its time was over"};
-    }
-    const bool is_second = is_second_opinion(furthest_->phase, furthest_->step);
-    if (step_age(now) < (is_second ? second_opinion_min : ramp_step_time()))
+        return decide_suspect(now);
+    if (step_age(now) < ramp_step_time())
+        return std::nullopt;
+    if (is_rotated() && !is_sound_overall() && age_.at(now) < part_of_order(undecided_part_max))
         return std::nullopt;
     std::uint64_t answers = 0;
     for (const rollout_assessment& each : assessments_)
@@ -284,12 +275,21 @@
     if (answers < ramp_step_answers && step_age(now) < 2 * ramp_step_time())
         return std::nullopt;
     const decision next = next_stage();
-    const double share = next.phase == rollout_phase::full ? 1.0 : ramp_shares[next.step / 2];
+    const double share = next.phase == rollout_phase::full ? 1.0 : ramp_shares_few.back();
     if (!has_endpoints_for(share, situation))
         return decide_without_endpoints(now);
     return next;
 }
 
+// The version may be bad: waits for more evidence, but not beyond its time.
+std::optional<rollout_judge::decision> rollout_judge::decide_suspect(time_point now) const
+{
+    if (age_.at(now) < part_of_order(undecided_part_max) ||
+        (is_rotated() && step_age(now) < second_opinion_min))
+        return std::nullopt;
+    return decision{rollout_phase::rolled_back, 0, "still suspect when its time was over"};
+}
+
 // The new version has too few endpoints for the next step.
 std::optional<rollout_judge::decision> rollout_judge::decide_without_endpoints(time_point now) const
 {
@@ -300,7 +300,9 @@
 
 std::optional<rollout_judge::decision> rollout_judge::decide_full(time_point now) const
 {
-    if (step_age(now) < decision_spread)
+    const milliseconds left = order_->duration - age_.at(now);
+    const milliseconds margin = part_of_order(completion_margin);
+    if (step_age(now) < full_min && left >= margin)
         return std::nullopt;
     std::uint64_t in_flight = 0;
     std::uint64_t unrepeatable = 0;
@@ -313,40 +315,46 @@
         unrepeatable += source.old_unrepeatable;
         do_all_follow = do_all_follow && source.phase >= rollout_phase::full;
     }
-    const milliseconds left = order_->duration - age_.at(now);
-    const milliseconds margin = part_of_order(completion_margin);
-    if (in_flight == 0 && do_all_follow && (!is_suspect() || left < margin))
-        return decision{rollout_phase::completed, 0};
-    if ((left < margin && unrepeatable == 0 && do_all_follow) || left < margin / 2)
+    if (is_suspect())
+    {
+        if (left >= margin)
+            return std::nullopt;
+        return decision{rollout_phase::rolled_back, 0, "suspect when its time was over"};
+    }
+    const bool may_break = left < margin / 2 || (left < margin && unrepeatable == 0);
+    if ((in_flight == 0 && do_all_follow) || may_break)
         return decision{rollout_phase::completed, 0};
     return std::nullopt;
 }
 
+// The rotation is kept: the endpoints before it are suspect.
 rollout_judge::decision rollout_judge::next_stage() const
 {
+    const std::uint32_t rotation = furthest_->step % rollout_rotations;
     if (furthest_->phase == rollout_phase::canary)
-        return {rollout_phase::ramp, 0};
-    const std::uint32_t stage = furthest_->step / 2;
+        return {rollout_phase::ramp, rotation};
+    const std::uint32_t stage = furthest_->step / rollout_rotations;
     if (stage >= ramp_last_stage)
         return {rollout_phase::full, 0};
-    return {rollout_phase::ramp, 2 * (stage + 1)};
+    return {rollout_phase::ramp, (stage + 1) * rollout_rotations + rotation};
 }
 
 // True if the evidence may soon decide against the version.
 bool rollout_judge::is_suspect() const
 {
-    const bool is_second = is_second_opinion(furthest_->phase, furthest_->step);
     for (const rollout_assessment& each : assessments_)
     {
-        if (each.evidence >= bad_evidence() / 2.0)
-            return true;
-        if (is_second && each.single_evidence >= bad_evidence() &&
-            each.step_evidence > sound_evidence() / 2.0)
+        if (std::max(each.evidence, each.single_evidence) >= bad_evidence() / 2.0)
             return true;
     }
     return false;
 }
 
+bool rollout_judge::is_sound_overall() const
+{
+    return !assessments_.empty() && assessments_.back().step_evidence <= sound_evidence() / 2.0;
+}
+
 bool rollout_judge::is_sound() const
 {
     for (const rollout_assessment& each : assessments_)
@@ -357,9 +365,10 @@
     return !assessments_.empty();
 }
 
-bool rollout_judge::needs_second_opinion(const rollout_situation& situation) const
+bool rollout_judge::needs_second_opinion(const rollout_situation& situation, time_point now) const
 {
-    if (is_second_opinion(furthest_->phase, furthest_->step) || situation.candidate_endpoints < 2)
+    if ((furthest_->step + 1) % rollout_rotations == 0 || situation.candidate_endpoints < 2 ||
+        (is_rotated() && step_age(now) < second_opinion_min))
         return false;
     for (const rollout_assessment& each : assessments_)
     {
@@ -396,15 +405,31 @@
     return std::chrono::duration_cast<milliseconds>(now - step_began_);
 }
 
-// Shorter than ramp_step_part if the bound leaves less.
 milliseconds rollout_judge::ramp_step_time() const
 {
-    double shares = 0.0;
-    for (const double share : ramp_shares)
-        shares += share;
-    const double canary = canary_exposure * limits_.exposure_share * canary_part_max;
-    const double left = planned_exposure * limits_.exposure_share - canary;
-    return part_of_order(std::min(ramp_step_part, left / shares));
+    const bool is_last = furthest_->step / rollout_rotations >= ramp_last_stage;
+    if (is_last)
+        return std::max(part_of_order(last_ramp_step_part), last_ramp_step_min);
+    return std::max(part_of_order(ramp_step_part), ramp_step_min);
+}
+
+// Larger than the canary's share.
+double rollout_judge::ramp_share(std::uint32_t stage, double canary_share) const
+{
+    const bool is_usual_load = canary_share * static_cast<double>(old_endpoints_) >= usual_load_min;
+    const auto& shares = is_usual_load ? ramp_shares : ramp_shares_few;
+    return adjusted_to_load(std::max(shares[std::min(stage, ramp_last_stage)], canary_share));
+}
+
+// Raises a share so that the endpoints that take it work under the usual load, if that does not
+// raise it much.
+double rollout_judge::adjusted_to_load(double share) const
+{
+    if (old_endpoints_ == 0)
+        return share;
+    const double unit = usual_load / static_cast<double>(old_endpoints_);
+    const double adjusted = std::ceil(share / unit - 0.01) * unit;
+    return adjusted <= share_adjustment_max * share ? std::min(adjusted, 1.0) : share;
 }
 
 // Reason to roll back; empty if there is none.
@@ -412,7 +437,10 @@
 {
     for (const rollout_assessment& each : list)
     {
-        if (each.evidence < bad_evidence())
+        // An endpoint that alone takes the ramp's share was sound as a canary, or follows one that
+        // was not.
+        const bool is_ramp = furthest_->phase == rollout_phase::ramp;
+        if (std::max(each.evidence, is_ramp ? each.single_evidence : 0.0) < bad_evidence())
             continue;
         return (each.route.empty() ? "all routes" : "route " + each.route) + ": " +
                std::to_string(each.failures) + " failed and " + std::to_string(each.slow) +
@@ -447,17 +475,17 @@
     result.bound = planned_bound(now);
     if (phase == rollout_phase::rolled_back)
         return result;
-    if (phase == rollout_phase::ramp)
+    if (phase == rollout_phase::full || phase == rollout_phase::completed)
     {
-        result.usual = ramp_shares[std::min(step / 2, ramp_last_stage)];
+        result.usual = 1.0;
         return result;
     }
-    if (phase != rollout_phase::canary)
+    result.usual = adjusted_to_load(std::min(canary_exposure * result.bound, canary_share_max));
+    if (phase == rollout_phase::ramp)
     {
-        result.usual = 1.0;
+        result.usual = ramp_share(step / rollout_rotations, result.usual);
         return result;
     }
-    result.usual = std::min(canary_exposure * result.bound, canary_share_max);
     const milliseconds age = age_.at(now);
     std::uint64_t total = 0;
     for (const auto& [route, answers] : route_answers_)
--- a/packages/state/rollout_judge.h
+++ b/packages/state/rollout_judge.h
@@ -20,30 +20,41 @@
 {
 
 // Plan of a roll-out, as parts of the time from order to deadline.
-inline constexpr double canary_part = 0.55;        // the canary ends at the earliest
-inline constexpr double canary_part_max = 0.65;    // the canary ends unless the version is suspect
-inline constexpr double ramp_step_part = 0.08;     // usual duration of a step of the ramp
+inline constexpr double canary_part = 0.5;      // the canary ends at the earliest
+inline constexpr double canary_part_max = 0.62; // the canary ends unless the version is suspect
+inline constexpr double ramp_step_part = 0.08;  // a step of the ramp takes, but at least
+inline constexpr milliseconds ramp_step_min{800};
+inline constexpr double last_ramp_step_part = 0.14; // the same for the last one
+inline constexpr milliseconds last_ramp_step_min{1800};
 inline constexpr double undecided_part_max = 0.85; // a version that is still suspect is rolled back
-inline constexpr double completion_margin = 0.07;  // `completed` before the deadline
-// Shares of the steps of the ramp.
-inline constexpr std::array<double, 2> ramp_shares{0.15, 0.35};
+// All requests go to the new version for this time before it is completed.
+inline constexpr milliseconds full_min{1600};
+inline constexpr double completion_margin = 0.07; // `completed` before the deadline
+// Shares of the steps of the ramp. The larger ones are for services with so few endpoints that the
+// canary's work under less than their usual load.
+inline constexpr std::array<double, 2> ramp_shares{0.10, 0.25};
+inline constexpr std::array<double, 2> ramp_shares_few{0.15, 0.35};
+// Load of canaries, relative to that of old endpoints, from which it is the usual one, and the one
+// to which shares are adjusted, and the most by which that may raise a share.
+inline constexpr double usual_load_min = 0.85;
+inline constexpr double usual_load = 1.05;
+inline constexpr double share_adjustment_max = 1.6;
 // Part of the exposure bound that is planned, and the part of that for the canary. The rest is for
 // the time between a sign and the last request.
 inline constexpr double planned_exposure = 0.95;
-inline constexpr double canary_exposure = 0.55;
+inline constexpr double canary_exposure = 0.5;
 // Part of the exposure's slack that is planned.
 inline constexpr double planned_slack = 0.5;
 inline constexpr double planned_share_max = 0.4;
 inline constexpr double canary_share_max = 0.15;
 // Answers that the canary should bring of each route, and the largest share for that.
 inline constexpr double canary_route_answers = 36.0;
-inline constexpr double canary_route_share_max = 0.25;
+inline constexpr double canary_route_share_max = 0.4;
 // Answers of a step of the ramp before the next one.
 inline constexpr std::uint64_t ramp_step_answers = 10;
-// Time after a second opinion was asked for before the roll-out proceeds.
+// Time after a move to other endpoints before the roll-out proceeds, and before a version that is
+// still suspect is rolled back.
 inline constexpr milliseconds second_opinion_min{1500};
-// Time from the decision until all VMs in touch follow it.
-inline constexpr milliseconds decision_spread{500};
 // A VM whose last report is older is out of touch.
 inline constexpr milliseconds report_max_age{2000};
 // Share of the VMs whose reports are needed for a step.
@@ -129,12 +140,17 @@
     decision next_stage() const;
     bool is_suspect() const;
     bool is_sound() const;
-    bool needs_second_opinion(const rollout_situation& situation) const;
+    bool is_sound_overall() const;
+    bool is_rotated() const { return furthest_->step % rollout_rotations > 0; }
+    bool needs_second_opinion(const rollout_situation& situation, time_point now) const;
     bool has_enough_reports(const rollout_situation& situation, time_point now) const;
     bool has_endpoints_for(double share, const rollout_situation& situation) const;
     milliseconds part_of_order(double part) const;
     milliseconds step_age(time_point now) const;
     milliseconds ramp_step_time() const;
+    double ramp_share(std::uint32_t stage, double canary_share) const;
+    double adjusted_to_load(double share) const;
+    std::optional<decision> decide_suspect(time_point now) const;
     std::string describe_bad(const std::vector<rollout_assessment>& list) const;
     double planned_bound(time_point now) const;
     rollout_shares shares_at(rollout_phase phase, std::uint32_t step, time_point now) const;
@@ -156,6 +172,7 @@
     std::vector<rollout_assessment> assessments_;
     std::optional<std::pair<rollout_phase, std::uint32_t>> due_; // proposal that waits for its rank
     time_point due_since_{};
+    std::size_t old_endpoints_ = 0;
     time_point no_old_since_ = time_point::max(); // no endpoint of the old version is left
 };
 
--- a/packages/state/rollout_samples.cpp
+++ b/packages/state/rollout_samples.cpp
@@ -10,7 +10,7 @@
 {
 
 // Answers of the old version from which its typical time is taken.
-constexpr std::uint32_t typical_answers_min = 8;
+constexpr std::uint32_t typical_answers_min = 4;
 
 std::size_t bucket_of(milliseconds elapsed)
 {
--- a/packages/state/rollout_samples.h
+++ b/packages/state/rollout_samples.h
@@ -18,8 +18,8 @@
 
 // An attempt without a first byte counts as slow after this multiple of the typical time of the old
 // version, and at least overlong_min.
-inline constexpr double overlong_factor = 4.0;
-inline constexpr milliseconds overlong_min{1000};
+inline constexpr double overlong_factor = 3.0;
+inline constexpr milliseconds overlong_min{300};
 // Every so many reports to a receiver start over with all entries: it may have restarted.
 inline constexpr std::uint32_t complete_report_interval = 12;
 // Most attempts whose answers are awaited at once; further ones are sent but not counted.
