Compare a roll-out's answers with a narrow window around their time

A burst or slow domain that began during the ramp condemned good versions: the window before it diluted the old version's bad answers. The larger share of a narrow and a wide window counts; in the full phase, where there is no old version to compare with, answers must be much slower and one failure domain may be. A faulty endpoint of the old version no longer hides a bad one in other domains.

--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -13,10 +13,16 @@
 constexpr milliseconds slice_length_min{500};
 // Slices before and after one whose answers of the old version are compared with it: reports of
 // the same time arrive up to a report interval apart.
-constexpr std::size_t slices_before = 4;
-constexpr std::size_t slices_after = 1;
-// Answers of the old version from which a window, or a failure domain in it, is a measure.
+constexpr std::size_t slices_around = 1;
+// The same in a wider window, which has enough answers of a rare route.
+constexpr std::size_t slices_before_wide = 4;
+// Bounds of durations by which an answer must be slower in `full` than before it: a burst can not
+// be told from a bad version there.
+constexpr std::size_t slow_buckets_full = 2;
+// Answers of the old version from which a window is a measure.
 constexpr std::uint64_t window_answers_min = 20;
+// Weight of all domains' answers, as a number of them, in the estimate for one domain.
+constexpr double domain_prior_answers = 10.0;
 
 std::size_t index_of(std::vector<std::string>& names, const std::string& name)
 {
@@ -53,6 +59,13 @@
     return (static_cast<double>(part) + 0.5) / (static_cast<double>(total) + 1.0);
 }
 
+// Share of a part of a population, as far as its own numbers tell.
+double share_within(std::uint64_t part, std::uint64_t total, double usual)
+{
+    return (static_cast<double>(part) + domain_prior_answers * usual) /
+           (static_cast<double>(total) + domain_prior_answers);
+}
+
 double log_likelihood_ratio(std::uint64_t bad, std::uint64_t total, double expected)
 {
     const double worse = expected + (1.0 - expected) * rollout_bad_share;
@@ -89,23 +102,23 @@
     return last;
 }
 
-// Evidence by endpoint, summed over slices.
+// Evidence by endpoint (by failure domain in `full`), summed over slices.
 struct evidence_sum
 {
-    std::map<std::size_t, double> by_endpoint;
+    std::map<std::size_t, double> by_group;
     double total = 0.0;
 
-    void add(std::size_t endpoint, double evidence)
+    void add(std::size_t group, double evidence)
     {
-        by_endpoint[endpoint] += evidence;
+        by_group[group] += evidence;
         total += evidence;
     }
 
-    // That the version is worse rather than as good, but for at most one faulty endpoint.
+    // That the version is worse rather than as good, but for at most one faulty group.
     double against_version() const
     {
         double worst = 0.0;
-        for (const auto& [endpoint, evidence] : by_endpoint)
+        for (const auto& [group, evidence] : by_group)
             worst = std::max(worst, evidence);
         return total - std::max(worst - faulty_endpoint_evidence, 0.0);
     }
@@ -124,7 +137,7 @@
         {
             out.evidence =
                 std::max(out.evidence, has_one_endpoint ? sum->total : sum->against_version());
-            if (is_in_step && sum->by_endpoint.size() == 1)
+            if (is_in_step && sum->by_group.size() == 1)
                 out.single_evidence = std::max(out.single_evidence, sum->total);
         }
         // The evidence since the step began is the sum at its first slice.
@@ -221,6 +234,9 @@
             const std::uint64_t slow_answers =
                 is_warm ? slower_than(counts.by_duration, share.slow_bucket) : 0;
             const double late = log_likelihood_ratio(slow_answers, timed, share.slow);
+            // Without the old version's answers at the same time, only a comparison between domains
+            // tells a slow one from a bad version.
+            const std::size_t group = is_full ? rollout_max_endpoints + endpoint.domain : index;
             for (const std::size_t to : {route, all})
             {
                 result[to].answers += counts.answers;
@@ -230,9 +246,9 @@
                 if (!is_judged)
                     continue;
                 sums[to].is_touched = true;
-                sums[to].failed.add(index, failed);
+                sums[to].failed.add(group, failed);
                 if (timed > 0)
-                    sums[to].late.add(index, late);
+                    sums[to].late.add(group, late);
             }
         }
         for (std::size_t to = 0; to <= all; ++to)
@@ -260,41 +276,42 @@
                                                                          bool is_full) const
 {
     const std::size_t domains = domains_.size();
-    std::vector<answer_counts> by_domain(routes_.size() * domains);
-    std::vector<answer_counts> by_route(routes_.size());
-    const std::size_t first = at - std::min(at, slices_before);
-    const std::size_t last = std::min(at + slices_after, slices_.size() - 1);
-    for (std::size_t i = first; i <= last; ++i)
-    {
-        for (const auto& [key, counts] : slices_[i].old)
-        {
-            by_domain[key.first * domains + key.second].add(counts);
-            by_route[key.first].add(counts);
-        }
-    }
-
-    std::vector<expectation> result(by_domain.size());
+    const std::size_t last = std::min(at + slices_around, slices_.size() - 1);
+    const old_window narrow = old_answers(at - std::min(at, slices_around), last);
+    const old_window wide = old_answers(at - std::min(at, slices_before_wide), last);
+    std::vector<expectation> result(routes_.size() * domains);
     for (std::size_t route = 0; route < routes_.size(); ++route)
     {
-        const bool is_window_enough = by_route[route].answers >= window_answers_min;
-        const answer_counts& usual = is_window_enough ? by_route[route] : old_totals_[route];
-        const std::size_t slow_bucket = slow_bucket_of(usual.by_duration);
+        const bool is_narrow_enough = narrow.by_route[route].answers >= window_answers_min;
+        const bool is_wide_enough = wide.by_route[route].answers >= window_answers_min;
+        const answer_counts& usual = is_narrow_enough ? narrow.by_route[route]
+                                     : is_wide_enough ? wide.by_route[route]
+                                                      : old_totals_[route];
+        std::size_t slow_bucket = slow_bucket_of(usual.by_duration);
+        if (is_full)
+            slow_bucket = std::min(slow_bucket + slow_buckets_full, rollout_buckets - 2);
         for (std::size_t domain = 0; domain < domains; ++domain)
         {
             expectation& out = result[route * domains + domain];
             out.slow_bucket = slow_bucket;
             out.failures = is_full ? expected_failures_min_full : expected_failures_min;
             out.slow = is_full ? expected_slow_min_full : expected_slow_min;
-            const answer_counts& own = by_domain[route * domains + domain];
-            for (const answer_counts* counts : {&usual, &own})
+            const auto raise_to = [&](const answer_counts& all, const answer_counts& own)
             {
-                if (counts == &own && own.answers < window_answers_min)
-                    continue;
-                out.failures = std::max(out.failures, share_of(counts->failures, counts->answers));
+                const double failures = share_of(all.failures, all.answers);
+                const double slow =
+                    share_of(slower_than(all.by_duration, slow_bucket), sum_of(all.by_duration));
+                out.failures =
+                    std::max(out.failures, share_within(own.failures, own.answers, failures));
                 out.slow =
-                    std::max(out.slow, share_of(slower_than(counts->by_duration, slow_bucket),
-                                                sum_of(counts->by_duration)));
-            }
+                    std::max(out.slow, share_within(slower_than(own.by_duration, slow_bucket),
+                                                    sum_of(own.by_duration), slow));
+            };
+            const std::size_t cell = route * domains + domain;
+            raise_to(is_wide_enough ? wide.by_route[route] : old_totals_[route],
+                     wide.by_domain[cell]);
+            if (is_narrow_enough)
+                raise_to(narrow.by_route[route], narrow.by_domain[cell]);
             out.failures = std::min(out.failures, expected_share_max);
             out.slow = std::min(out.slow, expected_share_max);
         }
@@ -302,4 +319,21 @@
     return result;
 }
 
+rollout_evidence::old_window rollout_evidence::old_answers(std::size_t first,
+                                                           std::size_t last) const
+{
+    old_window result;
+    result.by_domain.resize(routes_.size() * domains_.size());
+    result.by_route.resize(routes_.size());
+    for (std::size_t i = first; i <= last; ++i)
+    {
+        for (const auto& [key, counts] : slices_[i].old)
+        {
+            result.by_domain[key.first * domains_.size() + key.second].add(counts);
+            result.by_route[key.first].add(counts);
+        }
+    }
+    return result;
+}
+
 } // namespace zinnianotch
--- a/packages/state/rollout_evidence.h
+++ b/packages/state/rollout_evidence.h
@@ -121,6 +121,14 @@
         std::size_t slow_bucket = 0; // an answer is slow above its bound
     };
 
+    // The old version's answers in some slices.
+    struct old_window
+    {
+        std::vector<answer_counts> by_domain; // of each route
+        std::vector<answer_counts> by_route;
+    };
+
+    old_window old_answers(std::size_t first, std::size_t last) const;
     std::vector<expectation> expected_at(std::size_t at, bool is_full) const;
 
     milliseconds slice_length_;
--- a/packages/state/rollout_judge.h
+++ b/packages/state/rollout_judge.h
@@ -26,7 +26,11 @@
 inline constexpr milliseconds ramp_step_min{800};
 inline constexpr double last_ramp_step_part = 0.14; // the same for the last one
 inline constexpr milliseconds last_ramp_step_min{1800};
-inline constexpr double undecided_part_max = 0.85; // a version that is still suspect is rolled back
+// A version that is still suspect by then is rolled back, during the canary and during the ramp,
+// if the evidence is at least this part of what condemns it.
+inline constexpr double undecided_canary_part_max = 0.7;
+inline constexpr double undecided_part_max = 0.85;
+inline constexpr double undecided_evidence = 0.7;
 // All requests go to the new version for this time before it is completed.
 inline constexpr milliseconds full_min{1600};
 inline constexpr double completion_margin = 0.07; // `completed` before the deadline
@@ -138,7 +142,7 @@
     std::optional<decision> decide_without_endpoints(time_point now) const;
     std::optional<decision> decide_full(time_point now) const;
     decision next_stage() const;
-    bool is_suspect() const;
+    bool is_suspect(double part_of_evidence = 0.5) const;
     bool is_sound() const;
     bool is_sound_overall() const;
     bool is_rotated() const { return furthest_->step % rollout_rotations > 0; }
@@ -150,7 +154,7 @@
     milliseconds ramp_step_time() const;
     double ramp_share(std::uint32_t stage, double canary_share) const;
     double adjusted_to_load(double share) const;
-    std::optional<decision> decide_suspect(time_point now) const;
+    bool must_wait(time_point now) const;
     std::string describe_bad(const std::vector<rollout_assessment>& list) const;
     double planned_bound(time_point now) const;
     rollout_shares shares_at(rollout_phase phase, std::uint32_t step, time_point now) const;
