Cap the evidence of a failure domain in the full phase of a roll-out

One faulty endpoint counted as an endpoint before the phase and as a domain in it, so its evidence was capped twice and condemned good versions.

--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -236,7 +236,7 @@
             const double late = log_likelihood_ratio(slow_answers, timed, share.slow);
             // Without the old version's answers at the same time, only a comparison between domains
             // tells a slow one from a bad version.
-            const std::size_t group = is_full ? rollout_max_endpoints + endpoint.domain : index;
+            const std::size_t group = full_since ? endpoint.domain : index;
             for (const std::size_t to : {route, all})
             {
                 result[to].answers += counts.answers;
