--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -33,6 +33,9 @@
     return names.size() - 1;
 }
 
+// Failures of the old version in one domain count up to this multiple of those in all: they may be
+// those of one faulty endpoint, which must not hide a bad version.
+constexpr double domain_failures_max = 1.5;
 // Expected shares above this would make the logarithms unbounded.
 constexpr double expected_share_max = 0.95;
 
@@ -301,8 +304,9 @@
                 const double failures = share_of(all.failures, all.answers);
                 const double slow =
                     share_of(slower_than(all.by_duration, slow_bucket), sum_of(all.by_duration));
+                const double own_failures = share_within(own.failures, own.answers, failures);
                 out.failures =
-                    std::max(out.failures, share_within(own.failures, own.answers, failures));
+                    std::max(out.failures, std::min(own_failures, domain_failures_max * failures));
                 out.slow =
                     std::max(out.slow, share_within(slower_than(own.by_duration, slow_bucket),
                                                     sum_of(own.by_duration), slow));
