--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -183,7 +183,7 @@
     const endpoint_info& endpoint = endpoints_[found->second];
 
     if (slices_.empty() || now - slices_.back().begin >= slice_length_)
-        slices_.push_back({now, {}, {}});
+        slices_.emplace_back().begin = now;
     if (slices_.size() > rollout_max_slices)
         slices_.pop_front();
     answer_counts counts;
@@ -203,7 +203,7 @@
 
 std::vector<rollout_assessment> rollout_evidence::assess(time_point step_began,
                                                          bool has_one_endpoint,
-                                                         std::optional<time_point> full_since) const
+                                                         std::optional<time_point> full_since)
 {
     // The last entry stands for all routes: with few requests, what is bad on all of them shows
     // first there.
@@ -224,7 +224,7 @@
         const slice& of = slices_[i];
         const bool is_full = full_since && of.begin >= *full_since;
         const bool is_in_step = of.begin >= step_began;
-        const std::vector<expectation> expected = expected_at(i, is_full);
+        const std::vector<expectation>& expected = settled_expectation(i, is_full);
         for (const auto& [key, counts] : of.samples)
         {
             const auto [route, index, is_warm] = key;
@@ -272,6 +272,20 @@
         by_duration[i] += other.by_duration[i];
 }
 
+const std::vector<rollout_evidence::expectation>&
+rollout_evidence::settled_expectation(std::size_t at, bool is_full)
+{
+    slice& of = slices_[at];
+    const std::size_t size = routes_.size() * domains_.size();
+    if (!of.is_settled || of.expected.size() != size || of.is_expected_full != is_full)
+    {
+        of.expected = expected_at(at, is_full);
+        of.is_expected_full = is_full;
+        of.is_settled = at + slices_around + 1 < slices_.size();
+    }
+    return of.expected;
+}
+
 // Bad answers to expect in a slice, by route and failure domain: the larger one of the old
 // version's shares in that domain and in all. They are those of the slices around it if these have
 // enough answers, else those since the order.
--- a/packages/state/rollout_evidence.h
+++ b/packages/state/rollout_evidence.h
@@ -27,7 +27,7 @@
 // Rates of the sequential test (Wald): a route of a good version is taken for bad with at most the
 // first probability per start of the sum, and a route that is worse by rollout_bad_share for sound
 // with at most the second one.
-inline constexpr double rollout_false_alarm_rate = 1e-3;
+inline constexpr double rollout_false_alarm_rate = 1.5e-3;
 inline constexpr double rollout_miss_rate = 0.02;
 // Share of the answers that a bad version spoils, on top of those that are bad anyway.
 inline constexpr double rollout_bad_share = 0.2;
@@ -82,9 +82,10 @@
     // Adds answers that have become known.
     void add(const rollout_counts& growth, time_point now);
     // By route, and then for all routes together with an empty name. `has_one_endpoint` is true if
-    // the version has no other, so that its faults are the version's.
+    // the version has no other, so that its faults are the version's. Keeps what is settled for the
+    // next call.
     std::vector<rollout_assessment> assess(time_point step_began, bool has_one_endpoint,
-                                           std::optional<time_point> full_since) const;
+                                           std::optional<time_point> full_since);
 
 private:
     struct answer_counts
@@ -103,6 +104,14 @@
         time_point first_at{};
     };
 
+    // Shares of bad answers to expect of a version that is as good as the old one.
+    struct expectation
+    {
+        double failures = 0.0;
+        double slow = 0.0;
+        std::size_t slow_bucket = 0; // an answer is slow above its bound
+    };
+
     // Route, new endpoint, and whether that has warmed up.
     using sample_key = std::tuple<std::size_t, std::size_t, bool>;
 
@@ -111,14 +120,9 @@
         time_point begin{};
         std::map<sample_key, answer_counts> samples;
         std::map<std::pair<std::size_t, std::size_t>, answer_counts> old; // by route and domain
-    };
-
-    // Shares of bad answers to expect of a version that is as good as the old one.
-    struct expectation
-    {
-        double failures = 0.0;
-        double slow = 0.0;
-        std::size_t slow_bucket = 0; // an answer is slow above its bound
+        std::vector<expectation> expected;                                // by route and domain
+        bool is_settled = false;       // of `expected`: its windows change no more
+        bool is_expected_full = false; // for the phase `full`
     };
 
     // The old version's answers in some slices.
@@ -129,6 +133,7 @@
     };
 
     old_window old_answers(std::size_t first, std::size_t last) const;
+    const std::vector<expectation>& settled_expectation(std::size_t at, bool is_full);
     std::vector<expectation> expected_at(std::size_t at, bool is_full) const;
 
     milliseconds slice_length_;
