Keep roll-outs of good versions within their time

Good versions that waited as suspect were completed after the deadline: the ramp is shortened after a long canary, and waits end earlier. Short orders have shorter steps.

--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t slices_before_wide = 4;
 // Bounds of durations by which an answer must be slower in `full` than before it: a burst can not
 // be told from a bad version there.
-constexpr std::size_t slow_buckets_full = 2;
+constexpr std::size_t slow_buckets_full = 1;
 // Answers of the old version from which a window is a measure.
 constexpr std::uint64_t window_answers_min = 20;
 // Weight of all domains' answers, as a number of them, in the estimate for one domain.
--- a/packages/state/rollout_evidence.h
+++ b/packages/state/rollout_evidence.h
@@ -27,7 +27,7 @@
 // Rates of the sequential test (Wald): a route of a good version is taken for bad with at most the
 // first probability per start of the sum, and a route that is worse by rollout_bad_share for sound
 // with at most the second one.
-inline constexpr double rollout_false_alarm_rate = 1.5e-3;
+inline constexpr double rollout_false_alarm_rate = 2e-3;
 inline constexpr double rollout_miss_rate = 0.02;
 // Share of the answers that a bad version spoils, on top of those that are bad anyway.
 inline constexpr double rollout_bad_share = 0.2;
--- a/packages/state/rollout_judge.cpp
+++ b/packages/state/rollout_judge.cpp
@@ -62,6 +62,7 @@
     condemned_.clear();
     evidence_.reset();
     sources_.clear();
+    sent_ = 0;
     route_answers_.clear();
     assessments_.clear();
     due_.reset();
@@ -100,7 +101,7 @@
         source.sequence = report.sequence;
         source.heard_at = now;
         source.phase = report.phase;
-        source.sent = report.sent;
+        sent_ += grow(source.sent, report.sent);
         source.old_in_flight = report.old_in_flight;
         source.old_unrepeatable = report.old_unrepeatable;
     }
@@ -306,7 +307,7 @@
 {
     const milliseconds left = order_->duration - age_.at(now);
     const milliseconds margin = part_of_order(completion_margin);
-    if (step_age(now) < full_min && left >= margin)
+    if (step_age(now) < at_least(0.0, full_min, full_part_max) && left >= margin)
         return std::nullopt;
     std::uint64_t in_flight = 0;
     std::uint64_t unrepeatable = 0;
@@ -402,6 +403,12 @@
         static_cast<milliseconds::rep>(part * static_cast<double>(order_->duration.count())));
 }
 
+// Part of the order's time, but at least `min` unless that is more than another part.
+milliseconds rollout_judge::at_least(double part, milliseconds min, double part_max) const
+{
+    return std::max(part_of_order(part), std::min(min, part_of_order(part_max)));
+}
+
 milliseconds rollout_judge::step_age(time_point now) const
 {
     return std::chrono::duration_cast<milliseconds>(now - step_began_);
@@ -410,11 +417,21 @@
 milliseconds rollout_judge::ramp_step_time(time_point now) const
 {
     const bool is_last = furthest_->step / rollout_rotations >= ramp_last_stage;
+    const milliseconds usual = usual_ramp_step_time(is_last, now);
+    const milliseconds left = part_of_order(full_begins_part_max) - (age_.at(now) - step_age(now));
+    const double share = is_last ? 1.0 : first_ramp_step_share;
+    const milliseconds available(
+        static_cast<milliseconds::rep>(share * static_cast<double>(left.count())));
+    return std::clamp(available, usual / 2, usual);
+}
+
+milliseconds rollout_judge::usual_ramp_step_time(bool is_last, time_point now) const
+{
     if (!is_last)
-        return std::max(part_of_order(ramp_step_part), ramp_step_min);
+        return at_least(ramp_step_part, ramp_step_min, ramp_step_part_max);
     if (has_usual_load(canary_share(planned_bound(now))))
-        return std::max(part_of_order(last_ramp_step_part), last_ramp_step_min);
-    return std::max(part_of_order(last_ramp_step_part_few), last_ramp_step_min_few);
+        return at_least(last_ramp_step_part, last_ramp_step_min, last_ramp_step_part_max);
+    return at_least(last_ramp_step_part_few, last_ramp_step_min_few, last_ramp_step_part_max);
 }
 
 // True if the canary's endpoints work under about the load of those of the old version.
@@ -471,12 +488,9 @@
     double bound = planned_exposure * limits_.exposure_share;
     if (age < rate_known_after)
         return bound;
-    std::uint64_t sent = 0;
-    for (const auto& [key, source] : sources_)
-        sent += source.sent;
     const double longer = std::max(1.0, static_cast<double>(order_->duration.count()) /
                                             static_cast<double>(age.count()));
-    const double expected = static_cast<double>(sent) * longer;
+    const double expected = static_cast<double>(sent_) * longer;
     bound += planned_slack * limits_.exposure_slack / std::max(expected, expected_requests_min);
     return std::min(bound, std::max(planned_share_max, limits_.exposure_share));
 }
--- a/packages/state/rollout_judge.h
+++ b/packages/state/rollout_judge.h
@@ -29,10 +29,18 @@
 inline constexpr milliseconds last_ramp_step_min{1800};
 inline constexpr double last_ramp_step_part_few = 0.18;
 inline constexpr milliseconds last_ramp_step_min_few{2200};
+// The minima hold up to these parts of a short order.
+inline constexpr double ramp_step_part_max = 0.1;
+inline constexpr double last_ramp_step_part_max = 0.22;
+inline constexpr double full_part_max = 0.14;
+// The phase `full` begins by this part even after a long canary: the ramp's steps are shortened,
+// the first one to this share of the time that is left.
+inline constexpr double full_begins_part_max = 0.86;
+inline constexpr double first_ramp_step_share = 0.3;
 // A version that is still suspect by then is rolled back, during the canary and during the ramp,
 // if the evidence is at least this part of what condemns it.
-inline constexpr double undecided_canary_part_max = 0.7;
-inline constexpr double undecided_part_max = 0.85;
+inline constexpr double undecided_canary_part_max = 0.68;
+inline constexpr double undecided_part_max = 0.82;
 inline constexpr double undecided_evidence = 0.8;
 // All requests go to the new version for this time before it is completed.
 inline constexpr milliseconds full_min{1600};
@@ -124,7 +132,7 @@
         std::uint64_t sequence = 0;
         time_point heard_at{};
         rollout_phase phase = rollout_phase::canary;
-        std::uint64_t sent = 0;
+        std::uint64_t sent = 0; // also in sent_
         std::uint32_t old_in_flight = 0;
         std::uint32_t old_unrepeatable = 0;
         std::map<std::tuple<std::string, std::string, std::string>, answer_counts> counts;
@@ -153,7 +161,9 @@
     bool has_enough_reports(const rollout_situation& situation, time_point now) const;
     bool has_endpoints_for(double share, const rollout_situation& situation) const;
     milliseconds part_of_order(double part) const;
+    milliseconds at_least(double part, milliseconds min, double part_max) const;
     milliseconds step_age(time_point now) const;
+    milliseconds usual_ramp_step_time(bool is_last, time_point now) const;
     milliseconds ramp_step_time(time_point now) const;
     bool has_usual_load(double canary_share) const;
     double canary_share(double bound) const;
@@ -177,6 +187,7 @@
     std::string condemned_; // reason; empty if the version is not bad
     std::optional<rollout_evidence> evidence_;
     std::map<std::pair<std::string, std::uint64_t>, report_source> sources_;
+    std::uint64_t sent_ = 0;                             // requests that VMs have reported
     std::map<std::string, std::uint64_t> route_answers_; // of both versions
     std::vector<rollout_assessment> assessments_;
     std::optional<std::pair<rollout_phase, std::uint32_t>> due_; // proposal that waits for its rank
