Keep the serving version when an order replaces a completed one

Cause: orders are followed faster than decisions, so a VM may hear of the next order before it has read that the last one was completed. It then barred the only version that was left, as one whose order was replaced in flight. Ruled out: holding an order back until the decision is read, since a store that is down would stop all orders. Change: a version that has all requests keeps them; a late final decision on the order before is followed; a replaced version is used if no other one is left.

--- a/packages/state/rollout_gate.cpp
+++ b/packages/state/rollout_gate.cpp
@@ -68,6 +68,7 @@
     if (order_)
     {
         banned_.erase(order_->version);
+        replaced_.erase(order_->version);
         age_.hear(milliseconds{0}, now);
         if (stored_)
             on_record(rollout_record(*stored_), now);
@@ -84,7 +85,11 @@
         return;
     }
     if (record.order != order_->revision)
+    {
+        if (record.order < order_->revision && record.version != order_->version)
+            settle_replaced(record);
         return;
+    }
     age_.hear(record.age, now);
     if (record_ && !supersedes(record, *record_))
         return;
@@ -152,7 +157,7 @@
     if (found == endpoints_.end() || pool == rollout_pool::none)
         return false;
     const std::string& version = found->second.endpoint.version;
-    if (banned_.contains(version))
+    if (banned_.contains(version) && !is_last_resort(version))
         return false;
     if (!order_)
         return !is_held(version, now);
@@ -278,15 +283,64 @@
     return static_cast<double>(index) + static_cast<double>(hash >> 11) * 0x1.0p-53;
 }
 
-// The version of an order that ends before it is completed gets nothing more.
+// The version of an order that ends before `full` gets nothing more. After that it has all
+// requests, and it may be completed although this VM has not read so yet.
 void rollout_gate::close_order(time_point now)
 {
     const auto by = current(now);
-    if (!by || by->phase != rollout_phase::completed)
+    const rollout_phase phase = by ? by->phase : rollout_phase::canary;
+    if (phase == rollout_phase::completed)
+        return;
+    if (phase != rollout_phase::full)
+    {
+        ban(order_->version);
+        if (phase != rollout_phase::rolled_back)
+            replaced_.insert(order_->version);
+        return;
+    }
+    for (const auto& [version, usable_from] : versions_)
     {
-        banned_.insert(order_->version);
-        trusted_.erase(order_->version);
+        if (version == order_->version)
+            continue;
+        ban(version);
+        replaced_.insert(version);
     }
+    trusted_.insert(order_->version);
+}
+
+void rollout_gate::ban(const std::string& version)
+{
+    banned_.insert(version);
+    trusted_.erase(version);
+}
+
+// Decision on the order before, which this VM reads after the present order.
+void rollout_gate::settle_replaced(const rollout_record& record)
+{
+    if (!is_final(record.phase))
+        return;
+    replaced_.erase(record.version);
+    if (record.phase == rollout_phase::rolled_back)
+    {
+        ban(record.version);
+        return place_candidates();
+    }
+    for (const auto& [version, usable_from] : versions_)
+    {
+        if (version != order_->version)
+            ban(version);
+    }
+    replaced_.clear();
+    banned_.erase(record.version);
+    trusted_.insert(record.version);
+    place_candidates();
+}
+
+// The order of the version may have been completed without this VM's knowledge, if no endpoint of
+// another version is left.
+bool rollout_gate::is_last_resort(const std::string& version) const
+{
+    return order_ && old_count_ == 0 && replaced_.contains(version);
 }
 
 // Decision on an order that has been removed, or that this VM has not heard of yet.
@@ -311,6 +365,7 @@
 {
     settled_ = record_;
     trusted_.insert(order_->version);
+    replaced_.clear();
     for (const auto& [version, usable_from] : versions_)
     {
         if (version == order_->version)
--- a/packages/state/rollout_gate.h
+++ b/packages/state/rollout_gate.h
@@ -107,6 +107,9 @@
     double sampling_point(std::uint64_t index) const;
     void close_order(time_point now);
     void settle_without_order(const rollout_record& record);
+    void settle_replaced(const rollout_record& record);
+    void ban(const std::string& version);
+    bool is_last_resort(const std::string& version) const;
     void on_completed();
     void trust_usable_versions(time_point now);
     void place_candidates();
@@ -129,10 +132,11 @@
     time_point learning_until_ = time_point::max(); // the first endpoints are still arriving
     std::map<std::string, time_point, std::less<>> versions_; // usable without an order from then
     std::set<std::string, std::less<>> trusted_;              // versions that have had all requests
-    std::set<std::string, std::less<>> banned_; // versions rolled back, withdrawn or replaced
-    double share_sum_ = 0.0;                    // of the requests since the order
-    std::uint64_t sent_ = 0;                    // requests since the order
-    std::uint64_t candidate_sent_ = 0;          // of these, due to the new version
+    std::set<std::string, std::less<>> banned_;   // versions rolled back, withdrawn or replaced
+    std::set<std::string, std::less<>> replaced_; // those of banned_ that may be completed
+    double share_sum_ = 0.0;                      // of the requests since the order
+    std::uint64_t sent_ = 0;                      // requests since the order
+    std::uint64_t candidate_sent_ = 0;            // of these, due to the new version
 };
 
 } // namespace zinnianotch
