--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "state/placement.h"
+#include "state/rollout.h"
 #include "state/serving.h"
 #include "state/stage_request.h"
 #include "state/time.h"
@@ -106,7 +107,15 @@
     std::string domain;
 };
 
-using desired_change = std::variant<std::monostate, serving_state, domain_out>;
+using desired_change = std::variant<std::monostate, serving_state, domain_out, rollout_order>;
+
+// What the store has made of a write under a condition.
+enum class write_outcome
+{
+    done,
+    conflict, // the condition does not hold
+    unknown   // refused, or no answer that could be read
+};
 
 // Encoder and decoder of the protocols to clients, endpoints and the store. All functions only
 // translate.
@@ -114,7 +123,8 @@
 concept edge_codec = requires(message_head& head, const client_call& call,
                               const endpoint_call& extra, const std::vector<stage_piece>& pieces,
                               const std::vector<std::string>& handles, std::string_view text,
-                              const state_record& record, const vm_record& vm)
+                              const state_record& record, const vm_record& vm,
+                              const rollout_record& rollout)
 {
     {
         Codec::decode_call(head, std::string())
@@ -164,6 +174,21 @@
     {
         Codec::encode_vm_remove(text, vm)
         } -> std::same_as<std::string>;
+    {
+        Codec::is_rollout(record)
+        } -> std::same_as<bool>;
+    {
+        Codec::decode_rollout(record)
+        } -> std::same_as<std::optional<rollout_record>>;
+    {
+        Codec::encode_rollout_put(text, rollout)
+        } -> std::same_as<std::string>;
+    {
+        Codec::encode_rollout_get(text, text)
+        } -> std::same_as<std::string>;
+    {
+        Codec::decode_write(head)
+        } -> std::same_as<write_outcome>;
 };
 
 } // namespace zinnianotch
--- a/packages/coordination/serving_record_order.h
+++ b/packages/coordination/serving_record_order.h
@@ -6,6 +6,7 @@
 #include "state/table_replica.h"
 
 #include <optional>
+#include <utility>
 #include <variant>
 
 namespace zinnianotch
@@ -34,15 +35,20 @@
         case state_table::vms:
             break;
         }
+        if (Codec::is_rollout(known))
+            return hold_rollout(restored, known);
         // A VM that lives registers itself again; one that has left does not remove itself twice.
         if (restored == nullptr)
             return lost_record_hold;
         return known.deleted ? std::optional(held_until_changed) : std::nullopt;
     }
 
-    // The operator writes the lost versions again one after the other.
+    // The operator writes the lost versions again one after the other, and a VM that has not heard
+    // of a lost decision may write an earlier one.
     bool outlives_change(const state_record& row, const state_record& held) const
     {
+        if (table == state_table::vms)
+            return Codec::is_rollout(held) && hold_rollout(&row, held).has_value();
         return table == state_table::desired && hold_desired(&row, held) == held_until_changed;
     }
 
@@ -53,7 +59,8 @@
         const auto change = Codec::decode_desired(known);
         if (!change || std::holds_alternative<std::monostate>(*change))
             return std::nullopt;
-        if (std::holds_alternative<domain_out>(*change))
+        if (std::holds_alternative<domain_out>(*change) ||
+            std::holds_alternative<rollout_order>(*change))
         {
             const bool is_newer = restored == nullptr || known.revision > restored->revision;
             return is_newer ? std::optional(lost_record_hold) : std::nullopt;
@@ -65,6 +72,21 @@
         return held_until_changed;
     }
 
+    // Decisions on one order never go back; those on another order are not comparable.
+    static std::optional<milliseconds> hold_rollout(const state_record* restored,
+                                                    const state_record& known)
+    {
+        const auto before = Codec::decode_rollout(known);
+        if (!before)
+            return std::nullopt;
+        const auto after = restored != nullptr ? Codec::decode_rollout(*restored) : std::nullopt;
+        if (after && (after->order != before->order || after->version != before->version))
+            return std::nullopt;
+        const bool is_behind =
+            !after || std::pair(after->phase, after->step) < std::pair(before->phase, before->step);
+        return is_behind ? std::optional(held_until_changed) : std::nullopt;
+    }
+
     // Within one lifetime an endpoint begins to drain and then leaves, and never returns.
     static std::optional<milliseconds> hold_endpoint(const state_record* restored,
                                                      const state_record& known)
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -104,6 +104,51 @@
   route @11 :Text;
 }
 
+struct RolloutCounts {
+  route @0 :Text;
+  endpoint @1 :Text;          # empty for the old version
+  isCandidate @2 :Bool;
+  answers @3 :UInt32;
+  failures @4 :UInt32;
+  byDuration @5 :List(UInt32);
+  domain @6 :Text;
+}
+
+struct RolloutShare {
+  route @0 :Text;
+  share @1 :Float64;
+}
+
+struct RolloutShares {
+  usual @0 :Float64;          # of a route that is not listed
+  routes @1 :List(RolloutShare);
+  bound @2 :Float64;          # of the requests between order and deadline
+}
+
+struct RolloutReport {
+  vm @0 :Text;
+  lifetime @1 :UInt64;
+  sequence @2 :UInt64;
+  service @3 :Text;
+  order @4 :UInt64;
+  sent @5 :UInt64;
+  candidateSent @6 :UInt64;
+  oldInFlight @7 :UInt32;
+  ageMs @8 :Int32;
+  counts @9 :List(RolloutCounts);
+  phase @10 :UInt8;           # rollout_phase
+  oldUnrepeatable @11 :UInt32;
+}
+
+struct RolloutVerdict {
+  service @0 :Text;
+  order @1 :UInt64;
+  phase @2 :UInt8;            # rollout_phase
+  step @3 :UInt32;
+  ageMs @4 :Int32;
+  shares @5 :RolloutShares;
+}
+
 struct VmMessage {
   union {
     ping @0 :Void;
@@ -119,5 +164,7 @@
     returned @10 :UInt64;     # a submitted job that the sender has not begun and gives up: submit it elsewhere
     crash @11 :CrashReport;   # passed on to all VMs
     held @12 :HeldRecords;    # records that the store has lost
+    rollout @13 :RolloutReport; # to the VMs that judge a roll-out, which answer with a verdict
+    verdict @14 :RolloutVerdict;
   }
 }
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -28,6 +28,11 @@
 CAPNP_DECLARE_SCHEMA(dccd13c7e0d2a6cf);
 CAPNP_DECLARE_SCHEMA(dc11f6ecd491614d);
 CAPNP_DECLARE_SCHEMA(dfb1e6f4ca7a0fdf);
+CAPNP_DECLARE_SCHEMA(9e15493e588e6a3b);
+CAPNP_DECLARE_SCHEMA(82a29fb8f65302ab);
+CAPNP_DECLARE_SCHEMA(ba2ec8c850f2d7cd);
+CAPNP_DECLARE_SCHEMA(ec7269a08e4cc9a4);
+CAPNP_DECLARE_SCHEMA(ca2c75195b2bff36);
 CAPNP_DECLARE_SCHEMA(f939ea7cbcbf7edb);
 
 }  // namespace schemas
@@ -216,6 +221,81 @@
   };
 };
 
+struct RolloutCounts {
+  RolloutCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9e15493e588e6a3b, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutShare {
+  RolloutShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(82a29fb8f65302ab, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutShares {
+  RolloutShares() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba2ec8c850f2d7cd, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutReport {
+  RolloutReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec7269a08e4cc9a4, 7, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutVerdict {
+  RolloutVerdict() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca2c75195b2bff36, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct VmMessage {
   VmMessage() = delete;
 
@@ -236,6 +316,8 @@
     RETURNED,
     CRASH,
     HELD,
+    ROLLOUT,
+    VERDICT,
   };
 
   struct _capnpPrivate {
@@ -1520,9 +1602,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class VmMessage::Reader {
+class RolloutCounts::Reader {
 public:
-  typedef VmMessage Reads;
+  typedef RolloutCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1537,53 +1619,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isPing() const;
-  inline  ::capnp::Void getPing() const;
-
-  inline bool isPong() const;
-  inline  ::capnp::Void getPong() const;
-
-  inline bool isSubmit() const;
-  inline bool hasSubmit() const;
-  inline  ::zinnianotch::wire::SubmitStage::Reader getSubmit() const;
-
-  inline bool isDone() const;
-  inline bool hasDone() const;
-  inline  ::zinnianotch::wire::StageDone::Reader getDone() const;
-
-  inline bool isCancel() const;
-  inline  ::uint64_t getCancel() const;
-
-  inline bool isRelease() const;
-  inline bool hasRelease() const;
-  inline  ::zinnianotch::wire::ReleaseResults::Reader getRelease() const;
-
-  inline bool isQuery() const;
-  inline bool hasQuery() const;
-  inline  ::zinnianotch::wire::StateQuery::Reader getQuery() const;
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
 
-  inline bool isAnswer() const;
-  inline bool hasAnswer() const;
-  inline  ::zinnianotch::wire::StateAnswer::Reader getAnswer() const;
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
-  inline bool isLeaving() const;
-  inline  ::capnp::Void getLeaving() const;
+  inline bool getIsCandidate() const;
 
-  inline bool isNotice() const;
-  inline bool hasNotice() const;
-  inline  ::zinnianotch::wire::StateNotice::Reader getNotice() const;
+  inline  ::uint32_t getAnswers() const;
 
-  inline bool isReturned() const;
-  inline  ::uint64_t getReturned() const;
+  inline  ::uint32_t getFailures() const;
 
-  inline bool isCrash() const;
-  inline bool hasCrash() const;
-  inline  ::zinnianotch::wire::CrashReport::Reader getCrash() const;
+  inline bool hasByDuration() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getByDuration() const;
 
-  inline bool isHeld() const;
-  inline bool hasHeld() const;
-  inline  ::zinnianotch::wire::HeldRecords::Reader getHeld() const;
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1597,9 +1649,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class VmMessage::Builder {
+class RolloutCounts::Builder {
 public:
-  typedef VmMessage Builds;
+  typedef RolloutCounts Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1613,90 +1665,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isPing();
-  inline  ::capnp::Void getPing();
-  inline void setPing( ::capnp::Void value = ::capnp::VOID);
-
-  inline bool isPong();
-  inline  ::capnp::Void getPong();
-  inline void setPong( ::capnp::Void value = ::capnp::VOID);
-
-  inline bool isSubmit();
-  inline bool hasSubmit();
-  inline  ::zinnianotch::wire::SubmitStage::Builder getSubmit();
-  inline void setSubmit( ::zinnianotch::wire::SubmitStage::Reader value);
-  inline  ::zinnianotch::wire::SubmitStage::Builder initSubmit();
-  inline void adoptSubmit(::capnp::Orphan< ::zinnianotch::wire::SubmitStage>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::SubmitStage> disownSubmit();
-
-  inline bool isDone();
-  inline bool hasDone();
-  inline  ::zinnianotch::wire::StageDone::Builder getDone();
-  inline void setDone( ::zinnianotch::wire::StageDone::Reader value);
-  inline  ::zinnianotch::wire::StageDone::Builder initDone();
-  inline void adoptDone(::capnp::Orphan< ::zinnianotch::wire::StageDone>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::StageDone> disownDone();
-
-  inline bool isCancel();
-  inline  ::uint64_t getCancel();
-  inline void setCancel( ::uint64_t value);
-
-  inline bool isRelease();
-  inline bool hasRelease();
-  inline  ::zinnianotch::wire::ReleaseResults::Builder getRelease();
-  inline void setRelease( ::zinnianotch::wire::ReleaseResults::Reader value);
-  inline  ::zinnianotch::wire::ReleaseResults::Builder initRelease();
-  inline void adoptRelease(::capnp::Orphan< ::zinnianotch::wire::ReleaseResults>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::ReleaseResults> disownRelease();
-
-  inline bool isQuery();
-  inline bool hasQuery();
-  inline  ::zinnianotch::wire::StateQuery::Builder getQuery();
-  inline void setQuery( ::zinnianotch::wire::StateQuery::Reader value);
-  inline  ::zinnianotch::wire::StateQuery::Builder initQuery();
-  inline void adoptQuery(::capnp::Orphan< ::zinnianotch::wire::StateQuery>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::StateQuery> disownQuery();
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
 
-  inline bool isAnswer();
-  inline bool hasAnswer();
-  inline  ::zinnianotch::wire::StateAnswer::Builder getAnswer();
-  inline void setAnswer( ::zinnianotch::wire::StateAnswer::Reader value);
-  inline  ::zinnianotch::wire::StateAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::zinnianotch::wire::StateAnswer>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::StateAnswer> disownAnswer();
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-  inline bool isLeaving();
-  inline  ::capnp::Void getLeaving();
-  inline void setLeaving( ::capnp::Void value = ::capnp::VOID);
+  inline bool getIsCandidate();
+  inline void setIsCandidate(bool value);
 
-  inline bool isNotice();
-  inline bool hasNotice();
-  inline  ::zinnianotch::wire::StateNotice::Builder getNotice();
-  inline void setNotice( ::zinnianotch::wire::StateNotice::Reader value);
-  inline  ::zinnianotch::wire::StateNotice::Builder initNotice();
-  inline void adoptNotice(::capnp::Orphan< ::zinnianotch::wire::StateNotice>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::StateNotice> disownNotice();
+  inline  ::uint32_t getAnswers();
+  inline void setAnswers( ::uint32_t value);
 
-  inline bool isReturned();
-  inline  ::uint64_t getReturned();
-  inline void setReturned( ::uint64_t value);
+  inline  ::uint32_t getFailures();
+  inline void setFailures( ::uint32_t value);
 
-  inline bool isCrash();
-  inline bool hasCrash();
-  inline  ::zinnianotch::wire::CrashReport::Builder getCrash();
-  inline void setCrash( ::zinnianotch::wire::CrashReport::Reader value);
-  inline  ::zinnianotch::wire::CrashReport::Builder initCrash();
-  inline void adoptCrash(::capnp::Orphan< ::zinnianotch::wire::CrashReport>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::CrashReport> disownCrash();
+  inline bool hasByDuration();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getByDuration();
+  inline void setByDuration( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setByDuration(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initByDuration(unsigned int size);
+  inline void adoptByDuration(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownByDuration();
 
-  inline bool isHeld();
-  inline bool hasHeld();
-  inline  ::zinnianotch::wire::HeldRecords::Builder getHeld();
-  inline void setHeld( ::zinnianotch::wire::HeldRecords::Reader value);
-  inline  ::zinnianotch::wire::HeldRecords::Builder initHeld();
-  inline void adoptHeld(::capnp::Orphan< ::zinnianotch::wire::HeldRecords>&& value);
-  inline ::capnp::Orphan< ::zinnianotch::wire::HeldRecords> disownHeld();
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1708,9 +1713,9 @@
 };
 
 #if !CAPNP_LITE
-class VmMessage::Pipeline {
+class RolloutCounts::Pipeline {
 public:
-  typedef VmMessage Pipelines;
+  typedef RolloutCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1724,1309 +1729,2621 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::uint64_t SubmitStage::Reader::getJob() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class RolloutShare::Reader {
+public:
+  typedef RolloutShare Reads;
 
-inline  ::uint64_t SubmitStage::Builder::getJob() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SubmitStage::Builder::setJob( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool SubmitStage::Reader::hasAttempt() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool SubmitStage::Builder::hasAttempt() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader SubmitStage::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder SubmitStage::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void SubmitStage::Builder::setAttempt( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder SubmitStage::Builder::initAttempt(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void SubmitStage::Builder::adoptAttempt(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool SubmitStage::Reader::hasService() const {
-  return !_reader.getPointerField(
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
+  inline double getShare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutShare::Builder {
+public:
+  typedef RolloutShare Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline double getShare();
+  inline void setShare(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RolloutShare::Pipeline {
+public:
+  typedef RolloutShare Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RolloutShares::Reader {
+public:
+  typedef RolloutShares Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline double getUsual() const;
+
+  inline bool hasRoutes() const;
+  inline  ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
+
+  inline double getBound() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutShares::Builder {
+public:
+  typedef RolloutShares Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline double getUsual();
+  inline void setUsual(double value);
+
+  inline bool hasRoutes();
+  inline  ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Builder getRoutes();
+  inline void setRoutes( ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>> disownRoutes();
+
+  inline double getBound();
+  inline void setBound(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RolloutShares::Pipeline {
+public:
+  typedef RolloutShares Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RolloutReport::Reader {
+public:
+  typedef RolloutReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline  ::uint64_t getLifetime() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getOrder() const;
+
+  inline  ::uint64_t getSent() const;
+
+  inline  ::uint64_t getCandidateSent() const;
+
+  inline  ::uint32_t getOldInFlight() const;
+
+  inline  ::int32_t getAgeMs() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
+
+  inline  ::uint8_t getPhase() const;
+
+  inline  ::uint32_t getOldUnrepeatable() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutReport::Builder {
+public:
+  typedef RolloutReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline  ::uint64_t getLifetime();
+  inline void setLifetime( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getOrder();
+  inline void setOrder( ::uint64_t value);
+
+  inline  ::uint64_t getSent();
+  inline void setSent( ::uint64_t value);
+
+  inline  ::uint64_t getCandidateSent();
+  inline void setCandidateSent( ::uint64_t value);
+
+  inline  ::uint32_t getOldInFlight();
+  inline void setOldInFlight( ::uint32_t value);
+
+  inline  ::int32_t getAgeMs();
+  inline void setAgeMs( ::int32_t value);
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> disownCounts();
+
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
+
+  inline  ::uint32_t getOldUnrepeatable();
+  inline void setOldUnrepeatable( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RolloutReport::Pipeline {
+public:
+  typedef RolloutReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RolloutVerdict::Reader {
+public:
+  typedef RolloutVerdict Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getOrder() const;
+
+  inline  ::uint8_t getPhase() const;
+
+  inline  ::uint32_t getStep() const;
+
+  inline  ::int32_t getAgeMs() const;
+
+  inline bool hasShares() const;
+  inline  ::zinnianotch::wire::RolloutShares::Reader getShares() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutVerdict::Builder {
+public:
+  typedef RolloutVerdict Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getOrder();
+  inline void setOrder( ::uint64_t value);
+
+  inline  ::uint8_t getPhase();
+  inline void setPhase( ::uint8_t value);
+
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
+
+  inline  ::int32_t getAgeMs();
+  inline void setAgeMs( ::int32_t value);
+
+  inline bool hasShares();
+  inline  ::zinnianotch::wire::RolloutShares::Builder getShares();
+  inline void setShares( ::zinnianotch::wire::RolloutShares::Reader value);
+  inline  ::zinnianotch::wire::RolloutShares::Builder initShares();
+  inline void adoptShares(::capnp::Orphan< ::zinnianotch::wire::RolloutShares>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::RolloutShares> disownShares();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RolloutVerdict::Pipeline {
+public:
+  typedef RolloutVerdict Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::zinnianotch::wire::RolloutShares::Pipeline getShares();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class VmMessage::Reader {
+public:
+  typedef VmMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isPing() const;
+  inline  ::capnp::Void getPing() const;
+
+  inline bool isPong() const;
+  inline  ::capnp::Void getPong() const;
+
+  inline bool isSubmit() const;
+  inline bool hasSubmit() const;
+  inline  ::zinnianotch::wire::SubmitStage::Reader getSubmit() const;
+
+  inline bool isDone() const;
+  inline bool hasDone() const;
+  inline  ::zinnianotch::wire::StageDone::Reader getDone() const;
+
+  inline bool isCancel() const;
+  inline  ::uint64_t getCancel() const;
+
+  inline bool isRelease() const;
+  inline bool hasRelease() const;
+  inline  ::zinnianotch::wire::ReleaseResults::Reader getRelease() const;
+
+  inline bool isQuery() const;
+  inline bool hasQuery() const;
+  inline  ::zinnianotch::wire::StateQuery::Reader getQuery() const;
+
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::zinnianotch::wire::StateAnswer::Reader getAnswer() const;
+
+  inline bool isLeaving() const;
+  inline  ::capnp::Void getLeaving() const;
+
+  inline bool isNotice() const;
+  inline bool hasNotice() const;
+  inline  ::zinnianotch::wire::StateNotice::Reader getNotice() const;
+
+  inline bool isReturned() const;
+  inline  ::uint64_t getReturned() const;
+
+  inline bool isCrash() const;
+  inline bool hasCrash() const;
+  inline  ::zinnianotch::wire::CrashReport::Reader getCrash() const;
+
+  inline bool isHeld() const;
+  inline bool hasHeld() const;
+  inline  ::zinnianotch::wire::HeldRecords::Reader getHeld() const;
+
+  inline bool isRollout() const;
+  inline bool hasRollout() const;
+  inline  ::zinnianotch::wire::RolloutReport::Reader getRollout() const;
+
+  inline bool isVerdict() const;
+  inline bool hasVerdict() const;
+  inline  ::zinnianotch::wire::RolloutVerdict::Reader getVerdict() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VmMessage::Builder {
+public:
+  typedef VmMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isPing();
+  inline  ::capnp::Void getPing();
+  inline void setPing( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isPong();
+  inline  ::capnp::Void getPong();
+  inline void setPong( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isSubmit();
+  inline bool hasSubmit();
+  inline  ::zinnianotch::wire::SubmitStage::Builder getSubmit();
+  inline void setSubmit( ::zinnianotch::wire::SubmitStage::Reader value);
+  inline  ::zinnianotch::wire::SubmitStage::Builder initSubmit();
+  inline void adoptSubmit(::capnp::Orphan< ::zinnianotch::wire::SubmitStage>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::SubmitStage> disownSubmit();
+
+  inline bool isDone();
+  inline bool hasDone();
+  inline  ::zinnianotch::wire::StageDone::Builder getDone();
+  inline void setDone( ::zinnianotch::wire::StageDone::Reader value);
+  inline  ::zinnianotch::wire::StageDone::Builder initDone();
+  inline void adoptDone(::capnp::Orphan< ::zinnianotch::wire::StageDone>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::StageDone> disownDone();
+
+  inline bool isCancel();
+  inline  ::uint64_t getCancel();
+  inline void setCancel( ::uint64_t value);
+
+  inline bool isRelease();
+  inline bool hasRelease();
+  inline  ::zinnianotch::wire::ReleaseResults::Builder getRelease();
+  inline void setRelease( ::zinnianotch::wire::ReleaseResults::Reader value);
+  inline  ::zinnianotch::wire::ReleaseResults::Builder initRelease();
+  inline void adoptRelease(::capnp::Orphan< ::zinnianotch::wire::ReleaseResults>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::ReleaseResults> disownRelease();
+
+  inline bool isQuery();
+  inline bool hasQuery();
+  inline  ::zinnianotch::wire::StateQuery::Builder getQuery();
+  inline void setQuery( ::zinnianotch::wire::StateQuery::Reader value);
+  inline  ::zinnianotch::wire::StateQuery::Builder initQuery();
+  inline void adoptQuery(::capnp::Orphan< ::zinnianotch::wire::StateQuery>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::StateQuery> disownQuery();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::zinnianotch::wire::StateAnswer::Builder getAnswer();
+  inline void setAnswer( ::zinnianotch::wire::StateAnswer::Reader value);
+  inline  ::zinnianotch::wire::StateAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::zinnianotch::wire::StateAnswer>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::StateAnswer> disownAnswer();
+
+  inline bool isLeaving();
+  inline  ::capnp::Void getLeaving();
+  inline void setLeaving( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isNotice();
+  inline bool hasNotice();
+  inline  ::zinnianotch::wire::StateNotice::Builder getNotice();
+  inline void setNotice( ::zinnianotch::wire::StateNotice::Reader value);
+  inline  ::zinnianotch::wire::StateNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::zinnianotch::wire::StateNotice>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::StateNotice> disownNotice();
+
+  inline bool isReturned();
+  inline  ::uint64_t getReturned();
+  inline void setReturned( ::uint64_t value);
+
+  inline bool isCrash();
+  inline bool hasCrash();
+  inline  ::zinnianotch::wire::CrashReport::Builder getCrash();
+  inline void setCrash( ::zinnianotch::wire::CrashReport::Reader value);
+  inline  ::zinnianotch::wire::CrashReport::Builder initCrash();
+  inline void adoptCrash(::capnp::Orphan< ::zinnianotch::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::CrashReport> disownCrash();
+
+  inline bool isHeld();
+  inline bool hasHeld();
+  inline  ::zinnianotch::wire::HeldRecords::Builder getHeld();
+  inline void setHeld( ::zinnianotch::wire::HeldRecords::Reader value);
+  inline  ::zinnianotch::wire::HeldRecords::Builder initHeld();
+  inline void adoptHeld(::capnp::Orphan< ::zinnianotch::wire::HeldRecords>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::HeldRecords> disownHeld();
+
+  inline bool isRollout();
+  inline bool hasRollout();
+  inline  ::zinnianotch::wire::RolloutReport::Builder getRollout();
+  inline void setRollout( ::zinnianotch::wire::RolloutReport::Reader value);
+  inline  ::zinnianotch::wire::RolloutReport::Builder initRollout();
+  inline void adoptRollout(::capnp::Orphan< ::zinnianotch::wire::RolloutReport>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::RolloutReport> disownRollout();
+
+  inline bool isVerdict();
+  inline bool hasVerdict();
+  inline  ::zinnianotch::wire::RolloutVerdict::Builder getVerdict();
+  inline void setVerdict( ::zinnianotch::wire::RolloutVerdict::Reader value);
+  inline  ::zinnianotch::wire::RolloutVerdict::Builder initVerdict();
+  inline void adoptVerdict(::capnp::Orphan< ::zinnianotch::wire::RolloutVerdict>&& value);
+  inline ::capnp::Orphan< ::zinnianotch::wire::RolloutVerdict> disownVerdict();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VmMessage::Pipeline {
+public:
+  typedef VmMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t SubmitStage::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubmitStage::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubmitStage::Reader::hasAttempt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasAttempt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubmitStage::Reader::getAttempt() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::getAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setAttempt( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::initAttempt(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptAttempt(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownAttempt() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SubmitStage::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubmitStage::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SubmitStage::Reader::getStage() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SubmitStage::Builder::getStage() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setStage( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SubmitStage::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SubmitStage::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SubmitStage::Reader::getPieces() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SubmitStage::Builder::getPieces() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setPieces( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SubmitStage::Reader::getResultBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubmitStage::Builder::getResultBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setResultBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubmitStage::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubmitStage::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool SubmitStage::Reader::hasInputs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasInputs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SubmitStage::Reader::getInputs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SubmitStage::Builder::getInputs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setInputs( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void SubmitStage::Builder::setInputs(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SubmitStage::Builder::initInputs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptInputs(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SubmitStage::Builder::disownInputs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t SubmitStage::Reader::getGoalLeftMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t SubmitStage::Builder::getGoalLeftMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setGoalLeftMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t SubmitStage::Reader::getDeadlineLeftMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t SubmitStage::Builder::getDeadlineLeftMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setDeadlineLeftMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubmitStage::Reader::hasPreferredDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasPreferredDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubmitStage::Reader::getPreferredDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::getPreferredDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setPreferredDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::initPreferredDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptPreferredDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownPreferredDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool SubmitStage::Reader::hasShard() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubmitStage::Builder::hasShard() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubmitStage::Reader::getShard() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::getShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SubmitStage::Builder::setShard( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubmitStage::Builder::initShard(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void SubmitStage::Builder::adoptShard(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StageDone::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StageDone::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StageDone::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t StageDone::Reader::getEnd() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t StageDone::Builder::getEnd() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void StageDone::Builder::setEnd( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t StageDone::Reader::getWhy() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t StageDone::Builder::getWhy() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void StageDone::Builder::setWhy( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t StageDone::Reader::getExpectedMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t StageDone::Builder::getExpectedMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StageDone::Builder::setExpectedMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StageDone::Reader::hasHandles() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageDone::Builder::hasHandles() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StageDone::Reader::getHandles() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageDone::Builder::getHandles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StageDone::Builder::setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void StageDone::Builder::setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageDone::Builder::initHandles(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StageDone::Builder::adoptHandles(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StageDone::Builder::disownHandles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ReleaseResults::Reader::hasHandles() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReleaseResults::Builder::hasHandles() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ReleaseResults::Reader::getHandles() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReleaseResults::Builder::getHandles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ReleaseResults::Builder::setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void ReleaseResults::Builder::setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReleaseResults::Builder::initHandles(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ReleaseResults::Builder::adoptHandles(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ReleaseResults::Builder::disownHandles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Record::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Record::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Record::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Record::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Record::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Record::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Record::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Record::Builder::hasValue() {
+  return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubmitStage::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::capnp::Data::Reader Record::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Record::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Record::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Record::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Record::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Record::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Record::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Record::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Record::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader SubmitStage::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool Record::Reader::getDeleted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline bool Record::Builder::getDeleted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Record::Builder::setDeleted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint8_t StateQuery::Reader::getTable() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t StateQuery::Builder::getTable() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void StateQuery::Builder::setTable( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SubmitStage::Reader::getStage() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t StateQuery::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateQuery::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StateQuery::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StateQuery::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SubmitStage::Builder::getStage() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t StateQuery::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setStage( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void StateQuery::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SubmitStage::Reader::getPriority() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool StateQuery::Reader::getHeld() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SubmitStage::Builder::getPriority() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool StateQuery::Builder::getHeld() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setPriority( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void StateQuery::Builder::setHeld(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SubmitStage::Reader::getPieces() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint8_t StateAnswer::Reader::getTable() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SubmitStage::Builder::getPieces() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint8_t StateAnswer::Builder::getTable() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setPieces( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void StateAnswer::Builder::setTable( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t SubmitStage::Reader::getResultBytes() const {
+inline  ::uint64_t StateAnswer::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SubmitStage::Builder::getResultBytes() {
+inline  ::uint64_t StateAnswer::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setResultBytes( ::uint64_t value) {
+inline void StateAnswer::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SubmitStage::Reader::hasKey() const {
+inline bool StateAnswer::Reader::getLoaded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool StateAnswer::Builder::getLoaded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void StateAnswer::Builder::setLoaded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StateAnswer::Reader::hasRecords() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubmitStage::Builder::hasKey() {
+inline bool StateAnswer::Builder::hasRecords() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubmitStage::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Reader StateAnswer::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Builder StateAnswer::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubmitStage::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void StateAnswer::Builder::setRecords( ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Builder StateAnswer::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SubmitStage::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void StateAnswer::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>> StateAnswer::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SubmitStage::Reader::hasInputs() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool StateAnswer::Reader::getIsSnapshot() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline bool SubmitStage::Builder::hasInputs() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+
+inline bool StateAnswer::Builder::getIsSnapshot() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader SubmitStage::Reader::getInputs() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void StateAnswer::Builder::setIsSnapshot(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SubmitStage::Builder::getInputs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t StateAnswer::Reader::getAfter() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setInputs( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t StateAnswer::Builder::getAfter() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StateAnswer::Builder::setAfter( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t StateAnswer::Reader::getRegainedMsAgo() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t StateAnswer::Builder::getRegainedMsAgo() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StateAnswer::Builder::setRegainedMsAgo( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StateAnswer::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateAnswer::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StateAnswer::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StateAnswer::Reader::getAfterEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateAnswer::Builder::getAfterEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setInputs(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void StateAnswer::Builder::setAfterEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder SubmitStage::Builder::initInputs(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline bool TableCopy::Reader::getLoaded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::adoptInputs(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool TableCopy::Builder::getLoaded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> SubmitStage::Builder::disownInputs() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void TableCopy::Builder::setLoaded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t SubmitStage::Reader::getGoalLeftMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool TableCopy::Reader::getInSync() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t SubmitStage::Builder::getGoalLeftMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool TableCopy::Builder::getInSync() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setGoalLeftMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void TableCopy::Builder::setInSync(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t SubmitStage::Reader::getDeadlineLeftMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TableCopy::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t SubmitStage::Builder::getDeadlineLeftMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t TableCopy::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setDeadlineLeftMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void TableCopy::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SubmitStage::Reader::hasPreferredDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t TableCopy::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool SubmitStage::Builder::hasPreferredDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t TableCopy::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader SubmitStage::Reader::getPreferredDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void TableCopy::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::getPreferredDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint64_t TableCopy::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void SubmitStage::Builder::setPreferredDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t TableCopy::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::initPreferredDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline void TableCopy::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void SubmitStage::Builder::adoptPreferredDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t TableCopy::Reader::getHeldDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownPreferredDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint64_t TableCopy::Builder::getHeldDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TableCopy::Builder::setHeldDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SubmitStage::Reader::hasShard() const {
+inline bool HeldRecord::Reader::hasRecord() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubmitStage::Builder::hasShard() {
+inline bool HeldRecord::Builder::hasRecord() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubmitStage::Reader::getShard() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::zinnianotch::wire::Record::Reader HeldRecord::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::getShard() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::zinnianotch::wire::Record::Builder HeldRecord::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubmitStage::Builder::setShard( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::zinnianotch::wire::Record::Pipeline HeldRecord::Pipeline::getRecord() {
+  return  ::zinnianotch::wire::Record::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder SubmitStage::Builder::initShard(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void HeldRecord::Builder::setRecord( ::zinnianotch::wire::Record::Reader value) {
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void SubmitStage::Builder::adoptShard(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::zinnianotch::wire::Record::Builder HeldRecord::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubmitStage::Builder::disownShard() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void HeldRecord::Builder::adoptRecord(
+    ::capnp::Orphan< ::zinnianotch::wire::Record>&& value) {
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinnianotch::wire::Record> HeldRecord::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StageDone::Reader::getJob() const {
+inline  ::uint64_t HeldRecord::Reader::getRestoredRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StageDone::Builder::getJob() {
+inline  ::uint64_t HeldRecord::Builder::getRestoredRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StageDone::Builder::setJob( ::uint64_t value) {
+inline void HeldRecord::Builder::setRestoredRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t StageDone::Reader::getEnd() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::int32_t HeldRecord::Reader::getMsLeft() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t StageDone::Builder::getEnd() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::int32_t HeldRecord::Builder::getMsLeft() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void StageDone::Builder::setEnd( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void HeldRecord::Builder::setMsLeft( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t StageDone::Reader::getWhy() const {
+inline  ::uint8_t HeldRecords::Reader::getTable() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t StageDone::Builder::getWhy() {
+inline  ::uint8_t HeldRecords::Builder::getTable() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StageDone::Builder::setWhy( ::uint8_t value) {
+inline void HeldRecords::Builder::setTable( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t StageDone::Reader::getExpectedMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HeldRecords::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t StageDone::Builder::getExpectedMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HeldRecords::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HeldRecords::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeldRecords::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldRecords::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader HeldRecords::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder HeldRecords::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeldRecords::Builder::setRecords( ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder HeldRecords::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeldRecords::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void StageDone::Builder::setExpectedMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>> HeldRecords::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StageDone::Reader::hasHandles() const {
+inline bool StateNotice::Reader::hasCopies() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StageDone::Builder::hasHandles() {
+inline bool StateNotice::Builder::hasCopies() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StageDone::Reader::getHandles() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Reader StateNotice::Reader::getCopies() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageDone::Builder::getHandles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Builder StateNotice::Builder::getCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StageDone::Builder::setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void StageDone::Builder::setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void StateNotice::Builder::setCopies( ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StageDone::Builder::initHandles(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Builder StateNotice::Builder::initCopies(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StageDone::Builder::adoptHandles(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void StateNotice::Builder::adoptCopies(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StageDone::Builder::disownHandles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>> StateNotice::Builder::disownCopies() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ReleaseResults::Reader::hasHandles() const {
+inline bool EngineLifetime::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ReleaseResults::Builder::hasHandles() {
+inline bool EngineLifetime::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ReleaseResults::Reader::getHandles() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader EngineLifetime::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReleaseResults::Builder::getHandles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder EngineLifetime::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ReleaseResults::Builder::setHandles( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void ReleaseResults::Builder::setHandles(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void EngineLifetime::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ReleaseResults::Builder::initHandles(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder EngineLifetime::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ReleaseResults::Builder::adoptHandles(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void EngineLifetime::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ReleaseResults::Builder::disownHandles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EngineLifetime::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Record::Reader::hasName() const {
+inline  ::int64_t EngineLifetime::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EngineLifetime::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineLifetime::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t CrashReport::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CrashReport::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasOrigin() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Record::Builder::hasName() {
+inline bool CrashReport::Builder::hasOrigin() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Record::Reader::getName() const {
+inline  ::capnp::Text::Reader CrashReport::Reader::getOrigin() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Record::Builder::getName() {
+inline  ::capnp::Text::Builder CrashReport::Builder::getOrigin() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Record::Builder::setName( ::capnp::Text::Reader value) {
+inline void CrashReport::Builder::setOrigin( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Record::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder CrashReport::Builder::initOrigin(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Record::Builder::adoptName(
+inline void CrashReport::Builder::adoptOrigin(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Record::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownOrigin() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Record::Reader::hasValue() const {
+inline  ::uint64_t CrashReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::hasEngines() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Record::Builder::hasValue() {
+inline bool CrashReport::Builder::hasEngines() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Record::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getEngines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Record::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Record::Builder::setValue( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void CrashReport::Builder::setEngines( ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Record::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initEngines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Record::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void CrashReport::Builder::adoptEngines(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Record::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Record::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Record::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Record::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader CrashReport::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline bool Record::Reader::getDeleted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder CrashReport::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashReport::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Record::Builder::getDeleted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void Record::Builder::setDeleted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline bool CrashReport::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CrashReport::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReport::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setParts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setParts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReport::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CrashReport::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t StateQuery::Reader::getTable() const {
+inline  ::uint8_t CrashReport::Reader::getProgress() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t StateQuery::Builder::getTable() {
+inline  ::uint8_t CrashReport::Builder::getProgress() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StateQuery::Builder::setTable( ::uint8_t value) {
+inline void CrashReport::Builder::setProgress( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StateQuery::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int32_t CrashReport::Reader::getAnsweringForMs() const {
+  return _reader.getDataField< ::int32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StateQuery::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int32_t CrashReport::Builder::getAnsweringForMs() {
+  return _builder.getDataField< ::int32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StateQuery::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void CrashReport::Builder::setAnsweringForMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StateQuery::Reader::getEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CrashReport::Reader::getProbes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StateQuery::Builder::getEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t CrashReport::Builder::getProbes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void StateQuery::Builder::setEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CrashReport::Builder::setProbes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StateQuery::Reader::getHeld() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::int32_t CrashReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline bool StateQuery::Builder::getHeld() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::int32_t CrashReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void StateQuery::Builder::setHeld(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void CrashReport::Builder::setAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t StateAnswer::Reader::getTable() const {
+inline  ::uint8_t CrashReport::Reader::getSubject() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t StateAnswer::Builder::getTable() {
+inline  ::uint8_t CrashReport::Builder::getSubject() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void StateAnswer::Builder::setTable( ::uint8_t value) {
+inline void CrashReport::Builder::setSubject( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StateAnswer::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t StateAnswer::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool CrashReport::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void StateAnswer::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader CrashReport::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline bool StateAnswer::Reader::getLoaded() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder CrashReport::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline bool StateAnswer::Builder::getLoaded() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline void CrashReport::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void StateAnswer::Builder::setLoaded(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder CrashReport::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool StateAnswer::Reader::hasRecords() const {
+inline bool RolloutCounts::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StateAnswer::Builder::hasRecords() {
+inline bool RolloutCounts::Builder::hasRoute() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Reader StateAnswer::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Builder StateAnswer::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StateAnswer::Builder::setRecords( ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void RolloutCounts::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>::Builder StateAnswer::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StateAnswer::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void RolloutCounts::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>> StateAnswer::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StateAnswer::Reader::getIsSnapshot() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-
-inline bool StateAnswer::Builder::getIsSnapshot() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-inline void StateAnswer::Builder::setIsSnapshot(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t StateAnswer::Reader::getAfter() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StateAnswer::Builder::getAfter() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void StateAnswer::Builder::setAfter( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int32_t StateAnswer::Reader::getRegainedMsAgo() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int32_t StateAnswer::Builder::getRegainedMsAgo() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RolloutCounts::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void StateAnswer::Builder::setRegainedMsAgo( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool RolloutCounts::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t StateAnswer::Reader::getEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t StateAnswer::Builder::getEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StateAnswer::Builder::setEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RolloutCounts::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t StateAnswer::Reader::getAfterEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t StateAnswer::Builder::getAfterEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void RolloutCounts::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void StateAnswer::Builder::setAfterEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool TableCopy::Reader::getLoaded() const {
+inline bool RolloutCounts::Reader::getIsCandidate() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool TableCopy::Builder::getLoaded() {
+inline bool RolloutCounts::Builder::getIsCandidate() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TableCopy::Builder::setLoaded(bool value) {
+inline void RolloutCounts::Builder::setIsCandidate(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TableCopy::Reader::getInSync() const {
-  return _reader.getDataField<bool>(
+inline  ::uint32_t RolloutCounts::Reader::getAnswers() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool TableCopy::Builder::getInSync() {
-  return _builder.getDataField<bool>(
+inline  ::uint32_t RolloutCounts::Builder::getAnswers() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TableCopy::Builder::setInSync(bool value) {
-  _builder.setDataField<bool>(
+inline void RolloutCounts::Builder::setAnswers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TableCopy::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RolloutCounts::Reader::getFailures() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TableCopy::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RolloutCounts::Builder::getFailures() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TableCopy::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RolloutCounts::Builder::setFailures( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutCounts::Reader::hasByDuration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RolloutCounts::Builder::hasByDuration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader RolloutCounts::Reader::getByDuration() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RolloutCounts::Builder::getByDuration() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RolloutCounts::Builder::setByDuration( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void RolloutCounts::Builder::setByDuration(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RolloutCounts::Builder::initByDuration(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t TableCopy::Reader::getDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void RolloutCounts::Builder::adoptByDuration(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> RolloutCounts::Builder::disownByDuration() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TableCopy::Builder::getDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool RolloutCounts::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void TableCopy::Builder::setDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool RolloutCounts::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t TableCopy::Reader::getEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader RolloutCounts::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t TableCopy::Builder::getEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder RolloutCounts::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void TableCopy::Builder::setEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RolloutCounts::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t TableCopy::Reader::getHeldDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder RolloutCounts::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t TableCopy::Builder::getHeldDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void RolloutCounts::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void TableCopy::Builder::setHeldDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> RolloutCounts::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool HeldRecord::Reader::hasRecord() const {
+inline bool RolloutShare::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeldRecord::Builder::hasRecord() {
+inline bool RolloutShare::Builder::hasRoute() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::zinnianotch::wire::Record::Reader HeldRecord::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader RolloutShare::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::zinnianotch::wire::Record::Builder HeldRecord::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RolloutShare::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::zinnianotch::wire::Record::Pipeline HeldRecord::Pipeline::getRecord() {
-  return  ::zinnianotch::wire::Record::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void HeldRecord::Builder::setRecord( ::zinnianotch::wire::Record::Reader value) {
-  ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::set(_builder.getPointerField(
+inline void RolloutShare::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::zinnianotch::wire::Record::Builder HeldRecord::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RolloutShare::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HeldRecord::Builder::adoptRecord(
-    ::capnp::Orphan< ::zinnianotch::wire::Record>&& value) {
-  ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::adopt(_builder.getPointerField(
+inline void RolloutShare::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::zinnianotch::wire::Record> HeldRecord::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::Record>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> RolloutShare::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HeldRecord::Reader::getRestoredRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double RolloutShare::Reader::getShare() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HeldRecord::Builder::getRestoredRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline double RolloutShare::Builder::getShare() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HeldRecord::Builder::setRestoredRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RolloutShare::Builder::setShare(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t HeldRecord::Reader::getMsLeft() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int32_t HeldRecord::Builder::getMsLeft() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void HeldRecord::Builder::setMsLeft( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t HeldRecords::Reader::getTable() const {
-  return _reader.getDataField< ::uint8_t>(
+inline double RolloutShares::Reader::getUsual() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t HeldRecords::Builder::getTable() {
-  return _builder.getDataField< ::uint8_t>(
+inline double RolloutShares::Builder::getUsual() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HeldRecords::Builder::setTable( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void RolloutShares::Builder::setUsual(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HeldRecords::Reader::getEra() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HeldRecords::Builder::getEra() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void HeldRecords::Builder::setEra( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool HeldRecords::Reader::hasRecords() const {
+inline bool RolloutShares::Reader::hasRoutes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeldRecords::Builder::hasRecords() {
+inline bool RolloutShares::Builder::hasRoutes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader HeldRecords::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Reader RolloutShares::Reader::getRoutes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder HeldRecords::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Builder RolloutShares::Builder::getRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HeldRecords::Builder::setRecords( ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void RolloutShares::Builder::setRoutes( ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>::Builder HeldRecords::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>::Builder RolloutShares::Builder::initRoutes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void HeldRecords::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void RolloutShares::Builder::adoptRoutes(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>> HeldRecords::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::HeldRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>> RolloutShares::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StateNotice::Reader::hasCopies() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool StateNotice::Builder::hasCopies() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Reader StateNotice::Reader::getCopies() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Builder StateNotice::Builder::getCopies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StateNotice::Builder::setCopies( ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>::Builder StateNotice::Builder::initCopies(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline double RolloutShares::Reader::getBound() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StateNotice::Builder::adoptCopies(
-    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline double RolloutShares::Builder::getBound() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>> StateNotice::Builder::disownCopies() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::TableCopy,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void RolloutShares::Builder::setBound(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EngineLifetime::Reader::hasId() const {
+inline bool RolloutReport::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EngineLifetime::Builder::hasId() {
+inline bool RolloutReport::Builder::hasVm() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EngineLifetime::Reader::getId() const {
+inline  ::capnp::Text::Reader RolloutReport::Reader::getVm() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EngineLifetime::Builder::getId() {
+inline  ::capnp::Text::Builder RolloutReport::Builder::getVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EngineLifetime::Builder::setId( ::capnp::Text::Reader value) {
+inline void RolloutReport::Builder::setVm( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EngineLifetime::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutReport::Builder::initVm(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EngineLifetime::Builder::adoptId(
+inline void RolloutReport::Builder::adoptVm(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EngineLifetime::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutReport::Builder::disownVm() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t EngineLifetime::Reader::getStartedAt() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t RolloutReport::Reader::getLifetime() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t EngineLifetime::Builder::getStartedAt() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t RolloutReport::Builder::getLifetime() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EngineLifetime::Builder::setStartedAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void RolloutReport::Builder::setLifetime( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t CrashReport::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t CrashReport::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RolloutReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashReport::Reader::hasOrigin() const {
+inline bool RolloutReport::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashReport::Builder::hasOrigin() {
+inline bool RolloutReport::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CrashReport::Reader::getOrigin() const {
+inline  ::capnp::Text::Reader RolloutReport::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::getOrigin() {
+inline  ::capnp::Text::Builder RolloutReport::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setOrigin( ::capnp::Text::Reader value) {
+inline void RolloutReport::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::initOrigin(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutReport::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CrashReport::Builder::adoptOrigin(
+inline void RolloutReport::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownOrigin() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutReport::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CrashReport::Reader::getSequence() const {
+inline  ::uint64_t RolloutReport::Reader::getOrder() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashReport::Builder::getSequence() {
+inline  ::uint64_t RolloutReport::Builder::getOrder() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setSequence( ::uint64_t value) {
+inline void RolloutReport::Builder::setOrder( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashReport::Reader::hasEngines() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t RolloutReport::Reader::getSent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool CrashReport::Builder::hasEngines() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t RolloutReport::Builder::getSent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setSent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RolloutReport::Reader::getCandidateSent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RolloutReport::Builder::getCandidateSent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getEngines() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void RolloutReport::Builder::setCandidateSent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RolloutReport::Reader::getOldInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setEngines( ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t RolloutReport::Builder::getOldInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initEngines(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void RolloutReport::Builder::setOldInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
-inline void CrashReport::Builder::adoptEngines(
-    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int32_t RolloutReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownEngines() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EngineLifetime,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::int32_t RolloutReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setAgeMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashReport::Reader::hasDomain() const {
+inline bool RolloutReport::Reader::hasCounts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashReport::Builder::hasDomain() {
+inline bool RolloutReport::Builder::hasCounts() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CrashReport::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader RolloutReport::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder RolloutReport::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void RolloutReport::Builder::setCounts( ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>::Builder RolloutReport::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void CrashReport::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RolloutReport::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>> RolloutReport::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::RolloutCounts,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool CrashReport::Reader::hasParts() const {
+inline  ::uint8_t RolloutReport::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RolloutReport::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<48>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RolloutReport::Reader::getOldUnrepeatable() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RolloutReport::Builder::getOldUnrepeatable() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setOldUnrepeatable( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutVerdict::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashReport::Builder::hasParts() {
+inline bool RolloutVerdict::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader CrashReport::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReport::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RolloutVerdict::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setParts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder RolloutVerdict::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setParts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void RolloutVerdict::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder CrashReport::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder RolloutVerdict::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CrashReport::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void RolloutVerdict::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> CrashReport::Builder::disownParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RolloutVerdict::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t CrashReport::Reader::getProgress() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutVerdict::Reader::getOrder() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t CrashReport::Builder::getProgress() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t RolloutVerdict::Builder::getOrder() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setProgress( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RolloutVerdict::Builder::setOrder( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t CrashReport::Reader::getAnsweringForMs() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RolloutVerdict::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t CrashReport::Builder::getAnsweringForMs() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t RolloutVerdict::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setAnsweringForMs( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RolloutVerdict::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CrashReport::Reader::getProbes() const {
+inline  ::uint32_t RolloutVerdict::Reader::getStep() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CrashReport::Builder::getProbes() {
+inline  ::uint32_t RolloutVerdict::Builder::getStep() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setProbes( ::uint32_t value) {
+inline void RolloutVerdict::Builder::setStep( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t CrashReport::Reader::getAgeMs() const {
+inline  ::int32_t RolloutVerdict::Reader::getAgeMs() const {
   return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t CrashReport::Builder::getAgeMs() {
+inline  ::int32_t RolloutVerdict::Builder::getAgeMs() {
   return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setAgeMs( ::int32_t value) {
+inline void RolloutVerdict::Builder::setAgeMs( ::int32_t value) {
   _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint8_t CrashReport::Reader::getSubject() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t CrashReport::Builder::getSubject() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void CrashReport::Builder::setSubject( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool CrashReport::Reader::hasRoute() const {
+inline bool RolloutVerdict::Reader::hasShares() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashReport::Builder::hasRoute() {
+inline bool RolloutVerdict::Builder::hasShares() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CrashReport::Reader::getRoute() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::zinnianotch::wire::RolloutShares::Reader RolloutVerdict::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutShares>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::getRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::zinnianotch::wire::RolloutShares::Builder RolloutVerdict::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutShares>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setRoute( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::zinnianotch::wire::RolloutShares::Pipeline RolloutVerdict::Pipeline::getShares() {
+  return  ::zinnianotch::wire::RolloutShares::Pipeline(_typeless.getPointerField(1));
 }
-inline  ::capnp::Text::Builder CrashReport::Builder::initRoute(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void RolloutVerdict::Builder::setShares( ::zinnianotch::wire::RolloutShares::Reader value) {
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutShares>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void CrashReport::Builder::adoptRoute(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::zinnianotch::wire::RolloutShares::Builder RolloutVerdict::Builder::initShares() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutShares>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> CrashReport::Builder::disownRoute() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void RolloutVerdict::Builder::adoptShares(
+    ::capnp::Orphan< ::zinnianotch::wire::RolloutShares>&& value) {
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutShares>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinnianotch::wire::RolloutShares> RolloutVerdict::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutShares>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::zinnianotch::wire::VmMessage::Which VmMessage::Reader::which() const {
@@ -3600,6 +4917,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool VmMessage::Reader::isRollout() const {
+  return which() == VmMessage::ROLLOUT;
+}
+inline bool VmMessage::Builder::isRollout() {
+  return which() == VmMessage::ROLLOUT;
+}
+inline bool VmMessage::Reader::hasRollout() const {
+  if (which() != VmMessage::ROLLOUT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmMessage::Builder::hasRollout() {
+  if (which() != VmMessage::ROLLOUT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinnianotch::wire::RolloutReport::Reader VmMessage::Reader::getRollout() const {
+  KJ_IREQUIRE((which() == VmMessage::ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinnianotch::wire::RolloutReport::Builder VmMessage::Builder::getRollout() {
+  KJ_IREQUIRE((which() == VmMessage::ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::setRollout( ::zinnianotch::wire::RolloutReport::Reader value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::ROLLOUT);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinnianotch::wire::RolloutReport::Builder VmMessage::Builder::initRollout() {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::ROLLOUT);
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::adoptRollout(
+    ::capnp::Orphan< ::zinnianotch::wire::RolloutReport>&& value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::ROLLOUT);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinnianotch::wire::RolloutReport> VmMessage::Builder::disownRollout() {
+  KJ_IREQUIRE((which() == VmMessage::ROLLOUT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool VmMessage::Reader::isVerdict() const {
+  return which() == VmMessage::VERDICT;
+}
+inline bool VmMessage::Builder::isVerdict() {
+  return which() == VmMessage::VERDICT;
+}
+inline bool VmMessage::Reader::hasVerdict() const {
+  if (which() != VmMessage::VERDICT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VmMessage::Builder::hasVerdict() {
+  if (which() != VmMessage::VERDICT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::zinnianotch::wire::RolloutVerdict::Reader VmMessage::Reader::getVerdict() const {
+  KJ_IREQUIRE((which() == VmMessage::VERDICT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutVerdict>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::zinnianotch::wire::RolloutVerdict::Builder VmMessage::Builder::getVerdict() {
+  KJ_IREQUIRE((which() == VmMessage::VERDICT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutVerdict>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::setVerdict( ::zinnianotch::wire::RolloutVerdict::Reader value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::VERDICT);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutVerdict>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::zinnianotch::wire::RolloutVerdict::Builder VmMessage::Builder::initVerdict() {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::VERDICT);
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutVerdict>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VmMessage::Builder::adoptVerdict(
+    ::capnp::Orphan< ::zinnianotch::wire::RolloutVerdict>&& value) {
+  _builder.setDataField<VmMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, VmMessage::VERDICT);
+  ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutVerdict>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::zinnianotch::wire::RolloutVerdict> VmMessage::Builder::disownVerdict() {
+  KJ_IREQUIRE((which() == VmMessage::VERDICT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::zinnianotch::wire::RolloutVerdict>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -1,6 +1,7 @@
 #include "protocol/vm_message.h"
 
 #include "protocol/stage.capnp.h"
+#include "state/number_range.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -173,7 +174,58 @@
         }
     }
 
+    void operator()(const rollout_report& message)
+    {
+        auto to = out_.initRollout();
+        to.setVm(message.vm);
+        to.setLifetime(message.lifetime);
+        to.setSequence(message.sequence);
+        to.setService(message.service);
+        to.setOrder(message.order);
+        to.setSent(message.sent);
+        to.setCandidateSent(message.candidate_sent);
+        to.setPhase(static_cast<std::uint8_t>(message.phase));
+        to.setOldInFlight(message.old_in_flight);
+        to.setOldUnrepeatable(message.old_unrepeatable);
+        to.setAgeMs(clamp_to_int32(message.age));
+        auto list = to.initCounts(
+            static_cast<capnp::uint>(std::min(message.counts.size(), rollout_max_counts)));
+        for (capnp::uint i = 0; i < list.size(); ++i)
+            write_counts(list[i], message.counts[i]);
+    }
+    void operator()(const rollout_verdict& message)
+    {
+        auto to = out_.initVerdict();
+        to.setService(message.service);
+        to.setOrder(message.order);
+        to.setPhase(static_cast<std::uint8_t>(message.phase));
+        to.setStep(message.step);
+        to.setAgeMs(clamp_to_int32(message.age));
+        auto shares = to.initShares();
+        shares.setUsual(message.shares.usual);
+        shares.setBound(message.shares.bound);
+        auto routes = shares.initRoutes(
+            static_cast<capnp::uint>(std::min(message.shares.routes.size(), rollout_max_routes)));
+        for (capnp::uint i = 0; i < routes.size(); ++i)
+        {
+            routes[i].setRoute(message.shares.routes[i].route);
+            routes[i].setShare(message.shares.routes[i].share);
+        }
+    }
+
 private:
+    static void write_counts(wire::RolloutCounts::Builder to, const rollout_counts& counts)
+    {
+        to.setRoute(counts.route);
+        to.setEndpoint(counts.endpoint);
+        to.setDomain(counts.domain);
+        to.setIsCandidate(counts.is_candidate);
+        to.setAnswers(counts.answers);
+        to.setFailures(counts.failures);
+        auto buckets = to.initByDuration(rollout_buckets);
+        for (capnp::uint i = 0; i < buckets.size(); ++i)
+            buckets.set(i, counts.by_duration[i]);
+    }
     static void write_record(wire::Record::Builder to, const state_record& record)
     {
         to.setName(record.name);
@@ -303,6 +355,79 @@
     return message;
 }
 
+milliseconds read_age(std::int32_t age)
+{
+    KJ_REQUIRE(age >= 0, "negative age in a VM message");
+    return milliseconds(age);
+}
+
+double read_share(double share)
+{
+    KJ_REQUIRE(is_within(share, share_range), "odd share in a VM message");
+    return share;
+}
+
+rollout_counts read_counts(wire::RolloutCounts::Reader from)
+{
+    rollout_counts counts;
+    counts.route = to_text(from.getRoute());
+    counts.endpoint = to_text(from.getEndpoint());
+    counts.domain = to_text(from.getDomain());
+    counts.is_candidate = from.getIsCandidate();
+    counts.answers = from.getAnswers();
+    counts.failures = from.getFailures();
+    const auto buckets = from.getByDuration();
+    KJ_REQUIRE(buckets.size() == rollout_buckets, "unknown number of buckets in a VM message");
+    for (capnp::uint i = 0; i < buckets.size(); ++i)
+    {
+        KJ_REQUIRE(buckets[i] <= counts.answers, "more outcomes than answers in a VM message");
+        counts.by_duration[i] = buckets[i];
+    }
+    KJ_REQUIRE(counts.failures <= counts.answers, "more outcomes than answers in a VM message");
+    return counts;
+}
+
+rollout_report read_rollout(wire::RolloutReport::Reader from)
+{
+    rollout_report message;
+    message.vm = to_text(from.getVm());
+    message.lifetime = from.getLifetime();
+    message.sequence = from.getSequence();
+    message.service = to_text(from.getService());
+    message.order = from.getOrder();
+    message.sent = from.getSent();
+    message.candidate_sent = from.getCandidateSent();
+    message.phase = to_enum(from.getPhase(), rollout_phase::rolled_back);
+    message.old_in_flight = from.getOldInFlight();
+    message.old_unrepeatable = from.getOldUnrepeatable();
+    message.age = read_age(from.getAgeMs());
+    KJ_REQUIRE(is_within(message.order, revision_range) &&
+                   is_within(message.sent, revision_range) &&
+                   is_within(message.candidate_sent, revision_range),
+               "number out of its range in a VM message");
+    KJ_REQUIRE(from.getCounts().size() <= rollout_max_counts, "too many counts in a VM message");
+    for (const auto counts : from.getCounts())
+        message.counts.push_back(read_counts(counts));
+    return message;
+}
+
+rollout_verdict read_verdict(wire::RolloutVerdict::Reader from)
+{
+    rollout_verdict message;
+    message.service = to_text(from.getService());
+    message.order = from.getOrder();
+    message.phase = to_enum(from.getPhase(), rollout_phase::rolled_back);
+    message.step = from.getStep();
+    message.age = read_age(from.getAgeMs());
+    const auto shares = from.getShares();
+    message.shares.usual = read_share(shares.getUsual());
+    message.shares.bound = read_share(shares.getBound());
+    KJ_REQUIRE(shares.getRoutes().size() <= rollout_max_routes, "too many routes in a VM message");
+    for (const auto route : shares.getRoutes())
+        message.shares.routes.push_back({to_text(route.getRoute()), read_share(route.getShare())});
+    return message;
+}
+
 vm_message read_message(wire::VmMessage::Reader from)
 {
     switch (from.which())
@@ -331,6 +456,10 @@
         return read_crash(from.getCrash());
     case wire::VmMessage::HELD:
         return read_held(from.getHeld());
+    case wire::VmMessage::ROLLOUT:
+        return read_rollout(from.getRollout());
+    case wire::VmMessage::VERDICT:
+        return read_verdict(from.getVerdict());
     case wire::VmMessage::RETURNED:
         return returned_message{from.getReturned()};
     }
--- a/packages/protocol/vm_message.h
+++ b/packages/protocol/vm_message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "state/crash_suspects.h"
+#include "state/rollout.h"
 #include "state/stage_request.h"
 #include "state/state_source.h"
 #include "state/table_replica.h"
@@ -79,7 +80,7 @@
 using vm_message =
     std::variant<ping_message, pong_message, submit_message, done_message, cancel_message,
                  release_message, state_query, state_answer, leaving_message, state_notice,
-                 returned_message, crash_report, held_records>;
+                 returned_message, crash_report, held_records, rollout_report, rollout_verdict>;
 
 // Largest accepted message in bytes, without the length prefix.
 inline constexpr std::size_t frame_limit = 16 * 1024 * 1024;
--- a/packages/protocol/vm_report_codec.cpp
+++ b/packages/protocol/vm_report_codec.cpp
@@ -46,6 +46,16 @@
     return object;
 }
 
+value encode_rollout(const rollout_status_report& rollout)
+{
+    value object = value::object();
+    object["service"] = text(rollout.service);
+    object["version"] = text(rollout.version);
+    object["phase"] = text(rollout.phase);
+    object["age_ms"] = value::number(std::int64_t{rollout.age.count()});
+    return object;
+}
+
 value encode_endpoint(const endpoint_report& endpoint)
 {
     value object = value::object();
@@ -77,6 +87,7 @@
     object["domains_out"] = texts(report.domains_out);
     object["held_prompt_parts"] = texts(report.held_prompt_parts);
     object["held_requests"] = write_list(report.held_requests, encode_held_request);
+    object["rollouts"] = write_list(report.rollouts, encode_rollout);
     object["tables"] = write_list(report.tables, encode_table);
     object["endpoints"] = write_list(report.endpoints, encode_endpoint);
     object["refusals"] = write_counts(report.refusals);
--- a/packages/state/number_range.h
+++ b/packages/state/number_range.h
@@ -23,6 +23,8 @@
 inline constexpr number_range<std::uint64_t> revision_range{0, largest_exact};
 // Times in ms; messages between VMs carry them in 32 bits.
 inline constexpr number_range<std::int64_t> duration_range{0, 2'147'483'647};
+// Duration of a roll-out in ms; without any, it could not be judged.
+inline constexpr number_range<std::int64_t> rollout_duration_range{1, 2'147'483'647};
 // Remaining cold time of an endpoint in ms, negative once it is over; no endpoint warms up for
 // days.
 inline constexpr number_range<std::int64_t> cold_time_range{-86'400'000, 86'400'000};
@@ -30,6 +32,8 @@
 inline constexpr number_range<std::int64_t> start_time_range{0, largest_exact};
 // Concurrent requests or pieces per call of an endpoint; its address has no more ports.
 inline constexpr number_range<std::uint32_t> slots_range{0, 65'535};
+// Part of the requests of a route or a service.
+inline constexpr number_range<double> share_range{0.0, 1.0};
 // Pieces of one stage of a request; their handles reach the endpoint in one header field.
 inline constexpr number_range<std::uint32_t> pieces_range{0, 10'000};
 // Pause in seconds that an endpoint may ask for; an endpoint that is away longer leaves instead.
--- a/packages/state/serving.h
+++ b/packages/state/serving.h
@@ -126,6 +126,7 @@
     bool draining = false;
     milliseconds cold_for{0};    // remaining warm-up time when the record was written
     std::int64_t started_at = 0; // of the lifetime; distinguishes lifetimes of one id
+    std::string version;         // of its software; empty if not given
 
     bool operator==(const endpoint_record&) const = default;
 };
--- a/packages/state/vm_report.cpp
+++ b/packages/state/vm_report.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 8> endpoint_use_names = {
-    "used", "cold", "full", "failing", "unreachable", "lapsed", "draining", "domain_out"};
+constexpr std::array<std::string_view, 9> endpoint_use_names = {
+    "used", "cold", "full", "failing", "unreachable", "lapsed", "draining", "domain_out", "barred"};
 
 } // namespace
 
--- a/packages/state/vm_report.h
+++ b/packages/state/vm_report.h
@@ -22,7 +22,8 @@
     unreachable, // no connection: the next attempt follows after a pause
     lapsed,      // its entry is missing after an outage of the store and may reappear
     draining,    // it is leaving: no new requests
-    domain_out   // its failure domain is out of service
+    domain_out,  // its failure domain is out of service
+    barred       // a roll-out keeps all requests from it
 };
 
 std::string_view to_string(endpoint_use value);
@@ -58,6 +59,14 @@
     bool operator==(const held_request_report&) const = default;
 };
 
+struct rollout_status_report
+{
+    std::string service;
+    std::string version;
+    std::string phase;
+    milliseconds age{0}; // of the order
+};
+
 struct vm_report
 {
     std::string vm;
@@ -73,6 +82,7 @@
     std::vector<std::string> domains_out;
     std::vector<std::string> held_prompt_parts; // engines crash under them
     std::vector<held_request_report> held_requests;
+    std::vector<rollout_status_report> rollouts;
     std::vector<table_report> tables;
     std::vector<endpoint_report> endpoints;
     std::map<std::string, std::uint64_t> refusals; // by reason
