--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -5,6 +5,9 @@
 
 #include "seeds.h"
 
+#include <cpprest/asyncrt_utils.h>
+#include <cpprest/json.h>
+
 #include <criterion/criterion.h>
 
 using namespace zinnianotch;
@@ -199,6 +202,9 @@
         state_record desired = record(entry);
         desired.name = "config";
         (void)codec::decode_desired(desired);
+        desired.name = "rollout/a";
+        (void)codec::decode_desired(desired);
+        (void)codec::decode_rollout(desired);
         (void)codec::decode_page(rows);
     }
 }
@@ -419,3 +425,130 @@
     cr_assert(decoded("Cold-Ms", "700.0 ").cold_for == milliseconds(700));
     cr_assert(decoded("Instance-Load", "3, 1, 8 ").load->slots == 8);
 }
+
+// Guards against orders of the operators that are not followed, or followed for another service.
+Test(platform_codec, decode_desired_rollout_order)
+{
+    state_record row = record(R"({"service":"reading","to":"v2","rollout_s":12.5})");
+    row.name = "rollout/reading";
+    const auto change = codec::decode_desired(row);
+    cr_assert(change && std::holds_alternative<rollout_order>(*change));
+    const auto& order = std::get<rollout_order>(*change);
+    cr_assert(order.service == "reading" && order.version == "v2" && order.revision == 7);
+    cr_assert(order.duration == milliseconds(12500));
+    row.deleted = true;
+    row.value.clear();
+    const auto deleted = codec::decode_desired(row);
+    cr_assert(deleted && std::get<rollout_order>(*deleted).service == "reading");
+    cr_assert(std::get<rollout_order>(*deleted).version.empty());
+}
+
+// Guards against an order that the operator cannot have meant.
+Test(platform_codec, decode_desired_odd_rollout_order_is_rejected)
+{
+    for (const std::string odd :
+         {R"({"service":"reading","to":"v2"})", R"({"service":"reading","rollout_s":9})",
+          R"({"service":"loans","to":"v2","rollout_s":9})", R"({"to":"","rollout_s":9})",
+          R"({"service":4,"to":"v2","rollout_s":9})", R"({"to":2,"rollout_s":9})",
+          R"({"to":"v2","rollout_s":"9"})", R"({"to":"v2","rollout_s":0})",
+          R"({"to":"v2","rollout_s":-1})", R"({"to":"v2","rollout_s":1e300})",
+          R"({"to":"v2","rollout_s":1e999})", "[]", "", "\xff"})
+    {
+        state_record row = record(odd);
+        row.name = "rollout/reading";
+        cr_assert_not(codec::decode_desired(row).has_value(), "%s", odd.c_str());
+    }
+}
+
+// Guards against a decision that is lost in the store, or that replaces one it was not based on.
+Test(platform_codec, rollout_decision_and_status_are_written_under_its_revision)
+{
+    rollout_record rollout;
+    rollout.service = "reading";
+    rollout.version = "v2";
+    rollout.order = 71;
+    rollout.phase = rollout_phase::rolled_back;
+    rollout.step = 2;
+    rollout.shares = {0.02, 0.1, {{"loans", 0.25}, {"desk", 0.0}}};
+    rollout.age = milliseconds(4100);
+    rollout.why = "failures on \"loans\"";
+    rollout.revision = 93;
+    const std::string text = codec::encode_rollout_put("10.0.0.1:80", rollout);
+    const auto body = web::json::value::parse(text.substr(text.find("\r\n\r\n") + 4));
+    const auto& expected = body.at("expect_rev").at(0);
+    const auto& decision = body.at("puts").at(0);
+    const auto& status = body.at("puts").at(1);
+    cr_assert(body.at("expect_rev").size() == 1 && body.at("puts").size() == 2);
+    cr_assert(expected.at("ver").as_number().to_uint64() == 93);
+    for (const char* const field : {"table", "part", "key"})
+        cr_assert(expected.at(field) == decision.at(field), "%s", field);
+    cr_assert(decision.at("table").as_string() == "vms");
+    cr_assert(decision.at("key").as_string() == "rollout/reading");
+    cr_assert(status.at("table").as_string() == "status");
+    cr_assert(status.at("key").as_string() == "rollout/reading");
+    const auto decode = [](const web::json::value& row)
+    {
+        const auto bytes = utility::conversions::from_base64(row.at("value").as_string());
+        return std::string(bytes.begin(), bytes.end());
+    };
+    const auto written = web::json::value::parse(decode(status));
+    cr_assert(written.at("state").as_string() == "rolled_back");
+    cr_assert(written.at("to").as_string() == "v2");
+
+    const state_record row{"rollout/reading", decode(decision), 94, false};
+    cr_assert(codec::is_rollout(row));
+    const auto read = codec::decode_rollout(row);
+    cr_assert(read && read->service == "reading" && read->version == "v2" && read->order == 71);
+    cr_assert(read->phase == rollout_phase::rolled_back && read->step == 2);
+    cr_assert(read->age == milliseconds(4100) && read->why == rollout.why && read->revision == 94);
+    cr_assert(read->shares == rollout.shares);
+    cr_assert_not(codec::decode_vm(row).has_value());
+}
+
+// Guards against corrupt decisions that are followed.
+Test(platform_codec, decode_rollout_odd_decision_is_rejected)
+{
+    const std::string good = R"({"version":"v2","order":71,"phase":"ramp","step":2,"age_ms":100,)"
+                             R"("why":"","shares":{"usual":0.5,"bound":0.25,"routes":[]}})";
+    state_record row{"rollout/reading", good, 94, false};
+    cr_assert(codec::decode_rollout(row).has_value());
+    const auto replaced = [&](const std::string& from, const std::string& to)
+    {
+        std::string text = good;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    for (const std::string& odd :
+         {replaced("71", "-1"), replaced("ramp", "later"), replaced(":2,", ":2.5,"),
+          replaced("100", "1e300"), replaced("\"v2\"", "2"), replaced("0.5", "1.5"),
+          replaced("0.5", "1e999"), replaced("0.25", "-1"), replaced("[]", "[{}]"),
+          replaced("[]", "7"), replaced("shares", "share"), std::string("[]"), std::string()})
+    {
+        row.value = odd;
+        cr_assert_not(codec::decode_rollout(row).has_value(), "%s", odd.c_str());
+    }
+}
+
+// Guards against taking a refused write for one that was done, or for one whose condition failed.
+Test(platform_codec, decode_write_by_status)
+{
+    message_head head;
+    const auto decode = [&](int status)
+    {
+        head.status = status;
+        return codec::decode_write(head);
+    };
+    cr_assert(decode(200) == write_outcome::done && decode(412) == write_outcome::conflict);
+    for (const int status : {0, 201, 400, 403, 429, 500, 503})
+        cr_assert(decode(status) == write_outcome::unknown, "%d", status);
+}
+
+// Guards against the version of an endpoint that is lost or guessed.
+Test(platform_codec, decode_endpoint_version)
+{
+    const std::string head = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready")";
+    cr_assert(codec::decode_endpoint(record(head + R"(,"version":"v2"})"))->version == "v2");
+    cr_assert(codec::decode_endpoint(record(head + "}"))->version.empty());
+    for (const std::string odd : {"2", "null", "[]", "{}"})
+        cr_assert_not(codec::decode_endpoint(record(head + ",\"version\":" + odd + "}")), "%s",
+                      odd.c_str());
+}
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -191,3 +191,83 @@
     cr_assert(std::get<held_records>(message).era == 0);
     cr_assert(std::get<held_records>(message).records.empty());
 }
+
+// Guards against counts of a roll-out that reach the judging VM incomplete.
+Test(vm_message, rollout_messages_round_trip)
+{
+    rollout_report report;
+    report.vm = "vm-1";
+    report.lifetime = 0xFFFFFFFFFFFFFFFFULL;
+    report.sequence = 9;
+    report.service = "reading";
+    report.order = 71;
+    report.sent = 5000;
+    report.candidate_sent = 400;
+    report.old_in_flight = 12;
+    report.old_unrepeatable = 5;
+    report.phase = rollout_phase::full;
+    report.age = milliseconds(3100);
+    rollout_counts counts;
+    counts.route = "loans";
+    counts.endpoint = "endpoint-2";
+    counts.domain = "dom-a";
+    counts.is_candidate = true;
+    counts.answers = 30;
+    counts.failures = 4;
+    counts.by_duration[0] = 25;
+    counts.by_duration[rollout_buckets - 1] = 1;
+    report.counts = {counts, {}};
+    std::string frame = encode_frame(report);
+    vm_message message;
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    const auto& decoded = std::get<rollout_report>(message);
+    cr_assert(decoded.vm == "vm-1" && decoded.lifetime == report.lifetime);
+    cr_assert(decoded.sequence == 9 && decoded.service == "reading" && decoded.order == 71);
+    cr_assert(decoded.sent == 5000 && decoded.candidate_sent == 400);
+    cr_assert(decoded.old_in_flight == 12 && decoded.age == milliseconds(3100));
+    cr_assert(decoded.counts.size() == 2 && decoded.counts[0].route == "loans");
+    cr_assert(decoded.old_unrepeatable == 5 && decoded.phase == rollout_phase::full);
+    cr_assert(decoded.counts[0].domain == "dom-a");
+    cr_assert(decoded.counts[0].endpoint == "endpoint-2" && decoded.counts[0].is_candidate);
+    cr_assert(decoded.counts[0].answers == 30 && decoded.counts[0].failures == 4);
+    cr_assert(decoded.counts[0].by_duration == counts.by_duration);
+
+    const rollout_shares shares{0.02, 0.1, {{"loans", 0.25}, {"desk", 0.0}}};
+    frame = encode_frame(
+        rollout_verdict{"reading", 71, rollout_phase::rolled_back, 3, shares, milliseconds(900)});
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    const auto& verdict = std::get<rollout_verdict>(message);
+    cr_assert(verdict.service == "reading" && verdict.order == 71 && verdict.step == 3);
+    cr_assert(verdict.phase == rollout_phase::rolled_back && verdict.age == milliseconds(900));
+    cr_assert(verdict.shares == shares);
+}
+
+// Guards against a report that would turn a judgement by figures that no VM can have counted.
+Test(vm_message, rollout_report_odd_figures_are_rejected)
+{
+    const auto is_rejected = [](const rollout_report& report)
+    {
+        std::string frame = encode_frame(report);
+        vm_message message;
+        return decode_frame(frame, message) == frame_state::invalid;
+    };
+    rollout_report good;
+    good.counts.resize(rollout_max_counts);
+    cr_assert_not(is_rejected(good));
+    rollout_report odd = good;
+    odd.counts[3].failures = 1;
+    cr_assert(is_rejected(odd));
+    odd = good;
+    odd.counts[3].answers = 3;
+    odd.counts[3].by_duration.fill(UINT32_MAX);
+    cr_assert(is_rejected(odd));
+    odd = good;
+    odd.candidate_sent = ~0ULL;
+    cr_assert(is_rejected(odd));
+    odd = good;
+    odd.age = milliseconds(-1);
+    cr_assert(is_rejected(odd));
+    odd = good;
+    odd.order = ~0ULL;
+    cr_assert(is_rejected(odd));
+}
