Follow roll-outs on the request path

Cause: requests went to any version of a service. Change: rollout_coordinator follows orders and decisions, counts attempts, exchanges reports and verdicts over the links between VMs and chooses what is written to the store. Placement, retries, moves and stage calls take the version that the gate gives them; endpoints that no request may use are barred. After a write, whatever its outcome, the decision is read before the next one. Without `serving.rollouts` in the settings nothing of this is active. Ruled out: a lease or an election of the judging VM; a filter in each caller of the endpoint directory.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "coordination/endpoint_directory.h"
+#include "coordination/rollout_coordinator.h"
 #include "coordination/serving_call.h"
 #include "coordination/serving_record_order.h"
 #include "coordination/stage_router.h"
@@ -103,12 +104,19 @@
     std::uint64_t desired_version() const { return state_ ? state_->version : 0; }
     // True while new requests may be sent to the endpoint.
     bool routes_to(const std::string& endpoint) const { return endpoints_.is_serving(endpoint); }
+    // Phase that this VM follows in the roll-out of the service; nothing without an order.
+    std::optional<rollout_phase> phase_of(const std::string& service) const
+    {
+        const rollout_gate* const gate = rollouts_ ? rollouts_->gate(service) : nullptr;
+        return gate != nullptr ? gate->phase(steady_clock::now()) : std::nullopt;
+    }
     // True when this VM batches the stage pieces of the queue, see queue_name.
     bool is_batcher_of(const std::string& queue) { return stage_router_.is_batcher_of(queue); }
 
 private:
     class exchange;
     class registration;
+    class rollout_store;
 
     // Duration of the successful responses of a route.
     struct response_estimate
@@ -175,6 +183,12 @@
     std::vector<vm_message> crash_snapshot();
     void log_held_parts(time_point now);
     void log_held_requests(time_point now);
+    void update_rollouts(time_point now);
+    void apply_rollout_record(const state_record& record, time_point now);
+    void on_rollout_report(const std::shared_ptr<vm_channel>& from, const rollout_report& report);
+    void on_rollout_verdict(const rollout_verdict& verdict);
+    void tick_rollouts(time_point now);
+    void update_state_peers();
     void log_bad_record(state_table table, const state_record& record);
     void send_text_response(const std::shared_ptr<server_connection>& client, int status,
                             const std::string& body);
@@ -186,6 +200,8 @@
     edge_options options_;
     metrics counters_;
     endpoint_directory endpoints_;
+    std::uint64_t rollout_lifetime_ = 0;            // random
+    std::unique_ptr<rollout_coordinator> rollouts_; // null without bounds in the settings
     stage_batcher<Codec> stage_batcher_;
     stage_router<Codec> stage_router_;
     std::unique_ptr<vm_listener> peers_;
@@ -231,6 +247,9 @@
     observed_stage_times stage_times_;
     std::map<std::string, std::vector<stage_shard>> shards_; // by service
     std::unique_ptr<registration> registration_;
+    std::unique_ptr<rollout_store> rollout_store_;
+    std::vector<std::string> state_peers_; // that the state is taken from
+    std::set<std::string> rollout_links_;  // VMs that judge roll-outs
     boost::asio::steady_timer tick_timer_;
     std::uint64_t ticks_ = 0;
     bool ready_logged_ = false;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -140,6 +140,12 @@
     void release_results();
     void release_consumed_results(std::size_t index);
 
+    endpoint_ptr acquire(placement_request& request, time_point now);
+    void choose_pool(placement_request& request, time_point now);
+    void begin_rollout_attempt(time_point now);
+    void count_first_byte(time_point now);
+    void end_rollout_attempt(bool has_failed, time_point now);
+
     void place(time_point now);
     placement_request make_placement(time_point now);
     void move_from_silent_endpoint(time_point now);
@@ -169,6 +175,11 @@
     {
         return disposition_ != disposition::forward && disposition_ != disposition::buffer;
     }
+    // True if the endpoint has run the request and reported an error of its own.
+    bool has_failed_status() const
+    {
+        return status_ >= 500 && disposition_ != disposition::rerun && !not_run_;
+    }
     void on_discarded_end(time_point now);
     void judge_unconfirmed_end(time_point now);
     void on_broken(upstream_failure failure, time_point now);
@@ -245,6 +256,7 @@
 
     disposition disposition_ = disposition::forward;
     int status_ = 0;
+    bool not_run_ = false; // says the response
     std::vector<header_field> response_fields_;
     std::string reason_phrase_;
     std::string buffered_body_;
@@ -260,7 +272,9 @@
     // At the last placement: failure domain that holds large inputs, and affinity.
     std::string inputs_domain_;
     std::string affinity_;
-    std::string digest_; // empty until it is needed
+    std::string digest_;               // empty until it is needed
+    std::optional<rollout_pool> pool_; // chosen for the next attempt
+    rollout_ticket ticket_;            // of the attempt in progress
     bool closed_ = false;
 };
 
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -522,9 +522,10 @@
     placement_request request = make_placement(now);
     endpoint_ptr endpoint;
     if (silent_.empty() || attempts_ < route_->attempts)
-        endpoint = owner_.endpoints_.acquire(request, service_, now);
+        endpoint = acquire(request, now);
     if (!endpoint && !silent_.empty())
     {
+        request.gate = nullptr;
         request.excluded_ids = nullptr;
         request.only_ids = &silent_;
         endpoint = owner_.endpoints_.acquire(request, service_, now);
@@ -602,6 +603,7 @@
     excluded.insert(endpoint_->record.id);
     placement_request request = make_placement(now);
     request.excluded_ids = &excluded;
+    choose_pool(request, now);
     const auto available_at = owner_.endpoints_.next_available_at(request, now);
     return available_at && *available_at <= now && owner_.endpoints_.may_retry(service_name_, now);
 }
@@ -617,7 +619,7 @@
     if (!ends_before_stop(now) || !owner_.is_state_confirmed(now) || find_hold(now) ||
         find_request_hold(now) || !owner_.endpoints_.may_retry(service_name_, now))
         return cancel_move(now);
-    const endpoint_ptr next = owner_.endpoints_.acquire(request, service_, now);
+    const endpoint_ptr next = acquire(request, now);
     if (!next)
         return cancel_move(now);
     (void)owner_.endpoints_.try_acquire_retry(service_name_, now);
@@ -629,6 +631,7 @@
                {"silent_ms", edge_detail::milliseconds_text(
                                  std::chrono::duration_cast<milliseconds>(now - progress_at_))}});
     owner_.counters_.count_retry(reason::silent_connection);
+    end_rollout_attempt(true, now);
     drop_upstream();
     endpoint_->health.on_silent(progress_at_, now);
     tried_.insert(endpoint_->record.id);
@@ -703,6 +706,7 @@
     disposition_ = disposition::forward;
     status_ = 0;
     const bool repeatable = is_repeatable(*route_);
+    begin_rollout_attempt(now);
     upstream_ = endpoint_->pool.start(Codec::encode_call(call_, extra), *this,
                                       repeatable ? default_idle_timeout : unrepeatable_max_idle,
                                       now, call_.method != "HEAD");
@@ -715,6 +719,8 @@
     const time_point now = steady_clock::now();
     upstream_.reset();
     endpoint_->health.on_finished();
+    if (failure == upstream_failure::connect_failed || failure == upstream_failure::connection_lost)
+        end_rollout_attempt(false, now); // the endpoint has not seen the request
     if (failure == upstream_failure::connect_failed)
     {
         tried_.insert(endpoint_->record.id);
@@ -738,6 +744,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::on_broken(upstream_failure failure, time_point now)
 {
+    end_rollout_attempt(true, now);
     tried_.insert(endpoint_->record.id);
     silent_.erase(endpoint_->record.id);
     const bool was_lost_before = failure == upstream_failure::connection_lost;
@@ -905,6 +912,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::abandon_attempt(time_point now)
 {
+    end_rollout_attempt(true, now);
     drop_upstream();
     endpoint_->health.on_outcome(false, now);
     tried_.insert(endpoint_->record.id);
@@ -915,6 +923,7 @@
 template <typename Codec>
 void edge<Codec>::exchange::drop_upstream()
 {
+    end_rollout_attempt(false, steady_clock::now());
     if (!upstream_)
         return;
     endpoint_->health.on_finished();
@@ -1010,6 +1019,7 @@
 {
     if (now >= deadline_)
     {
+        end_rollout_attempt(true, now);
         if (attempts_ > 0)
             return fail(reason::deadline_exceeded, verdict::may_have_run,
                         "deadline passed before the response was complete", now);
@@ -1027,6 +1037,7 @@
     if (upstream_ && status_ != 0 && discards_response() &&
         now - progress_at_ >= discarded_body_timeout)
     {
+        end_rollout_attempt(has_failed_status(), now);
         drop_upstream();
         return on_discarded_end(now);
     }
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -4,6 +4,7 @@
 #include "coordination/edge_exchange_impl.h"
 #include "coordination/edge_report_impl.h"
 #include "coordination/edge_response_impl.h"
+#include "coordination/edge_rollout_impl.h"
 #include "coordination/edge_state_impl.h"
 #include "coordination/random_id.h"
 #include "coordination/stage_router_impl.h"
@@ -105,6 +106,7 @@
 edge<Codec>::edge(boost::asio::io_context& io, edge_options options)
     : io_(io), options_(std::move(options)),
       endpoints_(io, options_.vm, options_.domain, options_.limits),
+      rollout_lifetime_(rendezvous_weight(options_.vm, random_id())),
       stage_batcher_(
           io, endpoints_, counters_, [this](time_point now) { return is_state_confirmed(now); },
           [this](known_endpoint& endpoint, const endpoint_answer& answer, time_point now)
@@ -167,6 +169,8 @@
     {
         for (const vm_message& message : crash_snapshot())
             stage_router_.send(vm, message);
+        if (rollouts_)
+            rollouts_->on_link_up(vm);
     };
     const auto follow = [this](state_table table, const follow_timing& pace)
     {
@@ -179,7 +183,9 @@
     vms_follower_ = follow(state_table::vms, vms_timing);
     stage_router_.set_seeds(options_.seeds);
     registration_ = std::make_unique<registration>(io_, options_.store);
+    rollout_store_ = std::make_unique<rollout_store>(io_, options_.store, *this);
     const time_point now = steady_clock::now();
+    update_rollouts(now);
     desired_follower_->start(now);
     endpoints_follower_->start(now);
     vms_follower_->start(now);
@@ -191,6 +197,7 @@
 {
     options_.limits = limits;
     endpoints_.set_limits(limits);
+    update_rollouts(steady_clock::now());
 }
 
 template <typename Codec>
@@ -237,6 +244,8 @@
     counters_.count("pauses_total");
     paused_until_ = now;
     sources_ = state_sources();
+    if (rollouts_)
+        rollouts_->on_pause();
     for (const state_table table : all_state_tables)
         follower(table).call_again(now);
 }
@@ -351,6 +360,8 @@
 template <typename Codec>
 void edge<Codec>::refresh_stages()
 {
+    if (rollouts_)
+        (void)rollouts_->refresh(steady_clock::now());
     if (!state_)
         return;
     stage_batcher_.refresh(*state_);
@@ -386,6 +397,8 @@
         return on_held_records(*held);
     if (const auto* report = std::get_if<crash_report>(&message))
         return on_crash_report(*report, report_receivers::all_links);
+    if (const auto* report = std::get_if<rollout_report>(&message))
+        return on_rollout_report(from, *report);
     stage_router_.on_message(from, std::move(message));
 }
 
@@ -454,6 +467,7 @@
     expire_held_records(now);
     check_held_records_known(now);
     send_crash_reports(now);
+    tick_rollouts(now);
     serve_deferred_requests(now);
     if (!exchanges_.empty())
     {
@@ -471,6 +485,7 @@
         readiness_->sweep(now);
         endpoints_.sweep(now);
         register_vm(now);
+        update_rollouts(now);
         log_held_parts(now);
         log_held_requests(now);
         if (is_ready() != ready_logged_)
--- a/packages/coordination/edge_report_impl.h
+++ b/packages/coordination/edge_report_impl.h
@@ -58,6 +58,12 @@
     result.domains_out = endpoints_.domains_out();
     result.held_prompt_parts = crash_suspects_.held_parts(now);
     result.held_requests = crashing_requests_.held_requests(now);
+    if (rollouts_)
+    {
+        for (const rollout_status& rollout : rollouts_->status(now))
+            result.rollouts.push_back({rollout.service, rollout.version,
+                                       std::string(to_string(rollout.phase)), rollout.age});
+    }
     for (const state_table table : all_state_tables)
     {
         const state_follower<Codec>& followed = follower(table);
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -74,6 +74,7 @@
     progress_at_ = now;
     head_at_ = now;
     status_ = head.status;
+    not_run_ = metadata.not_run;
     framing_ = framing;
     owner_.on_endpoint_notice(*endpoint_, metadata, now);
     may_have_run_ = may_have_run_ || !metadata.not_run;
@@ -121,9 +122,14 @@
         // Only complete events are progress of a stream: an endpoint that has stalled may still
         // send a byte now and then.
         if (!is_event_stream())
+        {
             progress_at_ = now;
+            count_first_byte(now);
+        }
         return forward_body(std::move(bytes));
     case disposition::buffer:
+        if (!has_failed_status())
+            count_first_byte(now);
         buffered_body_ += bytes;
         if (buffered_body_.size() > buffered_response_limit)
         {
@@ -139,6 +145,7 @@
         discarded_bytes_ += bytes.size();
         if (discarded_bytes_ <= discarded_body_limit)
             return;
+        end_rollout_attempt(has_failed_status(), now);
         drop_upstream();
         return on_discarded_end(now);
     }
@@ -153,6 +160,7 @@
     std::string complete = events_.feed(bytes);
     if (events_.has_gap())
     {
+        end_rollout_attempt(true, steady_clock::now());
         drop_upstream();
         return abort_client("event ids skipped in the stream", steady_clock::now());
     }
@@ -163,6 +171,7 @@
         return;
     }
     progress_at_ = steady_clock::now();
+    count_first_byte(progress_at_);
     if (is_moving_)
         cancel_move(progress_at_);
     if (events_.events() - events_before_attempt_ > 1)
@@ -233,7 +242,10 @@
     upstream_.reset();
     endpoint_->health.on_finished();
     if (discards_response())
+    {
+        end_rollout_attempt(has_failed_status(), now);
         return on_discarded_end(now);
+    }
     finish_response(now);
 }
 
@@ -247,7 +259,10 @@
     const bool follows_break = now - endpoint_->broken_at < crash_spread;
     endpoint_->on_exchange_broken(now);
     if (discards_response())
+    {
+        end_rollout_attempt(has_failed_status(), now);
         return on_discarded_end(now);
+    }
     if (ends_too_early())
         return on_broken(upstream_failure::broken_in_answer, now);
     if (is_moving_)
@@ -339,6 +354,9 @@
             client_->send("0\r\n\r\n");
     }
     client_->end(keep_alive_ && !close_delimited_);
+    if (!has_failed_status())
+        count_first_byte(now); // of a response without a body
+    end_rollout_attempt(has_failed_status(), now);
     if (status_ == 200)
         record_sound(now);
     else
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -24,7 +24,9 @@
 template <typename Codec>
 void edge<Codec>::on_desired(const std::vector<state_record>& records, bool is_snapshot)
 {
+    const time_point now = steady_clock::now();
     std::set<std::string> out;
+    std::set<std::string> ordered;
     for (const state_record& record : records)
     {
         const auto change = Codec::decode_desired(record);
@@ -39,12 +41,21 @@
             out.insert(domain->domain);
             continue;
         }
+        if (const auto* order = std::get_if<rollout_order>(&*change))
+        {
+            ordered.insert(order->service);
+            if (rollouts_ && !record.deleted)
+                rollouts_->on_order(*order, now);
+            else if (rollouts_)
+                rollouts_->on_order_withdrawn(order->service, now);
+            continue;
+        }
         const auto* next = std::get_if<serving_state>(&*change);
         // A page may hold an older version than the one in effect; versions must only increase.
         if (next == nullptr || (state_ && next->version <= state_->version))
             continue;
         state_ = std::make_shared<const serving_state>(*next);
-        state_since_ = steady_clock::now();
+        state_since_ = now;
         std::erase_if(response_times_,
                       [&](const auto& entry) { return !has_route(*state_, entry.first); });
         const client_limits& limits = state_->limits;
@@ -59,6 +70,8 @@
     }
     if (is_snapshot)
         endpoints_.retain_domains_out(out);
+    if (is_snapshot && rollouts_)
+        rollouts_->retain_orders(ordered, now);
     refresh_stages();
 }
 
@@ -149,10 +162,21 @@
 template <typename Codec>
 void edge<Codec>::on_vms(const std::vector<state_record>& records, bool is_snapshot)
 {
+    const time_point now = steady_clock::now();
     if (is_snapshot)
         known_vms_.clear();
+    std::set<std::string> decided;
+    bool has_vms = is_snapshot;
     for (const state_record& record : records)
     {
+        if (Codec::is_rollout(record))
+        {
+            if (const auto rollout = Codec::decode_rollout(record))
+                decided.insert(rollout->service);
+            apply_rollout_record(record, now);
+            continue;
+        }
+        has_vms = true;
         const auto vm = record.deleted ? std::nullopt : Codec::decode_vm(record);
         const bool is_usable = vm && parse_socket_address(vm->address);
         if (!is_usable && !record.deleted)
@@ -162,6 +186,12 @@
         else
             known_vms_.erase(record.name);
     }
+    if (is_snapshot && rollouts_)
+        rollouts_->retain_records(decided, replica(state_table::vms).position(), now);
+    if (!decided.empty())
+        refresh_stages();
+    if (!has_vms)
+        return;
     std::vector<std::string> names;
     for (const auto& [name, vm] : known_vms_)
         names.push_back(name);
@@ -196,7 +226,8 @@
     remote = rendezvous_order("state/" + options_.vm, remote);
     remote.resize(std::min(remote.size(), remote_relays));
     peers.insert(peers.end(), remote.begin(), remote.end());
-    stage_router_.set_state_peers(std::move(peers));
+    state_peers_ = std::move(peers);
+    update_state_peers();
     const milliseconds wait = has_followers_ ? relay_long_poll_wait : desired_timing.long_poll_wait;
     desired_follower_->set_long_poll_wait(wait);
     endpoints_follower_->set_long_poll_wait(wait);
@@ -319,6 +350,8 @@
         return on_held_records(*held);
     if (const auto* report = std::get_if<crash_report>(&message))
         return on_crash_report(*report, report_receivers::accepted_links);
+    if (const auto* verdict = std::get_if<rollout_verdict>(&message))
+        return on_rollout_verdict(*verdict);
     if (std::holds_alternative<leaving_message>(message))
         sources_.remove(vm);
 }
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -54,6 +54,7 @@
     const auto peer = parse_socket_address(record.address);
     if (!peer)
         return;
+    ++changes_;
     const endpoint_ptr known = find(record.id);
     const bool same_lifetime = known && known->record.started_at == record.started_at &&
                                known->record.address == record.address &&
@@ -108,6 +109,7 @@
     const auto found = endpoints_.find(id);
     if (found == endpoints_.end())
         return;
+    ++changes_;
     const endpoint_ptr endpoint = found->second;
     endpoint->removed = true;
     endpoint->withdrawn_at = now;
@@ -155,7 +157,7 @@
 bool endpoint_directory::is_usable(const known_endpoint& endpoint) const
 {
     return !endpoint.removed && !endpoint.leaving && !endpoint.record.draining &&
-           !is_domain_out(endpoint.record.domain);
+           !endpoint.is_barred && !is_domain_out(endpoint.record.domain);
 }
 
 // Number of connections that this VM may hold to one endpoint: its share of the endpoint's limit.
@@ -187,7 +189,7 @@
     const std::uint32_t connections = connection_share(service);
     for (const endpoint_ptr& endpoint : found->second)
     {
-        if (!is_usable(*endpoint) || !request.allows(endpoint->record.id))
+        if (!is_usable(*endpoint) || !request.allows(endpoint->record.id, now))
             continue;
         const bool allowed = endpoint->health.in_flight() < connections &&
                              within_cold_share(*endpoint, service, now);
@@ -237,7 +239,7 @@
         return earliest;
     for (const endpoint_ptr& endpoint : found->second)
     {
-        if (!is_usable(*endpoint) || !request.allows(endpoint->record.id))
+        if (!is_usable(*endpoint) || !request.allows(endpoint->record.id, now))
             continue;
         const time_point at = endpoint->health.try_at(now);
         if (!earliest || at < *earliest)
@@ -280,6 +282,12 @@
     return list;
 }
 
+void endpoint_directory::admit_all()
+{
+    for (const auto& [id, endpoint] : endpoints_)
+        endpoint->is_barred = false;
+}
+
 bool endpoint_directory::is_serving(std::string_view id) const
 {
     const endpoint_ptr endpoint = find(id);
@@ -392,6 +400,8 @@
             use = endpoint_use::draining;
         else if (is_domain_out(record.domain))
             use = endpoint_use::domain_out;
+        else if (endpoint->is_barred)
+            use = endpoint_use::barred;
         list.push_back({id, record.service, record.domain, record.address, use,
                         endpoint->health.in_flight(), endpoint->health.load(now)});
     }
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -4,6 +4,7 @@
 
 #include "coordination/serving_call.h"
 #include "state/placement.h"
+#include "state/rollout_gate.h"
 #include "state/serving.h"
 #include "state/shares.h"
 #include "transport/upstream.h"
@@ -25,8 +26,9 @@
 struct fleet_limits
 {
     service_retry_limits retries;
-    double cold_over = 1.5; // a cold endpoint may get cold_rate times this ...
-    double cold_slack = 5;  // ... plus this many requests per second
+    double cold_over = 1.5;                 // a cold endpoint may get cold_rate times this ...
+    double cold_slack = 5;                  // ... plus this many requests per second
+    std::optional<rollout_limits> rollouts; // without them, roll-outs have no effect
 };
 
 // One lifetime of an endpoint; a record with another start, address or service begins a new one.
@@ -40,9 +42,10 @@
     endpoint_health health;
     window_counter cold_sends{cold_window};
     upstream_pool pool;
-    bool removed = false;  // no longer listed; gets no new requests
-    bool replaced = false; // removed because a new lifetime has its id
-    bool leaving = false;  // has said so with a response; gets no new requests either
+    bool removed = false;   // no longer listed; gets no new requests
+    bool replaced = false;  // removed because a new lifetime has its id
+    bool leaving = false;   // has said so with a response; gets no new requests either
+    bool is_barred = false; // a roll-out keeps all requests from it
     std::optional<time_point> announced_at; // has first said that it leaves, in any way
     std::optional<time_point> withdrawn_at; // removed, but not replaced
     // Exchanges that its end may have cut off, and the last of them.
@@ -66,11 +69,14 @@
     bool stay_in_preferred = false;
     const std::set<std::string>* excluded_ids = nullptr; // of endpoints; null for none
     const std::set<std::string>* only_ids = nullptr;     // the only endpoints allowed; null for all
+    const rollout_gate* gate = nullptr; // allows those of `pool` only; null without roll-outs
+    rollout_pool pool = rollout_pool::unrestricted;
 
-    bool allows(const std::string& id) const
+    bool allows(const std::string& id, time_point now) const
     {
         return (excluded_ids == nullptr || !excluded_ids->contains(id)) &&
-               (only_ids == nullptr || only_ids->contains(id));
+               (only_ids == nullptr || only_ids->contains(id)) &&
+               (gate == nullptr || gate->may_use(pool, id, now));
     }
 };
 
@@ -115,6 +121,15 @@
 
     // Endpoints of a service that may get new requests.
     std::vector<endpoint_ptr> serving(std::string_view service) const;
+    // All listed endpoints by service, of which there may be none.
+    const std::map<std::string, std::vector<endpoint_ptr>, std::less<>>& by_service() const
+    {
+        return by_service_;
+    }
+    // Increases with each change of the listed endpoints.
+    std::uint64_t changes() const { return changes_; }
+    // Ends all effects of roll-outs.
+    void admit_all();
     bool is_serving(std::string_view id) const;
     endpoint_ptr find(std::string_view id) const;
     endpoint_ptr find_address(std::string_view address) const;
@@ -162,6 +177,7 @@
     };
     std::map<std::string, lifetime_notice> notices_; // by id
     std::uint64_t tie_breaker_ = 0;
+    std::uint64_t changes_ = 1;
     std::uint64_t opened_by_removed_ = 0; // connections opened by removed endpoints
 };
 
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/endpoint_directory.h"
+#include "coordination/rollout_coordinator.h"
 #include "coordination/serving_call.h"
 #include "state/stage_batch.h"
 #include "transport/metrics.h"
@@ -39,6 +40,9 @@
 // is recognized by its handles until then.
 inline constexpr milliseconds freed_handle_retention{4000};
 
+// Time after which a version that was chosen for the next call is chosen again.
+inline constexpr milliseconds stage_pool_max_age{1000};
+
 using stage_callback = std::function<void(const stage_outcome&)>;
 
 // Releases of results are sent together at this interval; at once while pieces wait in the queue,
@@ -60,6 +64,8 @@
     stage_batcher(const stage_batcher&) = delete;
     stage_batcher& operator=(const stage_batcher&) = delete;
 
+    // Calls obey these roll-outs; null for none.
+    void set_rollouts(rollout_coordinator* rollouts) { rollouts_ = rollouts; }
     // Updates the queues from the settings of the services and from the listed endpoints.
     void refresh(const serving_state& state);
     // The endpoint gets no calls until this time.
@@ -108,9 +114,12 @@
 
         stage_queue queue;
         batch_spec spec;
+        std::optional<rollout_pool> next_pool; // chosen for the next call
+        time_point pool_chosen_at{};
     };
 
     void dispatch(const std::string& key, time_point now);
+    std::optional<stage_batch> next_batch(service_queue& entry, time_point now);
     void send(const std::string& key, stage_batch batch, time_point now);
     void on_results(batch_call& call, const std::vector<piece_result>& results, time_point now);
     void on_call_refused(batch_call& call, time_point now);
@@ -137,6 +146,7 @@
     metrics& counters_;
     std::function<bool(time_point)> may_send_;
     notice_handler on_notice_;
+    rollout_coordinator* rollouts_ = nullptr;
     std::map<std::string, service_queue> queues_; // by queue_name
     std::map<std::uint64_t, job> jobs_;
     std::map<batch_call*, std::shared_ptr<batch_call>> calls_;
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -22,6 +22,19 @@
     {
     }
 
+    // The call counts for the roll-out of its service.
+    void set_ticket(rollout_ticket ticket) { ticket_ = std::move(ticket); }
+    void count_first_byte(time_point now)
+    {
+        if (owner_.rollouts_ != nullptr)
+            owner_.rollouts_->on_first_byte(ticket_, now);
+    }
+    void count_end(bool has_failed, time_point now)
+    {
+        if (owner_.rollouts_ != nullptr)
+            owner_.rollouts_->on_ended(std::exchange(ticket_, {}), has_failed, now);
+    }
+
     void start(const std::string& request, time_point now)
     {
         // Running a piece twice is safe, so the call may use a kept-alive connection, which can
@@ -89,6 +102,7 @@
     {
         return std::chrono::duration_cast<milliseconds>(now - started_);
     }
+    bool was_refused() const { return metadata_.not_run; }
     bool was_unreachable() const { return failure_ == upstream_failure::connect_failed; }
     bool was_connection_lost() const { return failure_ == upstream_failure::connection_lost; }
     std::string outcome() const
@@ -117,6 +131,7 @@
     int status_ = 0;
     std::string body_;
     std::optional<upstream_failure> failure_;
+    rollout_ticket ticket_;
 };
 
 // Releases results on one endpoint. Their memory counts as free once the endpoint has confirmed the
@@ -388,10 +403,38 @@
         fail(id, piece_failure::late);
     if (!may_send_(now))
         return;
-    while (auto batch = queue.next(now))
+    while (auto batch = next_batch(queues_[key], now))
         send(key, std::move(*batch), now);
 }
 
+// During a roll-out, the version that takes the next call is chosen first.
+template <typename Codec>
+std::optional<stage_batch> stage_batcher<Codec>::next_batch(service_queue& entry, time_point now)
+{
+    const rollout_gate* const gate =
+        rollouts_ != nullptr ? rollouts_->gate(entry.service) : nullptr;
+    if (gate == nullptr || !gate->phase(now))
+        return entry.queue.next(now);
+    if (!entry.queue.has_waiting_pieces())
+        return std::nullopt;
+    if (!entry.next_pool || now - entry.pool_chosen_at >= stage_pool_max_age)
+    {
+        entry.next_pool = rollouts_->choose(entry.service, entry.service, false, now);
+        entry.pool_chosen_at = now;
+    }
+    const rollout_pool chosen = *entry.next_pool;
+    for (const rollout_pool pool : {chosen, gate->fallback(chosen, now)})
+    {
+        auto batch = entry.queue.next(now, [&](const std::string& id)
+                                      { return gate->may_use(pool, id, now); });
+        if (!batch)
+            continue;
+        entry.next_pool.reset();
+        return batch;
+    }
+    return std::nullopt;
+}
+
 template <typename Codec>
 void stage_batcher<Codec>::send(const std::string& key, stage_batch batch, time_point now)
 {
@@ -424,6 +467,11 @@
     const auto call =
         std::make_shared<batch_call>(*this, key, endpoint, std::move(batch), std::move(parts), now);
     calls_.emplace(call.get(), call);
+    if (rollouts_ != nullptr)
+    {
+        const std::string& service = queues_[key].service;
+        call->set_ticket(rollouts_->on_sent(service, *endpoint, service, {}, now));
+    }
     call->start(text, now);
 }
 
@@ -449,6 +497,10 @@
     std::size_t next_result = 0;
     bool result_memory_full = false;
     const std::string& producer = call.endpoint()->record.id;
+    call.count_first_byte(now);
+    call.count_end(std::find(results.begin(), results.end(), piece_result(piece_failure::failed)) !=
+                       results.end(),
+                   now);
     for (const sent_part& sent : call.parts())
     {
         const batch_part& part = sent.part;
@@ -528,6 +580,8 @@
 {
     stage_queue& queue = queues_[call.key()].queue;
     const std::string& endpoint = call.endpoint()->record.id;
+    call.count_end(!call.was_refused() && !call.was_unreachable() && !call.was_connection_lost(),
+                   now);
     if (call.was_connection_lost())
         queue.on_call_dropped(endpoint);
     else
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -69,6 +69,8 @@
     void set_state_peers(std::vector<std::string> names);
     // Called with each VM whose link comes up.
     std::function<void(const std::string& vm)> on_link_up;
+    // True if the link to the VM is up and the VM is not shutting down.
+    bool is_linked(const std::string& vm) const;
     // Sends the message to the VM, if its link is up.
     void send(const std::string& vm, const vm_message& message);
     // Sends the message to all VMs with a link that is up.
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -359,6 +359,13 @@
         found->second.link->send(query);
 }
 
+template <typename Codec>
+bool stage_router<Codec>::is_linked(const std::string& vm) const
+{
+    const auto found = links_.find(vm);
+    return found != links_.end() && found->second.link->is_up() && !found->second.leaving;
+}
+
 template <typename Codec>
 void stage_router<Codec>::send(const std::string& vm, const vm_message& message)
 {
--- a/packages/daemon/run_edge.cpp
+++ b/packages/daemon/run_edge.cpp
@@ -31,6 +31,7 @@
     limits.retries = {serving.repeat_ratio, serving.repeat_slack, serving.repeat_window};
     limits.cold_over = serving.cold_over;
     limits.cold_slack = serving.cold_slack;
+    limits.rollouts = serving.rollouts;
     return limits;
 }
 
@@ -79,7 +80,7 @@
     return {status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec, status.st_size};
 }
 
-// Polls the settings file and applies the limits on retries and on cold endpoints, which
+// Polls the settings file and applies the limits on retries, cold endpoints and roll-outs, which
 // can change while the process runs. Other settings, such as addresses, need a restart.
 class settings_watcher
 {
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -54,6 +54,8 @@
 constexpr decimal_range link_speed_range{0.1, 1000000.0};    // Mbit/s
 constexpr decimal_range cold_over_range{0.0, 100.0};
 constexpr decimal_range slack_range{0.0, 1000000.0}; // requests
+constexpr decimal_range share_range{0.0, 1.0};
+constexpr decimal_range roll_back_range{100.0, 600000.0}; // milliseconds
 constexpr integer_range connections_range{1, 65536, "connections"};
 constexpr integer_range workers_range{1, 4096, "threads"};
 constexpr integer_range queue_length_range{1, 65536, "requests"};
@@ -173,6 +175,7 @@
     void read_decimal(const YAML::Node& map, const std::string& path, std::string_view key,
                       const decimal_range& range, double& out);
     void read_serving(const YAML::Node& root, settings& out);
+    void read_rollouts(const YAML::Node& serving, serving_settings& out);
     template <typename Enum>
     void read_enum(const YAML::Node& root, std::string_view key, std::string_view value_kind,
                    const std::vector<std::string_view>& names, Enum& out);
@@ -524,7 +527,8 @@
                              {"cold_slack", false},
                              {"stop_grace_s", false},
                              {"processor_share", false},
-                             {"link_mbps", false}}))
+                             {"link_mbps", false},
+                             {"rollouts", false}}))
         return;
     serving_settings serving;
     const auto read_serving_address = [&](std::string_view key, bool needs_port, socket_address& to)
@@ -552,9 +556,26 @@
     double stop_grace_s = std::chrono::duration<double>(serving.stop_grace).count();
     read_decimal(*node, "serving", "stop_grace_s", duration_range, stop_grace_s);
     serving.stop_grace = milliseconds(static_cast<std::int64_t>(stop_grace_s * 1000.0));
+    read_rollouts(*node, serving);
     out.serving = serving;
 }
 
+void settings_reader::read_rollouts(const YAML::Node& serving, serving_settings& out)
+{
+    const std::string path = "serving.rollouts";
+    const std::optional<YAML::Node> node = child(serving, "serving", "rollouts");
+    if (!node || !check_map(*node, path, line_of_key(serving, "rollouts"),
+                            {{"exposure_share"}, {"exposure_slack"}, {"roll_back_ms"}}))
+        return;
+    rollout_limits limits;
+    read_decimal(*node, path, "exposure_share", share_range, limits.exposure_share);
+    read_decimal(*node, path, "exposure_slack", slack_range, limits.exposure_slack);
+    auto roll_back_ms = static_cast<double>(limits.roll_back.count());
+    read_decimal(*node, path, "roll_back_ms", roll_back_range, roll_back_ms);
+    limits.roll_back = milliseconds(static_cast<std::int64_t>(roll_back_ms));
+    out.rollouts = limits;
+}
+
 template <typename Enum>
 void settings_reader::read_enum(const YAML::Node& root, std::string_view key,
                                 std::string_view value_kind,
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -1,6 +1,7 @@
 // Settings of one entry VM, read from a YAML file.
 #pragma once
 
+#include "state/rollout.h"
 #include "state/routing.h"
 #include "state/socket_address.h"
 #include "state/time.h"
@@ -63,6 +64,8 @@
     milliseconds stop_grace{8000}; // from the stop signal to process exit
     double processor_share = 1.0;  // in cores
     double link_mbps = 1000.0;     // Mbit/s
+    // Without them, orders of roll-outs have no effect.
+    std::optional<rollout_limits> rollouts;
 };
 
 struct settings
--- a/packages/state/rollout.h
+++ b/packages/state/rollout.h
@@ -20,6 +20,8 @@
     double exposure_share = 0.1;  // of the service's requests that a bad version may get ...
     double exposure_slack = 0.0;  // ... plus this many requests
     milliseconds roll_back{5000}; // from the sign that a version is bad to its last request
+
+    bool operator==(const rollout_limits&) const = default;
 };
 
 // Order of the operators: the service moves to `version` within `duration`.
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -124,11 +124,13 @@
 
 // An idle endpoint is never held back to collect a larger batch: its idle time would be lost, and
 // batches grow by themselves while all endpoints are busy.
-std::optional<stage_batch> stage_queue::next(time_point now)
+std::optional<stage_batch> stage_queue::next(time_point now, const endpoint_filter& may_use)
 {
     if (queue_.empty())
         return std::nullopt;
-    const std::vector<std::string> free = free_endpoints(now);
+    std::vector<std::string> free = free_endpoints(now);
+    if (may_use)
+        std::erase_if(free, [&](const std::string& id) { return !may_use(id); });
     if (free.empty())
         return std::nullopt;
     sort_queue(now);
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -11,6 +11,7 @@
 #include "state/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -88,8 +89,11 @@
     // Requeues pieces of a job whose call failed.
     void requeue(const stage_job& job, const batch_part& part);
 
-    // Next call to send, or nothing if no piece waits or no endpoint can take a call.
-    std::optional<stage_batch> next(time_point now);
+    // True if calls may be sent to the endpoint.
+    using endpoint_filter = std::function<bool(const std::string& endpoint)>;
+    // Next call to send, or nothing if no piece waits or no endpoint can take a call. Without a
+    // filter, any endpoint may.
+    std::optional<stage_batch> next(time_point now, const endpoint_filter& may_use = nullptr);
     // Removes and returns the jobs whose deadline can no longer be met.
     std::vector<std::uint64_t> take_expired(time_point now);
 
--- /dev/null
+++ b/tests/unit/edge_rollout_test.cpp
@@ -0,0 +1,256 @@
+// Roll-outs of endpoint versions by VMs in this process.
+#include "rollout_load.h"
+
+#include <criterion/criterion.h>
+
+using namespace serving;
+using zinnianotch::rollout_phase;
+
+namespace
+{
+
+constexpr milliseconds order_time{9000};
+
+struct rollout_deployment : deployment
+{
+    rollout_load load{*this};
+    std::vector<fake_endpoint*> old;
+
+    std::size_t endpoint_count;
+
+    explicit rollout_deployment(std::size_t vm_count = 2, bool has_bounds = true,
+                                std::size_t endpoints = 4)
+        : endpoint_count(endpoints)
+    {
+        if (has_bounds)
+            limits.rollouts = rollout_test_limits;
+        old = load.add_endpoints("v1", endpoints);
+        configure(1);
+        for (std::size_t i = 0; i < vm_count; ++i)
+            start_vm();
+        for (std::size_t i = 0; i < vm_count; ++i)
+            cr_assert(
+                run_until([&] { return is_ready(i) && vm(i).known_endpoints() >= endpoints; }));
+        load.run_requests(200);
+    }
+
+    std::size_t start_vm()
+    {
+        const std::size_t number = add_vm();
+        load.vms.push_back(address(number));
+        return number;
+    }
+    std::vector<fake_endpoint*> order(const std::string& version,
+                                      const std::function<void(fake_endpoint&)>& shape = {})
+    {
+        order_rollout(rollout_service, version, order_time);
+        return load.add_endpoints(version, endpoint_count, shape);
+    }
+    void expect_completed(const std::vector<fake_endpoint*>& candidates)
+    {
+        cr_assert(load.run_until_state("completed", old), "state %s",
+                  rollout_state(rollout_service).c_str());
+        load.run_requests(100);
+        load.expect_no_failures();
+        load.expect_status_never_goes_back();
+        cr_assert(load.received(candidates) > 100);
+    }
+    void expect_rolled_back(const std::vector<fake_endpoint*>& candidates)
+    {
+        cr_assert(load.run_until_state("rolled_back"), "state %s",
+                  rollout_state(rollout_service).c_str());
+        load.run_requests(100);
+        const std::size_t received = load.received(candidates);
+        load.run_requests(200);
+        cr_assert(load.received(candidates) == received);
+        load.expect_within_bounds(candidates, old);
+        load.expect_status_never_goes_back();
+    }
+    bool is_exposed(const std::vector<fake_endpoint*>& candidates)
+    {
+        return load.run_until([&] { return load.received(candidates) > 5; });
+    }
+};
+
+void fail_always(fake_endpoint& endpoint)
+{
+    endpoint.fails = [](const recorded_request&) { return true; };
+}
+
+} // namespace
+
+TestSuite(edge_rollout, .timeout = 120);
+
+// Guards against a good version that is not completed, and requests cut when the old one stops.
+Test(edge_rollout, good_version_is_completed_without_a_failure)
+{
+    rollout_deployment harness;
+    harness.expect_completed(harness.order("v2"));
+}
+
+// Guards against a version that fails and is kept.
+Test(edge_rollout, failing_version_is_rolled_back)
+{
+    rollout_deployment harness;
+    harness.expect_rolled_back(harness.order("v2", fail_always));
+}
+
+// Guards against a version that is several times slower and is kept.
+Test(edge_rollout, slow_version_is_rolled_back)
+{
+    rollout_deployment harness;
+    harness.expect_rolled_back(harness.order("v2", [](fake_endpoint& endpoint)
+                                             { endpoint.processing_time = milliseconds(120); }));
+    harness.load.expect_no_failures();
+}
+
+// Guards against a route that is not judged because others have more requests.
+Test(edge_rollout, version_bad_on_one_route_is_rolled_back)
+{
+    rollout_deployment harness;
+    harness.expect_rolled_back(harness.order("v2",
+                                             [](fake_endpoint& endpoint) {
+                                                 endpoint.fails =
+                                                     [](const recorded_request& request)
+                                                 { return request.method == "POST"; };
+                                             }));
+}
+
+// Guards against a bad version that keeps its requests while the store is down. With a single
+// endpoint in the canary it would, since a second one takes a decision in the store.
+Test(edge_rollout, store_down_bad_version_loses_its_requests)
+{
+    rollout_deployment harness(3, true, 24);
+    bool is_bad = false;
+    const auto candidates =
+        harness.order("v2", [&](fake_endpoint& endpoint)
+                      { endpoint.fails = [&](const recorded_request&) { return is_bad; }; });
+    cr_assert(harness.is_exposed(candidates));
+    harness.store.refuse_status = 503;
+    is_bad = true;
+    const auto rolled_back = [&](std::size_t vm)
+    { return harness.vm(vm).phase_of(rollout_service) == rollout_phase::rolled_back; };
+    cr_assert(
+        harness.load.run_until([&] { return rolled_back(0) && rolled_back(1) && rolled_back(2); }));
+    cr_assert(harness.rollout_state(rollout_service) == "running");
+    const std::size_t received = harness.load.received(candidates);
+    harness.load.run_requests(200);
+    cr_assert(harness.load.received(candidates) == received);
+    harness.store.refuse_status = 0;
+    harness.expect_rolled_back(candidates);
+}
+
+// Guards against a decision that is written twice because its answer was lost.
+Test(edge_rollout, lost_answers_of_the_store_good_version_is_completed)
+{
+    rollout_deployment harness;
+    harness.store.lost_write_answers = 3;
+    harness.expect_completed(harness.order("v2"));
+    cr_assert(harness.store.lost_write_answers == 0);
+}
+
+// Guards against a write that takes effect after a later decision was written.
+Test(edge_rollout, write_that_takes_effect_late_undoes_nothing)
+{
+    rollout_deployment harness(3);
+    harness.store.next_write_delay = milliseconds(4000);
+    const auto candidates = harness.order("v2");
+    harness.expect_completed(candidates);
+    cr_assert(harness.load.run_until([&] { return harness.store.conflicts > 0; }));
+    harness.load.expect_status_never_goes_back();
+}
+
+// Guards against a roll-out that ends with the VM that judges it.
+Test(edge_rollout, judging_vm_is_killed_good_version_is_completed)
+{
+    rollout_deployment harness(3);
+    const auto candidates = harness.order("v2");
+    cr_assert(harness.is_exposed(candidates));
+    const std::string first =
+        zinnianotch::rollout_judges(rollout_service, {"vm-0", "vm-1", "vm-2"}).front();
+    const auto killed = static_cast<std::size_t>(first.back() - '0');
+    const std::string address = harness.load.vms[killed];
+    std::erase(harness.load.vms, address);
+    const std::size_t failures = harness.load.failures.size();
+    harness.kill_vm(killed);
+    harness.load.run_requests(20);
+    harness.load.failures.clear(); // of requests at the killed VM
+    cr_assert(failures == 0);
+    harness.expect_completed(candidates);
+}
+
+// Guards against an order that goes on beside the one that has replaced it.
+Test(edge_rollout, replaced_order_its_version_gets_nothing_more)
+{
+    rollout_deployment harness;
+    const auto first = harness.order("v2");
+    cr_assert(harness.is_exposed(first));
+    const auto second = harness.order("v3");
+    cr_assert(harness.load.run_until(
+        [&]
+        {
+            const auto status = harness.store.get("status", "rollout/plain");
+            return !status.is_null() && status.at("to").as_string() == "v3";
+        }));
+    harness.load.run_requests(50);
+    const std::size_t received = harness.load.received(first);
+    harness.expect_completed(second);
+    cr_assert(harness.load.received(first) == received);
+}
+
+// Guards against a completed version that is taken for a replaced one because the next order is
+// heard of before the decision.
+Test(edge_rollout, order_follows_a_completed_one_at_once)
+{
+    rollout_deployment harness(3);
+    const auto first = harness.order("v2");
+    cr_assert(harness.load.run_until_state("completed", harness.old));
+    harness.old = first;
+    harness.expect_completed(harness.order("v3"));
+}
+
+// Guards against a VM that does not know of the roll-out that it starts in.
+Test(edge_rollout, vm_starts_in_the_middle_follows_the_decision)
+{
+    rollout_deployment harness;
+    const auto candidates = harness.order("v2", fail_always);
+    cr_assert(harness.is_exposed(candidates));
+    const std::size_t during = harness.add_vm();
+    harness.expect_rolled_back(candidates);
+    const std::size_t after = harness.add_vm();
+    for (const std::size_t vm : {during, after})
+    {
+        cr_assert(harness.load.run_until([&] { return harness.is_ready(vm); }));
+        harness.load.vms.push_back(harness.address(vm));
+    }
+    const std::size_t received = harness.load.received(candidates);
+    harness.load.run_requests(200);
+    cr_assert(harness.load.received(candidates) == received);
+}
+
+// Guards against a status that stays behind in a store that came back from an older copy.
+Test(edge_rollout, store_restored_completed_is_written_again)
+{
+    rollout_deployment harness;
+    const auto candidates = harness.order("v2");
+    cr_assert(harness.is_exposed(candidates));
+    harness.store.save_copy();
+    harness.expect_completed(candidates);
+    const std::size_t received = harness.load.received(harness.old);
+    harness.store.restore_copy();
+    cr_assert(harness.rollout_state(rollout_service) == "running");
+    cr_assert(harness.load.run_until_state("completed"));
+    harness.load.run_requests(100);
+    cr_assert(harness.load.received(harness.old) == received);
+}
+
+// Guards against roll-outs where the settings have no bounds for them.
+Test(edge_rollout, without_bounds_orders_have_no_effect)
+{
+    rollout_deployment harness(2, false);
+    const auto candidates = harness.order("v2");
+    cr_assert(harness.load.run_until([&] { return harness.load.received(candidates) > 200; }));
+    harness.load.expect_no_failures();
+    cr_assert(harness.rollout_state(rollout_service).empty());
+    cr_assert_not(harness.vm(0).phase_of(rollout_service).has_value());
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -122,6 +122,11 @@
     return found != rows_.end() && !found->second.deleted;
 }
 
+value fake_store::get(const std::string& table, const std::string& key) const
+{
+    return has(table, key) ? value::parse(rows_.at({table, key}).value) : value();
+}
+
 void fake_store::handle(std::size_t listener, const std::shared_ptr<server_connection>& client,
                         const received_request& request)
 {
@@ -264,11 +269,31 @@
                                    const std::string& body)
 {
     const value parsed = value::parse(body);
+    for (const value& row : parsed.at("expect_rev").as_array())
+    {
+        const auto found = rows_.find({row.at("table").as_string(), row.at("key").as_string()});
+        const std::uint64_t version =
+            found == rows_.end() || found->second.deleted ? 0 : found->second.version;
+        if (version == row.at("ver").as_number().to_uint64())
+            continue;
+        ++conflicts;
+        return respond(client, 412, "{\"rows\":[],\"ver\":" + std::to_string(version_) + "}");
+    }
     for (const value& row : parsed.at("puts").as_array())
-        put_bytes(row.at("table").as_string(), row.at("key").as_string(),
-                  base64_decode(row.at("value").as_string()));
+    {
+        const std::string& key = row.at("key").as_string();
+        const std::string bytes = base64_decode(row.at("value").as_string());
+        put_bytes(row.at("table").as_string(), key, bytes);
+        if (row.at("table").as_string() == "status")
+            statuses[key].push_back(value::parse(bytes));
+    }
     for (const value& row : parsed.at("remove").as_array())
         remove(row.at("table").as_string(), row.at("key").as_string());
+    if (lost_write_answers > 0)
+    {
+        --lost_write_answers;
+        return;
+    }
     respond(client, 200, "{\"ver\":" + std::to_string(version_) + "}");
 }
 
@@ -633,6 +658,11 @@
                      fields + "\r\n" + body.substr(0, std::size_t(crash_in_answer)));
         return run_after(milliseconds(5), [this] { crash_for_good(); });
     }
+    if (fails && fails(request))
+    {
+        client->send(response_text(fail_status, fields, "failed"));
+        return client->end(true);
+    }
     if (fail_next > 0)
     {
         --fail_next;
@@ -835,9 +865,10 @@
 deployment::~deployment() = default;
 
 fake_endpoint& deployment::add_endpoint(const std::string& service, const std::string& id,
-                                        const std::string& domain)
+                                        const std::string& domain, const std::string& version)
 {
     endpoints_.push_back(std::make_unique<fake_endpoint>(io, id));
+    endpoints_.back()->version = version;
     publish_endpoint(service, *endpoints_.back(), domain);
     return *endpoints_.back();
 }
@@ -854,9 +885,29 @@
     entry["state"] = value::string(state);
     entry["cold_ms"] = value::number(0);
     entry["born"] = value::number(born);
+    entry["version"] = value::string(endpoint.version);
     store.put("servers", endpoint.id(), entry);
 }
 
+void deployment::order_rollout(const std::string& service, const std::string& version,
+                               milliseconds duration)
+{
+    value order = value::object();
+    order["service"] = value::string(service);
+    order["to"] = value::string(version);
+    order["rollout_s"] = value::number(static_cast<double>(duration.count()) / 1000.0);
+    store.put("op", "rollout/" + service, order);
+}
+
+std::string deployment::rollout_state(const std::string& service) const
+{
+    const value status = store.get("status", "rollout/" + service);
+    const value order = store.get("op", "rollout/" + service);
+    if (status.is_null() || order.is_null() || status.at("to") != order.at("to"))
+        return {};
+    return status.at("state").as_string();
+}
+
 std::size_t deployment::add_vm()
 {
     edge_options options;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -54,6 +54,8 @@
     void put_bytes(const std::string& table, const std::string& key, const std::string& bytes);
     void remove(const std::string& table, const std::string& key);
     bool has(const std::string& table, const std::string& key) const;
+    // Null if there is no such row.
+    web::json::value get(const std::string& table, const std::string& key) const;
     // Feeds that start before the current version get status 410 from now on.
     void discard_history() { history_from_ = version_; }
     // Keeps a copy of all tables.
@@ -68,6 +70,10 @@
     std::uint64_t calls = 0;
     std::uint64_t writes = 0;         // received, including refused ones
     milliseconds next_write_delay{0}; // before the next write takes effect
+    int lost_write_answers = 0;       // number of writes that take effect and get no response
+    std::uint64_t conflicts = 0;      // writes whose condition did not hold
+    // Values that transactions have written to the table of the status, by key.
+    std::map<std::string, std::vector<web::json::value>> statuses;
 
 private:
     struct row
@@ -161,6 +167,7 @@
 
     const std::string& id() const { return id_; }
     std::string address() const;
+    std::string version = "v1"; // of its software
 
     // Events per streamed response; 0: responses are not streamed.
     int event_count = 0;
@@ -170,7 +177,8 @@
     milliseconds event_interval{1};  // delay between events
 
     // Faults.
-    int fail_next = 0; // number of requests that get fail_status
+    int fail_next = 0;                                  // number of requests that get fail_status
+    std::function<bool(const recorded_request&)> fails; // such requests get fail_status too
     int fail_status = 500;
     bool fail_as_not_run = false;    // such responses have a Not-Executed field
     int break_before_answer = 0;     // number of connections closed instead of responding
@@ -330,11 +338,17 @@
 
     // Adds an endpoint and publishes it in the store.
     fake_endpoint& add_endpoint(const std::string& service, const std::string& id,
-                                const std::string& domain = "dom-a");
+                                const std::string& domain = "dom-a",
+                                const std::string& version = "v1");
     // Writes the endpoint's entry to the store, or replaces it.
     void publish_endpoint(const std::string& service, const fake_endpoint& endpoint,
                           const std::string& domain, const std::string& state = "ready",
                           std::int64_t born = 1);
+    // Writes the order to move the service to the version.
+    void order_rollout(const std::string& service, const std::string& version,
+                       milliseconds duration);
+    // State of the last order: running, completed or rolled_back; empty if there is none yet.
+    std::string rollout_state(const std::string& service) const;
     // Adds an entry VM and returns its index.
     std::size_t add_vm();
     void stop_vm(std::size_t vm) { vms_[vm]->begin_stop(); }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -301,3 +301,34 @@
     cr_assert_float_eq(parsed.serving->repeat_slack, 33.1578947368421, 1e-9);
     cr_assert_float_eq(parsed.serving->cold_slack, 4.5, 1e-9);
 }
+
+// Guards against roll-outs without their bounds, or with bounds that were not asked for.
+Test(settings, rollouts_only_with_all_their_bounds)
+{
+    const auto parse = [](const std::string& rollouts, std::vector<settings_problem>& problems)
+    {
+        return parse_settings("vm: vm-1\nfailure_domain: dom-a\n"
+                              "listen: {callers: \"127.0.0.1:1\", peers: \"127.0.0.1:2\"}\n"
+                              "platform: {table: \"http://127.0.0.1:3\"}\n"
+                              "keys: {accounts: [], operators: []}\n"
+                              "serving:\n"
+                              "  readiness: \"127.0.0.1:4\"\n"
+                              "  store: \"127.0.0.1:3\"\n" +
+                                  rollouts,
+                              problems);
+    };
+    std::vector<settings_problem> problems;
+    cr_assert_not(parse("", problems).serving->rollouts.has_value());
+    const settings full = parse(
+        "  rollouts: {exposure_share: 0.05, exposure_slack: 50, roll_back_ms: 4000}\n", problems);
+    cr_assert(problems.empty() && full.serving->rollouts.has_value());
+    cr_assert_float_eq(full.serving->rollouts->exposure_share, 0.05, 1e-9);
+    cr_assert_float_eq(full.serving->rollouts->exposure_slack, 50.0, 1e-9);
+    cr_assert(full.serving->rollouts->roll_back == milliseconds(4000));
+    (void)parse("  rollouts: {exposure_share: 1.5, exposure_slack: -1, roll_back_ms: nan}\n",
+                problems);
+    cr_assert(problems.size() == 3, "%zu problems", problems.size());
+    problems.clear();
+    (void)parse("  rollouts: {exposure_share: 0.1, roll_back_ms: 5000}\n", problems);
+    cr_assert(problems.size() == 1, "%zu problems", problems.size());
+}
