--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,11 +2,14 @@
 // and the endpoints, loopback proxies between them, and injected faults. It checks the responses
 // that callers receive and the requests that endpoints run.
 //
-//   soak --seed N --seconds S [--vms N] [--crashing-part]
+//   soak --seed N --seconds S [--vms N] [--crashing-part | --rollouts]
 //
 // With --crashing-part, engines crash under a part of some prompts and VMs are killed or stopped;
 // no other faults are injected.
 //
+// With --rollouts, good and bad versions of a service are ordered while faults are injected. A good
+// and a bad one follow without faults, and are to be completed and rolled back.
+//
 // Prints one line per violation, then "1 passed, 0 failed" or "0 passed, 1 failed".
 #include "../process/fixture.h"
 #include "../unit/seeds.h"
@@ -45,6 +48,16 @@
 constexpr std::size_t max_late_arrivals = 3;
 constexpr milliseconds engine_down_time{700};
 constexpr const char* crashing_part = "badc0de1";
+constexpr milliseconds rollout_order_time{9000};
+// After it, the next version is ordered whatever has become of this one.
+constexpr milliseconds rollout_patience{15000};
+constexpr milliseconds rollout_request_interval{8};
+// After the last fault: VMs that were stopped or killed are back.
+constexpr milliseconds recovery_time{7000};
+constexpr std::size_t rollout_endpoints = 4;
+// Answers of a bad version after which it must be known as such, see rollout_limits::roll_back.
+constexpr std::size_t sign_of_bad_version = 50;
+constexpr milliseconds roll_back_bound{5000};
 constexpr const char* proxy_path = FAULT_PROXY_PATH;
 constexpr const char* daemon_path = ZINNIANOTCHD_PATH;
 
@@ -135,7 +148,8 @@
 class vm_process
 {
 public:
-    vm_process(std::size_t number, const std::string& store, const std::string& folder)
+    vm_process(std::size_t number, const std::string& store, const std::string& folder,
+               bool has_rollouts)
         : name_("vm-" + std::to_string(number)), callers_(free_port())
     {
         path_ = folder + "/" + name_ + ".yaml";
@@ -148,6 +162,9 @@
              << "\"}\nkeys: {accounts: [], operators: []}\nserving:\n  readiness: \""
              << address(free_port()) << "\"\n  store: \"" << store
              << "\"\n  repeat_slack: 1000\n  stop_grace_s: 4\n";
+        if (has_rollouts)
+            file << "  rollouts: {exposure_share: 0.1, exposure_slack: 50, roll_back_ms: "
+                 << roll_back_bound.count() << "}\n";
         file.close();
         start();
     }
@@ -189,17 +206,22 @@
 class soak_run
 {
 public:
-    soak_run(std::uint64_t seed, std::size_t vms, std::string folder, bool engines_crash)
-        : random_(seed), folder_(std::move(folder)), engines_crash_(engines_crash), store_(io_)
+    soak_run(std::uint64_t seed, std::size_t vms, std::string folder, bool engines_crash,
+             bool has_rollouts)
+        : random_(seed), folder_(std::move(folder)), engines_crash_(engines_crash),
+          has_rollouts_(has_rollouts), store_(io_)
     {
         store_proxy_ = std::make_unique<proxy>(store_.address(store_.add_listener()));
         for (const char* service : {"plain", "plain", "engines", "engines", "encoders"})
-            add_endpoint(service);
+            add_endpoint(service, "v0");
+        for (std::size_t i = 2; has_rollouts_ && i < rollout_endpoints; ++i)
+            add_endpoint("plain", "v0");
         for (std::size_t i = 0; engines_crash_ && i < 4; ++i)
-            add_endpoint("engines");
+            add_endpoint("engines", "v0");
         configure();
         for (std::size_t i = 0; i < vms; ++i)
-            vms_.push_back(std::make_unique<vm_process>(i, store_proxy_->address(), folder_));
+            vms_.push_back(
+                std::make_unique<vm_process>(i, store_proxy_->address(), folder_, has_rollouts_));
         for (const auto& vm : vms_)
             pools_.push_back(std::make_unique<zinnianotch::upstream_pool>(
                 io_, asio::ip::tcp::endpoint(asio::ip::make_address(loopback), vm->port())));
@@ -211,7 +233,8 @@
         const time_point end = steady_clock::now() + duration;
         time_point next_request = steady_clock::now() + milliseconds(1500);
         time_point next_fault = next_request + milliseconds(1000);
-        while (steady_clock::now() < end + settle_time)
+        time_point requests_end = end;
+        while (steady_clock::now() < requests_end + settle_time)
         {
             io_.restart();
             (void)io_.run_one_for(milliseconds(5));
@@ -223,14 +246,18 @@
                                           std::to_string(*code));
             }
             end_faults(now, now >= end);
-            if (now >= end)
+            const bool recovers = now >= end && now < end + recovery_time;
+            if (has_rollouts_ && now >= next_request &&
+                (recovers || follow_rollouts(now, now >= end)))
+                requests_end = std::max(requests_end, now);
+            if (now > requests_end)
                 continue;
             if (now >= next_request)
             {
-                next_request = now + request_interval;
+                next_request = now + (has_rollouts_ ? rollout_request_interval : request_interval);
                 send_request();
             }
-            if (now >= next_fault)
+            if (now >= next_fault && now < end)
             {
                 next_fault = now + milliseconds(random_.between(min_fault_interval.count(),
                                                                 max_fault_interval.count()));
@@ -255,18 +282,30 @@
         std::int64_t starts = 1;
     };
 
+    // A version of the service plain that was ordered.
+    struct ordered_version
+    {
+        std::string name;
+        bool is_bad = false;
+        bool in_calm = false; // since the order
+        time_point ordered_at{};
+        std::size_t first_request = 0;
+        std::string state;
+    };
+
     struct active_fault
     {
         time_point ends;
         std::function<void()> end;
     };
 
-    void add_endpoint(const std::string& service)
+    void add_endpoint(const std::string& service, const std::string& version)
     {
         listed_endpoint added;
         added.service = service;
         added.endpoint =
             std::make_unique<fake_endpoint>(io_, service + "-" + std::to_string(endpoints_.size()));
+        added.endpoint->version = version;
         added.endpoint->event_count = service == "engines" ? stream_events : 0;
         added.endpoint->event_interval = milliseconds(15);
         added.endpoint_proxy = std::make_unique<proxy>(added.endpoint->address());
@@ -301,6 +340,7 @@
         row["state"] = value::string(state);
         row["slots"] = value::number(8);
         row["born"] = value::number(entry.starts);
+        row["version"] = value::string(entry.endpoint->version);
         store_.put("servers", entry.endpoint->id(), row);
     }
 
@@ -460,6 +500,110 @@
         }
     }
 
+    // Orders the next version once the last one has its final state. False when all are done.
+    bool follow_rollouts(time_point now, bool in_calm)
+    {
+        const value status = store_.get("status", "rollout/plain");
+        if (!orders_.empty())
+        {
+            ordered_version& last = orders_.back();
+            const bool is_own = !status.is_null() && status.at("to").as_string() == last.name;
+            const std::string state = is_own ? status.at("state").as_string() : "";
+            if (state != last.state)
+                on_rollout_state(last, state);
+            const bool is_final = state == "completed" || state == "rolled_back";
+            if (!is_final && now < last.ordered_at + rollout_patience)
+                return true;
+            if (last.in_calm && last.is_bad)
+                return now < last.ordered_at + rollout_patience;
+        }
+        const bool was_good_in_calm = !orders_.empty() && orders_.back().in_calm;
+        order_version(now, in_calm, in_calm ? was_good_in_calm : random_.chance(0.5));
+        return true;
+    }
+
+    void order_version(time_point now, bool in_calm, bool is_bad)
+    {
+        const std::string name = "v" + std::to_string(orders_.size() + 1);
+        orders_.push_back({name, is_bad, in_calm, now, requests_.size(), ""});
+        value order = value::object();
+        order["service"] = value::string("plain");
+        order["to"] = value::string(name);
+        order["rollout_s"] = value::number(static_cast<double>(rollout_order_time.count()) / 1000);
+        store_.put("op", "rollout/plain", order);
+        for (std::size_t i = 0; i < rollout_endpoints; ++i)
+        {
+            add_endpoint("plain", name);
+            if (is_bad)
+                endpoints_.back().endpoint->fails = [](const recorded_request&) { return true; };
+        }
+    }
+
+    void on_rollout_state(ordered_version& order, const std::string& state)
+    {
+        if (order.state == "completed" || order.state == "rolled_back")
+            violations_.push_back("roll-out of " + order.name + " went from " + order.state +
+                                  " to " + state);
+        order.state = state;
+        if (state == "completed" && order.is_bad)
+            violations_.push_back("bad version " + order.name + " was completed");
+        for (listed_endpoint& entry : endpoints_)
+        {
+            const bool is_old = entry.endpoint->version != order.name;
+            const bool ends =
+                (state == "completed" && is_old) || (state == "rolled_back" && !is_old);
+            if (entry.service != "plain" || !ends || !store_.has("servers", entry.endpoint->id()))
+                continue;
+            store_.remove("servers", entry.endpoint->id());
+            if (state == "completed")
+                entry.endpoint->crash_for_good();
+        }
+    }
+
+    // Requests to the version, in their order.
+    std::vector<time_point> arrivals_at(const std::string& version) const
+    {
+        std::vector<time_point> times;
+        for (const listed_endpoint& entry : endpoints_)
+        {
+            for (const recorded_request& request : entry.endpoint->requests)
+            {
+                if (entry.service == "plain" && entry.endpoint->version == version)
+                    times.push_back(request.received_at);
+            }
+        }
+        std::sort(times.begin(), times.end());
+        return times;
+    }
+
+    void check_rollouts()
+    {
+        for (const ordered_version& order : orders_)
+        {
+            const std::vector<time_point> times = arrivals_at(order.name);
+            std::cout << "rollout " << order.name << (order.is_bad ? " bad" : " good")
+                      << (order.in_calm ? " in calm" : "") << " state=" << order.state
+                      << " arrivals=" << times.size() << "\n";
+            if (!order.in_calm)
+                continue;
+            if (order.state != (order.is_bad ? "rolled_back" : "completed"))
+                violations_.push_back("roll-out of " + order.name + " in calm is " + order.state);
+            if (order.is_bad && times.size() > sign_of_bad_version &&
+                times.back() > times[sign_of_bad_version] + roll_back_bound)
+                violations_.push_back("bad version " + order.name + " got requests for long");
+            for (std::size_t i = order.first_request; !order.is_bad && i < requests_.size(); ++i)
+            {
+                // Until the next order, which is of a bad version.
+                if (&order != &orders_.back() && i >= (&order + 1)->first_request)
+                    break;
+                if (!requests_[i]->done || requests_[i]->status != 200)
+                    violations_.push_back(requests_[i]->attempt +
+                                          " failed during the roll-out of " + order.name +
+                                          " in calm");
+            }
+        }
+    }
+
     int run_count(const std::string& attempt) const
     {
         int count = 0;
@@ -511,6 +655,7 @@
     {
         if (engines_crash_)
             check_crashes();
+        check_rollouts();
         for (const auto& request : requests_)
         {
             const route_entry& entry = route_entries[static_cast<std::size_t>(request->kind)];
@@ -540,6 +685,8 @@
     random_source random_;
     std::string folder_;
     bool engines_crash_;
+    bool has_rollouts_;
+    std::vector<ordered_version> orders_;
     std::vector<time_point> crashes_;
     asio::io_context io_;
     fake_store store_;
@@ -562,6 +709,7 @@
     int seconds = 10;
     int vms = 3;
     int engines_crash = 0;
+    int has_rollouts = 0;
     const poptOption options[] = {
         {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "seed of the requests and faults", "N"},
         {"seconds", 0, POPT_ARG_INT, &seconds, 0, "duration of requests and faults in seconds",
@@ -569,6 +717,7 @@
         {"vms", 0, POPT_ARG_INT, &vms, 0, "number of VMs", "N"},
         {"crashing-part", 0, POPT_ARG_NONE, &engines_crash, 0,
          "let engines crash under a part of some prompts", nullptr},
+        {"rollouts", 0, POPT_ARG_NONE, &has_rollouts, 0, "order good and bad versions", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
         poptGetContext("soak", argc, argv, options, 0), &poptFreeContext);
@@ -588,7 +737,7 @@
     std::vector<std::string> violations;
     {
         soak_run run(static_cast<std::uint64_t>(seed), static_cast<std::size_t>(vms), folder,
-                     engines_crash != 0);
+                     engines_crash != 0, has_rollouts != 0);
         violations = run.execute(milliseconds(seconds * 1000));
         std::cout << "soak seed=" << seed << " sent=" << run.sent()
                   << " answered=" << run.answered() << " violations=" << violations.size() << "\n";
