--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -149,6 +149,12 @@
     void count_unused_results(bool client_left);
     void release_consumed_results(std::size_t index);
 
+    endpoint_ptr acquire(placement_request& request, time_point now);
+    void choose_pool(placement_request& request, time_point now);
+    void begin_rollout_attempt(time_point now);
+    void count_first_byte(time_point now);
+    void end_rollout_attempt(bool has_failed, time_point now);
+
     void place(time_point now);
     placement_request make_placement(time_point now);
     void move_from_silent_endpoint(time_point now);
@@ -164,7 +170,7 @@
     void count_stage_result_bytes(std::size_t index);
     std::string results_domain(const std::vector<std::uint32_t>& stages,
                                std::uint32_t readers) const;
-    endpoint_ptr acquire(const placement_request& request, time_point now);
+    endpoint_ptr acquire_endpoint(const placement_request& request, time_point now);
     void send(endpoint_ptr endpoint, time_point now);
     void begin_work(time_point now);
     void leave_endpoint();
@@ -192,6 +198,11 @@
     {
         return disposition_ != disposition::forward && disposition_ != disposition::buffer;
     }
+    // True if the endpoint has run the request and reported an error of its own.
+    bool has_failed_status() const
+    {
+        return status_ >= 500 && disposition_ != disposition::rerun && !not_run_;
+    }
     void on_discarded_end(time_point now);
     void judge_unconfirmed_end(time_point now);
     void on_broken(upstream_failure failure, time_point now);
@@ -270,6 +281,7 @@
 
     disposition disposition_ = disposition::forward;
     int status_ = 0;
+    bool not_run_ = false; // says the response
     std::vector<header_field> response_fields_;
     std::string reason_phrase_;
     std::string buffered_body_;
@@ -289,9 +301,11 @@
     // Work of the current attempt at an endpoint of a service whose pace is observed.
     request_work work_;
     timed_choice choice_;
-    std::uint64_t work_id_ = 0;  // in the endpoint's backlog; 0: none
-    double unread_before_ = 0.0; // own prompt tokens that the endpoint had to read first
-    double reported_pace_ = 1.0; // with the head of the response
+    std::uint64_t work_id_ = 0;        // in the endpoint's backlog; 0: none
+    double unread_before_ = 0.0;       // own prompt tokens that the endpoint had to read first
+    double reported_pace_ = 1.0;       // with the head of the response
+    std::optional<rollout_pool> pool_; // chosen for the next attempt
+    rollout_ticket ticket_;            // of the attempt in progress
     bool closed_ = false;
 };
 
--- a/tests/unit/rollout_history.h
+++ b/tests/unit/rollout_history.h
@@ -112,6 +112,8 @@
         build();
     }
 
+    bool has_good_version() const { return out_.kind == fault::none; }
+
     outcome_of_history run()
     {
         schedule(0, [this] { publish_order(); });
