Bar a version whose order is withdrawn while it has all requests

Cause: the version of an order that ended in the full phase was kept whether the order was replaced or withdrawn; rollout_gate/order_withdrawn_or_replaced_first_ version_gets_nothing failed (646 of 647 unit tests). Change: only a replacement keeps it. Tests: rollout_gate, rollout_judge, rollout_samples and rollout_replacement, 30 of 30; the edge and process tests were not run again after this change.

--- a/packages/state/rollout_gate.cpp
+++ b/packages/state/rollout_gate.cpp
@@ -55,7 +55,7 @@
         return;
     }
     if (order_)
-        close_order(now);
+        close_order(order.has_value(), now);
     else
         trust_usable_versions(now);
     order_ = order;
@@ -283,15 +283,15 @@
     return static_cast<double>(index) + static_cast<double>(hash >> 11) * 0x1.0p-53;
 }
 
-// The version of an order that ends before `full` gets nothing more. After that it has all
-// requests, and it may be completed although this VM has not read so yet.
-void rollout_gate::close_order(time_point now)
+// The version of an order that is withdrawn, or replaced before `full`, gets nothing more. After
+// that it has all requests, and it may be completed although this VM has not read so yet.
+void rollout_gate::close_order(bool is_replaced, time_point now)
 {
     const auto by = current(now);
     const rollout_phase phase = by ? by->phase : rollout_phase::canary;
     if (phase == rollout_phase::completed)
         return;
-    if (phase != rollout_phase::full)
+    if (phase != rollout_phase::full || !is_replaced)
     {
         ban(order_->version);
         if (phase != rollout_phase::rolled_back)
--- a/packages/state/rollout_gate.h
+++ b/packages/state/rollout_gate.h
@@ -105,7 +105,7 @@
     // Counts the request towards the new version's share; true if it is due to the new version.
     bool take_share(std::string_view route, const decision& by, time_point now);
     double sampling_point(std::uint64_t index) const;
-    void close_order(time_point now);
+    void close_order(bool is_replaced, time_point now);
     void settle_without_order(const rollout_record& record);
     void settle_replaced(const rollout_record& record);
     void ban(const std::string& version);
