--- a/packages/cli/config_check.cpp
+++ b/packages/cli/config_check.cpp
@@ -46,7 +46,13 @@
     }
     file.problems = check_schema(document.value());
     if (!file.problems.empty())
+    {
+        // Broken JSON may still be valid YAML.
+        const std::size_t first = text.find_first_not_of(" \t\r\n");
+        if (text[first] == '{' && !desired.problem.empty())
+            file.problems.insert(file.problems.begin(), "as JSON: " + desired.problem);
         return file;
+    }
     file.document = document.value();
     result<configuration> parsed = parse_configuration(document.value());
     if (parsed.has_error())
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -150,6 +150,7 @@
     void release_consumed_results(std::size_t index);
 
     endpoint_ptr acquire(placement_request& request, time_point now);
+    endpoint_ptr acquire_fallback(placement_request& request, time_point now);
     void choose_pool(placement_request& request, time_point now);
     void begin_rollout_attempt(time_point now);
     void count_first_byte(time_point now);
@@ -232,7 +233,7 @@
 
     std::uint32_t priority() const;
     // Rank among the jobs of stages.
-    std::uint32_t stage_priority() const;
+    std::uint32_t stage_priority(std::size_t index) const;
     milliseconds elapsed(time_point now) const
     {
         return std::chrono::duration_cast<milliseconds>(now - received_);
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -215,7 +215,9 @@
 {
     stages_.assign(route_->stages.size(), {});
     if (!stages_.empty() && is_generation())
-        home_domain_ = owner_.endpoints_.home_domain(service_name_, call_.prompt_prefix, now);
+        home_domain_ = owner_.endpoints_.home_domain(
+            service_name_, call_.prompt_prefix,
+            owner_.work_.is_timed(service_name_, route_->name, true, now), now);
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
         stages_[i].pieces = i < call_.pieces.size() ? call_.pieces[i] : 0;
@@ -304,9 +306,9 @@
 }
 
 template <typename Codec>
-std::uint32_t edge<Codec>::exchange::stage_priority() const
+std::uint32_t edge<Codec>::exchange::stage_priority(std::size_t index) const
 {
-    if (!is_contended())
+    if (!owner_.contended_services_.contains(route_->stages[index].service))
         return priority();
     return urgency_rank(account_ != nullptr ? account_->priority : std::nullopt, route_->priority);
 }
@@ -324,16 +326,22 @@
 chain_estimate edge<Codec>::exchange::estimate_stage(std::size_t index, time_point now) const
 {
     const std::string& service = route_->stages[index].service;
+    const std::uint32_t own_priority = stage_priority(index);
     std::optional<chain_estimate> best;
     for (const stage_shard& shard : owner_.shards_of(service))
     {
         const queue_delays* const delays =
             owner_.queue_delays_.find(queue_name(service, shard.domain), now);
-        const auto delay = delays == nullptr ? std::nullopt : find_delay(*delays, stage_priority());
+        const auto delay = delays == nullptr ? std::nullopt : find_delay(*delays, own_priority);
         if (delay && (!best || *delay < best->on_time))
             best = chain_estimate{*delay, std::max(*delay, delays->late)};
     }
     const milliseconds nominal = nominal_stage_time(index);
+    if (!best && !owner_.contended_services_.contains(service))
+    {
+        const milliseconds observed = expected_stage_time(index, now);
+        return {observed, observed};
+    }
     if (!best)
         return {nominal, nominal};
     return {std::max(nominal, best->on_time), std::max(nominal, best->late)};
@@ -445,7 +453,7 @@
     request.attempt = call_.attempt;
     request.service = spec.service;
     request.stage = static_cast<std::uint32_t>(index);
-    request.priority = stage_priority();
+    request.priority = stage_priority(index);
     request.pieces = stages_[index].pieces;
     request.result_bytes = spec.result_bytes;
     if (spec.after.empty())
@@ -666,10 +674,13 @@
     // domain, so a request with a prefix goes where this is cached.
     request.stay_in_preferred = !inputs_domain_.empty() && request.affinity.empty();
     request.excluded_ids = &tried_;
-    const milliseconds goal = route_->goal.count() > 0 ? route_->goal : route_->timeout;
     if (owner_.work_.is_observed(service_name_, now))
-        work_ = owner_.work_.estimate(service_name_, route_->name, call_.size, goal - elapsed(now),
-                                      now);
+    {
+        work_ = owner_.work_.estimate(service_name_, route_->name, call_.size,
+                                      goal() - elapsed(now), now);
+        if (service_ != nullptr && service_->memory_tokens != 0)
+            work_.limit_to(service_->memory_tokens);
+    }
     if (owner_.work_.is_timed(service_name_, route_->name, work_.has_prompt(), now))
     {
         request.work = &work_;
@@ -874,16 +885,19 @@
 template <typename Codec>
 void edge<Codec>::exchange::share_sample(pace_sample_kind kind, double value)
 {
-    owner_.work_.exchange().add({endpoint_->key, kind, static_cast<float>(value)});
+    const double bounded = std::clamp(value, pace_sample_range.min, pace_sample_range.max);
+    owner_.work_.exchange().add({endpoint_->key, kind, static_cast<float>(bounded)});
 }
 
 // Learns from the time to the first byte of a stream how long requests wait at the endpoint.
 template <typename Codec>
 void edge<Codec>::exchange::record_first_byte(time_point now)
 {
-    if (work_id_ == 0 || !work_.has_prompt() || status_ != 200 || endpoint_->health.is_cold(now))
+    if (work_id_ == 0 || !work_.has_prompt() || status_ != 200)
         return;
     endpoint_->backlog.on_begun(work_id_);
+    if (endpoint_->health.is_cold(now))
+        return;
     const double elapsed_ms = std::chrono::duration<double, std::milli>(now - sent_at_).count();
     const double slowness = endpoint_->pace.slowness(now);
     const double tokens = choice_.tokens_to_read + unread_before_;
@@ -933,6 +947,8 @@
                  work_.memory_tokens());
     const double tokens = tokens_per_event * static_cast<double>(events - 1);
     const double elapsed_ms = since(head_at_) / reported_pace_;
+    if (tokens <= 0.0)
+        return;
     rates.on_tokens(tokens, elapsed_ms);
     if (rates.token_made_ms() <= 0.0)
         return;
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -255,8 +255,11 @@
 {
     if (!paused_until_)
         return;
-    const bool confirmed =
-        is_current(state_table::desired, now) && is_current(state_table::endpoints, now);
+    // Decisions on roll-outs are in the table of VMs.
+    const bool follows_rollouts = rollouts_ && rollouts_->has_running(now);
+    const bool confirmed = is_current(state_table::desired, now) &&
+                           is_current(state_table::endpoints, now) &&
+                           (!follows_rollouts || is_current(state_table::vms, now));
     if (!confirmed && now - *paused_until_ < confirmation_timeout)
         return;
     end_deferral();
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -101,7 +101,11 @@
     if (!head_sent_)
         response_fields_ = std::move(head.fields);
     if (disposition_ == disposition::buffer)
+    {
+        if (work_id_ != 0 && work_.has_prompt() && status_ == 200)
+            endpoint_->backlog.on_begun(work_id_);
         return;
+    }
     record_first_byte(now);
     if (first_byte_at_ == time_point{})
     {
--- a/packages/coordination/edge_rollout_impl.h
+++ b/packages/coordination/edge_rollout_impl.h
@@ -142,6 +142,8 @@
                 apply_rollout_record(record, now);
         }
     }
+    if (rollouts_ && state_)
+        rollouts_->set_orders_known();
     refresh_stages();
 }
 
@@ -234,19 +236,30 @@
     choose_pool(request, now);
     endpoint_ptr endpoint = acquire_endpoint(request, now);
     if (!endpoint && request.gate != nullptr)
-    {
-        const rollout_pool other = request.gate->fallback(request.pool, now);
-        if (other != rollout_pool::none)
-        {
-            request.pool = other;
-            endpoint = acquire_endpoint(request, now);
-        }
-    }
+        endpoint = acquire_fallback(request, now);
     if (endpoint)
         pool_.reset();
     return endpoint;
 }
 
+// An old endpoint stops as soon as the new version is completed, so it gets no request that could
+// not run again. Without an endpoint, the request keeps the version for which one is expected.
+template <typename Codec>
+endpoint_ptr edge<Codec>::exchange::acquire_fallback(placement_request& request, time_point now)
+{
+    const bool may_be_cut =
+        !is_repeatable(*route_) && request.gate->phase(now) == rollout_phase::full;
+    const rollout_pool other =
+        may_be_cut ? rollout_pool::none : request.gate->fallback(request.pool, now);
+    if (other == rollout_pool::none)
+        return nullptr;
+    const rollout_pool chosen = std::exchange(request.pool, other);
+    endpoint_ptr endpoint = acquire_endpoint(request, now);
+    if (!endpoint && !owner_.endpoints_.next_available_at(request, now))
+        request.pool = chosen;
+    return endpoint;
+}
+
 // Chooses once for each attempt, however often it is placed, because each choice counts as a send.
 template <typename Codec>
 void edge<Codec>::exchange::choose_pool(placement_request& request, time_point now)
@@ -258,7 +271,7 @@
         return;
     if (!pool_)
         pool_ = owner_.rollouts_->choose(service_name_, route_->name, attempts_ > 0, now);
-    request.pool = *pool_;
+    request.pool = request.gate->adjusted(*pool_, now);
 }
 
 template <typename Codec>
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -185,7 +185,7 @@
                            const placement_request& request, const placement_query& query,
                            const service_spec* service, time_point now) const
 {
-    if (request.work == nullptr)
+    if (request.work == nullptr || query.stay_in_preferred)
     {
         const auto index = choose_endpoint(candidates, query, now);
         return index ? std::optional(timed_choice{*index}) : std::nullopt;
@@ -240,22 +240,25 @@
 }
 
 std::string endpoint_directory::home_domain(std::string_view service, std::string_view affinity,
-                                            time_point now) const
+                                            bool by_time, time_point now) const
 {
+    std::vector<placement_candidate> plain;
     std::vector<timed_candidate> candidates;
     const auto found = by_service_.find(service);
     if (found == by_service_.end() || affinity.empty())
         return {};
     for (const endpoint_ptr& endpoint : found->second)
     {
-        if (is_usable(*endpoint))
-            candidates.push_back({{&endpoint->record, &endpoint->health, true},
-                                  &endpoint->pace,
-                                  &endpoint->backlog,
-                                  endpoint->key});
+        if (!is_usable(*endpoint))
+            continue;
+        plain.push_back({&endpoint->record, &endpoint->health, true});
+        if (by_time)
+            candidates.push_back(
+                {plain.back(), &endpoint->pace, &endpoint->backlog, endpoint->key});
     }
-    const auto home = timed_home(candidates, affinity, now);
-    return home ? candidates[*home].base.endpoint->domain : std::string();
+    const auto home =
+        by_time ? timed_home(candidates, affinity, now) : home_endpoint(plain, affinity, now);
+    return home ? plain[*home].endpoint->domain : std::string();
 }
 
 std::optional<time_point> endpoint_directory::next_available_at(const placement_request& request,
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -117,8 +117,9 @@
     endpoint_ptr acquire(const placement_request& request, const service_spec* service,
                          time_point now, timed_choice* choice = nullptr);
     // Failure domain of the endpoint that requests with this affinity go to while it is not loaded
-    // above the others; empty when the service has no warm endpoint.
-    std::string home_domain(std::string_view service, std::string_view affinity,
+    // above the others; empty when the service has no warm endpoint. `by_time`: requests are placed
+    // by expected time.
+    std::string home_domain(std::string_view service, std::string_view affinity, bool by_time,
                             time_point now) const;
     // Earliest time at which `acquire` may find an endpoint; nullopt when no listed endpoint is
     // usable for the request.
--- a/packages/coordination/rollout_coordinator.cpp
+++ b/packages/coordination/rollout_coordinator.cpp
@@ -105,6 +105,7 @@
 
 void rollout_coordinator::retain_orders(const std::set<std::string>& services, time_point now)
 {
+    are_orders_known_ = true;
     for (const auto& [service, state] : services_)
     {
         if (!services.contains(service))
@@ -423,6 +424,8 @@
             state.proposal.reset();
             continue;
         }
+        if (are_orders_known_ && !state.gate.order())
+            state.judge.set_order(std::nullopt, now);
         const auto rank = own_rank(state, is_up, now);
         state.proposal =
             state.judge.propose(situation(service, rank.value_or(rollout_judge_count)), now);
@@ -466,6 +469,7 @@
         return;
     case write_outcome::conflict:
         counters_.count("rollouts_proposals_lost_total");
+        state.call_at = now + rollout_call_interval;
         log_event(log_level::info, "rollout_proposal_lost",
                   {{"service", call.service},
                    {"phase", std::string(to_string(call.put->phase))},
@@ -497,8 +501,17 @@
 
 bool rollout_coordinator::has_running(time_point now) const
 {
+    // A roll-back that only judges have told of has not ended before it is in the store.
     return std::any_of(services_.begin(), services_.end(),
-                       [&](const auto& entry) { return entry.second.gate.is_running(now); });
+                       [&](const auto& entry)
+                       {
+                           const service_state& state = entry.second;
+                           const auto& order = state.gate.order();
+                           const bool is_settled = order && state.stored &&
+                                                   state.stored->order == order->revision &&
+                                                   is_final(state.stored->phase);
+                           return state.gate.is_running(now) || (order && !is_settled);
+                       });
 }
 
 std::vector<rollout_status> rollout_coordinator::status(time_point now) const
--- a/packages/coordination/rollout_coordinator.h
+++ b/packages/coordination/rollout_coordinator.h
@@ -80,6 +80,8 @@
     void on_order_withdrawn(const std::string& service, time_point now);
     // Withdraws the orders of all other services.
     void retain_orders(const std::set<std::string>& services, time_point now);
+    // The orders in the store are known, so a missing one was withdrawn.
+    void set_orders_known() { are_orders_known_ = true; }
     // The decision in the store at this position, or nothing if there is none. `held` is a later
     // one that the store has lost.
     void on_record(const std::string& service, const std::optional<rollout_record>& stored,
@@ -185,6 +187,7 @@
     endpoint_directory& endpoints_;
     metrics& counters_;
     std::map<std::string, service_state, std::less<>> services_;
+    bool are_orders_known_ = false;
     std::vector<std::string> vms_;                   // for which the judges were computed
     std::uint64_t endpoint_changes_ = 0;             // that the gates have followed
     std::map<std::string, time_point> wanted_since_; // by VM to which a link is wanted
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -103,6 +103,7 @@
         return std::chrono::duration_cast<milliseconds>(now - started_);
     }
     bool was_refused() const { return metadata_.not_run; }
+    bool was_answered() const { return status_ != 0; }
     bool was_unreachable() const { return failure_ == upstream_failure::connect_failed; }
     bool was_connection_lost() const { return failure_ == upstream_failure::connection_lost; }
     std::string outcome() const
@@ -437,7 +438,7 @@
         entry.next_pool = rollouts_->choose(entry.service, entry.service, false, now);
         entry.pool_chosen_at = now;
     }
-    const rollout_pool chosen = *entry.next_pool;
+    const rollout_pool chosen = gate->adjusted(*entry.next_pool, now);
     for (const rollout_pool pool : {chosen, gate->fallback(chosen, now)})
     {
         auto batch = entry.queue.next(now, [&](const std::string& id)
@@ -608,6 +609,8 @@
         queue.on_call_dropped(endpoint);
     else
         queue.on_failed(endpoint, now);
+    if (call.was_answered())
+        queue.on_answered(endpoint);
     // Without a connection no piece has reached the endpoint, so neither a failure nor a retry is
     // counted for the jobs.
     const bool reached_endpoint = !call.was_unreachable();
--- a/packages/protocol/serving_diff.cpp
+++ b/packages/protocol/serving_diff.cpp
@@ -70,7 +70,10 @@
     field_texts fields{{"connections", std::to_string(service.max_connections)},
                        {"warm-up", ms_text(service.warm_up)},
                        {"cold rate", number_text(service.cold_rate)},
-                       {"slots", std::to_string(service.slots)}};
+                       {"slots", std::to_string(service.slots)},
+                       {"engine", service.generates ? "yes" : "no"},
+                       {"engine memory", std::to_string(service.memory_tokens) + " tokens"},
+                       {"tokens per event", std::to_string(service.tokens_per_event)}};
     if (!service.batch)
         return fields;
     const batch_spec& batch = *service.batch;
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -389,11 +389,11 @@
     return message;
 }
 
-// Throws kj::Exception for a negative or infinite number and for nan.
+// Throws kj::Exception for a number out of its range and for nan.
 float to_pace(float number)
 {
-    const float largest = std::numeric_limits<float>::max();
-    KJ_REQUIRE(number >= 0.0F && number <= largest, "odd pace in a VM message");
+    KJ_REQUIRE(is_within(static_cast<double>(number), pace_sample_range),
+               "odd pace in a VM message");
     return number;
 }
 
@@ -437,12 +437,13 @@
     counts.failures = from.getFailures();
     const auto buckets = from.getByDuration();
     KJ_REQUIRE(buckets.size() == rollout_buckets, "unknown number of buckets in a VM message");
+    std::uint32_t largest = counts.failures;
     for (capnp::uint i = 0; i < buckets.size(); ++i)
     {
-        KJ_REQUIRE(buckets[i] <= counts.answers, "more outcomes than answers in a VM message");
         counts.by_duration[i] = buckets[i];
+        largest = std::max(largest, buckets[i]);
     }
-    KJ_REQUIRE(counts.failures <= counts.answers, "more outcomes than answers in a VM message");
+    KJ_REQUIRE(largest <= counts.answers, "more outcomes than answers in a VM message");
     return counts;
 }
 
--- a/packages/state/config_findings.cpp
+++ b/packages/state/config_findings.cpp
@@ -25,10 +25,11 @@
 };
 
 // In the order of finding_kind.
-constexpr std::array<kind_entry, 22> kinds = {{
+constexpr std::array<kind_entry, 23> kinds = {{
     {"invalid_entry", finding_severity::error},
     {"missing_name", finding_severity::error},
     {"unmatchable_prefix", finding_severity::error},
+    {"open_prefix", finding_severity::warning},
     {"shadowed_route", finding_severity::error},
     {"unknown_service", finding_severity::error},
     {"unknown_predecessor", finding_severity::error},
@@ -300,10 +301,14 @@
 
     void check_match(const route_spec& route, const std::string& where)
     {
-        if (!route.prefix.starts_with('/') || !route.prefix.ends_with('/'))
+        if (!route.prefix.empty() && !route.prefix.starts_with('/'))
             return report(finding_kind::unmatchable_prefix, where,
-                          "the prefix '" + route.prefix + "' does not begin and end with a slash",
-                          "begin and end it with a slash");
+                          "the prefix '" + route.prefix + "' does not begin with a slash",
+                          "begin it with a slash");
+        if (!route.prefix.ends_with('/'))
+            report(finding_kind::open_prefix, where,
+                   "the prefix '" + route.prefix + "' also matches longer names",
+                   "end it with a slash");
         const auto [first, added] = matched_.try_emplace({route.host, route.prefix}, route.name);
         if (!added)
             report(finding_kind::shadowed_route, where,
--- a/packages/state/config_findings.h
+++ b/packages/state/config_findings.h
@@ -23,6 +23,7 @@
     invalid_entry,            // refused by the server
     missing_name,             // of a route or service
     unmatchable_prefix,       // no path begins with it
+    open_prefix,              // ends within a name of the path
     shadowed_route,           // another route of the host has the same prefix
     unknown_service,          // named by a route or stage, and not there
     unknown_predecessor,      // a stage that follows a missing stage, or itself
--- a/packages/state/number_range.h
+++ b/packages/state/number_range.h
@@ -34,6 +34,8 @@
 inline constexpr number_range<std::uint32_t> slots_range{0, 65'535};
 // Time for work in per cent of the usual time; beyond that an endpoint does not work at all.
 inline constexpr number_range<double> pace_percent_range{1.0, 100'000.0};
+// Wait in ms or slowness that a VM tells of an endpoint: an hour.
+inline constexpr number_range<double> pace_sample_range{0.0, 3'600'000.0};
 // Tokens of a prompt, of an answer or in the memory of an engine.
 inline constexpr number_range<std::uint32_t> tokens_range{0, 1'000'000'000};
 // Part of the requests of a route or a service.
--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -231,8 +231,9 @@
             const endpoint_info& endpoint = endpoints_[index];
             const bool is_judged = old_totals_[route].answers >= old_answers_min;
             const expectation& share = expected[route * domains_.size() + endpoint.domain];
-            const double failed = log_likelihood_ratio(std::min(counts.failures, counts.answers),
-                                                       counts.answers, share.failures);
+            // An answer that fails after its first byte counts in the slice of its failure.
+            const std::uint64_t ended = std::max(counts.answers, counts.failures);
+            const double failed = log_likelihood_ratio(counts.failures, ended, share.failures);
             const std::uint64_t timed = is_warm ? sum_of(counts.by_duration) : 0;
             const std::uint64_t slow_answers =
                 is_warm ? slower_than(counts.by_duration, share.slow_bucket) : 0;
--- a/packages/state/rollout_gate.cpp
+++ b/packages/state/rollout_gate.cpp
@@ -49,7 +49,7 @@
 {
     if (order_ == order)
         return;
-    if (order_ && order && order_->revision == order->revision)
+    if (order_ && order && order_->revision == order->revision && order_->version == order->version)
     {
         order_ = order;
         return;
@@ -84,7 +84,8 @@
         settle_without_order(record);
         return;
     }
-    if (record.order != order_->revision)
+    // A store that came back from an older copy gives out revisions again.
+    if (record.order != order_->revision || record.version != order_->version)
     {
         if (record.order < order_->revision && record.version != order_->version)
             settle_replaced(record);
@@ -151,6 +152,13 @@
     return rollout_pool::old_version;
 }
 
+rollout_pool rollout_gate::adjusted(rollout_pool pool, time_point now) const
+{
+    const auto at = phase(now);
+    const bool has_moved = at == rollout_phase::full || at == rollout_phase::completed;
+    return has_moved && pool == rollout_pool::old_version ? rollout_pool::candidate : pool;
+}
+
 bool rollout_gate::may_use(rollout_pool pool, std::string_view endpoint, time_point now) const
 {
     const auto found = endpoints_.find(endpoint);
@@ -340,7 +348,7 @@
 // another version is left.
 bool rollout_gate::is_last_resort(const std::string& version) const
 {
-    return order_ && old_count_ == 0 && replaced_.contains(version);
+    return old_count_ == 0 && replaced_.contains(version);
 }
 
 // Decision on an order that has been removed, or that this VM has not heard of yet.
@@ -349,16 +357,16 @@
     if (settled_ && !supersedes(record, *settled_))
         return;
     settled_ = record;
+    if (is_final(record.phase))
+        replaced_.erase(record.version);
     if (record.phase == rollout_phase::completed)
     {
         banned_.erase(record.version);
         trusted_.insert(record.version);
     }
     else
-    {
-        banned_.insert(record.version);
-        trusted_.erase(record.version);
-    }
+        ban(record.version);
+    place_candidates();
 }
 
 void rollout_gate::on_completed()
@@ -370,8 +378,7 @@
     {
         if (version == order_->version)
             continue;
-        banned_.insert(version);
-        trusted_.erase(version);
+        ban(version);
     }
 }
 
@@ -396,7 +403,7 @@
     {
         if (!is_candidate(id))
         {
-            old_count_ += order_ && !banned_.contains(state.endpoint.version) ? 1 : 0;
+            old_count_ += banned_.contains(state.endpoint.version) ? 0 : 1;
             continue;
         }
         ++candidate_count_;
--- a/packages/state/rollout_gate.h
+++ b/packages/state/rollout_gate.h
@@ -70,6 +70,8 @@
     rollout_pool choose(std::string_view route, bool is_retry, time_point now);
     // Pool to use instead if no endpoint of `pool` can take the attempt; `none` if there is none.
     rollout_pool fallback(rollout_pool pool, time_point now) const;
+    // The pool of an earlier choice, in the present phase.
+    rollout_pool adjusted(rollout_pool pool, time_point now) const;
     // True if an attempt with this pool may use the endpoint. An unknown endpoint may not be used.
     bool may_use(rollout_pool pool, std::string_view endpoint, time_point now) const;
 
--- a/packages/state/rollout_judge.cpp
+++ b/packages/state/rollout_judge.cpp
@@ -38,7 +38,8 @@
 
 void rollout_judge::set_order(const std::optional<rollout_order>& order, time_point now)
 {
-    const bool is_same = order_ && order && order_->revision == order->revision;
+    const bool is_same =
+        order_ && order && order_->revision == order->revision && order_->version == order->version;
     if (!order && (order_ || !has_order_been_set_))
         order_missing_since_ = now;
     if (!order && order_)
@@ -76,7 +77,8 @@
 void rollout_judge::set_record(const std::optional<rollout_record>& stored, time_point now)
 {
     stored_ = stored;
-    if (!stored || !order_ || stored->order != order_->revision)
+    if (!stored || !order_ || stored->order != order_->revision ||
+        stored->version != order_->version)
         return;
     age_.hear(stored->age, now);
     if (furthest_ && !supersedes(*stored, *furthest_))
@@ -197,8 +199,8 @@
 
 bool rollout_judge::is_stored_current() const
 {
-    return stored_ && stored_->order == order_->revision && furthest_ &&
-           !supersedes(*furthest_, *stored_);
+    return stored_ && stored_->order == order_->revision && stored_->version == order_->version &&
+           furthest_ && !supersedes(*furthest_, *stored_);
 }
 
 std::optional<rollout_judge::decision> rollout_judge::decide(const rollout_situation& situation,
@@ -221,7 +223,8 @@
         return decision{rollout_phase::rolled_back, 0, condemned_};
     if (!has_enough_reports(situation, now))
         return std::nullopt;
-    if (situation.candidate_endpoints > 0 && no_old_since_ < now - no_old_endpoints_min)
+    if (situation.candidate_endpoints > 0 && no_old_since_ < now - no_old_endpoints_min &&
+        (requests_at_old(now) == 0 || order_->duration - age_.at(now) < margin()))
         return decision{rollout_phase::completed, 0, "no endpoint of the old version is left"};
 
     std::optional<decision> decided;
@@ -234,7 +237,7 @@
         decided = decide_ramp(situation, now);
         break;
     default:
-        decided = decide_full(now);
+        decided = decide_full(situation, now);
         break;
     }
     if (decided && decided->phase == rollout_phase::rolled_back)
@@ -303,29 +306,45 @@
     return decision{rollout_phase::rolled_back, 0, "too few endpoints of the version"};
 }
 
-std::optional<rollout_judge::decision> rollout_judge::decide_full(time_point now) const
+// Requests at endpoints of the old version, as far as VMs have reported lately.
+std::uint64_t rollout_judge::requests_at_old(time_point now) const
+{
+    std::uint64_t requests = 0;
+    for (const auto& [key, source] : sources_)
+        requests += now - source.heard_at > report_max_age ? 0 : source.old_in_flight;
+    return requests;
+}
+
+milliseconds rollout_judge::margin() const
+{
+    return part_of_order(completion_margin);
+}
+
+std::optional<rollout_judge::decision>
+rollout_judge::decide_full(const rollout_situation& situation, time_point now) const
 {
     const milliseconds left = order_->duration - age_.at(now);
-    const milliseconds margin = part_of_order(completion_margin);
-    if (step_age(now) < at_least(0.0, full_min, full_part_max) && left >= margin)
+    if (step_age(now) < at_least(0.0, full_min, full_part_max) && left >= margin())
         return std::nullopt;
-    std::uint64_t in_flight = 0;
+    std::size_t reporting = 0;
     std::uint64_t unrepeatable = 0;
     bool do_all_follow = true;
     for (const auto& [key, source] : sources_)
     {
         if (now - source.heard_at > report_max_age)
             continue;
-        in_flight += source.old_in_flight;
+        ++reporting;
         unrepeatable += source.old_unrepeatable;
         do_all_follow = do_all_follow && source.phase >= rollout_phase::full;
     }
-    if (is_suspect() && left >= margin)
+    // A VM that does not report may have requests at the old endpoints.
+    do_all_follow = do_all_follow && reporting >= situation.vms;
+    if (is_suspect() && left >= margin())
         return std::nullopt;
     if (is_suspect(undecided_evidence))
         return decision{rollout_phase::rolled_back, 0, "suspect when its time was over"};
-    const bool may_break = left < margin / 2 || (left < margin && unrepeatable == 0);
-    if ((in_flight == 0 && do_all_follow) || may_break)
+    const bool may_break = left < margin() / 2 || (left < margin() && unrepeatable == 0);
+    if ((requests_at_old(now) == 0 && do_all_follow) || may_break)
         return decision{rollout_phase::completed, 0};
     return std::nullopt;
 }
--- a/packages/state/rollout_judge.h
+++ b/packages/state/rollout_judge.h
@@ -151,7 +151,9 @@
     std::optional<decision> decide_canary(const rollout_situation& situation, time_point now) const;
     std::optional<decision> decide_ramp(const rollout_situation& situation, time_point now) const;
     std::optional<decision> decide_without_endpoints(time_point now) const;
-    std::optional<decision> decide_full(time_point now) const;
+    std::optional<decision> decide_full(const rollout_situation& situation, time_point now) const;
+    std::uint64_t requests_at_old(time_point now) const;
+    milliseconds margin() const; // left before the deadline when a move ends in any case
     decision next_stage() const;
     bool is_suspect(double part_of_evidence = 0.5) const;
     bool is_sound() const;
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -54,8 +54,11 @@
         endpoint.listed = false;
     for (const stage_endpoint& endpoint : listed)
     {
-        endpoints_[endpoint.id].listed = true;
-        endpoints_[endpoint.id].domain = endpoint.domain;
+        endpoint_state& state = endpoints_[endpoint.id];
+        if (state.domain != endpoint.domain)
+            domains_.forget(state.domain, endpoint.id);
+        state.listed = true;
+        state.domain = endpoint.domain;
     }
     for (const auto& [id, endpoint] : endpoints_)
     {
@@ -228,6 +231,13 @@
     domains_.on_failure(state.domain, endpoint);
 }
 
+void stage_queue::on_answered(const std::string& endpoint)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        domains_.on_success(found->second.domain);
+}
+
 void stage_queue::on_call_dropped(const std::string& endpoint)
 {
     const auto found = endpoints_.find(endpoint);
@@ -348,9 +358,10 @@
 // Duration of such a call, measured because the configured times are approximate and vary by stage.
 double stage_queue::saturated_call_ms() const
 {
-    return saturated_call_ms_ > 0.0
-               ? saturated_call_ms_
-               : static_cast<double>(call_time(saturated_batch_size()).count());
+    // A service may be configured without call times.
+    return std::max(1.0, saturated_call_ms_ > 0.0
+                             ? saturated_call_ms_
+                             : static_cast<double>(call_time(saturated_batch_size()).count()));
 }
 
 // A part shares its call with others, so the estimate covers all waiting pieces up to a full batch,
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -150,6 +150,8 @@
     void on_overdue(const std::string& endpoint, const stage_batch& batch, milliseconds elapsed);
     // The endpoint refused the call, or the call ended without a response.
     void on_failed(const std::string& endpoint, time_point now);
+    // The endpoint has sent some response, so its failure domain can be reached.
+    void on_answered(const std::string& endpoint);
     // A call ended for a reason that is not the endpoint's.
     void on_call_dropped(const std::string& endpoint);
     // The endpoint wants no calls until this time.
--- a/packages/state/stage_locality.cpp
+++ b/packages/state/stage_locality.cpp
@@ -119,8 +119,7 @@
             lowest = endpoint.slowdown;
         }
         if (!part.job.preferred_domain.empty() && endpoint.domain == part.job.preferred_domain &&
-            endpoint.slowdown <= lowest + near_slowdown_margin &&
-            !domains_.is_unreachable(endpoint.domain))
+            endpoint.slowdown <= lowest + near_slowdown_margin)
             return id;
     }
     return leaves_domain ? fastest : std::string();
--- a/packages/state/timed_placement.cpp
+++ b/packages/state/timed_placement.cpp
@@ -303,7 +303,8 @@
     const double cost = choice.index < candidates.size() ? estimates.at(choice.index).cost_ms
                                                          : std::numeric_limits<double>::max();
     // Compares with all candidates only if the first ones would miss the goal.
-    if (cost <= goal_left || cost <= leave_prefix_factor * estimates.lowest_cost())
+    if (choice.index < candidates.size() &&
+        (cost <= goal_left || cost <= leave_prefix_factor * estimates.lowest_cost()))
         choice.cause = home == choice.index ? placement_cause::prefix : placement_cause::near;
     else
     {
--- a/packages/state/work_estimate.h
+++ b/packages/state/work_estimate.h
@@ -3,6 +3,7 @@
 
 #include "state/time.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -55,6 +56,13 @@
     bool has_prompt() const { return prompt_tokens > 0.0; }
     // Tokens that the request takes in the memory of its endpoint when it ends.
     double memory_tokens() const { return prompt_tokens + output_tokens; }
+    // An engine rejects what is larger than its memory, whatever the caller tells.
+    void limit_to(double memory)
+    {
+        prompt_tokens = std::min(prompt_tokens, memory);
+        shared_tokens = std::min(shared_tokens, prompt_tokens);
+        output_tokens = std::min(output_tokens, memory - prompt_tokens);
+    }
 };
 
 // Weight of the newest answer in the lengths of a size class, which cover about twenty.
--- a/tests/unit/config_check_test.cpp
+++ b/tests/unit/config_check_test.cpp
@@ -37,9 +37,9 @@
  {"name":"first","host":"h","prefix":"/a/","kind":"idempotent","timeout_ms":300,"slo_ms":400,"service":"s",
   "stages":[{"service":"enc","after":[],"bytes":900000},{"service":"enc","after":[0],"bytes":1}]},
  {"name":"second","host":"h","prefix":"/a/","kind":"idempotent","timeout_ms":900,"service":"lost"},
- {"name":"third","host":"h","prefix":"/b","kind":"idempotent","timeout_ms":900,
+ {"name":"third","host":"h","prefix":"b/","kind":"idempotent","timeout_ms":900,
   "backends":[{"service":"s","weight":0},{"service":"s","weight":0}]},
- {"name":"fourth","host":"h","prefix":"/c/","kind":"idempotent","timeout_ms":900,"slo_ms":150,"service":"s",
+ {"name":"fourth","host":"h","prefix":"/c","kind":"idempotent","timeout_ms":900,"slo_ms":150,"service":"s",
   "stages":[{"service":"enc","after":[1]},{"service":"s","after":[0]},{"service":"enc","after":[9]},{"service":"enc","after":[]}]}],
 "services":[{"name":"s"},{"name":"idle"},
  {"name":"enc","pieces":{"slots":1,"batch":8,"call_ms":200,"item_ms":5,"room_mb":2,"handle_s":4}}],
@@ -140,6 +140,7 @@
     expect_findings(faulty_state, "account_without_key account 'keyless'\n"
                                   "goal_over_timeout route 'first'\n"
                                   "goal_under_stages route 'fourth'\n"
+                                  "open_prefix route 'fourth'\n"
                                   "result_memory_under_call route 'first' stage 0\n"
                                   "shadowed_route route 'second'\n"
                                   "timeout_under_stages route 'first'\n"
--- a/tests/unit/work_book_test.cpp
+++ b/tests/unit/work_book_test.cpp
@@ -65,7 +65,8 @@
     cr_assert(read.origin == 9 && read.sequence == 4 && read.samples.size() == 2);
     cr_assert(read.samples[0].kind == pace_sample_kind::wait && read.samples[0].value == 80.5F);
     cr_assert(read.samples[1].endpoint == 43);
-    for (const float odd : {-1.0F, std::numeric_limits<float>::infinity()})
+    for (const float odd : {-1.0F, 1.0e9F, std::numeric_limits<float>::infinity(),
+                            std::numeric_limits<float>::quiet_NaN()})
     {
         frame = encode_frame(pace_reports{{{9, 4, {{42, {}, odd}}}}});
         cr_assert(decode_frame(frame, message) == frame_state::invalid);
