--- a/packages/cli/config_check.cpp
+++ b/packages/cli/config_check.cpp
@@ -4,8 +4,6 @@
 #include "platform/codec.h"
 #include "protocol/codec.h"
 
-#include <sstream>
-
 namespace zinnianotch
 {
 
@@ -15,15 +13,6 @@
 // Stands for the operator, whose name the server enters in exceptions without an author.
 constexpr const char* unnamed_author = "operator";
 
-std::vector<std::string> lines_of(const std::string& text)
-{
-    std::vector<std::string> lines;
-    std::istringstream stream(text);
-    for (std::string line; std::getline(stream, line);)
-        lines.push_back(line);
-    return lines;
-}
-
 } // namespace
 
 config_file read_config_file(const std::string& text)
@@ -57,7 +46,7 @@
     result<configuration> parsed = parse_configuration(document.value());
     if (parsed.has_error())
     {
-        file.problems = lines_of(parsed.error().detail);
+        file.problems = split_lines(parsed.error().detail);
         return file;
     }
     for (exception_config& exception : parsed.value().exceptions)
--- a/packages/protocol/codec.cpp
+++ b/packages/protocol/codec.cpp
@@ -361,6 +361,8 @@
     return fits ? static_cast<std::uint32_t>(value) : 0;
 }
 
+} // namespace
+
 std::vector<std::string> split_lines(const std::string& text)
 {
     std::vector<std::string> lines;
@@ -370,8 +372,6 @@
     return lines;
 }
 
-} // namespace
-
 result<json> parse_json(const std::string& text)
 {
     std::error_code error;
--- a/packages/protocol/codec.h
+++ b/packages/protocol/codec.h
@@ -29,6 +29,8 @@
 std::int64_t integer_field(const json& object, const std::string& name, std::int64_t fallback = 0);
 bool bool_field(const json& object, const std::string& name, bool fallback = false);
 
+std::vector<std::string> split_lines(const std::string& text);
+
 // Parses a configuration document. Fails with invalid_configuration; the detail lists all unknown
 // keys, missing fields, wrong types and unknown enumeration values, one problem per line. The
 // version comes from the row key, not from the document.
--- a/packages/protocol/serving_diff.cpp
+++ b/packages/protocol/serving_diff.cpp
@@ -1,5 +1,7 @@
 #include "protocol/config_diff.h"
 
+#include "state/time_text.h"
+
 #include <functional>
 #include <map>
 #include <set>
@@ -24,11 +26,6 @@
     return text;
 }
 
-std::string ms_text(milliseconds time)
-{
-    return std::to_string(time.count()) + " ms";
-}
-
 std::string services_text(const std::vector<weighted_service>& services)
 {
     std::string text;
--- a/packages/state/config_findings.cpp
+++ b/packages/state/config_findings.cpp
@@ -1,6 +1,7 @@
 #include "state/config_findings.h"
 
 #include "state/enum_names.h"
+#include "state/time_text.h"
 
 #include <algorithm>
 #include <array>
@@ -59,11 +60,6 @@
     return std::string(kind) + " '" + std::string(name) + "'";
 }
 
-std::string ms_text(milliseconds time)
-{
-    return std::to_string(time.count()) + " ms";
-}
-
 // How the entries of a configuration use one of its pools.
 struct pool_use
 {
