Apply exceptions for the retries of a pool

Cause: pipeline_runner read the fleet's retry_percent, so an exception for a pool had no effect. Ruled out: a budget for each endpoint; the retries of a pool share one. Change: effective_limits of the pool; the check of a configuration reports the setting at an endpoint as without effect.

--- a/packages/coordination/pipeline_runner.cpp
+++ b/packages/coordination/pipeline_runner.cpp
@@ -358,8 +358,9 @@
         error.why == reason::peer_unreachable && now - first_start < no_endpoint_timeout;
     if (error.outcome == verdict::not_run && (is_redirection(error.why) || awaits_owner))
         return outcome::success();
+    const defaults_config limits = effective_limits(*config, pool, {});
     const std::lock_guard lock(mutex_);
-    if (budget_of(pool).try_retry(config->defaults.retry_percent, now))
+    if (budget_of(pool).try_retry(limits.retry_percent, now))
         return outcome::success();
     failure refused = error;
     refused.why = reason::retry_budget_exhausted;
--- a/packages/state/config_findings.cpp
+++ b/packages/state/config_findings.cpp
@@ -221,14 +221,17 @@
             return; // reported as invalid
         const pool_config& pool = *target->second;
         const auto use = uses_.find(pool.name);
-        if (use != uses_.end() &&
-            ((exception.setting == "stage_timeout_ms" && !use->second.by_stages) ||
-             (exception.setting == "service_timeout_ms" && !use->second.by_services)))
+        const bool is_of_pool = exception.target == "pool:" + pool.name;
+        // The retries of a pool share one budget.
+        const bool is_budget_of_endpoint = exception.setting == "retry_percent" && !is_of_pool;
+        if (is_budget_of_endpoint ||
+            (use != uses_.end() &&
+             ((exception.setting == "stage_timeout_ms" && !use->second.by_stages) ||
+              (exception.setting == "service_timeout_ms" && !use->second.by_services))))
             return report(finding_kind::exception_without_effect, where,
                           exception.setting + " is not used for " + exception.target,
                           "remove it, or name the setting that is meant");
         const std::uint32_t fleet_value = setting_of(config_.defaults, exception.setting);
-        const bool is_of_pool = exception.target == "pool:" + pool.name;
         const std::uint32_t otherwise =
             is_of_pool ? fleet_value
                        : override_of("pool:" + pool.name, exception.setting).value_or(fleet_value);
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -325,3 +325,31 @@
         cr_expect(observer.decreases().empty(), "%s", observer.decreases().c_str());
     }
 }
+
+// Guards against an exception of a pool's retries that has no effect.
+Test(configuration, exception_for_retries_holds_for_its_pool)
+{
+    deployment_options options;
+    options.modify_configuration = [](value& document)
+    {
+        document["defaults"]["retry_percent"] = value::number(0);
+        document["exceptions"][0] =
+            value::object({{"id", value("rerankers")},
+                           {"target", value("pool:rerankers")},
+                           {"setting", value("retry_percent")},
+                           {"value", value::number(100)},
+                           {"reason", value("rerankers fail often and answer quickly")},
+                           {"author", value("night-shift")}});
+    };
+    const deployment cluster(options);
+    for (const char* const id : {"reranker-a1", "reranker-b1"})
+        cluster.endpoints.at(id).control(R"({"fail_percent":30})");
+    const std::uint16_t port = cluster.vms.at("vm-a1").caller_port;
+    std::size_t refused = 0;
+    for (int i = 0; i < 60; ++i)
+    {
+        const std::string error = call_pipeline(port, std::to_string(i));
+        refused += error.find("retry_budget_exhausted") == std::string::npos ? 0 : 1;
+    }
+    cr_assert_eq(refused, 0);
+}
--- a/tests/unit/config_check_test.cpp
+++ b/tests/unit/config_check_test.cpp
@@ -30,6 +30,7 @@
   - {id: unread, target: "pool:a", setting: service_timeout_ms, value: 90, reason: r}
   - {id: hidden, target: "pool:a", setting: warm_limit, value: 30, reason: r}
   - {id: own, target: "endpoint:a1", setting: warm_limit, value: 40, reason: r}
+  - {id: pooled, target: "endpoint:a1", setting: retry_percent, value: 50, reason: r}
 )";
 
 constexpr const char* faulty_state = R"({"version":7,
@@ -122,6 +123,7 @@
 Test(config_check, configuration_with_faults_reports_each_of_them)
 {
     expect_findings(faulty_configuration, "cold_limit_over_warm pool 'out'\n"
+                                          "exception_without_effect exception 'pooled'\n"
                                           "exception_without_effect exception 'same'\n"
                                           "exception_without_effect exception 'unread'\n"
                                           "invalid_entry service 'w'\n"
