Keep requests from failure domains that time out

Cause: engines of a domain that is cut off were found one by one, each by a connection that timed out after 0.5 s. Ruled out: requests as probes, since every VM of the cut domain would lose two a second to each other domain. Change: domain_reachability also in endpoint_directory. Only time-outs and missing routes count, not refusals; the VM's own domain is never given up; attempts to connect in progress are given up; probes are connections without a request.

--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -963,17 +963,19 @@
     const time_point now = steady_clock::now();
     upstream_.reset();
     leave_endpoint();
-    if (failure == upstream_failure::connect_failed || failure == upstream_failure::connection_lost)
+    if (is_connect_failure(failure) || failure == upstream_failure::connection_lost)
         end_rollout_attempt(false, now); // the endpoint has not seen the request
-    if (failure == upstream_failure::connect_failed)
+    if (is_connect_failure(failure))
     {
         tried_.insert(endpoint_->record.id);
         silent_.erase(endpoint_->record.id);
-        owner_.endpoints_.on_unreachable(*endpoint_, service_, now);
+        owner_.endpoints_.on_unreachable(*endpoint_, service_, failure, now);
         --attempts_;
         ++connect_failures_;
         log_event(log_level::warning, "connect_failed",
-                  {{"request", call_.attempt}, {"endpoint", endpoint_->record.id}});
+                  {{"request", call_.attempt},
+                   {"endpoint", endpoint_->record.id},
+                   {"why", std::string(to_string(failure))}});
         if (connect_failures_ < connect_failure_limit || has_left_sound_endpoint())
             return place(now);
         return refuse(reason::connect_failed, "all connection attempts failed", retry_after_min,
@@ -1275,6 +1277,12 @@
     }
     if (unconfirmed_end_)
         return judge_unconfirmed_end(now);
+    if (upstream_ && upstream_->is_connecting() &&
+        !owner_.endpoints_.is_reachable(endpoint_->record.domain))
+    {
+        upstream_->cancel();
+        return on_failure(upstream_failure::peer_unreachable);
+    }
     if (!upstream_ && !ends_before_stop(now))
         return refuse(reason::draining, "VM is stopping", retry_after_min, now);
     if (waiting_for_endpoint_)
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -505,6 +505,7 @@
     desired_follower_->tick(now);
     endpoints_follower_->tick(now);
     vms_follower_->tick(now);
+    endpoints_.probe_domains(now);
     stage_batcher_.tick(now);
     stage_router_.tick(now);
     peers_->tick(now);
@@ -532,6 +533,8 @@
         callers_->sweep(now);
         readiness_->sweep(now);
         endpoints_.sweep(now);
+        counters_.set_gauge("domains_unreachable",
+                            static_cast<std::int64_t>(endpoints_.unreachable_domains()));
         register_vm(now);
         update_rollouts(now);
         log_held_parts(now);
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -76,6 +76,7 @@
     status_ = head.status;
     not_run_ = metadata.not_run;
     framing_ = framing;
+    owner_.endpoints_.on_reached(*endpoint_);
     owner_.on_endpoint_notice(*endpoint_, metadata, now);
     may_have_run_ = may_have_run_ || !metadata.not_run;
     if (metadata.load)
@@ -123,6 +124,7 @@
 void edge<Codec>::exchange::on_body(std::string bytes)
 {
     const time_point now = steady_clock::now();
+    owner_.endpoints_.on_reached(*endpoint_);
     switch (disposition_)
     {
     case disposition::forward:
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -21,6 +21,11 @@
 // How long the notices of an endpoint that is not listed are remembered after the last one.
 constexpr milliseconds notice_memory{600'000};
 
+void log_reachable(const std::string& domain)
+{
+    log_event(log_level::info, "domain_reachable", {{"domain", domain}});
+}
+
 void remove_from(std::vector<endpoint_ptr>& list, const endpoint_ptr& endpoint)
 {
     std::erase(list, endpoint);
@@ -116,6 +121,7 @@
     endpoint->withdrawn_at = now;
     endpoint->pool.close_idle();
     opened_by_removed_ += endpoint->pool.opened();
+    reachability_->forget(endpoint->record.domain, id);
     remove_from(by_service_[endpoint->record.service], endpoint);
     endpoints_.erase(found);
     log_event(log_level::info, "endpoint_removed",
@@ -212,7 +218,8 @@
     const std::uint32_t connections = connection_share(service);
     for (const endpoint_ptr& endpoint : found->second)
     {
-        if (!is_usable(*endpoint) || !request.allows(endpoint->record.id, now))
+        if (!is_usable(*endpoint) || !is_reachable(endpoint->record.domain) ||
+            !request.allows(endpoint->record.id, now))
             continue;
         const bool allowed = endpoint->health.in_flight() < connections &&
                              within_cold_share(*endpoint, service, now);
@@ -249,7 +256,7 @@
         return {};
     for (const endpoint_ptr& endpoint : found->second)
     {
-        if (!is_usable(*endpoint))
+        if (!is_usable(*endpoint) || !is_reachable(endpoint->record.domain))
             continue;
         plain.push_back({&endpoint->record, &endpoint->health, true});
         if (by_time)
@@ -272,7 +279,9 @@
     {
         if (!is_usable(*endpoint) || !request.allows(endpoint->record.id, now))
             continue;
-        const time_point at = endpoint->health.try_at(now);
+        time_point at = endpoint->health.try_at(now);
+        if (!is_reachable(endpoint->record.domain))
+            at = std::max(at, reachability_->retry_at(endpoint->record.domain, now));
         if (!earliest || at < *earliest)
             earliest = at;
     }
@@ -290,7 +299,8 @@
         if (endpoint->record.service != service)
             continue;
         ++listed;
-        if (is_usable(*endpoint) && endpoint->health.may_try(now))
+        if (is_usable(*endpoint) && is_reachable(endpoint->record.domain) &&
+            endpoint->health.may_try(now))
             ++usable;
         if (endpoint->health.is_cold(now))
             ++cold;
@@ -374,13 +384,70 @@
 // After a failed connect the endpoint may have restarted, and be cold before its record says so.
 // The cold time covers the longest pause between two connection attempts and the warm-up.
 void endpoint_directory::on_unreachable(known_endpoint& endpoint, const service_spec* service,
-                                        time_point now)
+                                        upstream_failure failure, time_point now)
 {
+    const endpoint_record& record = endpoint.record;
+    if (failure == upstream_failure::peer_unreachable && !endpoint.removed &&
+        record.domain != own_domain_ && reachability_->on_failure(record.domain, record.id))
+        log_event(log_level::warning, "domain_unreachable",
+                  {{"domain", record.domain}, {"endpoint", record.id}});
     endpoint.health.on_unreachable(now);
     if (service != nullptr && service->cold_rate > 0.0)
         endpoint.health.set_cold_until(now + connect_backoff_max + service->warm_up);
 }
 
+void endpoint_directory::on_reached(const known_endpoint& endpoint)
+{
+    if (reachability_->on_success(endpoint.record.domain))
+        log_reachable(endpoint.record.domain);
+}
+
+bool endpoint_directory::is_reachable(std::string_view domain) const
+{
+    return domain == own_domain_ || !reachability_->is_unreachable(domain);
+}
+
+// The next usable endpoint of the domain, in turn.
+endpoint_ptr endpoint_directory::choose_probe(std::string_view domain)
+{
+    auto at = endpoints_.upper_bound(last_probed_);
+    for (std::size_t n = 0; n < endpoints_.size(); ++n, ++at)
+    {
+        if (at == endpoints_.end())
+            at = endpoints_.begin();
+        if (at->second->record.domain != domain || !is_usable(*at->second))
+            continue;
+        last_probed_ = at->first;
+        return at->second;
+    }
+    return nullptr;
+}
+
+// Without a request on the connection: in a domain that is cut off, a request would wait for the
+// time-out.
+void endpoint_directory::probe_domains(time_point now)
+{
+    for (const std::string& domain : reachability_->due_probes(now))
+    {
+        const endpoint_ptr endpoint = choose_probe(domain);
+        if (!endpoint)
+            continue;
+        const std::string& id = endpoint->record.id;
+        reachability_->on_probe(domain, id, now);
+        endpoint->pool.open_idle(
+            [shared = std::weak_ptr(reachability_), domain, id](auto failure)
+            {
+                const auto reachability = shared.lock();
+                if (!reachability)
+                    return;
+                if (!failure && reachability->on_success(domain))
+                    log_reachable(domain);
+                else if (failure)
+                    reachability->on_dropped(domain, id);
+            });
+    }
+}
+
 bool endpoint_directory::on_notice(known_endpoint& endpoint, const endpoint_answer& answer,
                                    time_point now)
 {
@@ -442,6 +509,8 @@
             use = endpoint_use::domain_out;
         else if (endpoint->is_barred)
             use = endpoint_use::barred;
+        else if (!is_reachable(record.domain))
+            use = endpoint_use::unreachable;
         list.push_back({id, record.service, record.domain, record.address, use,
                         endpoint->health.in_flight(), endpoint->health.load(now)});
     }
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/serving_call.h"
+#include "state/domain_reachability.h"
 #include "state/placement.h"
 #include "state/rollout_gate.h"
 #include "state/serving.h"
@@ -156,7 +157,17 @@
     // The same for a stage: its slack is shared by the VMs that batch it, not by the whole fleet.
     bool try_acquire_stage_retry(const std::string& service, time_point now);
 
-    void on_unreachable(known_endpoint& endpoint, const service_spec* service, time_point now);
+    // `failure` of an attempt to connect.
+    void on_unreachable(known_endpoint& endpoint, const service_spec* service,
+                        upstream_failure failure, time_point now);
+    // Something has arrived from the endpoint.
+    void on_reached(const known_endpoint& endpoint);
+    // False if attempts to connect to several endpoints of the domain have timed out since one was
+    // reached there. The VM's own domain always counts as reachable.
+    bool is_reachable(std::string_view domain) const;
+    std::size_t unreachable_domains() const { return reachability_->unreachable(); }
+    // Opens a connection to an endpoint of each unreachable domain that is due for it.
+    void probe_domains(time_point now);
     // Notes what an endpoint has said of itself with a response. It holds for its lifetime, listed
     // or not. True if the endpoint is no longer usable.
     bool on_notice(known_endpoint& endpoint, const endpoint_answer& answer, time_point now);
@@ -172,6 +183,7 @@
                                        const placement_query& query, const service_spec* service,
                                        time_point now) const;
     bool is_usable(const known_endpoint& endpoint) const;
+    endpoint_ptr choose_probe(std::string_view domain);
     bool within_cold_share(known_endpoint& endpoint, const service_spec* service, time_point now);
     std::uint32_t connection_share(const service_spec* service) const;
 
@@ -183,6 +195,9 @@
     std::map<std::string, endpoint_ptr, std::less<>> endpoints_;
     std::map<std::string, std::vector<endpoint_ptr>, std::less<>> by_service_;
     std::set<std::string, std::less<>> domains_out_;
+    // Shared with the callbacks of probes.
+    std::shared_ptr<domain_reachability> reachability_ = std::make_shared<domain_reachability>();
+    std::string last_probed_; // id of an endpoint
     std::map<std::string, service_retry_budget> budgets_;
     struct lifetime_notice
     {
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -104,7 +104,7 @@
     }
     bool was_refused() const { return metadata_.not_run; }
     bool was_answered() const { return status_ != 0; }
-    bool was_unreachable() const { return failure_ == upstream_failure::connect_failed; }
+    bool was_unreachable() const { return failure_ && is_connect_failure(*failure_); }
     bool was_connection_lost() const { return failure_ == upstream_failure::connection_lost; }
     std::string outcome() const
     {
--- a/packages/state/domain_reachability.h
+++ b/packages/state/domain_reachability.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace zinnianotch
 {
@@ -21,8 +22,10 @@
 class domain_reachability
 {
 public:
-    void on_success(std::string_view domain);
-    void on_failure(std::string_view domain, const std::string& endpoint);
+    // True if the domain was unreachable before.
+    bool on_success(std::string_view domain);
+    // True if the domain has become unreachable.
+    bool on_failure(std::string_view domain, const std::string& endpoint);
     // A call ended that says nothing about the domain.
     void on_dropped(std::string_view domain, const std::string& endpoint);
     // A call to an unreachable domain was sent.
@@ -33,6 +36,11 @@
     bool is_unreachable(std::string_view domain) const;
     // True if an unreachable domain may get a call: one at a time, once per domain_probe_interval.
     bool may_probe(std::string_view domain, time_point now) const;
+    // Unreachable domains that may get a call.
+    std::vector<std::string> due_probes(time_point now) const;
+    // Earliest time at which an unreachable domain may turn out to be reachable.
+    time_point retry_at(std::string_view domain, time_point now) const;
+    std::size_t unreachable() const;
 
 private:
     struct domain_state
--- a/packages/transport/http_client.cpp
+++ b/packages/transport/http_client.cpp
@@ -275,7 +275,7 @@
 failure to_failure(upstream_failure why)
 {
     const std::string detail(to_string(why));
-    if (why == upstream_failure::connect_failed)
+    if (is_connect_failure(why))
         return not_run(reason::connect_failed, detail);
     return may_have_run(reason::connection_broken, detail);
 }
@@ -341,10 +341,10 @@
     {
         // A connection that was kept open may have been closed by the server meanwhile. Requests
         // that are sent on one are safe to repeat.
-        was_sent_ = was_sent_ || why != upstream_failure::connect_failed;
+        was_sent_ = was_sent_ || !is_connect_failure(why);
         if (why == upstream_failure::connection_lost && std::exchange(may_reuse_, false))
             return connect();
-        if (why == upstream_failure::connect_failed && ++address_ < addresses_.size())
+        if (is_connect_failure(why) && ++address_ < addresses_.size())
             return connect();
         fail(was_sent_ ? may_have_run(reason::connection_broken, std::string(to_string(why)))
                        : to_failure(why));
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -22,9 +22,16 @@
 constexpr std::uint32_t response_header_limit = 64 * 1024;
 constexpr std::uint64_t response_body_limit = 1ULL << 32;
 
-constexpr std::array<std::string_view, 5> failure_names = {"connect_failed", "connection_lost",
-                                                           "broken_before_answer",
-                                                           "broken_in_answer", "invalid_answer"};
+constexpr std::array<std::string_view, 6> failure_names = {
+    "connect_failed",       "peer_unreachable", "connection_lost",
+    "broken_before_answer", "broken_in_answer", "invalid_answer"};
+
+// True if an attempt to connect that failed like this has not reached the peer's host.
+bool is_unreachable(const boost::system::error_code& error)
+{
+    return error == asio::error::timed_out || error == asio::error::host_unreachable ||
+           error == asio::error::network_unreachable || error == asio::error::network_down;
+}
 
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -84,6 +91,27 @@
         connect(peer);
 }
 
+void upstream_connection::open_idle(const tcp::endpoint& peer, upstream_open_callback done)
+{
+    opened_ = std::move(done);
+    connect_purpose_ = connect_purpose::open_idle;
+    connect(peer);
+}
+
+void upstream_connection::on_open_idle(std::optional<upstream_failure> failure)
+{
+    const upstream_open_callback done = std::exchange(opened_, nullptr);
+    if (failure)
+        close();
+    else
+    {
+        idle_since_ = steady_clock::now();
+        pool_->return_idle(shared_from_this());
+        read();
+    }
+    done(failure);
+}
+
 void upstream_connection::cancel()
 {
     handler_ = nullptr;
@@ -143,10 +171,14 @@
         return;
     connect_timer_.cancel();
     const bool refused = error == asio::error::connection_refused;
+    const upstream_failure failure = is_unreachable(error) ? upstream_failure::peer_unreachable
+                                                           : upstream_failure::connect_failed;
     switch (connect_purpose_)
     {
     case connect_purpose::send_request:
-        return fail(upstream_failure::connect_failed);
+        return fail(failure);
+    case connect_purpose::open_idle:
+        return on_open_idle(failure);
     case connect_purpose::check_for_loss:
         return fail(refused ? upstream_failure::broken_before_answer
                             : upstream_failure::connection_lost);
@@ -178,6 +210,8 @@
     {
     case connect_purpose::send_request:
         return write();
+    case connect_purpose::open_idle:
+        return on_open_idle(std::nullopt);
     case connect_purpose::confirm_end:
         return finish();
     case connect_purpose::check_for_loss:
@@ -434,15 +468,26 @@
             idle_.pop_front();
             oldest->close();
         }
-        connection = std::make_shared<upstream_connection>(io_, this);
-        all_.emplace(connection.get(), connection);
-        ++connection_count_;
-        ++opened_;
+        connection = add_connection();
     }
     connection->start(peer_, std::move(request), handler, response_has_body, now);
     return connection;
 }
 
+std::shared_ptr<upstream_connection> upstream_pool::add_connection()
+{
+    auto connection = std::make_shared<upstream_connection>(io_, this);
+    all_.emplace(connection.get(), connection);
+    ++connection_count_;
+    ++opened_;
+    return connection;
+}
+
+void upstream_pool::open_idle(upstream_open_callback done)
+{
+    add_connection()->open_idle(peer_, std::move(done));
+}
+
 void upstream_pool::sweep(time_point now)
 {
     while (!idle_.empty() && now - idle_.front()->idle_since() > idle_.front()->idle_timeout())
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +51,9 @@
 enum class upstream_failure
 {
     connect_failed, // nothing was sent
+    // The attempt to connect timed out or found no route; nothing was sent. A server that is only
+    // gone refuses connections at once.
+    peer_unreachable,
     // The request was sent on a kept connection that was probably lost before: its server did not
     // refuse a new one.
     connection_lost,
@@ -60,6 +64,12 @@
 
 std::string_view to_string(upstream_failure value);
 
+// True if no connection was opened, so that nothing was sent.
+constexpr bool is_connect_failure(upstream_failure value)
+{
+    return value == upstream_failure::connect_failed || value == upstream_failure::peer_unreachable;
+}
+
 // Callbacks for the response of one exchange. No function is called after on_end, on_failure or
 // on_unconfirmed_end, nor after the exchange has been cancelled. A silent server ends no exchange:
 // each user cancels its own at a deadline.
@@ -81,6 +91,9 @@
 
 class upstream_pool;
 
+// Receives why a connection could not be opened, or nothing if it is open.
+using upstream_open_callback = std::function<void(std::optional<upstream_failure>)>;
+
 class upstream_connection : public std::enable_shared_from_this<upstream_connection>
 {
 public:
@@ -101,6 +114,11 @@
 
     time_point idle_since() const { return idle_since_; }
     bool is_open() const { return open_ && !closed_; }
+    // True until the connection is open for the first time.
+    bool is_connecting() const
+    {
+        return !open_ && !closed_ && connect_purpose_ == connect_purpose::send_request;
+    }
     milliseconds idle_timeout() const { return idle_timeout_; }
 
 private:
@@ -110,10 +128,13 @@
     enum class connect_purpose
     {
         send_request,
+        open_idle,     // for later exchanges
         confirm_end,   // of a response without a length
         check_for_loss // of a kept connection, as against a crash
     };
 
+    void open_idle(const boost::asio::ip::tcp::endpoint& peer, upstream_open_callback done);
+    void on_open_idle(std::optional<upstream_failure> failure);
     void connect(const boost::asio::ip::tcp::endpoint& peer);
     // Replaces the connection, which has ended, to find out why.
     void reconnect(connect_purpose purpose);
@@ -136,6 +157,7 @@
     boost::asio::steady_timer connect_timer_;
     upstream_pool* pool_;
     upstream_response_handler* handler_ = nullptr;
+    upstream_open_callback opened_;
     std::string request_;
     std::string unparsed_; // received and not yet parsed
     std::array<char, 16384> buffer_{};
@@ -176,6 +198,9 @@
                                                upstream_response_handler& handler,
                                                milliseconds max_idle, time_point now,
                                                bool response_has_body = true);
+    // Opens a connection without a request, to find out whether the peer can be reached. An open
+    // one is kept as an idle one. `done` is not called after the pool was destroyed.
+    void open_idle(upstream_open_callback done);
     // Number of connections from which on the oldest idle one is closed before a new one is opened.
     // Without an idle connection the limit is exceeded.
     void set_limit(std::size_t connections) { max_connections_ = connections; }
@@ -189,6 +214,7 @@
 private:
     friend class upstream_connection;
 
+    std::shared_ptr<upstream_connection> add_connection();
     void return_idle(std::shared_ptr<upstream_connection> connection);
     void remove(upstream_connection* connection);
 
--- a/tests/unit/domain_reachability_test.cpp
+++ b/tests/unit/domain_reachability_test.cpp
@@ -59,3 +59,34 @@
     cr_assert(domains.may_probe("a", start + domain_probe_interval));
     cr_assert_not(domains.is_unreachable("a"), "one failed endpoint is left");
 }
+
+// Guards against a change of a domain that is logged for each failed call, or not at all.
+Test(domain_reachability, changes_are_reported_once)
+{
+    domain_reachability domains;
+    cr_assert_not(domains.on_failure("a", "e1"));
+    cr_assert(domains.on_failure("a", "e2"));
+    cr_assert_not(domains.on_failure("a", "e3"));
+    cr_assert(domains.on_success("a"));
+    cr_assert_not(domains.on_success("a"));
+    cr_assert_not(domains.on_failure("a", "e1"));
+    cr_assert_not(domains.on_success("a"), "it was reachable");
+}
+
+// Guards against probes of domains that can be reached, and against two probes at a time.
+Test(domain_reachability, probes_are_due_in_unreachable_domains_only)
+{
+    domain_reachability domains;
+    domains.on_failure("a", "e1");
+    domains.on_failure("b", "e3");
+    domains.on_failure("b", "e4");
+    cr_assert(domains.due_probes(start) == std::vector<std::string>{"b"});
+    cr_assert(domains.unreachable() == 1);
+    cr_assert(domains.retry_at("b", start) > start);
+    domains.on_probe("b", "e3", start);
+    cr_assert(domains.due_probes(start + 2 * domain_probe_interval).empty());
+    domains.on_dropped("b", "e3");
+    cr_assert(domains.due_probes(start + domain_probe_interval - milliseconds(1)).empty());
+    cr_assert(domains.retry_at("b", start) == start + domain_probe_interval);
+    cr_assert(domains.due_probes(start + domain_probe_interval) == std::vector<std::string>{"b"});
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -889,6 +889,20 @@
     store.put("servers", endpoint.id(), entry);
 }
 
+void deployment::publish_address(const std::string& service, const std::string& id,
+                                 const std::string& address, const std::string& domain)
+{
+    value entry = value::object();
+    entry["service"] = value::string(service);
+    entry["address"] = value::string(address);
+    entry["zone"] = value::string(domain);
+    entry["slots"] = value::number(8);
+    entry["state"] = value::string("ready");
+    entry["cold_ms"] = value::number(0);
+    entry["born"] = value::number(1);
+    store.put("servers", id, entry);
+}
+
 void deployment::order_rollout(const std::string& service, const std::string& version,
                                milliseconds duration)
 {
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -344,6 +344,9 @@
     void publish_endpoint(const std::string& service, const fake_endpoint& endpoint,
                           const std::string& domain, const std::string& state = "ready",
                           std::int64_t born = 1);
+    // The same for an endpoint at the address that is no fake.
+    void publish_address(const std::string& service, const std::string& id,
+                         const std::string& address, const std::string& domain);
     // Writes the order to move the service to the version.
     void order_rollout(const std::string& service, const std::string& version,
                        milliseconds duration);
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -319,3 +319,33 @@
         cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
     }
 }
+
+// Guards against a connection that is opened to see whether its server can be reached and is not
+// used by the next request.
+Test(upstream, open_idle_server_accepts_connection_is_kept)
+{
+    pool_of_raw_server harness;
+    int opened = 0;
+    harness.pool.open_idle([&](auto failure) { opened += failure ? 0 : 1; });
+    cr_assert(harness.run_until([&] { return opened == 1; }));
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    cr_assert(harness.pool.opened() == 1);
+}
+
+// Guards against a server that cannot be reached and is taken for one that has exited, or the other
+// way round.
+Test(upstream, open_idle_fails_cause_tells_cut_from_exit)
+{
+    pool_of_raw_server harness(1);
+    const auto waiting = harness.listener.fill_backlog();
+    cr_assert_not(waiting.empty(), "the backlog takes every connection");
+    std::optional<upstream_failure> seen;
+    harness.pool.open_idle([&](auto failure) { seen = failure; });
+    cr_assert(harness.run_until([&] { return seen.has_value(); }));
+    cr_assert(*seen == upstream_failure::peer_unreachable);
+    harness.listener.close();
+    seen.reset();
+    harness.pool.open_idle([&](auto failure) { seen = failure; });
+    cr_assert(harness.run_until([&] { return seen.has_value(); }));
+    cr_assert(*seen == upstream_failure::connect_failed);
+}
