--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -943,8 +943,7 @@
         owner_.work_.lengths.record(route_->name, call_.size,
                                     tokens_per_event * static_cast<double>(events), now);
     work_rates& rates = owner_.work_.rates(service_name_);
-    rates.on_end(since(sent_at_) - since(head_at_), since(sent_at_), choice_.tokens_to_read,
-                 work_.memory_tokens());
+    rates.on_end(since(sent_at_), work_.memory_tokens());
     const double tokens = tokens_per_event * static_cast<double>(events - 1);
     const double elapsed_ms = since(head_at_) / reported_pace_;
     if (tokens <= 0.0)
--- a/packages/state/endpoint_pace.cpp
+++ b/packages/state/endpoint_pace.cpp
@@ -99,11 +99,6 @@
     return sum == 0.0 ? 1.0 : std::clamp(std::exp(sum), 1.0 / slowness_max, slowness_max);
 }
 
-double endpoint_pace::reported(time_point now) const
-{
-    return ratio(now, reported_at_, reported_pace_time) <= 1.0 ? std::exp(reported_) : 1.0;
-}
-
 backlog_item* endpoint_backlog::find(std::uint64_t id)
 {
     const auto found = std::find_if(items_.begin(), items_.end(),
@@ -191,13 +186,10 @@
     time.mean_ms += (elapsed_ms - time.mean_ms) * average_weight(time.samples);
 }
 
-void work_rates::on_end(double first_ms, double total_ms, double unread, double memory)
+void work_rates::on_end(double total_ms, double memory)
 {
     const double weight = average_weight(ended_);
-    // A request that stays longer is met more often at an endpoint.
-    const double reading_share = total_ms > 0.0 ? std::min(1.0, first_ms / total_ms) : 1.0;
     total_ms_ += (total_ms - total_ms_) * weight;
-    unread_ += (unread * reading_share / 2.0 - unread_) * weight;
     memory_ += (memory - memory_) * weight;
 }
 
--- a/packages/state/endpoint_pace.h
+++ b/packages/state/endpoint_pace.h
@@ -56,8 +56,6 @@
     double wait_ms(double average_ms, time_point now) const;
     // Lasting part of the slowness.
     double lasting_slowness(time_point now) const;
-    // Factor that the endpoint reported within reported_pace_time; 1 if none.
-    double reported(time_point now) const;
 
 private:
     double lasting_log(time_point now) const;
@@ -129,9 +127,8 @@
     void on_tokens(double tokens, double elapsed_ms);
     // A request without a prompt took `elapsed_ms`.
     void on_plain(const std::string& route, double elapsed_ms);
-    // A request with a prompt has ended `total_ms` after it was sent, `first_ms` of which went by
-    // before its first byte; it had `unread` tokens to read and took `memory` tokens.
-    void on_end(double first_ms, double total_ms, double unread, double memory);
+    // A request with a prompt has ended `total_ms` after it was sent and took `memory` tokens.
+    void on_end(double total_ms, double memory);
 
     bool knows_first_byte() const { return samples_ >= min_work_samples; }
     bool knows_plain(std::string_view route) const;
@@ -141,8 +138,7 @@
     double token_made_ms() const { return token_made_ms_; }
     double plain_ms(std::string_view route) const;
     double total_ms() const { return total_ms_; }
-    // Averages over the requests that are at an endpoint at some moment.
-    double unread_per_request() const { return unread_; }
+    // Average over the requests that have ended.
     double memory_per_request() const { return memory_; }
 
 private:
@@ -166,7 +162,6 @@
     double wait_ms_ = 0.0;
     double ended_ = 0.0;
     double total_ms_ = 0.0;
-    double unread_ = 0.0;
     double memory_ = 0.0;
     std::map<std::string, plain_time, std::less<>> plain_; // by route
 };
--- a/tests/unit/timed_placement_test.cpp
+++ b/tests/unit/timed_placement_test.cpp
@@ -296,8 +296,7 @@
                       {
                           view.health[i].on_finished();
                           view.backlog[i].remove(id);
-                          view.rates.on_end(wait, stay, choice.tokens_to_read,
-                                            work.memory_tokens());
+                          view.rates.on_end(stay, work.memory_tokens());
                           on_end(view, i, request.output, end - first, noise, end);
                       }});
         return wait;
