--- a/packages/state/endpoint_pace.cpp
+++ b/packages/state/endpoint_pace.cpp
@@ -141,6 +141,12 @@
         unread_ = memory_ = 0.0;
 }
 
+bool fits_memory(const memory_use& held, double request_tokens, double memory_tokens)
+{
+    const double used = held.own_tokens + held.others * held.tokens_per_request;
+    return used <= 0.0 || used + request_tokens <= memory_tokens;
+}
+
 double endpoint_backlog::overdue(time_point now) const
 {
     double longest = 0.0;
--- a/packages/state/endpoint_pace.h
+++ b/packages/state/endpoint_pace.h
@@ -108,6 +108,18 @@
     double memory_ = 0.0;
 };
 
+// What an engine holds, as far as a VM knows.
+struct memory_use
+{
+    double own_tokens = 0.0;         // of this VM's requests
+    double others = 0.0;             // requests of other VMs by the engine's last report
+    double tokens_per_request = 0.0; // of these
+};
+
+// True if a request of this size fits beside what an engine with this memory holds. A request alone
+// always fits: it is the engine that rejects one that is too large.
+bool fits_memory(const memory_use& held, double request_tokens, double memory_tokens);
+
 // Weight of the newest observation in the averages of a service, which cover about fifty.
 inline constexpr double work_rate_weight = 0.02;
 // Weight of a response that took longer than expected, relative to that of a faster one: it has
