Bound the memory held for slow clients, endpoints and VMs

Cause: a response was not read from its endpoint while its client read slowly, and endpoints cut off what remains unread for some seconds. A request moved away after 0.9 s from an endpoint that was still reading its body. Requests were sent to engines without memory for them. Ruled out: a larger fixed pause limit (512 MiB at 2,048 connections); a default receive buffer, which opened again only after 96 KB and more were read. Change: with serving.memory_mb, connections, request bodies, links between VMs and parts of responses are entered in the ledger, responses are read ahead and on, slow reading of a body counts as progress, and an engine whose known tokens the request would exceed is no candidate. Client connections share one read buffer of 16 KiB. Gauges, counters and the event memory_yield tell what is held and who gave way. Without the key only the read buffer changes, and that a paused response is no silence until reading goes on.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -22,6 +22,7 @@
 #include "state/stop_schedule.h"
 #include "state/verdict.h"
 #include "state/work_book.h"
+#include "transport/memory_account.h"
 #include "transport/metrics.h"
 #include "transport/server_connection.h"
 
@@ -57,6 +58,7 @@
     std::size_t max_connections = 2048;
     double capacity = 1.0;           // see vm_record
     double link_speed = 125'000'000; // of the network link, in bytes per second
+    std::uint64_t memory_bytes = 0;  // limit of the process; 0: not known
 };
 
 // Interval at which all timeouts are checked. A longer one fires timeouts late, a shorter one costs
@@ -94,6 +96,7 @@
     std::uint16_t metrics_port() const { return metrics_listener_->port(); }
     std::size_t known_endpoints() const { return endpoints_.size(); }
     std::size_t links_up() const { return stage_router_.links_up(); }
+    const held_memory& held() const { return memory_->ledger; }
     // True if this VM reads the store for the others of its failure domain.
     bool is_relay() const { return is_relay_; }
     // True while this VM reads the table from the store itself.
@@ -186,6 +189,7 @@
     void send_pace_reports(time_point now);
     void on_pace_reports(const pace_reports& message, bool from_accepted);
     std::vector<vm_message> crash_snapshot();
+    void relieve_memory(time_point now);
     void log_held_parts(time_point now);
     void log_held_requests(time_point now);
     void update_rollouts(time_point now);
@@ -204,6 +208,7 @@
     boost::asio::io_context& io_;
     edge_options options_;
     metrics counters_;
+    std::shared_ptr<memory_account> memory_ = std::make_shared<memory_account>();
     endpoint_directory endpoints_;
     std::uint64_t rollout_lifetime_ = 0;            // random
     std::unique_ptr<rollout_coordinator> rollouts_; // null without bounds in the settings
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -35,6 +35,11 @@
 inline constexpr milliseconds move_retry_interval{500};
 // Further time that a request stays with a silent endpoint that takes no new requests.
 inline constexpr milliseconds leaving_endpoint_allowance{1000};
+// Receive buffer of a connection to an endpoint on a VM whose memory is known, where what has
+// arrived counts as well. A larger one also opens again only after more has been read.
+inline constexpr int endpoint_receive_buffer_bytes = 32 * 1024;
+// Request bodies from this size on may take an endpoint a while to read.
+inline constexpr std::size_t slow_body_bytes = 16 * 1024;
 // A buffered response to a repeatable request that is not complete this long after its head is
 // requested from another endpoint. Bytes that arrive now and then do not extend it.
 inline constexpr milliseconds buffered_body_timeout{1800};
@@ -158,6 +163,7 @@
 
     void place(time_point now);
     placement_request make_placement(time_point now);
+    bool bounds_endpoint_memory() const;
     void move_from_silent_endpoint(time_point now);
     bool may_complete_move(time_point now);
     void complete_move(time_point now);
@@ -193,6 +199,12 @@
     bool ends_too_early() const;
     void send_head(std::optional<std::uint64_t> length);
     void send_body(std::string bytes);
+    std::size_t read_ahead_limit() const;
+    void update_reading(time_point now);
+    void resume_reading();
+    bool is_request_being_read(time_point now);
+    void count_request_bytes(time_point now);
+    void yield_request();
     void forward_body(std::string bytes);
     void finish_response(time_point now);
     bool discards_response() const
@@ -293,6 +305,11 @@
     bool close_delimited_ = false;
     event_stream events_;
     body_framing framing_ = body_framing::none;
+    bool is_paused_ = false; // reading, until the client has read more
+    time_point read_on_at_{};
+    std::size_t unread_request_bytes_ = 0; // of a large body, at the last check
+    held_bytes held_request_;
+    held_bytes held_partial_response_;
     std::optional<unconfirmed_end> unconfirmed_end_;
     time_point first_byte_at_{};
     // At the last placement: failure domain that holds large inputs, and affinity.
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -75,6 +75,9 @@
         if (const auto alive = self.lock())
             alive->on_client_disconnected();
     };
+    if (owner_.memory_->ledger.is_bounded())
+        held_partial_response_ =
+            held_bytes(owner_.memory_, held_kind::partial_response, nullptr, now);
     if (!admit(now))
         return;
     owner_.endpoints_.count_new_request(service_name_, now);
@@ -674,7 +677,7 @@
     // domain, so a request with a prefix goes where this is cached.
     request.stay_in_preferred = !inputs_domain_.empty() && request.affinity.empty();
     request.excluded_ids = &tried_;
-    if (owner_.work_.is_observed(service_name_, now))
+    if (owner_.work_.is_observed(service_name_, now) || bounds_endpoint_memory())
     {
         work_ = owner_.work_.estimate(service_name_, route_->name, call_.size,
                                       goal() - elapsed(now), now);
@@ -686,9 +689,22 @@
         request.work = &work_;
         request.rates = &owner_.work_.rates(service_name_);
     }
+    if (bounds_endpoint_memory())
+    {
+        request.memory_tokens = work_.memory_tokens();
+        request.memory_per_request = owner_.work_.rates(service_name_).memory_per_request();
+    }
     return request;
 }
 
+// True if the request must fit into the memory of its endpoint beside the others there.
+template <typename Codec>
+bool edge<Codec>::exchange::bounds_endpoint_memory() const
+{
+    return owner_.memory_->ledger.is_bounded() && is_generation() && service_->memory_tokens != 0 &&
+           (!call_.size.parts.empty() || call_.size.prompt_tokens != 0);
+}
+
 // Takes an endpoint and notes why it was chosen.
 template <typename Codec>
 endpoint_ptr edge<Codec>::exchange::acquire_endpoint(const placement_request& request,
@@ -832,20 +848,67 @@
     events_before_attempt_ = events_.events();
     disposition_ = disposition::forward;
     status_ = 0;
+    is_paused_ = false;
+    if (owner_.memory_->ledger.is_bounded())
+        endpoint_->pool.set_receive_buffer(endpoint_receive_buffer_bytes);
     const bool repeatable = is_repeatable(*route_);
     begin_rollout_attempt(now);
     upstream_ = endpoint_->pool.start(Codec::encode_call(call_, extra), *this,
                                       repeatable ? default_idle_timeout : unrepeatable_max_idle,
                                       now, call_.method != "HEAD");
+    count_request_bytes(now);
     owner_.counters_.count("sends_total");
     owner_.counters_.count("placed_by_" + std::string(to_string(choice_.cause)) + "_total");
 }
 
+// Counts a large body that the endpoint has to read.
+template <typename Codec>
+void edge<Codec>::exchange::count_request_bytes(time_point now)
+{
+    unread_request_bytes_ = 0;
+    held_request_.release();
+    if (call_.body.size() < slow_body_bytes || !owner_.memory_->ledger.is_bounded())
+        return;
+    unread_request_bytes_ = call_.body.size();
+    held_request_ = held_bytes(
+        owner_.memory_, held_kind::endpoint_request,
+        [weak = this->weak_from_this()]
+        {
+            if (const auto self = weak.lock())
+                self->yield_request();
+        },
+        now);
+    held_request_.grow(unread_request_bytes_, now);
+}
+
+// True if the endpoint has read a further part of a large body since the last check.
+template <typename Codec>
+bool edge<Codec>::exchange::is_request_being_read(time_point now)
+{
+    if (unread_request_bytes_ == 0 || !upstream_)
+        return false;
+    const std::size_t left = upstream_->unread_request_bytes();
+    if (left >= unread_request_bytes_)
+        return false;
+    unread_request_bytes_ = left;
+    held_request_.set(left, now);
+    return true;
+}
+
+// Ends the request for lack of memory: its endpoint reads the body too slowly.
+template <typename Codec>
+void edge<Codec>::exchange::yield_request()
+{
+    fail(reason::overloaded, verdict::may_have_run, "memory is short, endpoint reads slowly",
+         steady_clock::now());
+}
+
 // Notes the work that the endpoint gets with this attempt.
 template <typename Codec>
 void edge<Codec>::exchange::begin_work(time_point now)
 {
-    if (!owner_.work_.is_observed(service_name_, now))
+    const bool is_observed = owner_.work_.is_observed(service_name_, now);
+    if (!is_observed && !bounds_endpoint_memory())
         return;
     if (choice_.cause == placement_cause::load)
         choice_.tokens_to_read = work_.prompt_tokens - work_.shared_tokens;
@@ -859,7 +922,8 @@
     reported_pace_ = 1.0;
     work_id_ = item.id;
     endpoint_->backlog.add(item);
-    owner_.work_.prompts.on_sent(endpoint_->key, call_.size.parts, now);
+    if (is_observed)
+        owner_.work_.prompts.on_sent(endpoint_->key, call_.size.parts, now);
 }
 
 // The endpoint no longer works for the request.
@@ -867,6 +931,7 @@
 void edge<Codec>::exchange::leave_endpoint()
 {
     endpoint_->health.on_finished();
+    held_request_.release();
     if (work_id_ != 0)
         endpoint_->backlog.remove(std::exchange(work_id_, 0));
 }
@@ -896,7 +961,7 @@
     if (work_id_ == 0 || !work_.has_prompt() || status_ != 200)
         return;
     endpoint_->backlog.on_begun(work_id_);
-    if (endpoint_->health.is_cold(now))
+    if (endpoint_->health.is_cold(now) || !owner_.work_.is_observed(service_name_, now))
         return;
     const double elapsed_ms = std::chrono::duration<double, std::milli>(now - sent_at_).count();
     const double slowness = endpoint_->pace.slowness(now);
@@ -1288,8 +1353,10 @@
         drop_upstream();
         return on_discarded_end(now);
     }
-    if (client_->unsent_bytes() > unsent_bytes_limit)
-        progress_at_ = now; // reading waits for the client
+    update_reading(now);
+    const bool is_being_read = is_request_being_read(now);
+    if (is_being_read || is_paused_ || client_->unsent_bytes() > unsent_bytes_limit)
+        progress_at_ = now;
     if (upstream_ && is_repeatable(*route_) && attempts_ < route_->attempts &&
         now - progress_at_ >= progress_timeout())
         move_from_silent_endpoint(now);
@@ -1336,6 +1403,8 @@
     if (closed_)
         return;
     closed_ = true;
+    held_request_.release();
+    held_partial_response_.release();
     release_results();
     const auto since = [&](time_point at)
     {
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -118,6 +118,8 @@
       crash_suspects_(options_.vm + "/" + random_id()), crashing_requests_(options_.vm),
       crash_outbox_(options_.link_speed), work_(random_number()), tick_timer_(io)
 {
+    memory_->ledger.set_bound(held_memory_bound(options_.memory_bytes));
+    stage_router_.set_memory(memory_);
 }
 
 template <typename Codec>
@@ -131,6 +133,7 @@
         [this](const std::shared_ptr<server_connection>& client, received_request&& request)
         { on_request(client, std::move(request)); });
     callers_->set_max_connections(options_.max_connections);
+    callers_->set_memory(memory_);
     callers_->on_refused = [this](int status)
     { counters_.count("requests_malformed_" + std::to_string(status) + "_total"); };
     callers_->on_unanswered_close = [this](close_reason why, request_progress progress)
@@ -157,6 +160,7 @@
         [this](const std::shared_ptr<vm_channel>& from, vm_message&& message)
         { on_vm_message(from, std::move(message)); },
         [this](const std::shared_ptr<vm_channel>& from) { stage_router_.on_closed(from); });
+    peers_->set_memory(memory_);
     // A link is made from one side only, so each side sends what it knows.
     peers_->on_accepted = [this](const std::shared_ptr<vm_channel>& channel)
     {
@@ -380,6 +384,23 @@
     return messages;
 }
 
+// Lets the slowest holders give way while memory is short.
+template <typename Codec>
+void edge<Codec>::relieve_memory(time_point now)
+{
+    const std::uint64_t before = memory_->ledger.total();
+    for (const yielding_holder& each : memory_->relieve(now))
+    {
+        counters_.count("memory_yields_" + std::string(to_string(each.kind)) + "_total");
+        log_event(log_level::warning, "memory_yield",
+                  {{"kind", std::string(to_string(each.kind))},
+                   {"bytes", std::to_string(each.bytes)},
+                   {"idle_ms", edge_detail::milliseconds_text(each.idle)},
+                   {"held", std::to_string(before)},
+                   {"bound", std::to_string(memory_->ledger.bound())}});
+    }
+}
+
 template <typename Codec>
 void edge<Codec>::log_held_parts(time_point now)
 {
@@ -526,6 +547,7 @@
         for (const auto& active : all)
             active->tick(now);
     }
+    relieve_memory(now);
     remove_lapsed_endpoints(now);
     if (ticks_ % edge_detail::sweep_ticks == 0)
     {
--- a/packages/coordination/edge_report_impl.h
+++ b/packages/coordination/edge_report_impl.h
@@ -96,7 +96,17 @@
     if (target == edge_detail::status_path)
         return send_text_response(client, 200, encode_report(report(steady_clock::now())));
     if (!target.starts_with(edge_detail::request_path))
+    {
+        for (std::size_t i = 0; i < held_kind_count; ++i)
+        {
+            const auto kind = static_cast<held_kind>(i);
+            counters_.set_gauge("held_" + std::string(to_string(kind)) + "_bytes",
+                                static_cast<std::int64_t>(memory_->ledger.total(kind)));
+        }
+        counters_.set_gauge("held_bytes", static_cast<std::int64_t>(memory_->ledger.total()));
+        counters_.set_gauge("held_bytes_bound", static_cast<std::int64_t>(memory_->ledger.bound()));
         return send_text_response(client, 200, counters_.scrape());
+    }
     std::string body;
     for (const std::string& line :
          request_log_lines(target.substr(edge_detail::request_path.size())))
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -123,6 +123,11 @@
 void edge<Codec>::exchange::on_body(std::string bytes)
 {
     const time_point now = steady_clock::now();
+    const auto count_partial = [&]
+    {
+        if (!closed_ && owner_.memory_->ledger.is_bounded())
+            held_partial_response_.set(buffered_body_.size() + events_.incomplete_bytes(), now);
+    };
     switch (disposition_)
     {
     case disposition::forward:
@@ -133,7 +138,8 @@
             progress_at_ = now;
             count_first_byte(now);
         }
-        return forward_body(std::move(bytes));
+        forward_body(std::move(bytes));
+        return count_partial();
     case disposition::buffer:
         if (!has_failed_status())
             count_first_byte(now);
@@ -145,7 +151,7 @@
             send_head(std::nullopt);
             send_body(std::exchange(buffered_body_, {}));
         }
-        return;
+        return count_partial();
     case disposition::retry:
     case disposition::rerun:
     case disposition::replace_status:
@@ -231,17 +237,51 @@
         bytes = size.data() + bytes + "\r\n";
     }
     client_->send(std::move(bytes));
-    if (client_->unsent_bytes() <= unsent_bytes_limit || !upstream_)
+    if (is_paused_ || client_->unsent_bytes() <= read_ahead_limit() || !upstream_)
         return;
+    is_paused_ = true;
+    read_on_at_ = steady_clock::now() + read_on_interval;
     upstream_->set_paused(true);
     client_->on_writable = [self = this->weak_from_this()]
     {
-        const auto alive = self.lock();
-        if (alive && alive->upstream_ && alive->client_->unsent_bytes() <= unsent_bytes_limit)
-            alive->upstream_->set_paused(false);
+        if (const auto alive = self.lock(); alive && alive->is_paused_)
+            alive->resume_reading();
     };
 }
 
+// Bytes that may wait for the client before reading the response pauses.
+template <typename Codec>
+std::size_t edge<Codec>::exchange::read_ahead_limit() const
+{
+    return static_cast<std::size_t>(owner_.memory_->ledger.read_ahead_limit(unsent_bytes_limit));
+}
+
+template <typename Codec>
+void edge<Codec>::exchange::resume_reading()
+{
+    is_paused_ = false;
+    if (upstream_)
+        upstream_->set_paused(false);
+}
+
+// Reads on once the client has read enough, and piece by piece before that while there is memory.
+template <typename Codec>
+void edge<Codec>::exchange::update_reading(time_point now)
+{
+    const held_memory& held = owner_.memory_->ledger;
+    if (!is_paused_ || !upstream_ || !held.is_bounded())
+        return;
+    if (client_->unsent_bytes() <= read_ahead_limit() / 2)
+        return resume_reading();
+    if (now < read_on_at_)
+        return;
+    const auto interval = held.read_on();
+    if (!interval)
+        return;
+    read_on_at_ = now + *interval;
+    upstream_->read_once();
+}
+
 template <typename Codec>
 void edge<Codec>::exchange::on_end()
 {
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -179,6 +179,22 @@
     return endpoint.cold_sends.count(now) < cold_share(endpoint.record.id, own_vm_, vms_, bound);
 }
 
+// False if the endpoint would hold more than its memory with the request, by its last report.
+bool endpoint_directory::has_memory(const known_endpoint& endpoint,
+                                    const placement_request& request, const service_spec* service,
+                                    time_point now)
+{
+    if (request.memory_tokens <= 0.0 || service == nullptr || service->memory_tokens == 0)
+        return true;
+    memory_use use;
+    use.own_tokens = endpoint.backlog.memory();
+    if (endpoint.health.has_recent_load(now))
+        use.others = std::max(0.0, endpoint.health.load(now) - endpoint.health.in_flight());
+    use.tokens_per_request =
+        request.memory_per_request > 0.0 ? request.memory_per_request : request.memory_tokens;
+    return fits_memory(use, request.memory_tokens, service->memory_tokens);
+}
+
 std::optional<timed_choice>
 endpoint_directory::choose(const std::vector<placement_candidate>& candidates,
                            const std::vector<endpoint_ptr>& endpoints,
@@ -215,7 +231,8 @@
         if (!is_usable(*endpoint) || !request.allows(endpoint->record.id, now))
             continue;
         const bool allowed = endpoint->health.in_flight() < connections &&
-                             within_cold_share(*endpoint, service, now);
+                             within_cold_share(*endpoint, service, now) &&
+                             has_memory(*endpoint, request, service, now);
         candidates.push_back({&endpoint->record, &endpoint->health, allowed});
         endpoints.push_back(endpoint);
     }
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -77,6 +77,8 @@
     // For a placement by expected time; null for one by requests and slots.
     const request_work* work = nullptr;
     const work_rates* rates = nullptr;
+    double memory_tokens = 0.0;         // that the request takes in total; 0: any endpoint has room
+    double memory_per_request = 0.0;    // average of the service; 0: unknown
     const rollout_gate* gate = nullptr; // allows those of `pool` only; null without roll-outs
     rollout_pool pool = rollout_pool::unrestricted;
 
@@ -172,6 +174,8 @@
                                        const placement_query& query, const service_spec* service,
                                        time_point now) const;
     bool is_usable(const known_endpoint& endpoint) const;
+    static bool has_memory(const known_endpoint& endpoint, const placement_request& request,
+                           const service_spec* service, time_point now);
     bool within_cold_share(known_endpoint& endpoint, const service_spec* service, time_point now);
     std::uint32_t connection_share(const service_spec* service) const;
 
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -54,6 +54,8 @@
     void set_vms(const std::map<std::string, vm_record>& vms);
     // Addresses of VMs that are queried for the state while no VM is known.
     void set_seeds(std::vector<std::string> addresses);
+    // Queued messages are counted there, on the links made from now on.
+    void set_memory(std::shared_ptr<memory_account> account) { memory_ = std::move(account); }
     // All queues: services, or shards of services.
     void set_queues(const std::vector<routed_queue>& queues);
 
@@ -127,6 +129,7 @@
     stage_batcher<Codec>& batcher_;
     metrics& counters_;
     state_handler on_state_;
+    std::shared_ptr<memory_account> memory_;
     std::map<std::string, vm_record> vms_;
     std::vector<std::string> seeds_;
     std::vector<std::string> state_peers_;
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -68,6 +68,7 @@
         io_, *peer,
         [this, name](vm_message&& message) { on_link_message(name, std::move(message)); },
         [this, name](bool up) { on_link_changed(name, up); });
+    entry.link->set_memory(memory_);
     if (was_up)
         on_link_changed(name, false); // a link that is replaced does not report its end
 }
--- a/packages/daemon/run_edge.cpp
+++ b/packages/daemon/run_edge.cpp
@@ -40,6 +40,7 @@
 constexpr double full_capacity_link_mbps = 100.0;
 
 constexpr double bytes_per_s_and_mbps = 1e6 / 8;
+constexpr double bytes_per_mib = 1024.0 * 1024.0;
 
 // Capacity of this VM relative to other VMs, see vm_record.
 double capacity_of(const serving_settings& serving)
@@ -63,6 +64,7 @@
     options.limits = make_limits(*config.serving);
     options.capacity = capacity_of(*config.serving);
     options.link_speed = config.serving->link_mbps * bytes_per_s_and_mbps;
+    options.memory_bytes = static_cast<std::uint64_t>(config.serving->memory_mb * bytes_per_mib);
     options.stop_grace = config.serving->stop_grace;
     options.max_connections = config.limits.max_connections;
     return options;
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -51,6 +51,7 @@
 constexpr decimal_range ratio_range{0.0, 10.0};
 constexpr decimal_range duration_range{0.1, 3600.0};         // seconds
 constexpr decimal_range processor_share_range{0.01, 1024.0}; // cores
+constexpr decimal_range memory_range{16.0, 1048576.0};       // MiB
 constexpr decimal_range link_speed_range{0.1, 1000000.0};    // Mbit/s
 constexpr decimal_range cold_over_range{0.0, 100.0};
 constexpr decimal_range slack_range{0.0, 1000000.0}; // requests
@@ -528,6 +529,7 @@
                              {"stop_grace_s", false},
                              {"processor_share", false},
                              {"link_mbps", false},
+                             {"memory_mb", false},
                              {"rollouts", false}}))
         return;
     serving_settings serving;
@@ -553,6 +555,7 @@
     read_decimal(*node, "serving", "processor_share", processor_share_range,
                  serving.processor_share);
     read_decimal(*node, "serving", "link_mbps", link_speed_range, serving.link_mbps);
+    read_decimal(*node, "serving", "memory_mb", memory_range, serving.memory_mb);
     double stop_grace_s = std::chrono::duration<double>(serving.stop_grace).count();
     read_decimal(*node, "serving", "stop_grace_s", duration_range, stop_grace_s);
     serving.stop_grace = milliseconds(static_cast<std::int64_t>(stop_grace_s * 1000.0));
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -64,6 +64,7 @@
     milliseconds stop_grace{8000}; // from the stop signal to process exit
     double processor_share = 1.0;  // in cores
     double link_mbps = 1000.0;     // Mbit/s
+    double memory_mb = 0.0;        // limit of the process, in MiB; 0: not known
     // Without them, orders of roll-outs have no effect.
     std::optional<rollout_limits> rollouts;
 };
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -18,9 +18,9 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr std::array<std::string_view, 7> close_reason_names = {
-    "idle",          "client_left", "write_timeout",       "broken_off",
-    "last_response", "stop",        "too_many_connections"};
+constexpr std::array<std::string_view, 8> close_reason_names = {
+    "idle",          "client_left", "write_timeout",        "broken_off",
+    "last_response", "stop",        "too_many_connections", "memory_short"};
 constexpr std::array<std::string_view, 4> request_progress_names = {"none", "partly_read",
                                                                     "unanswered", "answer_begun"};
 
@@ -60,6 +60,14 @@
 void server_connection::start(time_point now)
 {
     become_idle(now);
+    held_response_ = held_bytes(
+        owner_.memory_, held_kind::response,
+        [weak = weak_from_this()]
+        {
+            if (const auto self = weak.lock())
+                self->yield_response();
+        },
+        now);
     boost::system::error_code ignored;
     (void)socket_.set_option(tcp::no_delay(true), ignored);
     (void)socket_.non_blocking(true, ignored);
@@ -72,6 +80,8 @@
         return;
     response_begun_ = busy_; // not by an interim response
     unsent_bytes_ += bytes.size();
+    if (held_response_)
+        held_response_.grow(bytes.size(), steady_clock::now());
     if (write_queue_.empty())
         write_queue_ = std::move(bytes);
     else
@@ -158,14 +168,15 @@
 void server_connection::on_readable(boost::system::error_code error)
 {
     read_pending_ = false;
-    std::size_t count = buffer_.size();
+    std::array<char, 16384>& buffer = owner_.buffer_;
+    std::size_t count = buffer.size();
     // A read that fills the buffer may have left bytes in the socket.
-    for (int i = 0; i < max_reads_per_wait && count == buffer_.size(); ++i)
+    for (int i = 0; i < max_reads_per_wait && count == buffer.size(); ++i)
     {
         if (closed_)
             return;
         if (!error)
-            count = socket_.read_some(asio::buffer(buffer_), error);
+            count = socket_.read_some(asio::buffer(buffer), error);
         if (error == asio::error::would_block)
             break;
         if (error)
@@ -184,7 +195,7 @@
 {
     if (lingering_)
         return;
-    unparsed_.append(buffer_.data(), count);
+    unparsed_.append(owner_.buffer_.data(), count);
     if (!busy_)
         parse(steady_clock::now());
 }
@@ -211,9 +222,9 @@
     // The parser leaves bytes only of an incomplete head or chunk header, which may never end.
     if (!parser_->done() && unparsed_.size() > owner_.limits_.header_bytes)
         return refuse(400, "Bad Request");
-    if (!reserve_body())
-        return refuse(503, "Service Unavailable",
-                      "Retry-After: " + std::to_string(retry_after_no_memory_s) + "\r\n");
+    if (!reserve_body(now))
+        return refuse_for_memory();
+    held_body_.note_progress(consumed, now);
     if (!had_head && parser_->head_done() && !parser_->done())
     {
         const auto expect = find_field(parser_->head, "Expect");
@@ -226,6 +237,12 @@
     response_begun_ = false;
     request_received_ = true;
     keep_alive_ = parser_->keep_alive();
+    if (held_body_)
+    {
+        held_bytes whole(owner_.memory_, held_kind::request_body, nullptr, now);
+        whole.grow(body_copies * parser_->body.size(), now);
+        held_body_ = std::move(whole);
+    }
     received_request request{std::move(parser_->head), std::move(parser_->body), first_byte_at_};
     parser_.reset();
     owner_.on_request_(shared_from_this(), std::move(request));
@@ -233,14 +250,30 @@
 
 // Counts the body of the request, with its whole length if that is known. False if it exceeds what
 // all bodies together may use.
-bool server_connection::reserve_body()
+bool server_connection::reserve_body(time_point now)
 {
     const std::uint64_t needed =
         std::max<std::uint64_t>(parser_->body.size(), parser_->content_length().value_or(0));
     if (needed <= reserved_body_bytes_)
         return true;
     const std::uint64_t others = owner_.body_bytes_ - reserved_body_bytes_;
-    if (others > 0 && others + needed > owner_.limits_.total_body_bytes)
+    if (owner_.memory_ && owner_.memory_->ledger.is_bounded())
+    {
+        const std::uint64_t added = needed - reserved_body_bytes_;
+        if (!owner_.memory_->ledger.admits_body(added))
+            return false;
+        if (!held_body_)
+            held_body_ = held_bytes(
+                owner_.memory_, held_kind::incoming_body,
+                [weak = weak_from_this()]
+                {
+                    if (const auto self = weak.lock())
+                        self->refuse_for_memory();
+                },
+                now);
+        held_body_.grow(body_copies * added, now);
+    }
+    else if (others > 0 && others + needed > owner_.limits_.total_body_bytes)
         return false;
     owner_.body_bytes_ = others + needed;
     reserved_body_bytes_ = needed;
@@ -252,6 +285,24 @@
 void server_connection::release_body()
 {
     owner_.body_bytes_ -= std::exchange(reserved_body_bytes_, 0);
+    held_body_.release();
+}
+
+void server_connection::refuse_for_memory()
+{
+    refuse(503, "Service Unavailable",
+           "Retry-After: " + std::to_string(retry_after_no_memory_s) + "\r\n");
+}
+
+// Ends a response that its client reads too slowly. The reset keeps it from looking complete.
+void server_connection::yield_response()
+{
+    handle_disconnect();
+    if (closed_)
+        return;
+    boost::system::error_code ignored;
+    (void)socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close(close_reason::memory_short);
 }
 
 // Sends an error response to a request that never reached the handler, and ends the connection. The
@@ -300,6 +351,8 @@
             }
             self->written_bytes_ += count;
             self->unsent_bytes_ -= count;
+            if (self->held_response_)
+                self->held_response_.drain(count, steady_clock::now());
             if (self->written_bytes_ < self->write_buffer_.size())
                 return self->write_some();
             self->write_pending_ = false;
@@ -393,6 +446,7 @@
         report_unanswered(why, left);
     closed_ = true;
     release_body();
+    held_response_.release();
     const auto self = shared_from_this();
     boost::system::error_code ignored;
     (void)socket_.close(ignored);
--- a/packages/transport/server_connection.h
+++ b/packages/transport/server_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "state/time.h"
+#include "transport/memory_account.h"
 #include "transport/message_parser.h"
 #include "transport/socket_acceptor.h"
 
@@ -18,6 +19,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace zinnianotch
 {
@@ -28,8 +30,9 @@
     std::uint64_t body_bytes = 4 * 1024 * 1024;
     milliseconds header_timeout{3000}; // from the first byte of a request to the end of its head
     milliseconds idle_timeout{15000};  // between requests, and between bytes of a body
-    // All bodies that are being received or belong to requests in progress. A body is in memory
-    // twice while it is sent on; this keeps a VM with 260 MB below that.
+    // All bodies that are being received or belong to requests in progress, on a VM whose memory is
+    // not known. A body is in memory twice while it is sent on; this keeps a VM with 260 MB below
+    // that.
     std::uint64_t total_body_bytes = 72 * 1024 * 1024;
 };
 
@@ -61,7 +64,8 @@
     broken_off,    // a response that cannot be completed
     last_response, // after which the connection ends
     stop,
-    too_many_connections
+    too_many_connections,
+    memory_short // a response that its client reads too slowly
 };
 
 // What has become of the request on a connection.
@@ -125,7 +129,9 @@
     void parse(time_point now);
     // `fields` are further header lines, each with its line end.
     void refuse(int status, std::string_view reason_phrase, std::string_view fields = {});
-    bool reserve_body();
+    void refuse_for_memory();
+    bool reserve_body(time_point now);
+    void yield_response();
     void release_body();
     void write_next();
     void write_some();
@@ -140,12 +146,13 @@
     boost::asio::ip::tcp::socket socket_;
     server_listener& owner_;
     std::optional<message_parser<message_kind::request>> parser_;
-    std::array<char, 16384> buffer_{};
     std::string unparsed_;    // received and not yet parsed
     std::string write_queue_; // to be written after write_buffer_
     std::string write_buffer_;
     std::size_t unsent_bytes_ = 0;
     std::uint64_t reserved_body_bytes_ = 0; // of the current request
+    held_bytes held_body_;                  // the same, if memory is accounted for
+    held_bytes held_response_;              // unsent_bytes_
     bool read_pending_ = false;
     bool write_pending_ = false;
     bool busy_ = false;
@@ -180,6 +187,8 @@
     void set_limits(const connection_limits& limits) { limits_ = limits; }
     const connection_limits& limits() const { return limits_; }
     void set_max_connections(std::size_t count) { max_connections_ = count; }
+    // What connections hold is counted there from now on, and bounded if the account has a bound.
+    void set_memory(std::shared_ptr<memory_account> account) { memory_ = std::move(account); }
 
     // Closes each connection as soon as no request is being received, served or likely to arrive.
     void close_connections_when_idle(time_point now);
@@ -208,6 +217,8 @@
     handler on_request_;
     connection_limits limits_;
     std::size_t max_connections_ = 2048;
+    std::shared_ptr<memory_account> memory_;
+    std::array<char, 16384> buffer_{}; // for all reads
     std::uint64_t body_bytes_ = 0;
     std::set<std::shared_ptr<server_connection>> connections_;
     socket_acceptor acceptor_;
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <charconv>
@@ -75,6 +77,7 @@
     skipping_response_ = false;
     skipped_bytes_ = 0;
     paused_ = false;
+    reads_once_ = false;
     parser_.emplace(response_header_limit, response_body_limit);
     if (!response_has_body_)
         parser_->expect_no_body();
@@ -97,6 +100,25 @@
         read();
 }
 
+void upstream_connection::read_once()
+{
+    if (reading_ || !open_ || closed_)
+        return;
+    reads_once_ = true;
+    read();
+}
+
+std::size_t upstream_connection::unread_request_bytes() const
+{
+    std::size_t bytes = request_.size() - written_bytes_;
+    int queued = 0;
+    // The descriptor of a const socket is not accessible.
+    const int descriptor = const_cast<tcp::socket&>(socket_).native_handle();
+    if (open_ && !closed_ && ::ioctl(descriptor, SIOCOUTQ, &queued) == 0 && queued > 0)
+        bytes += static_cast<std::size_t>(queued);
+    return bytes;
+}
+
 void upstream_connection::connect(const tcp::endpoint& peer)
 {
     peer_ = peer;
@@ -114,6 +136,9 @@
     (void)socket_.set_option(tcp::no_delay(true), error);
     (void)socket_.set_option(user_timeout(static_cast<int>(upstream_tcp_user_timeout.count())),
                              error);
+    if (pool_ != nullptr && pool_->receive_buffer_bytes_ > 0)
+        (void)socket_.set_option(
+            asio::socket_base::receive_buffer_size(pool_->receive_buffer_bytes_), error);
     connect_timer_.expires_after(connect_purpose_ == connect_purpose::check_for_loss
                                      ? lost_connection_check_timeout
                                      : upstream_connect_timeout);
@@ -210,26 +235,37 @@
 void upstream_connection::write()
 {
     writing_ = true;
-    asio::async_write(
-        socket_, asio::buffer(request_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+    written_bytes_ = 0;
+    write_some();
+    read();
+}
+
+void upstream_connection::write_some()
+{
+    socket_.async_write_some(
+        asio::buffer(request_) + written_bytes_,
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count)
         {
+            self->written_bytes_ += count;
+            if (!error && !self->closed_ && self->written_bytes_ < self->request_.size())
+                return self->write_some();
             self->writing_ = false;
             self->request_ = {}; // may be large
+            self->written_bytes_ = 0;
             // A server may send its response and close before it has read the whole request, so
             // a pending read decides the outcome. Without one, the error is reported here.
             if (error && !self->reading_ && !self->closed_ &&
                 self->connect_purpose_ == connect_purpose::send_request)
                 self->on_broken(steady_clock::now());
         });
-    read();
 }
 
 void upstream_connection::read()
 {
-    if (reading_ || closed_ || paused_)
+    if (reading_ || closed_ || (paused_ && !reads_once_))
         return;
     reading_ = true;
+    reads_once_ = false;
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t count)
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -98,6 +98,11 @@
     bool is_reused() const { return exchanges_ > 1; }
     // Stops or resumes reading, so that a slow consumer applies back-pressure to the server.
     void set_paused(bool paused);
+    // Reads what has arrived once, although reading is paused.
+    void read_once();
+    // Bytes of the request that the server's machine has not acknowledged, as far as the system
+    // tells. A server that reads slowly lets them become fewer.
+    std::size_t unread_request_bytes() const;
 
     time_point idle_since() const { return idle_since_; }
     bool is_open() const { return open_ && !closed_; }
@@ -120,6 +125,7 @@
     void on_connected();
     void on_connect_failed(std::uint64_t attempt, const boost::system::error_code& error);
     void write();
+    void write_some();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t count);
     void parse();
@@ -137,7 +143,8 @@
     upstream_pool* pool_;
     upstream_response_handler* handler_ = nullptr;
     std::string request_;
-    std::string unparsed_; // received and not yet parsed
+    std::size_t written_bytes_ = 0; // of request_
+    std::string unparsed_;          // received and not yet parsed
     std::array<char, 16384> buffer_{};
     std::optional<message_parser<message_kind::response>> parser_;
     bool response_has_body_ = true;
@@ -153,6 +160,7 @@
     bool closed_ = false;
     bool reading_ = false;
     bool paused_ = false;
+    bool reads_once_ = false; // although paused
     bool writing_ = false;
     bool server_will_close_ = false;
     time_point idle_since_{};
@@ -179,6 +187,8 @@
     // Number of connections from which on the oldest idle one is closed before a new one is opened.
     // Without an idle connection the limit is exceeded.
     void set_limit(std::size_t connections) { max_connections_ = connections; }
+    // Receive buffer of new connections, in bytes; 0: as the system chooses.
+    void set_receive_buffer(int bytes) { receive_buffer_bytes_ = bytes; }
     // Closes connections that have exceeded their idle timeout.
     void sweep(time_point now);
     void close_idle();
@@ -197,6 +207,7 @@
     std::deque<std::shared_ptr<upstream_connection>> idle_;
     std::map<upstream_connection*, std::weak_ptr<upstream_connection>> all_;
     std::size_t max_connections_ = SIZE_MAX;
+    int receive_buffer_bytes_ = 0;
     std::size_t connection_count_ = 0;
     std::uint64_t opened_ = 0;
 };
--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -34,12 +34,30 @@
 {
     if (closed_)
         return;
-    send_queue_ += encode_frame(message);
-    if (send_queue_.size() > link_max_queued_bytes)
+    const std::string frame = encode_frame(message);
+    send_queue_ += frame;
+    if (send_queue_.size() > max_queued_bytes_)
         return close();
+    if (held_)
+        held_.grow(frame.size(), steady_clock::now());
     write_next();
 }
 
+void vm_channel::set_memory(const std::shared_ptr<memory_account>& account, time_point now)
+{
+    if (!account)
+        return;
+    held_ = held_bytes(
+        account, held_kind::vm_link,
+        [weak = weak_from_this()]
+        {
+            if (const auto self = weak.lock())
+                self->close();
+        },
+        now);
+    max_queued_bytes_ = account->ledger.link_limit(link_max_queued_bytes);
+}
+
 void vm_channel::tick(time_point now, bool send_pings)
 {
     if (closed_)
@@ -58,6 +76,7 @@
     if (closed_)
         return;
     closed_ = true;
+    held_.release();
     boost::system::error_code ignored;
     (void)socket_.close(ignored);
     on_message_ = nullptr;
@@ -116,9 +135,11 @@
     send_queue_.clear();
     asio::async_write(
         socket_, asio::buffer(write_buffer_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t)
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count)
         {
             self->write_in_progress_ = false;
+            if (self->held_)
+                self->held_.drain(count, steady_clock::now());
             if (self->closed_)
                 return;
             if (error)
@@ -186,6 +207,7 @@
             if (error)
                 return;
             channel_ = std::make_shared<vm_channel>(std::move(*socket));
+            channel_->set_memory(memory_, steady_clock::now());
             channel_->start(
                 [this](vm_message&& message)
                 {
@@ -232,6 +254,7 @@
 void vm_listener::add(tcp::socket socket)
 {
     const auto channel = std::make_shared<vm_channel>(std::move(socket));
+    channel->set_memory(memory_, steady_clock::now());
     channels_.insert(channel);
     const std::weak_ptr<vm_channel> weak = channel;
     channel->start(
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -5,6 +5,7 @@
 
 #include "protocol/vm_message.h"
 #include "state/time.h"
+#include "transport/memory_account.h"
 #include "transport/socket_acceptor.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace zinnianotch
 {
@@ -43,6 +45,8 @@
 
     void start(message_handler on_message, closed_handler on_closed, time_point now);
     void send(const vm_message& message);
+    // Queued messages are counted there from now on.
+    void set_memory(const std::shared_ptr<memory_account>& account, time_point now);
     // Closes the connection after link_idle_timeout without received data. If `send_pings` is set,
     // pings a peer after link_ping_interval without received data.
     void tick(time_point now, bool send_pings);
@@ -61,6 +65,8 @@
     std::string unparsed_;     // received and not yet parsed
     std::string send_queue_;   // to be sent after write_buffer_
     std::string write_buffer_; // of the write in progress
+    held_bytes held_;          // both
+    std::size_t max_queued_bytes_ = link_max_queued_bytes;
     bool write_in_progress_ = false;
     bool closed_ = false;
     time_point last_received_at_{};
@@ -82,6 +88,7 @@
     void tick(time_point now);
     // True from the first message received from the peer until the connection closes.
     bool is_up() const { return up_; }
+    void set_memory(std::shared_ptr<memory_account> account) { memory_ = std::move(account); }
     void send(const vm_message& message);
 
 private:
@@ -97,6 +104,7 @@
     time_point reconnect_at_{};
     std::shared_ptr<vm_channel> channel_;
     bool up_ = false;
+    std::shared_ptr<memory_account> memory_;
 };
 
 // The accepting side.
@@ -115,6 +123,7 @@
 
     std::uint16_t port() const { return acceptor_.port(); }
     std::size_t connections() const { return channels_.size(); }
+    void set_memory(std::shared_ptr<memory_account> account) { memory_ = std::move(account); }
     // Called with each connection that is accepted.
     std::function<void(const std::shared_ptr<vm_channel>&)> on_accepted;
     void broadcast(const vm_message& message);
@@ -130,6 +139,7 @@
     closed_handler on_closed_;
     std::set<std::shared_ptr<vm_channel>> channels_;
     std::optional<vm_message> announcement_;
+    std::shared_ptr<memory_account> memory_;
     socket_acceptor acceptor_;
 };
 
--- a/tests/unit/server_listener_test.cpp
+++ b/tests/unit/server_listener_test.cpp
@@ -538,3 +538,102 @@
     cr_assert(server.listener.connections() == 0);
     cr_assert(server.reports.empty());
 }
+
+namespace
+{
+
+// A server that answers each request with a long response, on a VM with little memory.
+struct memory_server
+{
+    static constexpr std::size_t response_bytes = 64 * 1024 * 1024;
+
+    std::shared_ptr<memory_account> account = std::make_shared<memory_account>();
+    reporting_server server;
+
+    memory_server()
+    {
+        account->ledger.set_bound(response_bytes);
+        server.listener.set_memory(account);
+    }
+    // Connects a client whose request has been read, and begins the response to it.
+    tcp::socket begin_response()
+    {
+        const std::size_t before = server.served.size();
+        tcp::socket client = server.send("GET /1 HTTP/1.1\r\n\r\n");
+        cr_assert(server.run_until([&] { return server.served.size() > before; }));
+        server.served.back()->send(
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(response_bytes) + "\r\n\r\n" +
+            std::string(response_bytes, 'r'));
+        server.served.back()->end(true);
+        return client;
+    }
+    static std::size_t read_some(tcp::socket& from, std::size_t bytes)
+    {
+        std::vector<char> buffer(bytes);
+        boost::system::error_code error;
+        from.non_blocking(true, error);
+        return from.read_some(boost::asio::buffer(buffer), error);
+    }
+};
+
+} // namespace
+
+// Guards against memory that grows with each client that does not read, and against the one that
+// reads being cut in its place.
+Test(server_listener, memory_short_client_that_does_not_read_is_reset_and_reader_served)
+{
+    memory_server harness;
+    held_memory& ledger = harness.account->ledger;
+    ledger.set_bound(4 * memory_server::response_bytes);
+    tcp::socket reader = harness.begin_response();
+    tcp::socket stuck = harness.begin_response();
+    const time_point begun = steady_clock::now();
+    std::size_t received = 0;
+    std::size_t yielded = 0;
+    cr_assert(harness.server.run_until(
+        [&]
+        {
+            // Slowly at first, until the rates of both are known.
+            const bool is_known = steady_clock::now() - begun > 2 * min_observed_time;
+            received += memory_server::read_some(reader, is_known ? 1024 * 1024 : 16 * 1024);
+            if (is_known)
+                ledger.set_bound(memory_server::response_bytes * 5 / 4);
+            yielded += harness.account->relieve(steady_clock::now()).size();
+            return received > memory_server::response_bytes;
+        }));
+    cr_assert_eq(yielded, 1);
+    cr_assert_eq(harness.server.reports.size(), 1);
+    cr_assert(harness.server.reports.front().first == close_reason::memory_short);
+    cr_assert_eq(harness.account->ledger.total(), 0);
+    cr_assert_eq(harness.server.listener.connections(), 1);
+}
+
+// Guards against bodies that together exceed the memory of the VM, counted with the copy that is
+// sent on, and against room that is not given back.
+Test(server_listener, memory_short_body_is_refused_with_retry_after_until_room_is_back)
+{
+    memory_server harness;
+    const std::string head = "POST /1 HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n";
+    harness.account->ledger.set_bound(16 * 1024 * 1024);
+    tcp::socket first = harness.server.send(head);
+    cr_assert_eq(harness.account->ledger.total(held_kind::incoming_body), body_copies * 4'000'000);
+    const auto answer_to = [&](tcp::socket& client)
+    {
+        std::string text(1024, '\0');
+        boost::system::error_code error;
+        client.non_blocking(true, error);
+        cr_assert(harness.server.run_until([&] { return client.available() > 0; }));
+        text.resize(client.read_some(boost::asio::buffer(text), error));
+        return text;
+    };
+    tcp::socket second = harness.server.connect();
+    boost::asio::write(second, boost::asio::buffer(head));
+    const std::string answer = answer_to(second);
+    cr_assert(answer.starts_with("HTTP/1.1 503") &&
+                  answer.find("Retry-After: 1\r\n") != std::string::npos,
+              "%s", answer.c_str());
+    first.close();
+    cr_assert(harness.server.run_until([&] { return harness.account->ledger.total() == 0; }));
+    (void)harness.server.send(head);
+    cr_assert_eq(harness.account->ledger.total(), body_copies * 4'000'000);
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -920,6 +920,7 @@
     options.store = store.address(store.add_listener());
     options.limits = limits;
     options.stop_grace = stop_grace;
+    options.memory_bytes = memory_bytes;
     vms_.push_back(std::make_unique<edge<platform::codec>>(io, options));
     vms_.back()->start();
     return vms_.size() - 1;
@@ -972,6 +973,8 @@
     value engines = service("engines");
     engines["engine"] = value::object();
     engines["engine"]["slots"] = value::number(8);
+    if (engine_memory_tokens != 0)
+        engines["engine"]["kv_tokens"] = value::number(engine_memory_tokens);
     value stage = service("encoders");
     stage["pieces"] = value::object();
     stage["pieces"]["batch"] = value::number(8);
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -385,7 +385,9 @@
     web::json::value client_limits = web::json::value::object(); // those missing have defaults
     zinnianotch::fleet_limits limits;
     milliseconds stop_grace{8000};
-    double result_memory_mb = 10.0; // per endpoint of a stage
+    std::uint64_t memory_bytes = 0;        // of a VM; 0: not known
+    std::int64_t engine_memory_tokens = 0; // of each engine; 0: not known
+    double result_memory_mb = 10.0;        // per endpoint of a stage
     milliseconds stage_call_time{20};
     std::vector<std::string> further_services; // without stages, in the desired state
 
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -332,3 +332,22 @@
     (void)parse("  rollouts: {exposure_share: 0.1, roll_back_ms: 5000}\n", problems);
     cr_assert(problems.size() == 1, "%zu problems", problems.size());
 }
+
+// Guards against a memory limit that is ignored, and against a bound where none is given.
+Test(settings, memory_limit_is_read_and_optional)
+{
+    const auto parse = [](const std::string& line, std::vector<settings_problem>& problems)
+    {
+        return parse_settings(minimal +
+                                  "serving:\n  readiness: \"127.0.0.1:4\"\n"
+                                  "  store: \"127.0.0.1:3\"\n" +
+                                  line,
+                              problems);
+    };
+    std::vector<settings_problem> problems;
+    cr_assert_float_eq(parse("", problems).serving->memory_mb, 0.0, 1e-9);
+    cr_assert_float_eq(parse("  memory_mb: 120\n", problems).serving->memory_mb, 120.0, 1e-9);
+    cr_assert(problems.empty());
+    (void)parse("  memory_mb: 120MB\n", problems);
+    cr_assert_eq(problems.size(), 1);
+}
