Bound large bodies of unknown length like those of known length

Cause: a chunked body is reserved piece by piece, so each piece counted as a small body and the whole was accepted up to the bound. Change: admits_body gets the whole length with what is reserved of it.

--- a/packages/state/held_memory.cpp
+++ b/packages/state/held_memory.cpp
@@ -132,10 +132,10 @@
     return found != nullptr ? found->bytes : 0;
 }
 
-bool held_memory::admits_body(std::uint64_t bytes) const
+bool held_memory::admits_body(std::uint64_t bytes, std::uint64_t reserved) const
 {
     const std::uint64_t limit = bytes > small_body_bytes ? part(large_body_share) : bound_;
-    return !is_bounded() || total_ + body_copies * bytes <= limit;
+    return !is_bounded() || total_ + body_copies * (bytes - reserved) <= limit;
 }
 
 std::uint64_t held_memory::read_ahead_limit(std::uint64_t unbounded) const
--- a/packages/state/held_memory.h
+++ b/packages/state/held_memory.h
@@ -107,8 +107,8 @@
     std::uint64_t total() const { return total_; }
     std::uint64_t total(held_kind kind) const { return totals_[static_cast<std::size_t>(kind)]; }
 
-    // True if a body of this size may be received, or a further part of one whose size is unknown.
-    bool admits_body(std::uint64_t bytes) const;
+    // True if a body of this size may be received, `reserved` bytes of which are held already.
+    bool admits_body(std::uint64_t bytes, std::uint64_t reserved = 0) const;
     // Bytes that one response may hold before it is read on slowly; `unbounded` without a bound.
     std::uint64_t read_ahead_limit(std::uint64_t unbounded) const;
     // Interval at which a response above read_ahead_limit is read on; nothing if it is not.
--- a/packages/transport/server_connection.cpp
+++ b/packages/transport/server_connection.cpp
@@ -259,8 +259,7 @@
     const std::uint64_t others = owner_.body_bytes_ - reserved_body_bytes_;
     if (owner_.memory_ && owner_.memory_->ledger.is_bounded())
     {
-        const std::uint64_t added = needed - reserved_body_bytes_;
-        if (!owner_.memory_->ledger.admits_body(added))
+        if (!owner_.memory_->ledger.admits_body(needed, reserved_body_bytes_))
             return false;
         if (!held_body_)
             held_body_ = held_bytes(
@@ -271,7 +270,7 @@
                         self->refuse_for_memory();
                 },
                 now);
-        held_body_.grow(body_copies * added, now);
+        held_body_.grow(body_copies * (needed - reserved_body_bytes_), now);
     }
     else if (others > 0 && others + needed > owner_.limits_.total_body_bytes)
         return false;
--- a/tests/unit/held_memory_test.cpp
+++ b/tests/unit/held_memory_test.cpp
@@ -214,6 +214,12 @@
     }
     cr_assert(accepted >= 4 && accepted <= 8, "%zu of 60", accepted);
     cr_assert(!held.admits_body(64 * kib * 256) && held.admits_body(2 * kib));
+    // A large body of unknown length, which arrives in small pieces, is bounded like a large one.
+    const holder_id chunked = held.add(held_kind::incoming_body, start);
+    std::uint64_t received = 0;
+    for (; held.admits_body(received + 2 * kib, received); received += 2 * kib)
+        held.grow(chunked, body_copies * 2 * kib, start);
+    cr_assert(held.total() < held.bound() * 8 / 10 && held.admits_body(2 * kib));
     cr_assert(held.total() <= held.bound());
     cr_assert(held.choose_yielding(start + milliseconds(3000)).empty());
 }
