Spend the exposure of a roll-out before all requests move

Cause: a roll-out went to `full` at 0.72 to 0.86 of its time, having used a third of the exposure bound. A bad version that was not found by then had no old version to be compared with, and what found it in `full` came over the exposure. Ruled out: larger canaries from the start; they use the bound before a version that turns bad late has done so. Change: the canary and the ramp's first share last until the rest of the bound suffices for the second one until 0.86 of the time; that share uses whole endpoints under the usual load. Each route brings the same number of answers. A version that is suspect when all requests are to move is rolled back. `full` and the final phases wait 0.3 s per rank of the judge. The test's reports of a VM carry the order's age, as those of a VM do: the judge that starts in the middle took the order for 1 s younger than it was, which the earlier `full` hid.

--- a/packages/state/rollout_judge.cpp
+++ b/packages/state/rollout_judge.cpp
@@ -19,7 +19,7 @@
 // Age from which the rate of requests is known.
 constexpr milliseconds rate_known_after{1000};
 // Stages of the ramp, each with rollout_rotations steps.
-constexpr std::uint32_t ramp_last_stage = static_cast<std::uint32_t>(ramp_shares.size()) - 1;
+constexpr std::uint32_t ramp_last_stage = 1;
 
 // Growth of a cumulative count; nothing if the report is older than what is known.
 template <typename Number>
@@ -64,6 +64,7 @@
     evidence_.reset();
     sources_.clear();
     sent_ = 0;
+    candidate_sent_ = 0;
     route_answers_.clear();
     assessments_.clear();
     due_.reset();
@@ -104,6 +105,7 @@
         source.heard_at = now;
         source.phase = report.phase;
         sent_ += grow(source.sent, report.sent);
+        candidate_sent_ += grow(source.candidate_sent, report.candidate_sent);
         source.old_in_flight = report.old_in_flight;
         source.old_unrepeatable = report.old_unrepeatable;
     }
@@ -169,7 +171,7 @@
         due_since_ = now;
     }
     const milliseconds delay =
-        next.phase == rollout_phase::rolled_back ? roll_back_rank_delay : step_rank_delay;
+        next.phase < rollout_phase::full ? step_rank_delay : final_rank_delay;
     if (now - due_since_ < delay * static_cast<milliseconds::rep>(situation.rank))
         return std::nullopt;
     return next;
@@ -253,49 +255,52 @@
     const milliseconds age = age_.at(now);
     if (age < part_of_order(canary_part))
         return std::nullopt;
-    if (!has_endpoints_for(ramp_shares.front(), situation))
+    if (!has_endpoints_for(ramp_share, situation))
         return decide_without_endpoints(now);
     if (is_rotated() && step_age(now) < second_opinion_min)
         return std::nullopt;
-    if (must_wait(now))
+    if (is_suspect() && age < part_of_order(undecided_canary_part_max))
         return std::nullopt;
     if (is_suspect(undecided_evidence))
         return decision{rollout_phase::rolled_back, 0, "still suspect when its time was over"};
-    if (!is_sound() && age < part_of_order(canary_part_max))
-        return std::nullopt;
     return next_stage();
 }
 
 std::optional<rollout_judge::decision>
 rollout_judge::decide_ramp(const rollout_situation& situation, time_point now) const
 {
-    if (must_wait(now))
-        return std::nullopt;
-    if (is_suspect(undecided_evidence))
-        return decision{rollout_phase::rolled_back, 0, "still suspect when its time was over"};
-    if (step_age(now) < ramp_step_time(now))
-        return std::nullopt;
-    if (is_rotated() && !is_sound_overall() && age_.at(now) < part_of_order(undecided_part_max))
+    const bool is_last = furthest_->step / rollout_rotations >= ramp_last_stage;
+    if (!is_last)
+    {
+        if (step_age(now) < first_ramp_step_min || affordable_share(now) < last_ramp_share(now))
+            return std::nullopt;
+        return has_endpoints_for(last_ramp_share(now), situation) ? next_stage()
+                                                                  : decide_without_endpoints(now);
+    }
+    const milliseconds age = age_.at(now);
+    if (age < part_of_order(full_begins_part))
         return std::nullopt;
+    if (is_suspect(undecided_evidence_ramp))
+        return decision{rollout_phase::rolled_back, 0, "suspect when all requests were to move"};
     std::uint64_t answers = 0;
     for (const rollout_assessment& each : assessments_)
         answers += each.route.empty() ? 0 : each.step_answers;
-    if (answers < ramp_step_answers && step_age(now) < 2 * ramp_step_time(now))
+    if (answers < ramp_step_answers && age < part_of_order(few_answers_part_max))
         return std::nullopt;
-    const decision next = next_stage();
-    const double share = next.phase == rollout_phase::full ? 1.0 : ramp_shares_few.back();
-    if (!has_endpoints_for(share, situation))
-        return decide_without_endpoints(now);
-    return next;
+    return has_endpoints_for(1.0, situation) ? next_stage() : decide_without_endpoints(now);
 }
 
-// True if a version that may be bad has to wait for more evidence.
-bool rollout_judge::must_wait(time_point now) const
+// Share of all requests from now until all move that the exposure bound leaves to the new version.
+double rollout_judge::affordable_share(time_point now) const
 {
-    if (!is_suspect())
-        return false;
-    const bool is_canary = furthest_->phase == rollout_phase::canary;
-    return age_.at(now) < part_of_order(is_canary ? undecided_canary_part_max : undecided_part_max);
+    const milliseconds age = std::max(age_.at(now), rate_known_after);
+    const milliseconds left = part_of_order(full_begins_part) - age;
+    if (left.count() <= 0)
+        return 1.0;
+    const double rate = static_cast<double>(sent_) / static_cast<double>(age.count());
+    const double expected = rate * static_cast<double>(order_->duration.count());
+    const double budget = planned_bound(now) * expected - static_cast<double>(candidate_sent_);
+    return budget / std::max(rate * static_cast<double>(left.count()), expected_requests_min);
 }
 
 // The new version has too few endpoints for the next step.
@@ -324,7 +329,7 @@
 rollout_judge::decide_full(const rollout_situation& situation, time_point now) const
 {
     const milliseconds left = order_->duration - age_.at(now);
-    if (step_age(now) < at_least(0.0, full_min, full_part_max) && left >= margin())
+    if (step_age(now) < std::min(full_min, part_of_order(full_part_max)) && left >= margin())
         return std::nullopt;
     std::size_t reporting = 0;
     std::uint64_t unrepeatable = 0;
@@ -372,21 +377,6 @@
     return false;
 }
 
-bool rollout_judge::is_sound_overall() const
-{
-    return !assessments_.empty() && assessments_.back().step_evidence <= sound_evidence() / 2.0;
-}
-
-bool rollout_judge::is_sound() const
-{
-    for (const rollout_assessment& each : assessments_)
-    {
-        if (each.old_answers > 0 && each.step_evidence > sound_evidence())
-            return false;
-    }
-    return !assessments_.empty();
-}
-
 bool rollout_judge::needs_second_opinion(const rollout_situation& situation, time_point now) const
 {
     if ((furthest_->step + 1) % rollout_rotations == 0 || situation.candidate_endpoints < 2 ||
@@ -422,53 +412,31 @@
         static_cast<milliseconds::rep>(part * static_cast<double>(order_->duration.count())));
 }
 
-// Part of the order's time, but at least `min` unless that is more than another part.
-milliseconds rollout_judge::at_least(double part, milliseconds min, double part_max) const
-{
-    return std::max(part_of_order(part), std::min(min, part_of_order(part_max)));
-}
-
 milliseconds rollout_judge::step_age(time_point now) const
 {
     return std::chrono::duration_cast<milliseconds>(now - step_began_);
 }
 
-milliseconds rollout_judge::ramp_step_time(time_point now) const
-{
-    const bool is_last = furthest_->step / rollout_rotations >= ramp_last_stage;
-    const milliseconds usual = usual_ramp_step_time(is_last, now);
-    const milliseconds left = part_of_order(full_begins_part_max) - (age_.at(now) - step_age(now));
-    const double share = is_last ? 1.0 : first_ramp_step_share;
-    const milliseconds available(
-        static_cast<milliseconds::rep>(share * static_cast<double>(left.count())));
-    return std::clamp(available, usual / 2, usual);
-}
-
-milliseconds rollout_judge::usual_ramp_step_time(bool is_last, time_point now) const
-{
-    if (!is_last)
-        return at_least(ramp_step_part, ramp_step_min, ramp_step_part_max);
-    if (has_usual_load(canary_share(planned_bound(now))))
-        return at_least(last_ramp_step_part, last_ramp_step_min, last_ramp_step_part_max);
-    return at_least(last_ramp_step_part_few, last_ramp_step_min_few, last_ramp_step_part_max);
-}
-
-// True if the canary's endpoints work under about the load of those of the old version.
-bool rollout_judge::has_usual_load(double canary_share) const
-{
-    return canary_share * static_cast<double>(old_endpoints_) >= usual_load_min;
-}
-
 double rollout_judge::canary_share(double bound) const
 {
     return adjusted_to_load(std::min(canary_exposure * bound, canary_share_max));
 }
 
 // Larger than the canary's share.
-double rollout_judge::ramp_share(std::uint32_t stage, double canary_share) const
+double rollout_judge::first_ramp_share(double canary_share) const
+{
+    return adjusted_to_load(std::max(ramp_share, canary_share));
+}
+
+// The largest affordable one under which whole endpoints work under the usual load.
+double rollout_judge::last_ramp_share(time_point now) const
 {
-    const auto& shares = has_usual_load(canary_share) ? ramp_shares : ramp_shares_few;
-    return adjusted_to_load(std::max(shares[std::min(stage, ramp_last_stage)], canary_share));
+    const double share =
+        std::clamp(affordable_share(now), last_ramp_share_min, last_ramp_share_max);
+    if (old_endpoints_ == 0)
+        return share;
+    const double unit = usual_load / static_cast<double>(old_endpoints_);
+    return std::min(std::max(std::floor(share / unit + 0.01), 1.0) * unit, last_ramp_share_max);
 }
 
 // Raises a share so that the endpoints that take it work under the usual load, if that does not
@@ -514,7 +482,6 @@
     return std::min(bound, std::max(planned_share_max, limits_.exposure_share));
 }
 
-// Routes of few requests get a larger share, so that the canary brings enough answers of each.
 rollout_shares rollout_judge::shares_at(rollout_phase phase, std::uint32_t step,
                                         time_point now) const
 {
@@ -530,36 +497,44 @@
     result.usual = canary_share(result.bound);
     if (phase == rollout_phase::ramp)
     {
-        result.usual = ramp_share(step / rollout_rotations, result.usual);
-        return result;
+        const bool is_last = step / rollout_rotations >= ramp_last_stage;
+        result.usual = is_last ? last_ramp_share(now) : first_ramp_share(result.usual);
     }
-    const milliseconds age = age_.at(now);
-    std::uint64_t total = 0;
-    for (const auto& [route, answers] : route_answers_)
-        total += answers;
-    if (age < rate_known_after || total == 0)
-        return result;
+    if (age_.at(now) >= rate_known_after)
+        result.routes = route_shares(result.usual);
+    return result;
+}
 
-    const double longer = canary_part * static_cast<double>(order_->duration.count()) /
-                          static_cast<double>(age.count());
-    double needed = 0.0; // answers of the canary, at the answers of both versions since the order
-    std::vector<rollout_share>& routes = result.routes;
+// Shares that bring the same number of answers of each route, as far as its requests and the
+// control group allow.
+std::vector<rollout_share> rollout_judge::route_shares(double usual) const
+{
+    std::vector<rollout_share> result;
+    std::vector<std::uint64_t> sorted;
+    double total = 0.0;
     for (const auto& [route, answers] : route_answers_)
     {
-        const double expected = std::max(static_cast<double>(answers) * longer, 1.0);
-        routes.push_back(
-            {route, std::min(canary_route_answers / expected, canary_route_share_max)});
-        needed += routes.back().share * static_cast<double>(answers);
+        sorted.push_back(std::max<std::uint64_t>(answers, 1));
+        total += static_cast<double>(sorted.back());
+    }
+    std::sort(sorted.begin(), sorted.end());
+    // What the rare routes can not use goes to the others.
+    const double share_max = std::max(route_share_max, usual);
+    double available = usual * total;
+    double each_route = 0.0;
+    for (std::size_t i = 0; i < sorted.size(); ++i)
+    {
+        each_route = available / static_cast<double>(sorted.size() - i);
+        const double most = share_max * static_cast<double>(sorted[i]);
+        if (each_route <= most)
+            break;
+        available -= most;
     }
-    const double available = result.usual * static_cast<double>(total);
-    for (rollout_share& each : routes)
+    for (const auto& [route, answers] : route_answers_)
     {
-        if (needed > available)
-            each.share *= available / needed;
-        else
-            each.share += (available - needed) / static_cast<double>(total);
+        const double share = each_route / static_cast<double>(std::max<std::uint64_t>(answers, 1));
         // Steps of a thousandth keep the shares of VMs that ask at different times the same.
-        each.share = std::round(each.share * 1000.0) / 1000.0;
+        result.push_back({route, std::round(std::min(share, share_max) * 1000.0) / 1000.0});
     }
     return result;
 }
--- a/packages/state/rollout_judge.h
+++ b/packages/state/rollout_judge.h
@@ -20,38 +20,34 @@
 {
 
 // Plan of a roll-out, as parts of the time from order to deadline.
-inline constexpr double canary_part = 0.5;      // the canary ends at the earliest
-inline constexpr double canary_part_max = 0.62; // the canary ends unless the version is suspect
-inline constexpr double ramp_step_part = 0.08;  // a step of the ramp takes, but at least
-inline constexpr milliseconds ramp_step_min{800};
-// The same for the last one, and for one whose endpoints come under the usual load only then.
-inline constexpr double last_ramp_step_part = 0.14;
-inline constexpr milliseconds last_ramp_step_min{1800};
-inline constexpr double last_ramp_step_part_few = 0.18;
-inline constexpr milliseconds last_ramp_step_min_few{2200};
-// The minima hold up to these parts of a short order.
-inline constexpr double ramp_step_part_max = 0.1;
-inline constexpr double last_ramp_step_part_max = 0.22;
-inline constexpr double full_part_max = 0.14;
-// The phase `full` begins by this part even after a long canary: the ramp's steps are shortened,
-// the first one to this share of the time that is left.
-inline constexpr double full_begins_part_max = 0.86;
-inline constexpr double first_ramp_step_share = 0.3;
-// A version that is still suspect by then is rolled back, during the canary and during the ramp,
-// if the evidence is at least this part of what condemns it.
+inline constexpr double canary_part = 0.5; // the canary ends at the earliest
+// The first share of the ramp, at the least. It lasts until the requests that the exposure bound
+// leaves suffice for the last one.
+inline constexpr milliseconds first_ramp_step_min{800};
+// All requests move. Until then the old version is there to compare with.
+inline constexpr double full_begins_part = 0.86;
+// The same with too few answers of the new version.
+inline constexpr double few_answers_part_max = 0.9;
+// A version that is suspect waits in the canary until this part, and is rolled back then if the
+// evidence is at least this part of what condemns it.
 inline constexpr double undecided_canary_part_max = 0.68;
-inline constexpr double undecided_part_max = 0.82;
 inline constexpr double undecided_evidence = 0.8;
-// All requests go to the new version for this time before it is completed.
+// The same when all requests are to move.
+inline constexpr double undecided_evidence_ramp = 0.4;
+// All requests go to the new version for this time before it is completed, but for at most this
+// part.
 inline constexpr milliseconds full_min{1600};
+inline constexpr double full_part_max = 0.14;
 inline constexpr double completion_margin = 0.07; // `completed` before the deadline
-// Shares of the steps of the ramp. The larger ones are for services with so few endpoints that the
-// canary's work under less than their usual load.
-inline constexpr std::array<double, 2> ramp_shares{0.10, 0.25};
-inline constexpr std::array<double, 2> ramp_shares_few{0.15, 0.35};
-// Load of canaries, relative to that of old endpoints, from which it is the usual one, and the one
-// to which shares are adjusted, and the most by which that may raise a share.
-inline constexpr double usual_load_min = 0.85;
+// First share of the ramp.
+inline constexpr double ramp_share = 0.10;
+// Bounds of the last one.
+inline constexpr double last_ramp_share_min = 0.35;
+inline constexpr double last_ramp_share_max = 0.6;
+// Largest share of a rare route. The rest is left to the old version, to compare with.
+inline constexpr double route_share_max = 0.5;
+// Load of canaries, relative to that of old endpoints, to which shares are adjusted, and the most
+// by which that may raise a share.
 inline constexpr double usual_load = 1.05;
 inline constexpr double share_adjustment_max = 1.6;
 // Part of the exposure bound that is planned, and the part of that for the canary. The rest is for
@@ -59,12 +55,9 @@
 inline constexpr double planned_exposure = 0.95;
 inline constexpr double canary_exposure = 0.5;
 // Part of the exposure's slack that is planned.
-inline constexpr double planned_slack = 0.5;
+inline constexpr double planned_slack = 0.9;
 inline constexpr double planned_share_max = 0.4;
 inline constexpr double canary_share_max = 0.15;
-// Answers that the canary should bring of each route, and the largest share for that.
-inline constexpr double canary_route_answers = 36.0;
-inline constexpr double canary_route_share_max = 0.4;
 // Answers of a step of the ramp before the next one.
 inline constexpr std::uint64_t ramp_step_answers = 10;
 // Time after a move to other endpoints before the roll-out proceeds, and before a version that is
@@ -78,9 +71,9 @@
 // this VM has seen it go, after the second if it has never seen it, since it may still arrive.
 inline constexpr milliseconds order_withdrawn_after{2000};
 inline constexpr milliseconds order_missing_max{10'000};
-// Delay of a proposal per rank of the VM, for steps and for a roll-back.
+// Delay of a proposal per rank of the VM, for steps, and for `full` and the final phases.
 inline constexpr milliseconds step_rank_delay{1000};
-inline constexpr milliseconds roll_back_rank_delay{300};
+inline constexpr milliseconds final_rank_delay{300};
 // Bound on memory.
 inline constexpr std::size_t max_report_sources = 4096;
 
@@ -132,7 +125,8 @@
         std::uint64_t sequence = 0;
         time_point heard_at{};
         rollout_phase phase = rollout_phase::canary;
-        std::uint64_t sent = 0; // also in sent_
+        std::uint64_t sent = 0;           // also in sent_
+        std::uint64_t candidate_sent = 0; // also in candidate_sent_
         std::uint32_t old_in_flight = 0;
         std::uint32_t old_unrepeatable = 0;
         std::map<std::tuple<std::string, std::string, std::string>, answer_counts> counts;
@@ -150,31 +144,27 @@
     std::optional<decision> decide(const rollout_situation& situation, time_point now);
     std::optional<decision> decide_canary(const rollout_situation& situation, time_point now) const;
     std::optional<decision> decide_ramp(const rollout_situation& situation, time_point now) const;
+    double affordable_share(time_point now) const;
     std::optional<decision> decide_without_endpoints(time_point now) const;
     std::optional<decision> decide_full(const rollout_situation& situation, time_point now) const;
     std::uint64_t requests_at_old(time_point now) const;
     milliseconds margin() const; // left before the deadline when a move ends in any case
     decision next_stage() const;
     bool is_suspect(double part_of_evidence = 0.5) const;
-    bool is_sound() const;
-    bool is_sound_overall() const;
     bool is_rotated() const { return furthest_->step % rollout_rotations > 0; }
     bool needs_second_opinion(const rollout_situation& situation, time_point now) const;
     bool has_enough_reports(const rollout_situation& situation, time_point now) const;
     bool has_endpoints_for(double share, const rollout_situation& situation) const;
     milliseconds part_of_order(double part) const;
-    milliseconds at_least(double part, milliseconds min, double part_max) const;
     milliseconds step_age(time_point now) const;
-    milliseconds usual_ramp_step_time(bool is_last, time_point now) const;
-    milliseconds ramp_step_time(time_point now) const;
-    bool has_usual_load(double canary_share) const;
     double canary_share(double bound) const;
-    double ramp_share(std::uint32_t stage, double canary_share) const;
+    double first_ramp_share(double canary_share) const;
+    double last_ramp_share(time_point now) const;
     double adjusted_to_load(double share) const;
-    bool must_wait(time_point now) const;
     std::string describe_bad(const std::vector<rollout_assessment>& list) const;
     double planned_bound(time_point now) const;
     rollout_shares shares_at(rollout_phase phase, std::uint32_t step, time_point now) const;
+    std::vector<rollout_share> route_shares(double usual) const;
 
     rollout_limits limits_;
     std::optional<rollout_order> order_;
@@ -190,6 +180,7 @@
     std::optional<rollout_evidence> evidence_;
     std::map<std::pair<std::string, std::uint64_t>, report_source> sources_;
     std::uint64_t sent_ = 0;                             // requests that VMs have reported
+    std::uint64_t candidate_sent_ = 0;                   // of these, at the new version
     std::map<std::string, std::uint64_t> route_answers_; // of both versions
     std::vector<rollout_assessment> assessments_;
     std::optional<std::pair<rollout_phase, std::uint32_t>> due_; // proposal that waits for its rank
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -83,6 +83,9 @@
     rollout_order order = order_to("v2", 7);
     std::uint64_t revision = 10;
     std::size_t vms = 3;
+    std::uint64_t sent_each = 300; // requests of a VM between two reports
+    std::uint32_t old_slow = 0;    // of 40 answers of the old version
+    std::uint32_t slow = 0;        // of the successes of each new endpoint, three times the usual
     std::optional<rollout_record> stored;
 
     explicit judged_rollout() { judge.set_order(order, start); }
@@ -100,12 +103,17 @@
             report.service = order.service;
             report.order = order.revision;
             report.phase = stored ? stored->phase : rollout_phase::canary;
-            report.sent = 100 * sequence_;
+            report.age = vm == 0 ? at : milliseconds(0); // the others have started late
+            sent_[vm] += sent_each;
+            candidate_sent_[vm] += answers * candidates;
+            report.sent = sent_[vm];
+            report.candidate_sent = candidate_sent_[vm];
             rollout_counts& old = old_[vm];
             old.route = "chat";
             old.domain = "a";
             old.answers += 40;
-            old.by_duration[5] += 40;
+            old.by_duration[5] += 40 - old_slow;
+            old.by_duration[8] += old_slow;
             report.counts.push_back(old);
             for (std::size_t i = 0; i < candidates; ++i)
             {
@@ -116,7 +124,8 @@
                 each.is_candidate = true;
                 each.answers += answers;
                 each.failures += failures;
-                each.by_duration[5] += answers - failures;
+                each.by_duration[5] += answers - failures - slow;
+                each.by_duration[8] += slow;
                 report.counts.push_back(each);
             }
             judge.on_report(report, start + at);
@@ -152,6 +161,8 @@
 
 private:
     std::uint64_t sequence_ = 0;
+    std::map<std::size_t, std::uint64_t> sent_;
+    std::map<std::size_t, std::uint64_t> candidate_sent_;
     std::map<std::size_t, rollout_counts> old_;
     std::map<std::pair<std::size_t, std::size_t>, rollout_counts> new_;
 };
@@ -375,6 +386,70 @@
               played.propose(milliseconds(2000))->phase == rollout_phase::rolled_back);
 }
 
+// Guards against a move that leaves no old version to compare with while there is time. 1800
+// requests a second at 60 endpoints, 48 answers a second of the new version.
+Test(rollout_judge, good_version_all_requests_move_late)
+{
+    judged_rollout played;
+    played.run(milliseconds(0), milliseconds(10'300), 2, 0);
+    cr_assert(played.stored->phase == rollout_phase::ramp);
+    played.run(milliseconds(10'300), milliseconds(10'800), 2, 0);
+    cr_assert(played.stored->phase == rollout_phase::full);
+}
+
+// Guards against a large share that ends before all requests move, since too few are left of the
+// exposure bound. 1800 requests a second, of which the new version gets 120 instead of 50.
+Test(rollout_judge, exposure_used_early_last_share_begins_later)
+{
+    const auto last_share_begins = [](std::uint32_t answers)
+    {
+        judged_rollout played;
+        int at = 0;
+        while (played.stored.value_or(rollout_record{}).step < rollout_rotations && at < 12'000)
+        {
+            played.run(milliseconds(at), milliseconds(at + 100), answers, 0);
+            at += 100;
+        }
+        return at;
+    };
+    const int early = last_share_begins(2);
+    const int late = last_share_begins(5);
+    cr_assert(early < late && late <= 10'400, "%d and %d", early, late);
+}
+
+// Guards against a version that is completed because no route alone condemns it in time: 1 slow
+// answer of 16 at 6 a second.
+Test(rollout_judge, suspect_when_requests_are_to_move_is_rolled_back)
+{
+    judged_rollout played;
+    played.run(milliseconds(0), milliseconds(9000), 1, 0);
+    cr_assert(played.stored->phase == rollout_phase::ramp);
+    played.slow = 1;
+    played.report(milliseconds(9000), 1, 0, 1);
+    played.slow = 0;
+    played.run(milliseconds(9100), milliseconds(10'200), 1, 0);
+    const auto worst = played.judge.assessments().back().evidence;
+    cr_assert(worst < bad_evidence(), "%.1f", worst);
+}
+
+// Guards against rare routes of which the new version gets too few answers to be judged. 1000
+// requests a second, 20 of them at the rare route.
+Test(rollout_judge, rare_route_gets_larger_share)
+{
+    judged_rollout played;
+    played.run(milliseconds(0), milliseconds(2000), 2, 0);
+    rollout_report report = played.last;
+    report.vm = "vm-9";
+    report.counts.resize(1);
+    report.counts.front().route = "rare";
+    report.counts.front().answers = 20;
+    played.judge.on_report(report, start + milliseconds(2000));
+    const auto shares = played.judge.verdict(start + milliseconds(2000))->shares;
+    cr_assert(shares.routes.size() == 2 && shares.routes[1].route == "rare");
+    cr_assert(shares.routes[1].share == route_share_max);
+    cr_assert(shares.routes[0].share < shares.usual);
+}
+
 Test(rollout_judge, reports_repeated_count_once)
 {
     judged_rollout played;
@@ -451,7 +526,8 @@
     cr_assert(next && next->phase == rollout_phase::rolled_back && next->order == 7);
 }
 
-// Guards against a judge that was started late and knows neither the age nor the first answers.
+// Guards against a judge that was started late and knows neither the age nor the first answers. One
+// of three VMs knows the age.
 Test(rollout_judge, judge_starts_in_the_middle_continues)
 {
     judged_rollout played;
