Choose the bound of slow answers by its power

Cause: an answer was slow above 1.8 times the old version's median, rounded up to a bucket: up to 2.7 times. So a version that takes three times as long was missed where durations vary. And one that spoils all answers was hardly told where a fifth of the old version's were slow, since the alternative was 0.2 more. Change: of the bounds, the one where the old version's durations and three times these differ the most; 0.12 as the alternative, and 0.5 as a second one with its own bound.

--- a/packages/state/rollout_evidence.cpp
+++ b/packages/state/rollout_evidence.cpp
@@ -16,9 +16,12 @@
 constexpr std::size_t slices_around = 1;
 // The same in a wider window, which has enough answers of a rare route.
 constexpr std::size_t slices_before_wide = 4;
-// Bounds of durations by which an answer must be slower in `full` than before it: a burst can not
-// be told from a bad version there.
-constexpr std::size_t slow_buckets_full = 1;
+// Factor by which a bad version's slow answers take longer, at the least.
+constexpr double slow_factor = 3.0;
+// Factor by which a good version's answers may take longer, and the same in `full`, where a burst
+// can not be told from a slower version.
+constexpr double tolerated_factor = 1.15;
+constexpr double tolerated_factor_full = 1.5;
 // Answers of the old version from which a window is a measure.
 constexpr std::uint64_t window_answers_min = 20;
 // Weight of all domains' answers, as a number of them, in the estimate for one domain.
@@ -69,40 +72,61 @@
            (static_cast<double>(total) + domain_prior_answers);
 }
 
-double log_likelihood_ratio(std::uint64_t bad, std::uint64_t total, double expected)
+double log_likelihood_ratio(std::uint64_t bad, std::uint64_t total, double expected, double worse)
 {
-    const double worse = expected + (1.0 - expected) * rollout_bad_share;
     return static_cast<double>(bad) * std::log(worse / expected) +
            static_cast<double>(total - bad) * std::log((1.0 - worse) / (1.0 - expected));
 }
 
-// Index of the bound above which an answer is slow, given the old version's answers.
-std::size_t slow_bucket_of(const std::array<std::uint64_t, rollout_buckets>& by_duration)
+// Shares of the answers that take longer than each bound of the durations.
+using slower_shares = std::array<double, rollout_duration_bounds_ms.size()>;
+
+// The same at any duration, linear in its logarithm between the bounds.
+double slower_share_at(const slower_shares& shares, double duration_ms)
+{
+    double lower_bound = rollout_duration_bounds_ms.front() / 2.0;
+    double lower_share = 1.0;
+    if (duration_ms <= lower_bound)
+        return 1.0;
+    for (std::size_t i = 0; i < shares.size(); ++i)
+    {
+        const double bound = rollout_duration_bounds_ms[i];
+        if (duration_ms <= bound)
+        {
+            const double part = std::log(duration_ms / lower_bound) / std::log(bound / lower_bound);
+            return lower_share + part * (shares[i] - lower_share);
+        }
+        lower_bound = bound;
+        lower_share = shares[i];
+    }
+    return shares.back();
+}
+
+// The bound whose test tells a version that slows down this share of its answers with the fewest of
+// them.
+rollout_slow_test best_slow_test(const slower_shares& old, const bad_alternative& alternative,
+                                 bool is_full)
 {
-    const std::uint64_t total = sum_of(by_duration);
-    std::size_t median_bucket = 0;
-    std::uint64_t below = 0;
-    while (median_bucket + 1 < rollout_buckets && 2 * (below + by_duration[median_bucket]) < total)
-        below += by_duration[median_bucket++];
-    const std::size_t last = rollout_duration_bounds_ms.size() - 1;
-    if (median_bucket > last)
-        return last;
-    const double lower = median_bucket == 0 ? 0.0 : rollout_duration_bounds_ms[median_bucket - 1];
-    const double upper = rollout_duration_bounds_ms[median_bucket];
-    const auto in_bucket = static_cast<double>(by_duration[median_bucket]);
-    const double part =
-        in_bucket > 0.0
-            ? (static_cast<double>(total) / 2.0 - static_cast<double>(below)) / in_bucket
-            : 1.0;
-    const double median = lower + part * (upper - lower);
-    for (std::size_t bucket = median_bucket; bucket < last; ++bucket)
+    const double tolerated = is_full ? tolerated_factor_full : tolerated_factor;
+    const double expected_min =
+        std::max(is_full ? expected_slow_min_full : expected_slow_min, alternative.expected_min);
+    rollout_slow_test best;
+    double best_information = -1.0;
+    for (std::size_t i = 0; i < old.size(); ++i)
     {
-        const auto slower = static_cast<double>(slower_than(by_duration, bucket));
-        if (rollout_duration_bounds_ms[bucket] >= slow_factor * median &&
-            slower <= slow_share_max * static_cast<double>(total))
-            return bucket;
+        const double bound = rollout_duration_bounds_ms[i];
+        const double spoilt = slower_share_at(old, bound / slow_factor);
+        const double expected =
+            std::clamp(slower_share_at(old, bound / tolerated), expected_min, expected_share_max);
+        const double worse = expected + alternative.share * std::max(spoilt - expected, 0.0);
+        const double information = worse * std::log(worse / expected) +
+                                   (1.0 - worse) * std::log((1.0 - worse) / (1.0 - expected));
+        if (information <= best_information)
+            continue;
+        best_information = information;
+        best = {i, expected, worse};
     }
-    return last;
+    return best;
 }
 
 // Evidence by endpoint (by failure domain in `full`), summed over slices.
@@ -127,25 +151,27 @@
     }
 };
 
-// Failures and slow answers of one route, or of all.
+// Failures and slow answers of one route, or of all, for each of rollout_bad_shares.
 struct route_sums
 {
-    evidence_sum failed;
-    evidence_sum late;
+    std::array<evidence_sum, rollout_bad_shares.size()> failed;
+    std::array<evidence_sum, rollout_bad_shares.size()> late;
     bool is_touched = false; // by the present slice
 
     void assess_from_here(bool has_one_endpoint, bool is_in_step, rollout_assessment& out) const
     {
-        for (const evidence_sum* sum : {&failed, &late})
+        for (const auto* sums : {&failed, &late})
         {
-            out.evidence =
-                std::max(out.evidence, has_one_endpoint ? sum->total : sum->against_version());
-            if (is_in_step && sum->by_group.size() == 1)
-                out.single_evidence = std::max(out.single_evidence, sum->total);
+            for (std::size_t by = 0; by < sums->size(); ++by)
+            {
+                const evidence_sum& sum = (*sums)[by];
+                const double prior = rollout_bad_shares[by].prior_evidence;
+                const double against = has_one_endpoint ? sum.total : sum.against_version();
+                out.evidence = std::max(out.evidence, against + prior);
+                if (is_in_step && sum.by_group.size() == 1)
+                    out.single_evidence = std::max(out.single_evidence, sum.total + prior);
+            }
         }
-        // The evidence since the step began is the sum at its first slice.
-        if (is_in_step)
-            out.step_evidence = std::max(failed.against_version(), late.against_version());
     }
 };
 
@@ -156,11 +182,6 @@
     return std::log((1.0 - rollout_miss_rate) / rollout_false_alarm_rate);
 }
 
-double sound_evidence()
-{
-    return std::log(rollout_miss_rate / (1.0 - rollout_false_alarm_rate));
-}
-
 rollout_evidence::rollout_evidence(milliseconds duration_of_order)
     : slice_length_(
           std::max(slice_length_min, duration_of_order / static_cast<int>(rollout_max_slices)))
@@ -233,11 +254,7 @@
             const expectation& share = expected[route * domains_.size() + endpoint.domain];
             // An answer that fails after its first byte counts in the slice of its failure.
             const std::uint64_t ended = std::max(counts.answers, counts.failures);
-            const double failed = log_likelihood_ratio(counts.failures, ended, share.failures);
             const std::uint64_t timed = is_warm ? sum_of(counts.by_duration) : 0;
-            const std::uint64_t slow_answers =
-                is_warm ? slower_than(counts.by_duration, share.slow_bucket) : 0;
-            const double late = log_likelihood_ratio(slow_answers, timed, share.slow);
             // Without the old version's answers at the same time, only a comparison between domains
             // tells a slow one from a bad version.
             const std::size_t group = full_since ? endpoint.domain : index;
@@ -245,14 +262,26 @@
             {
                 result[to].answers += counts.answers;
                 result[to].failures += counts.failures;
-                result[to].slow += slow_answers;
+                if (timed > 0)
+                    result[to].slow += slower_than(counts.by_duration, share.slow.front().bucket);
                 result[to].step_answers += is_in_step ? counts.answers : 0;
                 if (!is_judged)
                     continue;
                 sums[to].is_touched = true;
-                sums[to].failed.add(group, failed);
-                if (timed > 0)
-                    sums[to].late.add(group, late);
+                for (std::size_t by = 0; by < rollout_bad_shares.size(); ++by)
+                {
+                    const bad_alternative& alternative = rollout_bad_shares[by];
+                    const double failures = std::max(share.failures, alternative.expected_min);
+                    const double worse = failures + (1.0 - failures) * alternative.share;
+                    sums[to].failed[by].add(
+                        group, log_likelihood_ratio(counts.failures, ended, failures, worse));
+                    if (timed == 0)
+                        continue;
+                    const rollout_slow_test& test = share.slow[by];
+                    sums[to].late[by].add(
+                        group, log_likelihood_ratio(slower_than(counts.by_duration, test.bucket),
+                                                    timed, test.expected, test.worse));
+                }
             }
         }
         for (std::size_t to = 0; to <= all; ++to)
@@ -302,29 +331,25 @@
     {
         const bool is_narrow_enough = narrow.by_route[route].answers >= window_answers_min;
         const bool is_wide_enough = wide.by_route[route].answers >= window_answers_min;
-        const answer_counts& usual = is_narrow_enough ? narrow.by_route[route]
-                                     : is_wide_enough ? wide.by_route[route]
-                                                      : old_totals_[route];
-        std::size_t slow_bucket = slow_bucket_of(usual.by_duration);
-        if (is_full)
-            slow_bucket = std::min(slow_bucket + slow_buckets_full, rollout_buckets - 2);
         for (std::size_t domain = 0; domain < domains; ++domain)
         {
             expectation& out = result[route * domains + domain];
-            out.slow_bucket = slow_bucket;
             out.failures = is_full ? expected_failures_min_full : expected_failures_min;
-            out.slow = is_full ? expected_slow_min_full : expected_slow_min;
+            slower_shares slower{};
             const auto raise_to = [&](const answer_counts& all, const answer_counts& own)
             {
                 const double failures = share_of(all.failures, all.answers);
-                const double slow =
-                    share_of(slower_than(all.by_duration, slow_bucket), sum_of(all.by_duration));
                 const double own_failures = share_within(own.failures, own.answers, failures);
                 out.failures =
                     std::max(out.failures, std::min(own_failures, domain_failures_max * failures));
-                out.slow =
-                    std::max(out.slow, share_within(slower_than(own.by_duration, slow_bucket),
-                                                    sum_of(own.by_duration), slow));
+                const std::uint64_t all_timed = sum_of(all.by_duration);
+                const std::uint64_t own_timed = sum_of(own.by_duration);
+                for (std::size_t i = 0; i < slower.size(); ++i)
+                {
+                    const double share = share_of(slower_than(all.by_duration, i), all_timed);
+                    slower[i] = std::max(
+                        slower[i], share_within(slower_than(own.by_duration, i), own_timed, share));
+                }
             };
             const std::size_t cell = route * domains + domain;
             raise_to(is_wide_enough ? wide.by_route[route] : old_totals_[route],
@@ -332,7 +357,8 @@
             if (is_narrow_enough)
                 raise_to(narrow.by_route[route], narrow.by_domain[cell]);
             out.failures = std::min(out.failures, expected_share_max);
-            out.slow = std::min(out.slow, expected_share_max);
+            for (std::size_t by = 0; by < rollout_bad_shares.size(); ++by)
+                out.slow[by] = best_slow_test(slower, rollout_bad_shares[by], is_full);
         }
     }
     return result;
--- a/packages/state/rollout_evidence.h
+++ b/packages/state/rollout_evidence.h
@@ -25,22 +25,29 @@
 {
 
 // Rates of the sequential test (Wald): a route of a good version is taken for bad with at most the
-// first probability per start of the sum, and a route that is worse by rollout_bad_share for sound
-// with at most the second one.
+// first probability per start of the sum. The second one, that of a bad route which is taken for
+// sound, hardly moves the threshold.
 inline constexpr double rollout_false_alarm_rate = 2e-3;
 inline constexpr double rollout_miss_rate = 0.02;
-// Share of the answers that a bad version spoils, on top of those that are bad anyway.
-inline constexpr double rollout_bad_share = 0.2;
+// Share of the answers that a bad version may spoil, on top of those that are bad anyway, and the
+// share that is expected to be bad anyway at the least.
+struct bad_alternative
+{
+    double share = 0.0;
+    double expected_min = 0.0;
+    double prior_evidence = 0.0; // added to that of the answers
+};
+
+// Alternatives to "as good". Where many answers are bad anyway, as in a slow failure domain, only
+// the second one tells soon.
+inline constexpr std::array<bad_alternative, 2> rollout_bad_shares{
+    {{0.12, 0.0, 0.0}, {0.5, 0.2, -4.0}}};
 // Shares of bad answers expected at least, however good the old version is.
 inline constexpr double expected_failures_min = 0.01;
-inline constexpr double expected_slow_min = 0.03;
+inline constexpr double expected_slow_min = 0.02;
 // The same while the new version takes over all requests: its endpoints are new to most of them.
 inline constexpr double expected_failures_min_full = 0.02;
 inline constexpr double expected_slow_min_full = 0.08;
-// An answer is slow above this multiple of the old version's median ...
-inline constexpr double slow_factor = 1.8;
-// ... and if at most this share of the old version's answers takes longer.
-inline constexpr double slow_share_max = 0.15;
 // Evidence of one endpoint above this is taken for a fault of that endpoint: about one in twenty
 // roll-outs has a faulty one.
 inline constexpr double faulty_endpoint_evidence = 3.0;
@@ -53,9 +60,8 @@
 inline constexpr std::size_t rollout_max_slices = 48;
 inline constexpr std::size_t rollout_max_endpoints = 4096;
 
-// Logarithms of the likelihood ratios at which a route is decided.
+// Logarithm of the likelihood ratio at which a route condemns the version.
 double bad_evidence();
-double sound_evidence();
 
 // Evidence on one route, for decisions, logs and metrics.
 struct rollout_assessment
@@ -67,11 +73,18 @@
     std::uint64_t failures = 0;
     std::uint64_t slow = 0;
     std::uint64_t step_answers = 0; // of the new version since the step began
-    // Evidence that the version is bad, rather than one of its endpoints; that of an endpoint which
-    // alone has answered since the step began; and that of all since the step began.
+    // Evidence that the version is bad, rather than one of its endpoints, and that of an endpoint
+    // which alone has answered since the step began.
     double evidence = 0.0;
     double single_evidence = 0.0;
-    double step_evidence = 0.0;
+};
+
+// Test for slow answers: those above a bound.
+struct rollout_slow_test
+{
+    std::size_t bucket = 0; // the last one that is not slow
+    double expected = 0.0;  // share of slow answers of a good version
+    double worse = 0.0;     // of a bad one
 };
 
 class rollout_evidence
@@ -104,12 +117,11 @@
         time_point first_at{};
     };
 
-    // Shares of bad answers to expect of a version that is as good as the old one.
+    // What to expect of a version that is as good as the old one.
     struct expectation
     {
-        double failures = 0.0;
-        double slow = 0.0;
-        std::size_t slow_bucket = 0; // an answer is slow above its bound
+        double failures = 0.0; // share
+        std::array<rollout_slow_test, rollout_bad_shares.size()> slow;
     };
 
     // Route, new endpoint, and whether that has warmed up.
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -450,6 +450,24 @@
     cr_assert(shares.routes[0].share < shares.usual);
 }
 
+// Guards against a slow domain or a faulty endpoint of the old version that hides a version which
+// is worse: a third of the old version's answers is slow, and all of the new one's. 12 answers a
+// second at two endpoints.
+Test(rollout_judge, old_version_slow_in_part_slow_version_is_rolled_back)
+{
+    judged_rollout played;
+    played.vms = 1;
+    played.old_slow = 13;
+    played.slow = 3;
+    for (int at = 0; at < 8000; at += 500)
+    {
+        played.report(milliseconds(at), 3, 0, 2);
+        if (const auto next = played.propose(milliseconds(at)))
+            played.store(*next, milliseconds(at));
+    }
+    cr_assert(played.stored->phase == rollout_phase::rolled_back);
+}
+
 Test(rollout_judge, reports_repeated_count_once)
 {
     judged_rollout played;
