Name the old version in the decisions and verdicts of a roll-out

Cause: a VM reads an order within 0.1 s and a decision within 1.5 s, so it may hear of the next order while it has the last one in canary or ramp. It then barred that order's version. The decisions of a service share one row, so it could read the next order's first decision without ever reading that the last one was completed; the stopped endpoints of the version before still counted as the old version until their records went. Callers got 503 no_endpoint until then.

Ruled out: to trust the last order's version while no decision is known. It may have been rolled back. To read the decisions more often: at 300 VMs the store's calls are bounded, and the gap would stay.

Change: the first decision of an order names the old version, which follows from the decision that it replaces; later ones and the judges' verdicts repeat it. A VM that has barred this version bars the other ones instead. Until it knows, the last order's version takes an attempt if no endpoint of the old one can be reached at all.

--- a/packages/coordination/edge_rollout_impl.h
+++ b/packages/coordination/edge_rollout_impl.h
@@ -237,6 +237,8 @@
     endpoint_ptr endpoint = acquire_endpoint(request, now);
     if (!endpoint && request.gate != nullptr)
         endpoint = acquire_fallback(request, now);
+    if (!endpoint && request.gate != nullptr)
+        endpoint = acquire_last_resort(request, now);
     if (endpoint)
         pool_.reset();
     return endpoint;
@@ -260,6 +262,26 @@
     return endpoint;
 }
 
+// Endpoints of the pool that this request has tried, or that are only busy, count as reachable
+// while another request may try them.
+template <typename Codec>
+endpoint_ptr edge<Codec>::exchange::acquire_last_resort(placement_request& request, time_point now)
+{
+    const rollout_pool other = request.gate->last_resort(request.pool);
+    if (other == rollout_pool::none)
+        return nullptr;
+    placement_request of_any = request;
+    of_any.excluded_ids = nullptr;
+    const auto available_at = owner_.endpoints_.next_available_at(of_any, now);
+    if (available_at && *available_at <= now)
+        return nullptr;
+    const rollout_pool chosen = std::exchange(request.pool, other);
+    endpoint_ptr endpoint = acquire_endpoint(request, now);
+    if (!endpoint && !owner_.endpoints_.next_available_at(request, now))
+        request.pool = chosen;
+    return endpoint;
+}
+
 // Chooses once for each attempt, however often it is placed, because each choice counts as a send.
 template <typename Codec>
 void edge<Codec>::exchange::choose_pool(placement_request& request, time_point now)
--- a/packages/coordination/rollout_coordinator.cpp
+++ b/packages/coordination/rollout_coordinator.cpp
@@ -26,7 +26,18 @@
     if (!gate.phase(now))
         return gate.may_use(rollout_pool::unrestricted, endpoint, now);
     return gate.may_use(rollout_pool::old_version, endpoint, now) ||
-           gate.may_use(rollout_pool::candidate, endpoint, now);
+           gate.may_use(rollout_pool::candidate, endpoint, now) ||
+           gate.may_use(rollout_pool::replaced, endpoint, now);
+}
+
+// Version that serves besides that of the order; empty if not known.
+std::string old_version_of(std::uint64_t order, const std::optional<rollout_record>& stored,
+                           const std::optional<rollout_record>& held)
+{
+    const auto& last = held && (!stored || supersedes(*held, *stored)) ? held : stored;
+    if (!last || last->order > order)
+        return {};
+    return last->order == order ? last->old_version : version_after(*last);
 }
 
 } // namespace
@@ -359,8 +370,7 @@
                 due.push_back({vm, report});
                 continue;
             }
-            state.judge.on_report(report, now);
-            if (const auto verdict = state.judge.verdict(now))
+            if (const auto verdict = on_report(report, now))
                 on_verdict(*verdict, now);
         }
     }
@@ -383,7 +393,16 @@
     if (state == nullptr)
         return std::nullopt;
     state->judge.on_report(report, now);
-    return state->judge.verdict(now);
+    return verdict_of(*state, now);
+}
+
+std::optional<rollout_verdict> rollout_coordinator::verdict_of(const service_state& state,
+                                                               time_point now) const
+{
+    auto verdict = state.judge.verdict(now);
+    if (verdict)
+        verdict->old_version = old_version_of(verdict->order, state.stored, state.held);
+    return verdict;
 }
 
 void rollout_coordinator::on_verdict(const rollout_verdict& verdict, time_point now)
@@ -427,8 +446,11 @@
         if (are_orders_known_ && !state.gate.order())
             state.judge.set_order(std::nullopt, now);
         const auto rank = own_rank(state, is_up, now);
-        state.proposal =
-            state.judge.propose(situation(service, rank.value_or(rollout_judge_count)), now);
+        const rollout_situation at = situation(service, rank.value_or(rollout_judge_count));
+        state.proposal = state.judge.propose(at, now);
+        if (state.proposal)
+            state.proposal->old_version =
+                old_version_of(state.proposal->order, state.stored, state.held);
         // Without links all VMs come first in their own view.
         if (!rank || !std::exchange(state.wants_links, state.proposal.has_value()))
             state.proposal.reset();
--- a/packages/coordination/rollout_coordinator.h
+++ b/packages/coordination/rollout_coordinator.h
@@ -156,9 +156,9 @@
         std::optional<store_position> stored_at; // set once the decision in the store is known
         std::optional<rollout_record> proposal;  // decision to write
         bool needs_read = false;
-        bool wants_links = false;        // to the VMs that judge, though no roll-out is running
-        time_point call_at{};            // no call before
-        time_point reported_at{};        // last report
+        bool wants_links = false; // to the VMs that judge, though no roll-out is running
+        time_point call_at{};     // no call before
+        time_point reported_at{}; // last report
         std::vector<std::string> judges; // all VMs, in their order
         std::optional<rollout_phase> logged_phase;
         std::optional<rollout_record> logged_proposal;
@@ -176,6 +176,7 @@
                                        time_point now) const;
     std::optional<std::size_t> own_rank(const service_state& state, const reachability& is_up,
                                         time_point now) const;
+    std::optional<rollout_verdict> verdict_of(const service_state& state, time_point now) const;
     rollout_situation situation(const std::string& service, std::size_t rank) const;
     rollout_samples* samples_of(const rollout_ticket& ticket);
     void log_phase(const std::string& service, service_state& state, time_point now);
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -166,6 +166,7 @@
   step @3 :UInt32;
   ageMs @4 :Int32;
   shares @5 :RolloutShares;
+  oldVersion @6 :Text;        # that serves besides the new one; empty if not known
 }
 
 struct VmMessage {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -337,7 +337,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca2c75195b2bff36, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ca2c75195b2bff36, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2405,6 +2405,9 @@
   inline bool hasShares() const;
   inline  ::zinnianotch::wire::RolloutShares::Reader getShares() const;
 
+  inline bool hasOldVersion() const;
+  inline  ::capnp::Text::Reader getOldVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2459,6 +2462,13 @@
   inline void adoptShares(::capnp::Orphan< ::zinnianotch::wire::RolloutShares>&& value);
   inline ::capnp::Orphan< ::zinnianotch::wire::RolloutShares> disownShares();
 
+  inline bool hasOldVersion();
+  inline  ::capnp::Text::Builder getOldVersion();
+  inline void setOldVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOldVersion(unsigned int size);
+  inline void adoptOldVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOldVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4860,6 +4870,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool RolloutVerdict::Reader::hasOldVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RolloutVerdict::Builder::hasOldVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RolloutVerdict::Reader::getOldVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RolloutVerdict::Builder::getOldVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RolloutVerdict::Builder::setOldVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RolloutVerdict::Builder::initOldVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RolloutVerdict::Builder::adoptOldVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RolloutVerdict::Builder::disownOldVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::zinnianotch::wire::VmMessage::Which VmMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -223,6 +223,7 @@
     {
         auto to = out_.initVerdict();
         to.setService(message.service);
+        to.setOldVersion(message.old_version);
         to.setOrder(message.order);
         to.setPhase(static_cast<std::uint8_t>(message.phase));
         to.setStep(message.step);
@@ -475,6 +476,7 @@
 {
     rollout_verdict message;
     message.service = to_text(from.getService());
+    message.old_version = to_text(from.getOldVersion());
     message.order = from.getOrder();
     message.phase = to_enum(from.getPhase(), rollout_phase::rolled_back);
     message.step = from.getStep();
--- a/packages/state/rollout.cpp
+++ b/packages/state/rollout.cpp
@@ -66,6 +66,13 @@
     return first.phase == second.phase && first.step == second.step && first.age > second.age;
 }
 
+const std::string& version_after(const rollout_record& last)
+{
+    const bool has_moved =
+        last.phase == rollout_phase::full || last.phase == rollout_phase::completed;
+    return has_moved ? last.version : last.old_version;
+}
+
 std::vector<std::string> rollout_judges(std::string_view service, std::vector<std::string> vms)
 {
     const std::uint64_t base = fnv_1a(fnv_1a(fnv_offset_basis, "rollout/"), service);
--- a/packages/state/rollout.h
+++ b/packages/state/rollout.h
@@ -74,6 +74,7 @@
 {
     std::string service;
     std::string version;
+    std::string old_version; // that serves besides it; empty if not known
     std::uint64_t order = 0; // revision of the order
     rollout_phase phase = rollout_phase::canary;
     std::uint32_t step = 0;     // within the phase
@@ -130,6 +131,7 @@
     std::uint32_t step = 0;
     rollout_shares shares;
     milliseconds age{0};
+    std::string old_version; // see rollout_record
 };
 
 // Bounds on the size of reports, verdicts and records.
@@ -143,6 +145,9 @@
 // The same for verdicts; of two of the same step, the one of the later age.
 bool supersedes(const rollout_verdict& first, const rollout_verdict& second);
 
+// Old version of the next order, if its first decision replaces `last`; empty if not known.
+const std::string& version_after(const rollout_record& last);
+
 // Of several VMs, those that judge a service's roll-out, the most preferred first. All VMs that
 // know the same list agree on the order.
 std::vector<std::string> rollout_judges(std::string_view service, std::vector<std::string> vms);
--- a/packages/state/rollout_gate.cpp
+++ b/packages/state/rollout_gate.cpp
@@ -15,8 +15,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> pool_names{"unrestricted", "old_version", "candidate",
-                                                     "none"};
+constexpr std::array<std::string_view, 5> pool_names{"unrestricted", "old_version", "candidate",
+                                                     "replaced", "none"};
 
 template <typename Decision>
 std::pair<rollout_phase, std::uint32_t> position(const Decision& of)
@@ -92,6 +92,7 @@
         return;
     }
     age_.hear(record.age, now);
+    learn_old_version(record.old_version);
     if (record_ && !supersedes(record, *record_))
         return;
     record_ = record;
@@ -105,6 +106,7 @@
     if (!order_ || verdict.order != order_->revision)
         return;
     age_.hear(verdict.age, now);
+    learn_old_version(verdict.old_version);
     verdict_at_ = now;
     if (!verdict_ || supersedes(verdict, *verdict_))
         verdict_ = verdict;
@@ -152,6 +154,14 @@
     return rollout_pool::old_version;
 }
 
+// An earlier order may have been completed and its old endpoints stopped before this VM has read
+// so.
+rollout_pool rollout_gate::last_resort(rollout_pool pool) const
+{
+    return pool == rollout_pool::old_version && !replaced_.empty() ? rollout_pool::replaced
+                                                                   : rollout_pool::none;
+}
+
 rollout_pool rollout_gate::adjusted(rollout_pool pool, time_point now) const
 {
     const auto at = phase(now);
@@ -165,6 +175,8 @@
     if (found == endpoints_.end() || pool == rollout_pool::none)
         return false;
     const std::string& version = found->second.endpoint.version;
+    if (pool == rollout_pool::replaced)
+        return replaced_.contains(version) && !is_held(version, now);
     if (banned_.contains(version) && !is_last_resort(version))
         return false;
     if (!order_)
@@ -333,14 +345,27 @@
         ban(record.version);
         return place_candidates();
     }
-    for (const auto& [version, usable_from] : versions_)
+    set_old_version(record.version);
+}
+
+// Old version as of the order's first decision. If this VM has barred it, it has missed how an
+// earlier order ended.
+void rollout_gate::learn_old_version(const std::string& version)
+{
+    if (banned_.contains(version) && version != order_->version)
+        set_old_version(version);
+}
+
+void rollout_gate::set_old_version(const std::string& version)
+{
+    for (const auto& [each, usable_from] : versions_)
     {
-        if (version != order_->version)
-            ban(version);
+        if (each != order_->version)
+            ban(each);
     }
     replaced_.clear();
-    banned_.erase(record.version);
-    trusted_.insert(record.version);
+    banned_.erase(version);
+    trusted_.insert(version);
     place_candidates();
 }
 
--- a/packages/state/rollout_gate.h
+++ b/packages/state/rollout_gate.h
@@ -35,6 +35,7 @@
     unrestricted, // no roll-out
     old_version,
     candidate,
+    replaced, // versions of earlier orders that may have been completed
     none
 };
 
@@ -70,6 +71,8 @@
     rollout_pool choose(std::string_view route, bool is_retry, time_point now);
     // Pool to use instead if no endpoint of `pool` can take the attempt; `none` if there is none.
     rollout_pool fallback(rollout_pool pool, time_point now) const;
+    // Pool for an attempt if no endpoint of `pool` can be reached at all; `none` if there is none.
+    rollout_pool last_resort(rollout_pool pool) const;
     // The pool of an earlier choice, in the present phase.
     rollout_pool adjusted(rollout_pool pool, time_point now) const;
     // True if an attempt with this pool may use the endpoint. An unknown endpoint may not be used.
@@ -110,6 +113,8 @@
     void close_order(bool is_replaced, time_point now);
     void settle_without_order(const rollout_record& record);
     void settle_replaced(const rollout_record& record);
+    void learn_old_version(const std::string& version);
+    void set_old_version(const std::string& version);
     void ban(const std::string& version);
     bool is_last_resort(const std::string& version) const;
     void on_completed();
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -507,6 +507,7 @@
     rollout_record rollout;
     rollout.service = "reading";
     rollout.version = "v2";
+    rollout.old_version = "v1";
     rollout.order = 71;
     rollout.phase = rollout_phase::rolled_back;
     rollout.step = 2;
@@ -542,7 +543,7 @@
     cr_assert(read && read->service == "reading" && read->version == "v2" && read->order == 71);
     cr_assert(read->phase == rollout_phase::rolled_back && read->step == 2);
     cr_assert(read->age == milliseconds(4100) && read->why == rollout.why && read->revision == 94);
-    cr_assert(read->shares == rollout.shares);
+    cr_assert(read->shares == rollout.shares && read->old_version == "v1");
     cr_assert_not(codec::decode_vm(row).has_value());
 }
 
--- a/tests/unit/rollout_replacement_test.cpp
+++ b/tests/unit/rollout_replacement_test.cpp
@@ -65,6 +65,52 @@
     cr_assert(harness.may_use("v2-0") && !harness.may_use("v1-0") && !harness.may_use("v3-0"));
 }
 
+// Guards against requests to stopped endpoints, and none to the version that serves, on a VM that
+// never reads how the order before has ended.
+Test(rollout_replacement, completed_version_is_used_once_the_next_decision_names_it)
+{
+    replaced_order harness({"v1", "v2", "v3"});
+    rollout_record next = harness.record("v3", 9, rollout_phase::canary);
+    next.old_version = "v2";
+    harness.gate.on_record(next, harness.now);
+    cr_assert(harness.may_use("v2-0") && !harness.may_use("v1-0") && !harness.may_use("v3-0"));
+}
+
+// Guards against the same on a VM that hears of the decision from a judge first.
+Test(rollout_replacement, completed_version_is_used_once_a_verdict_names_it)
+{
+    replaced_order harness({"v1", "v2", "v3"});
+    rollout_verdict next;
+    next.order = 9;
+    next.old_version = "v2";
+    harness.gate.on_verdict(next, harness.now);
+    cr_assert(harness.may_use("v2-0") && !harness.may_use("v1-0") && !harness.may_use("v3-0"));
+}
+
+// Guards against requests to a version that was rolled back after it had all requests.
+Test(rollout_replacement, version_before_is_used_again_once_the_next_decision_names_it)
+{
+    replaced_order harness({"v1", "v2", "v3"}, rollout_phase::full);
+    rollout_record next = harness.record("v3", 9, rollout_phase::canary);
+    next.old_version = "v1";
+    harness.gate.on_record(next, harness.now);
+    cr_assert(harness.may_use("v1-0") && !harness.may_use("v2-0") && !harness.may_use("v3-0"));
+}
+
+// Guards against refusals while the old endpoints have stopped and the decision is not read yet.
+Test(rollout_replacement, replaced_version_is_the_last_resort_of_the_old_one_only)
+{
+    replaced_order harness({"v1", "v2", "v3"});
+    cr_assert(harness.gate.last_resort(rollout_pool::old_version) == rollout_pool::replaced);
+    cr_assert(harness.gate.last_resort(rollout_pool::candidate) == rollout_pool::none);
+    const auto may_use = [&](const char* endpoint)
+    { return harness.gate.may_use(rollout_pool::replaced, endpoint, harness.now); };
+    cr_assert(may_use("v2-0") && !may_use("v1-0") && !may_use("v3-0"));
+    harness.gate.on_record(harness.record("v2", 5, rollout_phase::rolled_back), harness.now);
+    cr_assert(harness.gate.last_resort(rollout_pool::old_version) == rollout_pool::none);
+    cr_assert_not(may_use("v2-0"));
+}
+
 // Guards against a VM without any endpoint because it was away when the version was completed.
 Test(rollout_replacement, replaced_version_is_used_if_no_other_is_left)
 {
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -233,13 +233,13 @@
     cr_assert(decoded.counts[0].by_duration == counts.by_duration);
 
     const rollout_shares shares{0.02, 0.1, {{"loans", 0.25}, {"desk", 0.0}}};
-    frame = encode_frame(
-        rollout_verdict{"reading", 71, rollout_phase::rolled_back, 3, shares, milliseconds(900)});
+    frame = encode_frame(rollout_verdict{"reading", 71, rollout_phase::rolled_back, 3, shares,
+                                         milliseconds(900), "v1"});
     cr_assert(decode_frame(frame, message) == frame_state::complete);
     const auto& verdict = std::get<rollout_verdict>(message);
     cr_assert(verdict.service == "reading" && verdict.order == 71 && verdict.step == 3);
     cr_assert(verdict.phase == rollout_phase::rolled_back && verdict.age == milliseconds(900));
-    cr_assert(verdict.shares == shares);
+    cr_assert(verdict.shares == shares && verdict.old_version == "v1");
 }
 
 // Guards against a report that would turn a judgement by figures that no VM can have counted.
