Complete a roll-out only once all VMs follow it

Cause: of an order of 9 s, `full` was written at 8.2 s and `completed` at 8.4 s, because within the last 0.07 of the time it was written as soon as no request that may run only once was reported at the old endpoints. The other VMs hear of `full` after 0.3 to 0.6 s; until then they sent requests to the old endpoints, which stop with `completed`. They had not followed `full` when the next order came, either, and barred the version that had just been completed.

Ruled out: a VM that does not follow sends to the new version if no old endpoint can be reached. That may exceed the bound on a bad version's requests, and requests in flight at the stopped endpoints are lost all the same.

Change: `completed` waits until every VM has reported that it follows `full`, up to the last 0.035 of the order's time. A VM that enters another phase reports at once.

Figures: rollout_coordinator/vms_lag_completion_waits_until_deadline_is_imminent fails on the code before: completed at 8.5 of 9 s while two of three VMs report `ramp`.

--- a/packages/coordination/rollout_coordinator.cpp
+++ b/packages/coordination/rollout_coordinator.cpp
@@ -108,7 +108,9 @@
     state.samples =
         order ? std::make_unique<rollout_samples>(vm_, lifetime_, order->service, order->revision)
               : nullptr;
+    state.followers = {};
     state.reported_at = {};
+    state.reported_phase.reset();
     state.logged_phase.reset();
     state.gate.set_order(order, now);
     state.judge.set_order(order, now);
@@ -355,10 +357,14 @@
     for (auto& [service, state] : services_)
     {
         const auto phase = state.gate.phase(now);
-        if (!state.samples || !phase || !state.gate.is_running(now) ||
+        if (!state.samples || !phase || !state.gate.is_running(now))
+            continue;
+        // The judges wait for all VMs to follow a phase.
+        if (phase == state.reported_phase &&
             now - state.reported_at < rollout_report_interval(*phase))
             continue;
         state.reported_at = now;
+        state.reported_phase = phase;
         const milliseconds age = state.gate.order_age(now);
         for (const std::string& vm : judges_of(state, is_up, now))
         {
@@ -393,6 +399,9 @@
     if (state == nullptr)
         return std::nullopt;
     state->judge.on_report(report, now);
+    const auto& order = state->gate.order();
+    if (order && order->revision == report.order)
+        state->followers.hear(report, now);
     return verdict_of(*state, now);
 }
 
@@ -454,9 +463,24 @@
         // Without links all VMs come first in their own view.
         if (!rank || !std::exchange(state.wants_links, state.proposal.has_value()))
             state.proposal.reset();
+        if (state.proposal && is_premature(state, *state.proposal, at, now))
+            state.proposal.reset();
     }
 }
 
+// The endpoints of the old version stop as soon as the new one is completed, so all VMs first have
+// to send elsewhere, unless the deadline is imminent.
+bool rollout_coordinator::is_premature(const service_state& state, const rollout_record& proposal,
+                                       const rollout_situation& at, time_point now) const
+{
+    const auto& order = state.gate.order();
+    if (proposal.phase != rollout_phase::completed || !order || at.old_endpoints == 0)
+        return false;
+    const double left = static_cast<double>((order->duration - state.gate.order_age(now)).count());
+    return left >= unfollowed_completion_margin * static_cast<double>(order->duration.count()) &&
+           !state.followers.have_reached(rollout_phase::full, at.vms, now);
+}
+
 std::optional<rollout_call> rollout_coordinator::next_call(time_point now)
 {
     for (auto& [service, state] : services_)
--- a/packages/coordination/rollout_coordinator.h
+++ b/packages/coordination/rollout_coordinator.h
@@ -25,6 +25,9 @@
 
 // Time after which a VM whose link does not come up counts as unreachable.
 inline constexpr milliseconds judge_link_patience{1500};
+// `completed` is written this long before the deadline, as a part of the order's time, even if some
+// VM may still send requests to the old version.
+inline constexpr double unfollowed_completion_margin = 0.035;
 // Time until a call to the store is repeated after one that was refused or had no answer.
 inline constexpr milliseconds rollout_call_interval{300};
 
@@ -150,7 +153,8 @@
 
         rollout_gate gate;
         rollout_judge judge;
-        std::unique_ptr<rollout_samples> samples; // of the current order
+        rollout_followers followers;              // of the current order
+        std::unique_ptr<rollout_samples> samples; // the same
         std::optional<rollout_record> stored;
         std::optional<rollout_record> held;
         std::optional<store_position> stored_at; // set once the decision in the store is known
@@ -159,6 +163,7 @@
         bool wants_links = false; // to the VMs that judge, though no roll-out is running
         time_point call_at{};     // no call before
         time_point reported_at{}; // last report
+        std::optional<rollout_phase> reported_phase;
         std::vector<std::string> judges; // all VMs, in their order
         std::optional<rollout_phase> logged_phase;
         std::optional<rollout_record> logged_proposal;
@@ -177,6 +182,8 @@
     std::optional<std::size_t> own_rank(const service_state& state, const reachability& is_up,
                                         time_point now) const;
     std::optional<rollout_verdict> verdict_of(const service_state& state, time_point now) const;
+    bool is_premature(const service_state& state, const rollout_record& proposal,
+                      const rollout_situation& at, time_point now) const;
     rollout_situation situation(const std::string& service, std::size_t rank) const;
     rollout_samples* samples_of(const rollout_ticket& ticket);
     void log_phase(const std::string& service, service_state& state, time_point now);
--- a/tests/unit/rollout_coordinator_test.cpp
+++ b/tests/unit/rollout_coordinator_test.cpp
@@ -130,6 +130,24 @@
 
 } // namespace
 
+// Guards against endpoints that stop while VMs that lag still send requests to them.
+Test(rollout_coordinator, vms_lag_completion_waits_until_deadline_is_imminent)
+{
+    judging_vm harness;
+    harness.advance_until(rollout_phase::ramp);
+    harness.others_phase = rollout_phase::ramp;
+    harness.advance_until(rollout_phase::completed);
+    cr_assert(harness.age() >= order_time * 96 / 100 && harness.age() <= order_time);
+}
+
+// Guards against a completion that is held back although all VMs follow.
+Test(rollout_coordinator, vms_follow_completion_is_not_held_back)
+{
+    judging_vm harness;
+    harness.advance_until(rollout_phase::completed);
+    cr_assert(harness.age() < order_time * 96 / 100);
+}
+
 // Guards against VMs that cannot tell which version serves because they missed the last order's
 // end.
 Test(rollout_coordinator, order_after_a_completed_one_decisions_and_verdicts_name_its_version)
