Reserve the ports of VM processes in the tests of roll-outs

Cause: the tests let the kernel choose a port, closed it and wrote it into the settings, so a listener of another process could take it before the VM did. The VM then exits with `cannot_listen`, and the test waits 20 s for it to be ready. Processes also inherited the listening sockets of the fake endpoints that existed before them, so a stopped endpoint accepted connections and never answered.

Ruled out: a connection of the test's own readiness probe to itself, which would hold the port: the kernel takes ports of the other parity for these (none in 60,000 attempts).

Change: a bound socket holds each port until the test ends; servers listen on it with SO_REUSEADDR. A child process closes all inherited descriptors. The failed check shows the output of the process. The set-up that two tests of roll-outs had in common is in rollout_load.h. In it both wait for 200 requests after the completion, of which 100 must reach the new version, and for 150 after a roll-back.

--- a/packages/state/rollout.h
+++ b/packages/state/rollout.h
@@ -132,7 +132,7 @@
     std::uint32_t step = 0;
     rollout_shares shares;
     milliseconds age{0};
-    std::string old_version; // see rollout_record
+    std::string old_version = {}; // see rollout_record
 };
 
 // Bounds on the size of reports, verdicts and records.
--- a/tests/process/fixture.cpp
+++ b/tests/process/fixture.cpp
@@ -3,9 +3,11 @@
 #include "../standins/token_text.h"
 
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/mman.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -120,6 +122,29 @@
     }
 }
 
+reserved_port::reserved_port() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    const int enabled = 1;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    if (fd_ < 0 || ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled) != 0 ||
+        ::bind(fd_, generic, size) != 0 || ::getsockname(fd_, generic, &size) != 0)
+    {
+        if (fd_ >= 0)
+            ::close(fd_);
+        throw std::runtime_error("cannot reserve a port");
+    }
+    number_ = ntohs(address.sin_port);
+}
+
+reserved_port::~reserved_port()
+{
+    ::close(fd_);
+}
+
 child_process::child_process(const std::vector<std::string>& command)
     : output_fd_(::memfd_create("output", MFD_CLOEXEC))
 {
@@ -144,6 +169,8 @@
     ::dup2(::open("/dev/null", O_RDONLY | O_CLOEXEC), STDIN_FILENO);
     ::dup2(output_fd_, STDOUT_FILENO);
     ::dup2(output_fd_, STDERR_FILENO);
+    // A listening socket that the child inherits would stay open when the test closes its own.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(arguments.front(), arguments.data());
     ::_exit(exec_failure_exit_code);
 }
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -33,6 +33,25 @@
 // Polls until `condition` holds; returns false if it does not within `timeout`.
 bool eventually(const std::function<bool()>& condition, milliseconds timeout = default_timeout);
 
+// A loopback port that the kernel gives to nothing else while this object exists. A server can
+// listen on it, also after a restart, if it sets SO_REUSEADDR.
+class reserved_port
+{
+public:
+    reserved_port();
+    ~reserved_port();
+
+    reserved_port(const reserved_port&) = delete;
+    reserved_port& operator=(const reserved_port&) = delete;
+
+    std::uint16_t number() const { return number_; }
+    std::string address() const { return "127.0.0.1:" + std::to_string(number_); }
+
+private:
+    int fd_;
+    std::uint16_t number_ = 0;
+};
+
 // Child process of the test; the destructor kills and reaps it.
 class child_process
 {
--- a/tests/process/rollout_test.cpp
+++ b/tests/process/rollout_test.cpp
@@ -9,41 +9,27 @@
 
 using namespace serving;
 using fixture::child_process;
-namespace asio = boost::asio;
+using fixture::reserved_port;
 
 namespace
 {
 
-constexpr milliseconds order_time{14'000};
 constexpr std::size_t vm_count = 4;
 
-std::uint16_t free_port()
-{
-    asio::io_context io;
-    asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address(loopback), 0});
-    return acceptor.local_endpoint().port();
-}
-
-std::string address_of(std::uint16_t port)
-{
-    return std::string(loopback) + ":" + std::to_string(port);
-}
-
 // A VM as a process, with a settings file that has the bounds of roll-outs.
 class vm_process
 {
 public:
     vm_process(std::size_t number, const std::string& store, const std::string& folder)
-        : callers_(free_port()), readiness_(free_port())
     {
         const std::string name = "vm-" + std::to_string(number);
         path_ = folder + "/" + name + ".yaml";
         std::ofstream(path_)
             << "vm: " << name << "\nfailure_domain: dom-a\nlisten: {callers: \""
-            << address_of(callers_) << "\", peers: \"" << address_of(free_port())
+            << callers_.address() << "\", peers: \"" << peers_.address()
             << "\"}\nplatform: {table: \"http://" << store
             << "\"}\nkeys: {accounts: [], operators: []}\nserving:\n  readiness: \""
-            << address_of(readiness_) << "\"\n  store: \"" << store
+            << readiness_.address() << "\"\n  store: \"" << store
             << "\"\n  repeat_slack: 1000\n  rollouts: {exposure_share: 0.1, "
                "exposure_slack: 50, roll_back_ms: 5000}\n";
         process_ = std::make_unique<child_process>(
@@ -51,35 +37,37 @@
     }
 
     child_process& process() { return *process_; }
-    std::string address() const { return address_of(callers_); }
-    std::string readiness() const { return address_of(readiness_); }
+    const child_process& process() const { return *process_; }
+    std::string address() const { return callers_.address(); }
+    std::string readiness() const { return readiness_.address(); }
 
 private:
-    std::uint16_t callers_;
-    std::uint16_t readiness_;
+    reserved_port callers_;
+    reserved_port peers_;
+    reserved_port readiness_;
     std::string path_;
     std::unique_ptr<child_process> process_;
 };
 
-struct rollout_processes : deployment
+struct rollout_processes : rollout_scenario
 {
-    rollout_load load{*this};
-    std::vector<fake_endpoint*> old;
     std::string folder;
     std::vector<std::unique_ptr<vm_process>> processes;
 
     rollout_processes()
-        : folder((std::filesystem::temp_directory_path() / "zinnianotch-rollout-XXXXXX").string())
+        : rollout_scenario(4, milliseconds(14'000)),
+          folder((std::filesystem::temp_directory_path() / "zinnianotch-rollout-XXXXXX").string())
     {
         cr_assert(::mkdtemp(folder.data()) != nullptr);
-        old = load.add_endpoints("v1", 4);
+        old = load.add_endpoints("v1", endpoint_count);
         configure(1);
         for (std::size_t i = 0; i < vm_count; ++i)
             processes.push_back(
                 std::make_unique<vm_process>(i, store.address(store.add_listener()), folder));
         for (const auto& process : processes)
         {
-            cr_assert(is_ready(*process));
+            cr_assert(is_ready(*process), "output of %s:\n%s", process->address().c_str(),
+                      process->process().output().c_str());
             load.vms.push_back(process->address());
         }
         load.run_requests(200);
@@ -96,36 +84,6 @@
                 return run_until([&] { return probe.ended(); }) && probe.head.status == 200;
             });
     }
-    std::vector<fake_endpoint*> order(const std::string& version,
-                                      const std::function<void(fake_endpoint&)>& shape = {})
-    {
-        order_rollout(rollout_service, version, order_time);
-        return load.add_endpoints(version, 4, shape);
-    }
-    bool is_exposed(const std::vector<fake_endpoint*>& candidates, std::size_t requests)
-    {
-        return load.run_until([&] { return load.received(candidates) > requests; });
-    }
-    void expect_completed(const std::vector<fake_endpoint*>& candidates)
-    {
-        cr_assert(load.run_until_state("completed", old), "state %s",
-                  rollout_state(rollout_service).c_str());
-        const std::size_t received = load.received(candidates);
-        load.run_requests(200);
-        load.expect_status_never_goes_back();
-        cr_assert(load.received(candidates) >= received + 100);
-    }
-    void expect_rolled_back(const std::vector<fake_endpoint*>& candidates)
-    {
-        cr_assert(load.run_until_state("rolled_back"), "state %s",
-                  rollout_state(rollout_service).c_str());
-        load.run_requests(150);
-        const std::size_t received = load.received(candidates);
-        load.run_requests(200);
-        cr_assert(load.received(candidates) == received);
-        load.expect_within_bounds(candidates, old);
-        load.expect_status_never_goes_back();
-    }
     // The process whose VM judges first, and its address.
     std::size_t first_judge() const
     {
@@ -148,7 +106,8 @@
     const time_point ordered_at = zinnianotch::steady_clock::now();
     harness.expect_completed(harness.order("v2"));
     harness.load.expect_no_failures();
-    cr_assert(zinnianotch::steady_clock::now() < ordered_at + order_time + milliseconds(3000));
+    cr_assert(zinnianotch::steady_clock::now() <
+              ordered_at + harness.order_time + milliseconds(3000));
 }
 
 // Guards against a version that turns bad after it has been sound for a while.
@@ -196,9 +155,7 @@
 {
     rollout_processes harness;
     bool is_bad = false;
-    const auto candidates =
-        harness.order("v2", [&](fake_endpoint& endpoint)
-                      { endpoint.fails = [&](const recorded_request&) { return is_bad; }; });
+    const auto candidates = harness.order_failing_once("v2", is_bad);
     cr_assert(harness.is_exposed(candidates, 10));
     vm_process& judge = *harness.processes[harness.first_judge()];
     std::erase(harness.load.vms, judge.address());
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,7 +2,7 @@
 // and the endpoints, loopback proxies between them, and injected faults. It checks the responses
 // that callers receive and the requests that endpoints run.
 //
-//   soak --seed N --seconds S [--vms N] [--crashing-part | --rollouts]
+//   soak --seed N --seconds S [--vms N] [--crashing-part | --rollouts] [--logs FOLDER]
 //
 // With --crashing-part, engines crash under a part of some prompts and VMs are killed or stopped;
 // no other faults are injected.
@@ -29,6 +29,7 @@
 
 using namespace serving;
 using fixture::child_process;
+using fixture::reserved_port;
 using web::json::value;
 using zinnianotch::steady_clock;
 using zinnianotch::upstream_failure;
@@ -82,14 +83,6 @@
                                                        {"POST", "/stream/", false, true},
                                                        {"POST", "/once/", true, true}}};
 
-// Returns a free port. Another program could take it before it is used; the VM then fails to start.
-std::uint16_t free_port()
-{
-    asio::io_context io;
-    asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address(loopback), 0});
-    return acceptor.local_endpoint().port();
-}
-
 // A fault proxy process in front of one address.
 class proxy
 {
@@ -150,17 +143,15 @@
 public:
     vm_process(std::size_t number, const std::string& store, const std::string& folder,
                bool has_rollouts)
-        : name_("vm-" + std::to_string(number)), callers_(free_port())
+        : name_("vm-" + std::to_string(number))
     {
         path_ = folder + "/" + name_ + ".yaml";
         std::ofstream file(path_);
-        const auto address = [](std::uint16_t port)
-        { return std::string(loopback) + ":" + std::to_string(port); };
         file << "vm: " << name_ << "\nfailure_domain: dom-a\nlisten: {callers: \""
-             << address(callers_) << "\", peers: \"" << address(free_port())
+             << callers_.address() << "\", peers: \"" << peers_.address()
              << "\"}\nplatform: {table: \"http://" << store
              << "\"}\nkeys: {accounts: [], operators: []}\nserving:\n  readiness: \""
-             << address(free_port()) << "\"\n  store: \"" << store
+             << readiness_.address() << "\"\n  store: \"" << store
              << "\"\n  repeat_slack: 1000\n  stop_grace_s: 4\n";
         if (has_rollouts)
             file << "  rollouts: {exposure_share: 0.1, exposure_slack: 50, roll_back_ms: "
@@ -175,7 +166,8 @@
             std::vector<std::string>{daemon_path, "--settings", path_});
     }
     child_process& process() { return *process_; }
-    std::uint16_t port() const { return callers_; }
+    const child_process& process() const { return *process_; }
+    std::uint16_t port() const { return callers_.number(); }
 
     // Restarts the process if it has exited. Returns the exit code if the exit was not expected.
     std::optional<int> restart_if_exited(bool expected)
@@ -196,7 +188,9 @@
 
 private:
     std::string name_;
-    std::uint16_t callers_;
+    reserved_port callers_;
+    reserved_port peers_;
+    reserved_port readiness_;
     std::string path_;
     std::unique_ptr<child_process> process_;
     bool exit_expected_ = false;
@@ -270,6 +264,13 @@
         return violations_;
     }
 
+    // Writes the output of each VM's current process to a file in the folder.
+    void save_output(const std::string& to) const
+    {
+        for (std::size_t i = 0; i < vms_.size(); ++i)
+            std::ofstream(to + "/vm-" + std::to_string(i) + ".log") << vms_[i]->process().output();
+    }
+
     std::size_t answered() const { return answered_; }
     std::size_t sent() const { return requests_.size(); }
 
@@ -597,9 +598,10 @@
                 if (&order != &orders_.back() && i >= (&order + 1)->first_request)
                     break;
                 if (!requests_[i]->done || requests_[i]->status != 200)
-                    violations_.push_back(requests_[i]->attempt +
-                                          " failed during the roll-out of " + order.name +
-                                          " in calm");
+                    violations_.push_back(
+                        requests_[i]->attempt + " failed during the roll-out of " + order.name +
+                        " in calm: status " + std::to_string(requests_[i]->status) + " from vm-" +
+                        std::to_string(requests_[i]->vm) + " " + requests_[i]->body);
             }
         }
     }
@@ -710,6 +712,7 @@
     int vms = 3;
     int engines_crash = 0;
     int has_rollouts = 0;
+    const char* logs = nullptr;
     const poptOption options[] = {
         {"seed", 0, POPT_ARG_LONGLONG, &seed, 0, "seed of the requests and faults", "N"},
         {"seconds", 0, POPT_ARG_INT, &seconds, 0, "duration of requests and faults in seconds",
@@ -718,6 +721,7 @@
         {"crashing-part", 0, POPT_ARG_NONE, &engines_crash, 0,
          "let engines crash under a part of some prompts", nullptr},
         {"rollouts", 0, POPT_ARG_NONE, &has_rollouts, 0, "order good and bad versions", nullptr},
+        {"logs", 0, POPT_ARG_STRING, &logs, 0, "keep the output of the VMs in a folder", "FOLDER"},
         POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
         poptGetContext("soak", argc, argv, options, 0), &poptFreeContext);
@@ -739,6 +743,8 @@
         soak_run run(static_cast<std::uint64_t>(seed), static_cast<std::size_t>(vms), folder,
                      engines_crash != 0, has_rollouts != 0);
         violations = run.execute(milliseconds(seconds * 1000));
+        if (logs != nullptr)
+            run.save_output(logs);
         std::cout << "soak seed=" << seed << " sent=" << run.sent()
                   << " answered=" << run.answered() << " violations=" << violations.size() << "\n";
         if (run.answered() * 4 < run.sent())
--- a/tests/unit/rollout_load.h
+++ b/tests/unit/rollout_load.h
@@ -1,5 +1,5 @@
-// Plays roll-outs on a deployment with fake endpoints: steady requests to both routes of a service,
-// and what must hold of every roll-out. The VMs may be in this process or others.
+// Plays roll-outs on a deployment with fake endpoints: steady requests that use the service, and
+// what must hold of every roll-out. The VMs may be in this process or others.
 #pragma once
 
 #include "serving_fixture.h"
@@ -24,6 +24,9 @@
 class rollout_load
 {
 public:
+    std::string service = rollout_service; // that is moved
+    // Text of a request with an attempt id; by default to both routes of rollout_service.
+    std::function<std::string(std::size_t number, const std::string& attempt)> request_of;
     // Address of each VM that gets requests.
     std::vector<std::string> vms;
     milliseconds interval{8};
@@ -39,8 +42,8 @@
         std::vector<fake_endpoint*> added;
         for (std::size_t i = 0; i < count; ++i)
         {
-            fake_endpoint& endpoint = owner_.add_endpoint(
-                rollout_service, version + "-" + std::to_string(i), "dom-a", version);
+            fake_endpoint& endpoint =
+                owner_.add_endpoint(service, version + "-" + std::to_string(i), "dom-a", version);
             endpoint.processing_time = milliseconds(15);
             if (shape)
                 shape(endpoint);
@@ -69,8 +72,7 @@
     // The old endpoints exit at once when the roll-out is completed.
     bool run_until_state(const std::string& state, const std::vector<fake_endpoint*>& old = {})
     {
-        const bool is_reached =
-            run_until([&] { return owner_.rollout_state(rollout_service) == state; });
+        const bool is_reached = run_until([&] { return owner_.rollout_state(service) == state; });
         for (fake_endpoint* const endpoint : old)
         {
             endpoint->crash_for_good();
@@ -116,7 +118,7 @@
     // For each version ordered: running, then one final state, and nothing after it.
     void expect_status_never_goes_back() const
     {
-        const auto found = owner_.store.statuses.find("rollout/" + std::string(rollout_service));
+        const auto found = owner_.store.statuses.find("rollout/" + service);
         if (found == owner_.store.statuses.end())
             return;
         std::string version;
@@ -164,12 +166,12 @@
         const std::string attempt = "a" + std::to_string(number);
         const std::string& vm = vms[number % vms.size()];
         const bool is_order = number / vms.size() % 4 == 0;
-        running_.push_back(
-            {attempt + (is_order ? " order" : " read"),
-             std::make_unique<client_exchange>(owner_.io, vm,
-                                               request_text(is_order ? "POST" : "GET",
-                                                            is_order ? "/order/x" : "/read/x",
-                                                            attempt, "", is_order ? "body" : ""))});
+        const std::string text =
+            request_of ? request_of(number, attempt)
+                       : request_text(is_order ? "POST" : "GET", is_order ? "/order/x" : "/read/x",
+                                      attempt, "", is_order ? "body" : "");
+        running_.push_back({text.substr(0, text.find('\r')) + " " + attempt,
+                            std::make_unique<client_exchange>(owner_.io, vm, text)});
     }
 
     deployment& owner_;
@@ -178,4 +180,56 @@
     std::size_t sent_ = 0;
 };
 
+// A deployment with endpoints of version v1 on which versions are ordered. The VMs are up to the
+// derived class.
+struct rollout_scenario : deployment
+{
+    rollout_load load{*this};
+    std::vector<fake_endpoint*> old;
+    std::size_t endpoint_count; // of each version
+    milliseconds order_time;
+
+    rollout_scenario(std::size_t endpoints, milliseconds order_time)
+        : endpoint_count(endpoints), order_time(order_time)
+    {
+    }
+
+    std::vector<fake_endpoint*> order(const std::string& version,
+                                      const std::function<void(fake_endpoint&)>& shape = {})
+    {
+        order_rollout(load.service, version, order_time);
+        return load.add_endpoints(version, endpoint_count, shape);
+    }
+    // An order of a version that fails once `is_bad` is set.
+    std::vector<fake_endpoint*> order_failing_once(const std::string& version, const bool& is_bad)
+    {
+        return order(version, [&](fake_endpoint& endpoint)
+                     { endpoint.fails = [&](const recorded_request&) { return is_bad; }; });
+    }
+    bool is_exposed(const std::vector<fake_endpoint*>& candidates, std::size_t requests = 5)
+    {
+        return load.run_until([&] { return load.received(candidates) > requests; });
+    }
+    void expect_completed(const std::vector<fake_endpoint*>& candidates)
+    {
+        cr_assert(load.run_until_state("completed", old), "state %s",
+                  rollout_state(load.service).c_str());
+        const std::size_t received = load.received(candidates);
+        load.run_requests(200);
+        load.expect_status_never_goes_back();
+        cr_assert(load.received(candidates) >= received + 100);
+    }
+    void expect_rolled_back(const std::vector<fake_endpoint*>& candidates)
+    {
+        cr_assert(load.run_until_state("rolled_back"), "state %s",
+                  rollout_state(load.service).c_str());
+        load.run_requests(150);
+        const std::size_t received = load.received(candidates);
+        load.run_requests(200);
+        cr_assert(load.received(candidates) == received);
+        load.expect_within_bounds(candidates, old);
+        load.expect_status_never_goes_back();
+    }
+};
+
 } // namespace serving
