Show roll-outs in `vm status`

Change: the command line lists the service, version, phase and age of each roll-out that a VM reports; they were in the JSON only. Test: cli/vm_status_shows_rollouts.

--- a/packages/cli/format.cpp
+++ b/packages/cli/format.cpp
@@ -229,6 +229,10 @@
     text += format_table(tables) + "\n";
     if (const auto parts = items(response, "held_prompt_parts"); !parts.empty())
         text += "held prompt parts " + join(parts, " ") + "\n\n";
+    if (const auto rollouts = items(response, "rollouts"); !rollouts.empty())
+        text += format_rows(rollouts, {"ROLLOUT", "VERSION", "PHASE", "AGE MS"},
+                            {"service", "version", "phase", "age_ms"}) +
+                "\n";
     if (const auto held = items(response, "held_requests"); !held.empty())
         text += format_rows(held, {"HELD REQUEST", "ROUTE", "CRASHES", "HELD MS"},
                             {"digest", "route", "crashes", "held_ms"}) +
--- a/tests/unit/cli_test.cpp
+++ b/tests/unit/cli_test.cpp
@@ -638,3 +638,19 @@
     cr_assert(text.find("front-2") != std::string::npos, "the VM that the state comes from");
     cr_assert(text.find("refusals: overloaded 4") != std::string::npos);
 }
+
+// Guards against operators who cannot see which phase of a roll-out each VM follows.
+Test(cli, vm_status_shows_rollouts)
+{
+    vm_report report;
+    const auto text = [&]
+    { return format_vm_status(web::json::value::parse(encode_report(report))); };
+    cr_assert(text().find("ROLLOUT") == std::string::npos);
+    report.rollouts.push_back({"reading", "v2", "ramp", milliseconds(4140)});
+    const std::string shown = text();
+    const std::size_t row = shown.find("reading", shown.find("ROLLOUT"));
+    cr_assert(row != std::string::npos);
+    const std::string line = shown.substr(row, shown.find('\n', row) - row);
+    for (const char* const field : {"v2", "ramp", "4140"})
+        cr_assert(line.find(field) != std::string::npos, "%s", line.c_str());
+}
