Give a slow version of a stage its share of the calls

Cause: the queue of a stage leaves out endpoints that are slow relative to the fastest one, of either version.

Change: an endpoint counts as slow relative to those that the call may use, so the versions are not compared. Without a roll-out nothing changes. New tests play roll-outs of a stage through the VM that batches it.

--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -121,9 +121,7 @@
 {
     if (queue_.empty())
         return std::nullopt;
-    std::vector<std::string> free = free_endpoints(now);
-    if (may_use)
-        std::erase_if(free, [&](const std::string& id) { return !may_use(id); });
+    const std::vector<std::string> free = free_endpoints(may_use, now);
     if (free.empty())
         return std::nullopt;
     sort_queue(now);
@@ -151,8 +149,8 @@
                 saturated_batch_pieces_ = batch.pieces;
             saturated_batch_pieces_ += saturation_weight * (batch.pieces - saturated_batch_pieces_);
         }
-        batch.expected = milliseconds(
-            std::llround(static_cast<double>(call_time(batch.pieces).count()) * lowest_slowdown()));
+        batch.expected = milliseconds(std::llround(
+            static_cast<double>(call_time(batch.pieces).count()) * lowest_slowdown({})));
         ++endpoint.calls_in_flight;
         endpoint.last_sent = now;
         if (is_probe)
@@ -391,25 +389,29 @@
 }
 
 // Slowdown of the fastest endpoint. The configured call times are approximate, so an endpoint
-// counts as slow only relative to the others; if all are slow, none is excluded.
-double stage_queue::lowest_slowdown() const
+// counts as slow only relative to the others that may be used; if all are slow, none is excluded.
+double stage_queue::lowest_slowdown(const endpoint_filter& may_use) const
 {
     double best = 0.0;
     for (const auto& [id, endpoint] : endpoints_)
-        best = best == 0.0 ? endpoint.slowdown : std::min(best, endpoint.slowdown);
+    {
+        if (!may_use || may_use(id))
+            best = best == 0.0 ? endpoint.slowdown : std::min(best, endpoint.slowdown);
+    }
     return std::max(best, 1.0);
 }
 
-// Free endpoints, ordered by speed, then least recently used. Those of unreachable domains are
-// last.
-std::vector<std::string> stage_queue::free_endpoints(time_point now) const
+// Free endpoints that may be used, ordered by speed, then least recently used. Those of unreachable
+// domains are last.
+std::vector<std::string> stage_queue::free_endpoints(const endpoint_filter& may_use,
+                                                     time_point now) const
 {
     constexpr double slowdown_step = 0.25; // smaller differences in speed are ignored
-    const double lowest = lowest_slowdown();
+    const double lowest = lowest_slowdown(may_use);
     std::vector<const std::pair<const std::string, endpoint_state>*> free;
     for (const auto& entry : endpoints_)
     {
-        if (is_free(entry.second, lowest, now))
+        if ((!may_use || may_use(entry.first)) && is_free(entry.second, lowest, now))
             free.push_back(&entry);
     }
     std::sort(free.begin(), free.end(),
@@ -432,7 +434,7 @@
 
 std::size_t stage_queue::usable_endpoints(time_point now) const
 {
-    const double lowest = lowest_slowdown();
+    const double lowest = lowest_slowdown({});
     std::size_t count = 0;
     for (const auto& [id, endpoint] : endpoints_)
     {
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -216,11 +216,11 @@
     // Largest call that ends by the job's goal, if the goal is near.
     std::uint32_t pieces_by_goal(const waiting_part& part, time_point now) const;
     time_point next_call_done(time_point now) const;
-    double lowest_slowdown() const;
+    double lowest_slowdown(const endpoint_filter& may_use) const;
     bool is_slow(const endpoint_state& endpoint, double lowest) const;
     bool is_free(const endpoint_state& endpoint, double lowest, time_point now) const;
     void record_time(endpoint_state& endpoint, const stage_batch& batch, milliseconds elapsed);
-    std::vector<std::string> free_endpoints(time_point now) const;
+    std::vector<std::string> free_endpoints(const endpoint_filter& may_use, time_point now) const;
     std::uint64_t usable_memory() const;
     std::uint64_t foreign_bytes(const endpoint_state& endpoint, time_point now) const;
     std::uint32_t pieces_that_fit(const endpoint_state& endpoint, const stage_batch& batch,
--- a/tests/unit/edge_rollout_test.cpp
+++ b/tests/unit/edge_rollout_test.cpp
@@ -44,6 +44,26 @@
     }
 };
 
+// The service that is moved runs the stage of a route, so the VM that batches it calls it for all
+// VMs.
+struct stage_rollout : local_vms
+{
+    stage_rollout() : local_vms(4)
+    {
+        limits.rollouts = rollout_test_limits;
+        load.service = "encoders";
+        load.request_of = [](std::size_t, const std::string& attempt) {
+            return request_text("POST", "/stream/x", attempt, "Pieces: 2\r\nPiece-Key: k\r\n", "x");
+        };
+        add_stage();
+        for (const char* const id : {"engine-1", "engine-2"})
+            add_endpoint("engines", id).event_count = 2;
+        old = load.add_endpoints("v1", endpoint_count);
+        configure(1);
+        start_vms(2);
+    }
+};
+
 void fail_always(fake_endpoint& endpoint)
 {
     endpoint.fails = [](const recorded_request&) { return true; };
@@ -225,3 +245,26 @@
     cr_assert(harness.rollout_state(rollout_service).empty());
     cr_assert_not(harness.vm(0).phase_of(rollout_service).has_value());
 }
+
+// Guards against a stage whose version is not moved, or whose pieces are lost with the old one.
+Test(edge_rollout, good_version_of_a_stage_is_completed_without_a_failure)
+{
+    stage_rollout harness;
+    harness.expect_completed(harness.order("v2"));
+}
+
+// Guards against a stage that is not judged by the pieces that fail.
+Test(edge_rollout, failing_version_of_a_stage_is_rolled_back)
+{
+    stage_rollout harness;
+    harness.expect_rolled_back(harness.order("v2", [](fake_endpoint& endpoint)
+                                             { endpoint.piece_failure_reason = "error"; }));
+}
+
+// Guards against a stage that is not judged by the time of its calls.
+Test(edge_rollout, slow_version_of_a_stage_is_rolled_back)
+{
+    stage_rollout harness;
+    harness.expect_rolled_back(harness.order("v2", [](fake_endpoint& endpoint)
+                                             { endpoint.processing_time = milliseconds(150); }));
+}
--- a/tests/unit/stage_batch_test.cpp
+++ b/tests/unit/stage_batch_test.cpp
@@ -356,6 +356,18 @@
     cr_assert(probe && probe->endpoint == slow->endpoint);
 }
 
+// Guards against a slow version of a service that is not judged because it gets no calls.
+Test(stage_batch, next_slow_endpoint_is_used_if_no_other_may_be)
+{
+    stage_queue queue = make_queue(spec(8, 0.0), 3);
+    add(queue, job(1, 64), start);
+    const auto slow = queue.next(start);
+    queue.on_done(slow->endpoint, *slow, slow->expected * 6);
+    const auto again =
+        queue.next(start, [&](const std::string& id) { return id == slow->endpoint; });
+    cr_assert(again && again->endpoint == slow->endpoint);
+}
+
 // Guards against excluding all endpoints of a service because all take longer than its parameters
 // specify.
 Test(stage_batch, next_all_endpoints_slow_none_is_excluded)
