Keep the bounds of roll-outs until no version is barred

Cause: when the bounds were removed from the settings during a roll-out, they ended with the roll-back, and the endpoints of the bad version got requests again until they had drained.

Change: removed bounds stay in force while a listed endpoint is barred.

Figures: edge_rollout/bounds_removed_on_the_way_bad_version_is_rolled_back fails on the code before and passes now; bounds_removed_on_the_way_good_version_is_completed passes now (not run on the code before).

--- a/packages/coordination/edge_rollout_impl.h
+++ b/packages/coordination/edge_rollout_impl.h
@@ -121,6 +121,9 @@
     const auto& wanted = options_.limits.rollouts;
     if (rollouts_ && (wanted == rollouts_->limits() || rollouts_->has_running(now)))
         return;
+    // A version that was rolled back must not get requests until its endpoints are gone.
+    if (rollouts_ && !wanted && rollouts_->bars_endpoints())
+        return;
     if (!rollouts_ && !wanted)
         return;
     stage_batcher_.set_rollouts(nullptr);
--- a/packages/coordination/rollout_coordinator.cpp
+++ b/packages/coordination/rollout_coordinator.cpp
@@ -560,6 +560,18 @@
                        });
 }
 
+bool rollout_coordinator::bars_endpoints() const
+{
+    const auto& listed = endpoints_.by_service();
+    return std::any_of(listed.begin(), listed.end(),
+                       [](const auto& entry)
+                       {
+                           return std::any_of(entry.second.begin(), entry.second.end(),
+                                              [](const endpoint_ptr& endpoint)
+                                              { return endpoint->is_barred; });
+                       });
+}
+
 std::vector<rollout_status> rollout_coordinator::status(time_point now) const
 {
     std::vector<rollout_status> list;
--- a/packages/coordination/rollout_coordinator.h
+++ b/packages/coordination/rollout_coordinator.h
@@ -141,6 +141,8 @@
     void on_call_failed(const std::string& service, time_point now);
 
     bool has_running(time_point now) const;
+    // True while a listed endpoint may not be used by any request.
+    bool bars_endpoints() const;
     std::vector<rollout_status> status(time_point now) const;
 
 private:
--- a/tests/unit/edge_rollout_test.cpp
+++ b/tests/unit/edge_rollout_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 using namespace serving;
+using zinnianotch::rollout_limits;
 using zinnianotch::rollout_phase;
 
 namespace
@@ -28,6 +29,12 @@
         rollout_scenario::expect_completed(candidates);
         load.expect_no_failures();
     }
+    void set_bounds(const std::optional<rollout_limits>& bounds)
+    {
+        limits.rollouts = bounds;
+        for (std::size_t i = 0; i < load.vms.size(); ++i)
+            vm(i).set_limits(limits);
+    }
 };
 
 struct rollout_deployment : local_vms
@@ -235,6 +242,32 @@
     cr_assert(harness.load.received(harness.old) == received);
 }
 
+// Guards against requests that are cut because the settings change on the way.
+Test(edge_rollout, bounds_removed_on_the_way_good_version_is_completed)
+{
+    rollout_deployment harness;
+    const auto candidates = harness.order("v2");
+    cr_assert(harness.is_exposed(candidates));
+    harness.set_bounds(std::nullopt);
+    harness.expect_completed(candidates);
+    cr_assert(harness.load.run_until(
+        [&] { return !harness.vm(0).phase_of(rollout_service).has_value(); }));
+    harness.load.run_requests(100);
+    harness.load.expect_no_failures();
+}
+
+// Guards against a bad version that gets requests again because the bounds are gone.
+Test(edge_rollout, bounds_removed_on_the_way_bad_version_is_rolled_back)
+{
+    rollout_deployment harness;
+    bool is_bad = false;
+    const auto candidates = harness.order_failing_once("v2", is_bad);
+    cr_assert(harness.is_exposed(candidates));
+    harness.set_bounds(std::nullopt);
+    is_bad = true;
+    harness.expect_rolled_back(candidates);
+}
+
 // Guards against roll-outs where the settings have no bounds for them.
 Test(edge_rollout, without_bounds_orders_have_no_effect)
 {
