End the share of a suspect version while the store is down

Cause: a version whose only canary fails is first tried at another endpoint, which takes a decision in the store. With the store down the bad version kept its share.

Ruled out: to condemn it by its only canary. That would roll back good versions for one faulty endpoint.

Change: if that decision is not written within 1 s, the judges' verdicts set the share to 0 until it is.

--- a/packages/coordination/rollout_coordinator.cpp
+++ b/packages/coordination/rollout_coordinator.cpp
@@ -30,6 +30,13 @@
            gate.may_use(rollout_pool::replaced, endpoint, now);
 }
 
+// True if the decision moves the share to other endpoints, because the ones before may be faulty.
+bool is_rotation(const rollout_record& proposal, const std::optional<rollout_record>& stored)
+{
+    return proposal.phase == rollout_phase::canary && stored && stored->order == proposal.order &&
+           proposal.step > stored->step;
+}
+
 // Version that serves besides that of the order; empty if not known.
 std::string old_version_of(std::uint64_t order, const std::optional<rollout_record>& stored,
                            const std::optional<rollout_record>& held)
@@ -109,6 +116,7 @@
         order ? std::make_unique<rollout_samples>(vm_, lifetime_, order->service, order->revision)
               : nullptr;
     state.followers = {};
+    state.rotation_since.reset();
     state.reported_at = {};
     state.reported_phase.reset();
     state.logged_phase.reset();
@@ -409,8 +417,12 @@
                                                                time_point now) const
 {
     auto verdict = state.judge.verdict(now);
-    if (verdict)
-        verdict->old_version = old_version_of(verdict->order, state.stored, state.held);
+    if (!verdict)
+        return verdict;
+    verdict->old_version = old_version_of(verdict->order, state.stored, state.held);
+    if (state.rotation_since && now - *state.rotation_since >= unwritten_rotation_patience &&
+        verdict->phase < rollout_phase::full)
+        verdict->shares = {};
     return verdict;
 }
 
@@ -460,6 +472,10 @@
         if (state.proposal)
             state.proposal->old_version =
                 old_version_of(state.proposal->order, state.stored, state.held);
+        if (!state.proposal || !is_rotation(*state.proposal, state.stored))
+            state.rotation_since.reset();
+        else if (!state.rotation_since)
+            state.rotation_since = now;
         // Without links all VMs come first in their own view.
         if (!rank || !std::exchange(state.wants_links, state.proposal.has_value()))
             state.proposal.reset();
--- a/packages/coordination/rollout_coordinator.h
+++ b/packages/coordination/rollout_coordinator.h
@@ -28,6 +28,9 @@
 // `completed` is written this long before the deadline, as a part of the order's time, even if some
 // VM may still send requests to the old version.
 inline constexpr double unfollowed_completion_margin = 0.035;
+// A version under suspicion keeps its share for this time while the decision to try it at other
+// endpoints cannot be written.
+inline constexpr milliseconds unwritten_rotation_patience{1000};
 // Time until a call to the store is repeated after one that was refused or had no answer.
 inline constexpr milliseconds rollout_call_interval{300};
 
@@ -161,6 +164,8 @@
         std::optional<rollout_record> held;
         std::optional<store_position> stored_at; // set once the decision in the store is known
         std::optional<rollout_record> proposal;  // decision to write
+        // The judge has wanted to try the version at other endpoints since then.
+        std::optional<time_point> rotation_since;
         bool needs_read = false;
         bool wants_links = false; // to the VMs that judge, though no roll-out is running
         time_point call_at{};     // no call before
--- a/tests/unit/edge_rollout_test.cpp
+++ b/tests/unit/edge_rollout_test.cpp
@@ -115,6 +115,27 @@
                                              }));
 }
 
+// Guards against a bad version that keeps its share while the store is down: its only canary may
+// be a faulty endpoint, and to try another one takes a decision in the store.
+Test(edge_rollout, store_down_bad_version_with_a_single_canary_loses_its_requests)
+{
+    rollout_deployment harness(3);
+    bool is_bad = false;
+    const auto candidates = harness.order_failing_once("v2", is_bad);
+    cr_assert(harness.is_exposed(candidates));
+    harness.store.refuse_status = 503;
+    is_bad = true;
+    const auto is_idle = [&]
+    {
+        const std::size_t received = harness.load.received(candidates);
+        harness.load.run_requests(200);
+        return harness.load.received(candidates) == received;
+    };
+    cr_assert(is_idle() || is_idle() || is_idle() || is_idle() || is_idle());
+    harness.store.refuse_status = 0;
+    harness.expect_rolled_back(candidates);
+}
+
 // Guards against a bad version that keeps its requests while the store is down.
 Test(edge_rollout, store_down_bad_version_loses_its_requests)
 {
