--- a/packages/coordination/rollout_coordinator.cpp
+++ b/packages/coordination/rollout_coordinator.cpp
@@ -26,7 +26,25 @@
     if (!gate.phase(now))
         return gate.may_use(rollout_pool::unrestricted, endpoint, now);
     return gate.may_use(rollout_pool::old_version, endpoint, now) ||
-           gate.may_use(rollout_pool::candidate, endpoint, now);
+           gate.may_use(rollout_pool::candidate, endpoint, now) ||
+           gate.may_use(rollout_pool::replaced, endpoint, now);
+}
+
+// True if the decision moves the share to other endpoints, because the ones before may be faulty.
+bool is_rotation(const rollout_record& proposal, const std::optional<rollout_record>& stored)
+{
+    return proposal.phase == rollout_phase::canary && stored && stored->order == proposal.order &&
+           proposal.step > stored->step;
+}
+
+// Version that serves besides that of the order; empty if not known.
+std::string old_version_of(std::uint64_t order, const std::optional<rollout_record>& stored,
+                           const std::optional<rollout_record>& held)
+{
+    const auto& last = held && (!stored || supersedes(*held, *stored)) ? held : stored;
+    if (!last || last->order > order)
+        return {};
+    return last->order == order ? last->old_version : version_after(*last);
 }
 
 } // namespace
@@ -97,7 +115,10 @@
     state.samples =
         order ? std::make_unique<rollout_samples>(vm_, lifetime_, order->service, order->revision)
               : nullptr;
+    state.followers = {};
+    state.rotation_since.reset();
     state.reported_at = {};
+    state.reported_phase.reset();
     state.logged_phase.reset();
     state.gate.set_order(order, now);
     state.judge.set_order(order, now);
@@ -344,10 +365,14 @@
     for (auto& [service, state] : services_)
     {
         const auto phase = state.gate.phase(now);
-        if (!state.samples || !phase || !state.gate.is_running(now) ||
+        if (!state.samples || !phase || !state.gate.is_running(now))
+            continue;
+        // The judges wait for all VMs to follow a phase.
+        if (phase == state.reported_phase &&
             now - state.reported_at < rollout_report_interval(*phase))
             continue;
         state.reported_at = now;
+        state.reported_phase = phase;
         const milliseconds age = state.gate.order_age(now);
         for (const std::string& vm : judges_of(state, is_up, now))
         {
@@ -359,8 +384,7 @@
                 due.push_back({vm, report});
                 continue;
             }
-            state.judge.on_report(report, now);
-            if (const auto verdict = state.judge.verdict(now))
+            if (const auto verdict = on_report(report, now))
                 on_verdict(*verdict, now);
         }
     }
@@ -383,7 +407,23 @@
     if (state == nullptr)
         return std::nullopt;
     state->judge.on_report(report, now);
-    return state->judge.verdict(now);
+    const auto& order = state->gate.order();
+    if (order && order->revision == report.order)
+        state->followers.hear(report, now);
+    return verdict_of(*state, now);
+}
+
+std::optional<rollout_verdict> rollout_coordinator::verdict_of(const service_state& state,
+                                                               time_point now) const
+{
+    auto verdict = state.judge.verdict(now);
+    if (!verdict)
+        return verdict;
+    verdict->old_version = old_version_of(verdict->order, state.stored, state.held);
+    if (state.rotation_since && now - *state.rotation_since >= unwritten_rotation_patience &&
+        verdict->phase < rollout_phase::full)
+        verdict->shares = {};
+    return verdict;
 }
 
 void rollout_coordinator::on_verdict(const rollout_verdict& verdict, time_point now)
@@ -427,14 +467,36 @@
         if (are_orders_known_ && !state.gate.order())
             state.judge.set_order(std::nullopt, now);
         const auto rank = own_rank(state, is_up, now);
-        state.proposal =
-            state.judge.propose(situation(service, rank.value_or(rollout_judge_count)), now);
+        const rollout_situation at = situation(service, rank.value_or(rollout_judge_count));
+        state.proposal = state.judge.propose(at, now);
+        if (state.proposal)
+            state.proposal->old_version =
+                old_version_of(state.proposal->order, state.stored, state.held);
+        if (!state.proposal || !is_rotation(*state.proposal, state.stored))
+            state.rotation_since.reset();
+        else if (!state.rotation_since)
+            state.rotation_since = now;
         // Without links all VMs come first in their own view.
         if (!rank || !std::exchange(state.wants_links, state.proposal.has_value()))
             state.proposal.reset();
+        if (state.proposal && is_premature(state, *state.proposal, at, now))
+            state.proposal.reset();
     }
 }
 
+// The endpoints of the old version stop as soon as the new one is completed, so all VMs first have
+// to send elsewhere, unless the deadline is imminent.
+bool rollout_coordinator::is_premature(const service_state& state, const rollout_record& proposal,
+                                       const rollout_situation& at, time_point now) const
+{
+    const auto& order = state.gate.order();
+    if (proposal.phase != rollout_phase::completed || !order || at.old_endpoints == 0)
+        return false;
+    const double left = static_cast<double>((order->duration - state.gate.order_age(now)).count());
+    return left >= unfollowed_completion_margin * static_cast<double>(order->duration.count()) &&
+           !state.followers.have_reached(rollout_phase::full, at.vms, now);
+}
+
 std::optional<rollout_call> rollout_coordinator::next_call(time_point now)
 {
     for (auto& [service, state] : services_)
@@ -514,6 +576,18 @@
                        });
 }
 
+bool rollout_coordinator::bars_endpoints() const
+{
+    const auto& listed = endpoints_.by_service();
+    return std::any_of(listed.begin(), listed.end(),
+                       [](const auto& entry)
+                       {
+                           return std::any_of(entry.second.begin(), entry.second.end(),
+                                              [](const endpoint_ptr& endpoint)
+                                              { return endpoint->is_barred; });
+                       });
+}
+
 std::vector<rollout_status> rollout_coordinator::status(time_point now) const
 {
     std::vector<rollout_status> list;
--- a/packages/coordination/rollout_coordinator.h
+++ b/packages/coordination/rollout_coordinator.h
@@ -25,6 +25,12 @@
 
 // Time after which a VM whose link does not come up counts as unreachable.
 inline constexpr milliseconds judge_link_patience{1500};
+// `completed` is written this long before the deadline, as a part of the order's time, even if some
+// VM may still send requests to the old version.
+inline constexpr double unfollowed_completion_margin = 0.035;
+// A version under suspicion keeps its share for this time while the decision to try it at other
+// endpoints cannot be written.
+inline constexpr milliseconds unwritten_rotation_patience{1000};
 // Time until a call to the store is repeated after one that was refused or had no answer.
 inline constexpr milliseconds rollout_call_interval{300};
 
@@ -138,6 +144,8 @@
     void on_call_failed(const std::string& service, time_point now);
 
     bool has_running(time_point now) const;
+    // True while a listed endpoint may not be used by any request.
+    bool bars_endpoints() const;
     std::vector<rollout_status> status(time_point now) const;
 
 private:
@@ -150,15 +158,19 @@
 
         rollout_gate gate;
         rollout_judge judge;
-        std::unique_ptr<rollout_samples> samples; // of the current order
+        rollout_followers followers;              // of the current order
+        std::unique_ptr<rollout_samples> samples; // the same
         std::optional<rollout_record> stored;
         std::optional<rollout_record> held;
         std::optional<store_position> stored_at; // set once the decision in the store is known
         std::optional<rollout_record> proposal;  // decision to write
+        // The judge has wanted to try the version at other endpoints since then.
+        std::optional<time_point> rotation_since;
         bool needs_read = false;
-        bool wants_links = false;        // to the VMs that judge, though no roll-out is running
-        time_point call_at{};            // no call before
-        time_point reported_at{};        // last report
+        bool wants_links = false; // to the VMs that judge, though no roll-out is running
+        time_point call_at{};     // no call before
+        time_point reported_at{}; // last report
+        std::optional<rollout_phase> reported_phase;
         std::vector<std::string> judges; // all VMs, in their order
         std::optional<rollout_phase> logged_phase;
         std::optional<rollout_record> logged_proposal;
@@ -176,6 +188,9 @@
                                        time_point now) const;
     std::optional<std::size_t> own_rank(const service_state& state, const reachability& is_up,
                                         time_point now) const;
+    std::optional<rollout_verdict> verdict_of(const service_state& state, time_point now) const;
+    bool is_premature(const service_state& state, const rollout_record& proposal,
+                      const rollout_situation& at, time_point now) const;
     rollout_situation situation(const std::string& service, std::size_t rank) const;
     rollout_samples* samples_of(const rollout_ticket& ticket);
     void log_phase(const std::string& service, service_state& state, time_point now);
--- a/tests/unit/edge_rollout_test.cpp
+++ b/tests/unit/edge_rollout_test.cpp
@@ -4,71 +4,70 @@
 #include <criterion/criterion.h>
 
 using namespace serving;
+using zinnianotch::rollout_limits;
 using zinnianotch::rollout_phase;
 
 namespace
 {
 
-constexpr milliseconds order_time{9000};
-
-struct rollout_deployment : deployment
+// VMs in this process.
+struct local_vms : rollout_scenario
 {
-    rollout_load load{*this};
-    std::vector<fake_endpoint*> old;
+    explicit local_vms(std::size_t endpoints) : rollout_scenario(endpoints, milliseconds(9000)) {}
 
-    std::size_t endpoint_count;
+    void start_vms(std::size_t count)
+    {
+        const std::size_t listed = old.size();
+        for (std::size_t i = 0; i < count; ++i)
+            load.vms.push_back(address(add_vm()));
+        for (std::size_t i = 0; i < count; ++i)
+            cr_assert(run_until([&] { return is_ready(i) && vm(i).known_endpoints() >= listed; }));
+        load.run_requests(200);
+    }
+    void expect_completed(const std::vector<fake_endpoint*>& candidates)
+    {
+        rollout_scenario::expect_completed(candidates);
+        load.expect_no_failures();
+    }
+    void set_bounds(const std::optional<rollout_limits>& bounds)
+    {
+        limits.rollouts = bounds;
+        for (std::size_t i = 0; i < load.vms.size(); ++i)
+            vm(i).set_limits(limits);
+    }
+};
 
+struct rollout_deployment : local_vms
+{
     explicit rollout_deployment(std::size_t vm_count = 2, bool has_bounds = true,
                                 std::size_t endpoints = 4)
-        : endpoint_count(endpoints)
+        : local_vms(endpoints)
     {
         if (has_bounds)
             limits.rollouts = rollout_test_limits;
         old = load.add_endpoints("v1", endpoints);
         configure(1);
-        for (std::size_t i = 0; i < vm_count; ++i)
-            start_vm();
-        for (std::size_t i = 0; i < vm_count; ++i)
-            cr_assert(
-                run_until([&] { return is_ready(i) && vm(i).known_endpoints() >= endpoints; }));
-        load.run_requests(200);
+        start_vms(vm_count);
     }
+};
 
-    std::size_t start_vm()
-    {
-        const std::size_t number = add_vm();
-        load.vms.push_back(address(number));
-        return number;
-    }
-    std::vector<fake_endpoint*> order(const std::string& version,
-                                      const std::function<void(fake_endpoint&)>& shape = {})
-    {
-        order_rollout(rollout_service, version, order_time);
-        return load.add_endpoints(version, endpoint_count, shape);
-    }
-    void expect_completed(const std::vector<fake_endpoint*>& candidates)
-    {
-        cr_assert(load.run_until_state("completed", old), "state %s",
-                  rollout_state(rollout_service).c_str());
-        load.run_requests(100);
-        load.expect_no_failures();
-        load.expect_status_never_goes_back();
-        cr_assert(load.received(candidates) > 100);
-    }
-    void expect_rolled_back(const std::vector<fake_endpoint*>& candidates)
-    {
-        cr_assert(load.run_until_state("rolled_back"), "state %s",
-                  rollout_state(rollout_service).c_str());
-        load.run_requests(100);
-        const std::size_t received = load.received(candidates);
-        load.run_requests(200);
-        cr_assert(load.received(candidates) == received);
-        load.expect_within_bounds(candidates, old);
-        load.expect_status_never_goes_back();
-    }
-    bool is_exposed(const std::vector<fake_endpoint*>& candidates)
+// The service that is moved runs the stage of a route, so the VM that batches it calls it for all
+// VMs.
+struct stage_rollout : local_vms
+{
+    stage_rollout() : local_vms(4)
     {
-        return load.run_until([&] { return load.received(candidates) > 5; });
+        limits.rollouts = rollout_test_limits;
+        load.service = "encoders";
+        load.request_of = [](std::size_t, const std::string& attempt) {
+            return request_text("POST", "/stream/x", attempt, "Pieces: 2\r\nPiece-Key: k\r\n", "x");
+        };
+        add_stage();
+        for (const char* const id : {"engine-1", "engine-2"})
+            add_endpoint("engines", id).event_count = 2;
+        old = load.add_endpoints("v1", endpoint_count);
+        configure(1);
+        start_vms(2);
     }
 };
 
@@ -116,15 +115,33 @@
                                              }));
 }
 
-// Guards against a bad version that keeps its requests while the store is down. With a single
-// endpoint in the canary it would, since a second one takes a decision in the store.
+// Guards against a bad version that keeps its share while the store is down: its only canary may
+// be a faulty endpoint, and to try another one takes a decision in the store.
+Test(edge_rollout, store_down_bad_version_with_a_single_canary_loses_its_requests)
+{
+    rollout_deployment harness(3);
+    bool is_bad = false;
+    const auto candidates = harness.order_failing_once("v2", is_bad);
+    cr_assert(harness.is_exposed(candidates));
+    harness.store.refuse_status = 503;
+    is_bad = true;
+    const auto is_idle = [&]
+    {
+        const std::size_t received = harness.load.received(candidates);
+        harness.load.run_requests(200);
+        return harness.load.received(candidates) == received;
+    };
+    cr_assert(is_idle() || is_idle() || is_idle() || is_idle() || is_idle());
+    harness.store.refuse_status = 0;
+    harness.expect_rolled_back(candidates);
+}
+
+// Guards against a bad version that keeps its requests while the store is down.
 Test(edge_rollout, store_down_bad_version_loses_its_requests)
 {
     rollout_deployment harness(3, true, 24);
     bool is_bad = false;
-    const auto candidates =
-        harness.order("v2", [&](fake_endpoint& endpoint)
-                      { endpoint.fails = [&](const recorded_request&) { return is_bad; }; });
+    const auto candidates = harness.order_failing_once("v2", is_bad);
     cr_assert(harness.is_exposed(candidates));
     harness.store.refuse_status = 503;
     is_bad = true;
@@ -213,9 +230,11 @@
 Test(edge_rollout, vm_starts_in_the_middle_follows_the_decision)
 {
     rollout_deployment harness;
-    const auto candidates = harness.order("v2", fail_always);
+    bool is_bad = false;
+    const auto candidates = harness.order_failing_once("v2", is_bad);
     cr_assert(harness.is_exposed(candidates));
     const std::size_t during = harness.add_vm();
+    is_bad = true;
     harness.expect_rolled_back(candidates);
     const std::size_t after = harness.add_vm();
     for (const std::size_t vm : {during, after})
@@ -244,6 +263,32 @@
     cr_assert(harness.load.received(harness.old) == received);
 }
 
+// Guards against requests that are cut because the settings change on the way.
+Test(edge_rollout, bounds_removed_on_the_way_good_version_is_completed)
+{
+    rollout_deployment harness;
+    const auto candidates = harness.order("v2");
+    cr_assert(harness.is_exposed(candidates));
+    harness.set_bounds(std::nullopt);
+    harness.expect_completed(candidates);
+    cr_assert(harness.load.run_until(
+        [&] { return !harness.vm(0).phase_of(rollout_service).has_value(); }));
+    harness.load.run_requests(100);
+    harness.load.expect_no_failures();
+}
+
+// Guards against a bad version that gets requests again because the bounds are gone.
+Test(edge_rollout, bounds_removed_on_the_way_bad_version_is_rolled_back)
+{
+    rollout_deployment harness;
+    bool is_bad = false;
+    const auto candidates = harness.order_failing_once("v2", is_bad);
+    cr_assert(harness.is_exposed(candidates));
+    harness.set_bounds(std::nullopt);
+    is_bad = true;
+    harness.expect_rolled_back(candidates);
+}
+
 // Guards against roll-outs where the settings have no bounds for them.
 Test(edge_rollout, without_bounds_orders_have_no_effect)
 {
@@ -254,3 +299,26 @@
     cr_assert(harness.rollout_state(rollout_service).empty());
     cr_assert_not(harness.vm(0).phase_of(rollout_service).has_value());
 }
+
+// Guards against a stage whose version is not moved, or whose pieces are lost with the old one.
+Test(edge_rollout, good_version_of_a_stage_is_completed_without_a_failure)
+{
+    stage_rollout harness;
+    harness.expect_completed(harness.order("v2"));
+}
+
+// Guards against a stage that is not judged by the pieces that fail.
+Test(edge_rollout, failing_version_of_a_stage_is_rolled_back)
+{
+    stage_rollout harness;
+    harness.expect_rolled_back(harness.order("v2", [](fake_endpoint& endpoint)
+                                             { endpoint.piece_failure_reason = "error"; }));
+}
+
+// Guards against a stage that is not judged by the time of its calls.
+Test(edge_rollout, slow_version_of_a_stage_is_rolled_back)
+{
+    stage_rollout harness;
+    harness.expect_rolled_back(harness.order("v2", [](fake_endpoint& endpoint)
+                                             { endpoint.processing_time = milliseconds(150); }));
+}
