Tell in tests that a request was sent on a kept connection that is lost since

Cause: edge_silent_endpoint/random_silences_beside_changes_* excuses a request that a VM did not read, because it had just closed the kept connection. The test's client asked the connection whether it was kept, after it had been replaced to find out why it broke, so the excuse never held. Ruled out: a request that was passed on and lost; the check that no endpoint got it is unchanged. Change: the client keeps what held when the request was sent.

--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -795,6 +795,7 @@
     done = false;
     failure.reset();
     connection_ = pool_.start(request, *this, milliseconds::max(), steady_clock::now());
+    is_reused_ = connection_->is_reused();
 }
 
 void client_exchange::on_head(message_head& received, body_framing, std::optional<std::uint64_t>)
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -307,7 +307,8 @@
     void set_paused(bool paused) { connection_->set_paused(paused); }
     // Sends another request, on the same connection unless that was closed.
     void send_next(const std::string& request);
-    bool is_reused() const { return connection_->is_reused(); }
+    // True if the request was sent on a connection that had been used before.
+    bool is_reused() const { return is_reused_; }
 
     zinnianotch::message_head head;
     std::string body;
@@ -319,6 +320,7 @@
 private:
     zinnianotch::upstream_pool pool_;
     std::shared_ptr<zinnianotch::upstream_connection> connection_;
+    bool is_reused_ = false; // a connection that is replaced forgets it
 };
 
 // Body of a stream with this number of events, as a fake_endpoint sends it.
