Share contended stage capacity max-min fair among client accounts

Cause: among jobs of one urgency the earliest goal came first whoever asked, so the burst of one large account cost all. Ruled out: shares exchanged between the VMs, since the batching VM sees the jobs of all; a token bucket for each account there, since reports lag and it would switch whole accounts on and off. Change: the batching VM keeps the rate that each account asks for, computes the max-min level by water filling and reports the accounts above it with the part that is within. VMs mark the rest at arrival; marked jobs come last among jobs on time of their priority and are told the delay of that place. In force where capacity is reserved by urgency and there are two accounts.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -252,6 +252,8 @@
     std::map<std::string, time_estimate, std::less<>> route_first_byte_times_;
     std::set<std::string, std::less<>> contended_services_; // of state_
     queue_delay_reports queue_delays_;
+    share_marker share_marker_;
+    refused_pieces refused_pieces_;
     observed_stage_times stage_times_;
     work_book work_;
     std::uint64_t last_work_id_ = 0;
--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -131,6 +131,11 @@
     bool stages_done() const;
     bool is_contended() const;
     bool admit_chain(time_point now);
+    bool shares_accounts(std::size_t index) const;
+    std::uint64_t own_account_key() const;
+    std::string first_choice_queue(std::size_t index, time_point now) const;
+    void mark_share(time_point now);
+    void count_chain_refusal(time_point now);
     chain_estimate estimate_stage(std::size_t index, time_point now) const;
     // From the end of the stage to the first byte of the response.
     chain_estimate estimate_after(std::size_t index, time_point now) const;
@@ -180,6 +185,8 @@
     void record_plain_time(time_point now);
     void record_work(time_point now);
     std::string placement_text() const;
+    std::string account_name() const;
+    std::string share_text() const;
     void share_sample(pace_sample_kind kind, double value);
     bool may_retry(time_point now) const;
     void retry_or_fail(reason why, verdict outcome, time_point now);
@@ -259,6 +266,8 @@
     std::vector<stage_progress> stages_;
     std::string home_domain_; // of the engine that caches the prompt prefix; else empty
     bool stages_rerun_ = false;
+    double account_share_ = 1.0; // see account_share
+    bool is_above_share_ = false;
     time_point stages_done_at_{};
 
     endpoint_ptr endpoint_;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -332,7 +332,8 @@
     {
         const queue_delays* const delays =
             owner_.queue_delays_.find(queue_name(service, shard.domain), now);
-        const auto delay = delays == nullptr ? std::nullopt : find_delay(*delays, own_priority);
+        const auto delay =
+            delays == nullptr ? std::nullopt : find_delay(*delays, own_priority, is_above_share_);
         if (delay && (!best || *delay < best->on_time))
             best = chain_estimate{*delay, std::max(*delay, delays->late)};
     }
@@ -366,12 +367,76 @@
     return followed ? longest : chain_estimate{first_byte_time(), first_byte_time()};
 }
 
+// True if the capacity of the stage is shared among the client accounts.
+template <typename Codec>
+bool edge<Codec>::exchange::shares_accounts(std::size_t index) const
+{
+    return state_->accounts.size() >= accounts_sharing_min &&
+           owner_.contended_services_.contains(route_->stages[index].service);
+}
+
+template <typename Codec>
+std::uint64_t edge<Codec>::exchange::own_account_key() const
+{
+    return account_ != nullptr ? account_key(account_->name) : 0;
+}
+
+// Queue that the stage would be submitted to now.
+template <typename Codec>
+std::string edge<Codec>::exchange::first_choice_queue(std::size_t index, time_point now) const
+{
+    return queue_name(route_->stages[index].service,
+                      choose_stage_shard(index, preferred_stage_domain(index), now));
+}
+
+// Decides whether the request counts as above the share of its account, in all its stages: by the
+// queue that leaves the account the smallest share.
+template <typename Codec>
+void edge<Codec>::exchange::mark_share(time_point now)
+{
+    account_share_ = 1.0;
+    std::uint32_t scarcest_priority = 0;
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (stages_[i].done || !shares_accounts(i))
+            continue;
+        const queue_delays* const delays =
+            owner_.queue_delays_.find(first_choice_queue(i, now), now);
+        if (delays == nullptr)
+            continue;
+        const double share = share_of(delays->shares, own_account_key(), stage_priority(i));
+        if (share >= account_share_)
+            continue;
+        account_share_ = share;
+        scarcest_priority = stage_priority(i);
+    }
+    is_above_share_ =
+        !owner_.share_marker_.is_within_share(own_account_key(), scarcest_priority, account_share_);
+    if (is_above_share_)
+        owner_.counters_.count_for_account("account_requests_above_share_total", account_name());
+}
+
+// The queues learn of the refused pieces with the next job of the account.
+template <typename Codec>
+void edge<Codec>::exchange::count_chain_refusal(time_point now)
+{
+    owner_.counters_.count("chain_refusals_total");
+    owner_.counters_.count_for_account("account_chain_refusals_total", account_name());
+    for (std::size_t i = 0; i < stages_.size(); ++i)
+    {
+        if (!stages_[i].done && shares_accounts(i))
+            owner_.refused_pieces_.add(first_choice_queue(i, now), own_account_key(),
+                                       stage_priority(i), stages_[i].pieces);
+    }
+}
+
 // Refuses a request that does not fit through all its stages, before the first one is queued.
 template <typename Codec>
 bool edge<Codec>::exchange::admit_chain(time_point now)
 {
     if (!is_contended())
         return true;
+    mark_share(now);
     chain_estimate whole;
     for (std::size_t i = 0; i < stages_.size(); ++i)
     {
@@ -385,7 +450,7 @@
     const chain_verdict verdict = decide_chain(whole, goal() - elapsed(now), remaining(now));
     if (verdict.decision != chain_decision::refused)
         return true;
-    owner_.counters_.count("chain_refusals_total");
+    count_chain_refusal(now);
     std::string detail =
         "all stages take " + edge_detail::milliseconds_text(whole.on_time) + " ms:";
     for (std::size_t i = 0; i < stages_.size(); ++i)
@@ -394,6 +459,8 @@
             detail += " " + edge_detail::milliseconds_text(estimate_stage(i, now).on_time);
     }
     detail += " and " + edge_detail::milliseconds_text(first_byte_time());
+    if (is_above_share_)
+        detail += ", account above its share";
     refuse(reason::overloaded, detail, verdict.retry_after, now);
     return false;
 }
@@ -463,6 +530,17 @@
     request.preferred_domain = preferred_stage_domain(index);
     request.shard = choose_stage_shard(index, request.preferred_domain, now);
     stages_[index].queue = queue_name(request.service, request.shard);
+    if (shares_accounts(index))
+    {
+        request.account = own_account_key();
+        request.is_above_share = is_above_share_;
+        request.refused_pieces =
+            owner_.refused_pieces_.take(stages_[index].queue, request.account, request.priority);
+        owner_.counters_.count_for_account("account_pieces_total", account_name(), request.pieces);
+        if (is_above_share_)
+            owner_.counters_.count_for_account("account_pieces_above_share_total", account_name(),
+                                               request.pieces);
+    }
     const milliseconds rest = time_after(index, now);
     request.goal_left = goal() - elapsed(now) - rest;
     request.deadline_left = remaining(now) - rest;
@@ -1328,6 +1406,23 @@
     return text.data();
 }
 
+template <typename Codec>
+std::string edge<Codec>::exchange::account_name() const
+{
+    return account_ != nullptr ? account_->name : "-";
+}
+
+// Part of the account's requests that is within its share; "-" if all are.
+template <typename Codec>
+std::string edge<Codec>::exchange::share_text() const
+{
+    if (account_share_ >= 1.0)
+        return "-";
+    std::array<char, 32> text{};
+    (void)std::snprintf(text.data(), text.size(), "%.3f", account_share_);
+    return text.data();
+}
+
 // Ends the exchange: releases stage results, writes the request's log line and removes it from the
 // edge.
 template <typename Codec>
@@ -1351,7 +1446,8 @@
     log_event(log_level::info, "request",
               {{"request", call_.attempt},
                {"route", route_ != nullptr ? route_->name : "-"},
-               {"account", account_ != nullptr ? account_->name : "-"},
+               {"account", account_name()},
+               {"account_share", share_text()},
                {"version", state_ ? std::to_string(state_->version) : "-"},
                {"status", std::to_string(status)},
                {"outcome", std::string(outcome)},
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -116,7 +116,8 @@
                     { on_peer_state(vm, message); }),
       reading_(state_table_count, table_reading(edge_detail::spread_of(options_.vm))),
       crash_suspects_(options_.vm + "/" + random_id()), crashing_requests_(options_.vm),
-      crash_outbox_(options_.link_speed), work_(random_number()), tick_timer_(io)
+      crash_outbox_(options_.link_speed), share_marker_(rollout_lifetime_), work_(random_number()),
+      tick_timer_(io)
 {
 }
 
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -70,7 +70,7 @@
     // Calls obey these roll-outs; null for none.
     void set_rollouts(rollout_coordinator* rollouts) { rollouts_ = rollouts; }
     // Updates the queues from the settings of the services and from the listed endpoints.
-    // Capacity of the services in `contended` is reserved by urgency.
+    // Capacity of the services in `contended` is reserved by urgency and shared among the accounts.
     void refresh(const serving_state& state, const std::set<std::string, std::less<>>& contended);
     // The endpoint gets no calls until this time.
     void pause_endpoint(const endpoint_record& endpoint, time_point until);
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -229,6 +229,7 @@
             entry.spec = *service.batch;
             entry.queue.set_service(*service.batch);
             entry.queue.set_reserving(contended.contains(name));
+            entry.queue.set_sharing(state.accounts.size() >= accounts_sharing_min);
             entry.queue.set_endpoints(listed);
         }
         for (const endpoint_ptr& endpoint : endpoints_.serving(name))
@@ -261,7 +262,10 @@
                            now + request.goal_left,
                            now + request.deadline_left,
                            request.preferred_domain,
-                           !request.inputs.empty()};
+                           !request.inputs.empty(),
+                           request.account,
+                           request.is_above_share};
+    entry.queue.count_asked(queued, request.refused_pieces, now);
     const milliseconds expected = entry.queue.expected_time(queued, now);
     if (!entry.queue.admits(queued, expected, now))
     {
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -19,11 +19,21 @@
   deadlineLeftMs @10 :Int32;
   preferredDomain @11 :Text;
   shard @12 :Text;
+  account @13 :UInt64;        # account_key; 0: none
+  isAboveShare @14 :Bool;
+  refusedPieces @15 :UInt32;  # of the account and priority, by the sender since its last submission
 }
 
 struct QueueDelay {
   priority @0 :UInt32;
   expectedMs @1 :Int32;
+  aboveShareMs @2 :Int32;     # if the account is above its share
+}
+
+struct AccountShare {
+  account @0 :UInt64;
+  priority @1 :UInt32;
+  share @2 :Float32;          # from 0 to 1, of what the account asks for
 }
 
 struct StageDone {
@@ -34,6 +44,7 @@
   handles @4 :List(Text);
   delays @5 :List(QueueDelay); # of the queue now, by ascending priority
   lateDelayMs @6 :Int32;       # of a job that cannot meet its goal
+  shares @7 :List(AccountShare); # of accounts that ask for more than their share
 }
 
 struct ReleaseResults {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(d2f244f02d0b756b);
 CAPNP_DECLARE_SCHEMA(f8b88c7079bfd716);
+CAPNP_DECLARE_SCHEMA(93202288db1aaf69);
 CAPNP_DECLARE_SCHEMA(eb61a71fd3791e0c);
 CAPNP_DECLARE_SCHEMA(f4c5a4a8801bfb9a);
 CAPNP_DECLARE_SCHEMA(cf3530ae833444dc);
@@ -52,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2f244f02d0b756b, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d2f244f02d0b756b, 7, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -67,7 +68,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f8b88c7079bfd716, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f8b88c7079bfd716, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AccountShare {
+  AccountShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(93202288db1aaf69, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -82,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eb61a71fd3791e0c, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(eb61a71fd3791e0c, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -428,6 +444,12 @@
   inline bool hasShard() const;
   inline  ::capnp::Text::Reader getShard() const;
 
+  inline  ::uint64_t getAccount() const;
+
+  inline bool getIsAboveShare() const;
+
+  inline  ::uint32_t getRefusedPieces() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -520,6 +542,15 @@
   inline void adoptShard(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownShard();
 
+  inline  ::uint64_t getAccount();
+  inline void setAccount( ::uint64_t value);
+
+  inline bool getIsAboveShare();
+  inline void setIsAboveShare(bool value);
+
+  inline  ::uint32_t getRefusedPieces();
+  inline void setRefusedPieces( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -567,6 +598,8 @@
 
   inline  ::int32_t getExpectedMs() const;
 
+  inline  ::int32_t getAboveShareMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -601,6 +634,9 @@
   inline  ::int32_t getExpectedMs();
   inline void setExpectedMs( ::int32_t value);
 
+  inline  ::int32_t getAboveShareMs();
+  inline void setAboveShareMs( ::int32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -627,6 +663,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class AccountShare::Reader {
+public:
+  typedef AccountShare Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline float getShare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AccountShare::Builder {
+public:
+  typedef AccountShare Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAccount();
+  inline void setAccount( ::uint64_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline float getShare();
+  inline void setShare(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AccountShare::Pipeline {
+public:
+  typedef AccountShare Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StageDone::Reader {
 public:
   typedef StageDone Reads;
@@ -660,6 +782,9 @@
 
   inline  ::int32_t getLateDelayMs() const;
 
+  inline bool hasShares() const;
+  inline  ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader getShares() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -718,6 +843,13 @@
   inline  ::int32_t getLateDelayMs();
   inline void setLateDelayMs( ::int32_t value);
 
+  inline bool hasShares();
+  inline  ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder getShares();
+  inline void setShares( ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder initShares(unsigned int size);
+  inline void adoptShares(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>> disownShares();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3034,6 +3166,48 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t SubmitStage::Reader::getAccount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubmitStage::Builder::getAccount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setAccount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubmitStage::Reader::getIsAboveShare() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS);
+}
+
+inline bool SubmitStage::Builder::getIsAboveShare() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setIsAboveShare(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<288>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SubmitStage::Reader::getRefusedPieces() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SubmitStage::Builder::getRefusedPieces() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void SubmitStage::Builder::setRefusedPieces( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t QueueDelay::Reader::getPriority() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3062,6 +3236,62 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int32_t QueueDelay::Reader::getAboveShareMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t QueueDelay::Builder::getAboveShareMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QueueDelay::Builder::setAboveShareMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AccountShare::Reader::getAccount() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AccountShare::Builder::getAccount() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AccountShare::Builder::setAccount( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AccountShare::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AccountShare::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AccountShare::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AccountShare::Reader::getShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float AccountShare::Builder::getShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AccountShare::Builder::setShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StageDone::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3204,6 +3434,40 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StageDone::Reader::hasShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StageDone::Builder::hasShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader StageDone::Reader::getShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder StageDone::Builder::getShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StageDone::Builder::setShares( ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>::Builder StageDone::Builder::initShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StageDone::Builder::adoptShares(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>> StageDone::Builder::disownShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::AccountShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool ReleaseResults::Reader::hasHandles() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -82,6 +82,9 @@
         to.setShard(request.shard);
         to.setGoalLeftMs(clamp_to_int32(request.goal_left));
         to.setDeadlineLeftMs(clamp_to_int32(request.deadline_left));
+        to.setAccount(request.account);
+        to.setIsAboveShare(request.is_above_share);
+        to.setRefusedPieces(request.refused_pieces);
     }
     void operator()(const done_message& message)
     {
@@ -99,8 +102,18 @@
             entries[static_cast<capnp::uint>(i)].setPriority(delays.by_priority[i].priority);
             entries[static_cast<capnp::uint>(i)].setExpectedMs(
                 clamp_to_int32(delays.by_priority[i].expected));
+            entries[static_cast<capnp::uint>(i)].setAboveShareMs(
+                clamp_to_int32(delays.by_priority[i].above_share));
         }
         to.setLateDelayMs(clamp_to_int32(delays.late));
+        auto shares = to.initShares(static_cast<capnp::uint>(delays.shares.size()));
+        for (std::size_t i = 0; i < delays.shares.size(); ++i)
+        {
+            auto entry = shares[static_cast<capnp::uint>(i)];
+            entry.setAccount(delays.shares[i].account);
+            entry.setPriority(delays.shares[i].priority);
+            entry.setShare(static_cast<float>(delays.shares[i].share));
+        }
     }
     void operator()(const release_message& message)
     {
@@ -281,6 +294,9 @@
     request.shard = to_text(from.getShard());
     request.goal_left = milliseconds(from.getGoalLeftMs());
     request.deadline_left = milliseconds(from.getDeadlineLeftMs());
+    request.account = from.getAccount();
+    request.is_above_share = from.getIsAboveShare();
+    request.refused_pieces = from.getRefusedPieces();
     return message;
 }
 
@@ -296,10 +312,19 @@
     {
         if (message.outcome.delays.by_priority.size() == queue_delays_max_priorities)
             break;
-        message.outcome.delays.by_priority.push_back(
-            {entry.getPriority(), milliseconds(entry.getExpectedMs())});
+        message.outcome.delays.by_priority.push_back({entry.getPriority(),
+                                                      milliseconds(entry.getExpectedMs()),
+                                                      milliseconds(entry.getAboveShareMs())});
     }
     message.outcome.delays.late = milliseconds(from.getLateDelayMs());
+    for (const auto entry : from.getShares())
+    {
+        const double share = entry.getShare();
+        KJ_REQUIRE(share >= 0.0 && share <= 1.0, "share out of range in a VM message");
+        if (message.outcome.delays.shares.size() == account_shares_max)
+            break;
+        message.outcome.delays.shares.push_back({entry.getAccount(), entry.getPriority(), share});
+    }
     return message;
 }
 
--- a/packages/state/queue_delay.cpp
+++ b/packages/state/queue_delay.cpp
@@ -1,15 +1,18 @@
 #include "state/queue_delay.h"
 
+#include <algorithm>
+
 namespace zinnianotch
 {
 
-std::optional<milliseconds> find_delay(const queue_delays& delays, std::uint32_t priority)
+std::optional<milliseconds> find_delay(const queue_delays& delays, std::uint32_t priority,
+                                       bool is_above_share)
 {
     std::optional<milliseconds> found;
     for (const queue_delay& entry : delays.by_priority)
     {
         if (entry.priority <= priority)
-            found = entry.expected;
+            found = is_above_share ? std::max(entry.expected, entry.above_share) : entry.expected;
     }
     return found;
 }
--- a/packages/state/queue_delay.h
+++ b/packages/state/queue_delay.h
@@ -1,6 +1,7 @@
 // Delays in the queues of stages, as told by the VMs that batch them, by urgency.
 #pragma once
 
+#include "state/account_shares.h"
 #include "state/time.h"
 
 #include <cstdint>
@@ -27,6 +28,7 @@
 {
     std::uint32_t priority = 0;
     milliseconds expected{0};
+    milliseconds above_share{0}; // if its account is above its share
 
     bool operator==(const queue_delay&) const = default;
 };
@@ -36,12 +38,14 @@
 {
     std::vector<queue_delay> by_priority; // ascending, those that have been seen lately
     milliseconds late{0};                 // of a job that cannot meet its goal
+    std::vector<account_share> shares;    // of accounts that ask for more than their share
 
     bool operator==(const queue_delays&) const = default;
 };
 
 // Delay of a job of the priority: that of the nearest priority which is at least as urgent.
-std::optional<milliseconds> find_delay(const queue_delays& delays, std::uint32_t priority);
+std::optional<milliseconds> find_delay(const queue_delays& delays, std::uint32_t priority,
+                                       bool is_above_share = false);
 
 // Latest report of each queue.
 class queue_delay_reports
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -21,9 +21,9 @@
 // Weight of the newest call in the moving averages of calls under saturation.
 constexpr double saturation_weight = 0.2;
 
-// Orders jobs that can still meet their goal first, then by priority, then by earliest goal, or by
-// earliest deadline among late jobs. If late jobs delayed jobs that are still on time, a burst
-// would make all of them late.
+// Orders jobs that can still meet their goal first, then by priority, then those within the share
+// of their account, then by earliest goal, or by earliest deadline among late jobs. If late jobs
+// delayed jobs that are still on time, a burst would make all of them late.
 bool is_scheduled_before(const stage_job& a, const stage_job& b, time_point next_done)
 {
     const bool late_a = next_done > a.goal_at;
@@ -32,6 +32,8 @@
         return late_b;
     if (a.priority != b.priority)
         return a.priority < b.priority;
+    if (!late_a && a.is_above_share != b.is_above_share)
+        return b.is_above_share;
     return late_a ? a.deadline_at < b.deadline_at : a.goal_at < b.goal_at;
 }
 
@@ -79,6 +81,9 @@
         if (reserving_)
             added_.try_emplace(priority_level(job), priority_rate_window)
                 .first->second.add(job.pieces, now);
+        if (reserving_ && sharing_ && !job.is_above_share)
+            added_within_share_.try_emplace(priority_level(job), priority_rate_window)
+                .first->second.add(job.pieces, now);
     }
     enqueue({job, 0, job.pieces, now});
 }
@@ -283,8 +288,9 @@
         if (!is_scheduled_before(job, part.job, next_done))
             ahead += part.count;
     }
-    return time_behind(ahead, job.pieces,
-                       reserving_ ? reserve_factor(priority_level(job), now) : 1.0, now);
+    return time_behind(
+        ahead, job.pieces,
+        reserving_ ? reserve_factor(priority_level(job), job.is_above_share, now) : 1.0, now);
 }
 
 milliseconds stage_queue::time_behind(std::uint64_t ahead, std::uint32_t pieces, double factor,
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -7,7 +7,9 @@
 // produced it until it is freed, so the size of a call is limited by the free result memory.
 #pragma once
 
+#include "state/account_shares.h"
 #include "state/domain_reachability.h"
+#include "state/piece_rate.h"
 #include "state/queue_delay.h"
 #include "state/serving.h"
 #include "state/time.h"
@@ -35,6 +37,8 @@
     time_point deadline_at{};       // latest completion that meets the request's deadline
     std::string preferred_domain;   // failure domain that saves large transfers, or empty
     bool is_continuation = false;   // earlier stages of its request have run
+    std::uint64_t account = 0;      // account_key of its client account, or 0
+    bool is_above_share = false;    // its account asks for more than its share
 };
 
 // Priority of a job for its queue, which bounds the number of rates that the queue keeps.
@@ -100,24 +104,6 @@
 // this many full calls per usable endpoint.
 inline constexpr std::size_t max_late_rounds = 2;
 
-// Rate of pieces per second, as a moving average with a time constant.
-class piece_rate
-{
-public:
-    explicit piece_rate(milliseconds window) : window_(window) {}
-
-    void add(std::uint32_t pieces, time_point now);
-    double per_second(time_point now) const;
-
-private:
-    double decayed(time_point now) const;
-
-    milliseconds window_;
-    double pieces_ = 0.0;
-    time_point at_{};
-    time_point since_{}; // the first pieces
-};
-
 class stage_queue
 {
 public:
@@ -129,6 +115,12 @@
     // take, continuations are refused only if they miss their deadline, and each priority keeps
     // capacity_floor.
     void set_reserving(bool reserving) { reserving_ = reserving; }
+    // Whether capacity that is reserved by urgency is shared max-min fair among client accounts of
+    // the same priority: among jobs on time, those above the share of their account come last.
+    void set_sharing(bool sharing) { sharing_ = sharing; }
+    // Counts what the account of the job asks for, whether or not the job is admitted.
+    // `refused_pieces` are those that were refused elsewhere since its last job.
+    void count_asked(const stage_job& job, std::uint32_t refused_pieces, time_point now);
 
     // `expected` is the job's expected_time.
     void add(const stage_job& job, milliseconds expected, time_point now);
@@ -238,7 +230,11 @@
     double capacity(time_point now) const; // pieces per second
     bool spare_capacity_finishes(const stage_job& job, time_point now) const;
     // Factor on a waiting time that allows for more urgent jobs that will come.
-    double reserve_factor(std::uint32_t priority, time_point now) const;
+    // A job above its account's share also waits for those within.
+    double reserve_factor(std::uint32_t priority, bool is_above_share, time_point now) const;
+    // Pieces per second that more urgent jobs leave to the priority.
+    double capacity_left_to(std::uint32_t priority, time_point now) const;
+    std::vector<account_share> find_shares(time_point now) const;
     milliseconds time_behind(std::uint64_t ahead, std::uint32_t pieces, double factor,
                              time_point now) const;
     milliseconds late_delay(time_point now) const;
@@ -252,9 +248,12 @@
     double saturated_call_ms_ = 0.0;
     piece_rate on_time_{on_time_window}; // of jobs that are on time when they are added
     bool reserving_ = false;
+    bool sharing_ = false;
     // Of jobs on time by priority: added, and put into calls.
     std::map<std::uint32_t, piece_rate> added_;
     std::map<std::uint32_t, piece_rate> sent_;
+    std::map<std::uint32_t, piece_rate> added_within_share_;
+    account_rates asked_;
     std::map<std::string, endpoint_state, std::less<>> endpoints_;
     std::map<std::string, std::size_t, std::less<>> endpoints_by_domain_;
     domain_reachability domains_;
--- a/packages/state/stage_request.h
+++ b/packages/state/stage_request.h
@@ -42,6 +42,11 @@
     std::string preferred_domain;
     milliseconds goal_left{0};     // until the response-time goal
     milliseconds deadline_left{0}; // until the deadline
+    std::uint64_t account = 0;     // account_key of the client account; 0 if none or not told apart
+    bool is_above_share = false;   // the account asks for more than its share
+    // Pieces of the same account and priority that the sender has refused since its last
+    // submission.
+    std::uint32_t refused_pieces = 0;
 };
 
 // Name of the queue of a service, or of one of its shards.
--- a/packages/state/stage_reserve.cpp
+++ b/packages/state/stage_reserve.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-// Least time over which the rate is averaged after the first job.
-constexpr milliseconds on_time_window_min{1000};
+// Bounds what one job adds to the rate of its account.
+constexpr std::uint64_t counted_pieces_max = 1'000'000;
 // A call with a job whose goal is near is kept short, but not below this share of the batch: each
 // call has a fixed cost.
 constexpr std::uint32_t short_call_divisor = 2;
@@ -22,40 +22,58 @@
 
 } // namespace
 
-void piece_rate::add(std::uint32_t pieces, time_point now)
+void stage_queue::count_asked(const stage_job& job, std::uint32_t refused_pieces, time_point now)
 {
-    if (since_ == time_point{})
-        since_ = now;
-    pieces_ = decayed(now) + pieces;
-    at_ = now;
+    if (!reserving_ || !sharing_)
+        return;
+    const std::uint64_t pieces = std::uint64_t{job.pieces} + refused_pieces;
+    asked_.add(job.account, priority_level(job),
+               static_cast<std::uint32_t>(std::min<std::uint64_t>(pieces, counted_pieces_max)),
+               now);
 }
 
-double piece_rate::decayed(time_point now) const
+double stage_queue::capacity_left_to(std::uint32_t priority, time_point now) const
 {
-    const std::chrono::duration<double> age = now - at_;
-    return pieces_ * std::exp(-age / window_);
+    double urgent = 0.0;
+    for (const auto& [level, rate] : added_)
+    {
+        if (level < priority)
+            urgent += rate.per_second(now);
+    }
+    const double total = std::max(capacity(now), 1e-3);
+    return std::max(total - urgent, capacity_floor * total);
 }
 
-double piece_rate::per_second(time_point now) const
+// Jobs that arrive while a job waits and are scheduled before it go ahead of it.
+double stage_queue::reserve_factor(std::uint32_t priority, bool is_above_share,
+                                   time_point now) const
 {
-    // Early on, the average covers only the time since the first job.
-    const std::chrono::duration<double> covered =
-        std::max<time_point::duration>(now - since_, on_time_window_min);
-    const std::chrono::duration<double> window = window_;
-    return decayed(now) / (window.count() * (1.0 - std::exp(-covered / window)));
+    const double total = std::max(capacity(now), 1e-3);
+    double left = capacity_left_to(priority, now);
+    if (is_above_share)
+    {
+        const auto within = added_within_share_.find(priority);
+        if (within != added_within_share_.end())
+            left = std::max(left - within->second.per_second(now), capacity_floor * total);
+    }
+    return total / left;
 }
 
-// More urgent jobs that arrive while a job waits go ahead of it.
-double stage_queue::reserve_factor(std::uint32_t priority, time_point now) const
+std::vector<account_share> stage_queue::find_shares(time_point now) const
 {
-    double urgent = 0.0;
-    for (const auto& [level, rate] : added_)
+    std::vector<account_share> shares;
+    if (!sharing_)
+        return shares;
+    for (const std::uint32_t priority : asked_.priorities())
     {
-        if (level < priority)
-            urgent += rate.per_second(now);
+        const double room = shared_capacity * capacity_left_to(priority, now);
+        for (const account_share& entry : asked_.above_share(priority, room, now))
+        {
+            if (shares.size() < account_shares_max)
+                shares.push_back(entry);
+        }
     }
-    const double total = std::max(capacity(now), 1e-3);
-    return total / std::max(total - urgent, capacity_floor * total);
+    return shares;
 }
 
 queue_delays stage_queue::delays(time_point now) const
@@ -64,24 +82,32 @@
     if (!reserving_)
         return result;
     const time_point next_done = next_call_done(now);
-    std::map<std::uint32_t, std::uint64_t> waiting; // pieces of jobs on time
+    std::map<std::uint32_t, std::uint64_t> within; // pieces of jobs on time
+    std::map<std::uint32_t, std::uint64_t> above;
     for (const waiting_part& part : queue_)
     {
         if (next_done <= part.job.goal_at)
-            waiting[priority_level(part.job)] += part.count;
+            (part.job.is_above_share ? above : within)[priority_level(part.job)] += part.count;
     }
     std::uint64_t ahead = 0;
     for (const auto& [priority, rate] : added_)
     {
-        ahead += waiting[priority];
+        ahead += within[priority];
+        const std::uint64_t ahead_if_above = ahead + above[priority];
+        const milliseconds expected =
+            time_behind(ahead, 1, reserve_factor(priority, false, now), now);
+        const milliseconds above_share =
+            time_behind(ahead_if_above, 1, reserve_factor(priority, true, now), now);
+        ahead = ahead_if_above;
         if (rate.per_second(now) < rate_forgotten)
             continue;
-        const milliseconds expected = time_behind(ahead, 1, reserve_factor(priority, now), now);
-        result.by_priority.push_back({priority, std::min(expected, unbounded_delay)});
+        result.by_priority.push_back({priority, std::min(expected, unbounded_delay),
+                                      std::min(above_share, unbounded_delay)});
         if (result.by_priority.size() == queue_delays_max_priorities)
             break;
     }
     result.late = late_delay(now);
+    result.shares = find_shares(now);
     return result;
 }
 
--- a/packages/transport/metrics.cpp
+++ b/packages/transport/metrics.cpp
@@ -32,6 +32,8 @@
 // "other". The design scale has 78 pairs, but those of superseded configurations remain until the
 // process ends.
 constexpr std::size_t series_limit = 1024;
+// Maximum number of accounts of one counter.
+constexpr std::size_t account_limit = 64;
 constexpr std::string_view overflow_label = "other";
 
 constexpr std::size_t verdict_count = 3;
@@ -247,6 +249,7 @@
     std::array<std::atomic<std::uint64_t>, reason_count> retries{};
     named_values<std::uint64_t> counters;
     named_values<std::int64_t> gauges;
+    named_values<std::map<std::string, std::uint64_t, std::less<>>> by_account; // by counter
     stage_histograms stages;
 };
 
@@ -269,6 +272,18 @@
     impl_->counters.update(name, [increment](std::uint64_t& value) { value += increment; });
 }
 
+void metrics::count_for_account(std::string_view name, std::string_view account,
+                                std::uint64_t increment)
+{
+    impl_->by_account.update(name,
+                             [&](auto& counts)
+                             {
+                                 const bool fits =
+                                     counts.contains(account) || counts.size() < account_limit;
+                                 counts[std::string(fits ? account : overflow_label)] += increment;
+                             });
+}
+
 void metrics::set_gauge(std::string_view name, std::int64_t value)
 {
     impl_->gauges.update(name, [value](std::int64_t& current) { current = value; });
@@ -285,6 +300,13 @@
     return impl_->counters.get(name);
 }
 
+std::uint64_t metrics::account_counter(std::string_view name, std::string_view account) const
+{
+    const auto counts = impl_->by_account.get(name);
+    const auto found = counts.find(account);
+    return found == counts.end() ? 0 : found->second;
+}
+
 std::uint64_t metrics::refusals(reason why) const
 {
     std::uint64_t out = 0;
@@ -333,6 +355,13 @@
         write_type(out, name, "counter");
         out << name_prefix << name << ' ' << value << '\n';
     }
+    for (const auto& [name, counts] : impl_->by_account.all())
+    {
+        write_type(out, name, "counter");
+        for (const auto& [account, count] : counts)
+            out << name_prefix << name << "{account=\"" << escape_label(account) << "\"} " << count
+                << '\n';
+    }
     for (const auto& [name, value] : impl_->gauges.all())
     {
         write_type(out, name, "gauge");
--- a/packages/transport/metrics.h
+++ b/packages/transport/metrics.h
@@ -33,6 +33,11 @@
     // "requests_total".
     void count(std::string_view name, std::uint64_t increment = 1);
 
+    // The same with the label `account`. Beyond a limit, further accounts of a name are counted
+    // together as "other".
+    void count_for_account(std::string_view name, std::string_view account,
+                           std::uint64_t increment = 1);
+
     void set_gauge(std::string_view name, std::int64_t value);
 
     // Records the duration of one attempt of a stage at an endpoint.
@@ -40,6 +45,7 @@
                            std::chrono::microseconds elapsed);
 
     std::uint64_t counter(std::string_view name) const;
+    std::uint64_t account_counter(std::string_view name, std::string_view account) const;
     std::uint64_t refusals(reason why) const;
     std::uint64_t retries(reason why) const;
     // Nonzero counts by name of the reason.
