Test the messages and counters of account shares

Change: round trips, shares out of range, reports beyond their bound; mutated outcomes as well as mutated submissions; the bound of accounts in a counter.

--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -55,6 +55,20 @@
                 "zinnianotch_stage_seconds_count{pipeline=\"draft\",stage=\"rerank\"} 16000");
 }
 
+// Guards against counters that grow with the number of accounts, and accounts that are lost.
+Test(metrics, count_for_account_many_accounts_are_counted_together)
+{
+    metrics registry;
+    registry.count_for_account("account_pieces_total", "a\"b", 3);
+    for (int i = 0; i < 500; ++i)
+        registry.count_for_account("account_pieces_total", "c" + std::to_string(i));
+    registry.count_for_account("account_pieces_total", "a\"b", 4);
+    cr_assert(registry.account_counter("account_pieces_total", "a\"b") == 7);
+    cr_assert(registry.account_counter("account_pieces_total", "c0") == 1);
+    cr_assert(registry.account_counter("account_pieces_total", "other") == 437);
+    expect_line(registry.scrape(), "zinnianotch_account_pieces_total{account=\"a\\\"b\"} 7");
+}
+
 // Guards against refusals that are not counted by reason and verdict, and against a counter that
 // appears only with its first event: rate() does not see an increase without an earlier sample.
 Test(metrics, scrape_every_reason_and_verdict_present)
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -5,6 +5,9 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
+#include <limits>
+
 using namespace zinnianotch;
 using zinnianotch::testing::random_source;
 
@@ -24,21 +27,33 @@
     message.request.inputs = {"10.1.64.9:8080/5c1e", "10.1.64.9:8080/5c1f"};
     message.request.goal_left = milliseconds(-20);
     message.request.deadline_left = milliseconds(4000);
+    message.request.account = 0xFEDCBA9876543210ULL;
+    message.request.is_above_share = true;
+    message.request.refused_pieces = 12;
     return message;
 }
 
-} // namespace
-
-// Guards against fields that are lost or mixed up in encoding or decoding.
-Test(vm_message, encode_frame_submit_and_done_round_trip)
+done_message sample_done()
 {
-    std::string bytes = encode_frame(sample_submit());
     done_message done;
     done.job = 5;
     done.outcome.end = stage_end::refused;
     done.outcome.expected = milliseconds(900);
     done.outcome.handles = {"h"};
-    bytes += encode_frame(done);
+    done.outcome.delays.by_priority = {{1, milliseconds(300), milliseconds(2500)},
+                                       {17, milliseconds(400), milliseconds(9000)}};
+    done.outcome.delays.late = milliseconds(12000);
+    done.outcome.delays.shares = {{0xFEDCBA9876543210ULL, 1, 0.25}, {3, 17, 0.5}};
+    return done;
+}
+
+} // namespace
+
+// Guards against fields that are lost or mixed up in encoding or decoding.
+Test(vm_message, encode_frame_submit_and_done_round_trip)
+{
+    std::string bytes = encode_frame(sample_submit());
+    bytes += encode_frame(sample_done());
     vm_message first;
     vm_message second;
     cr_assert(decode_frame(bytes, first) == frame_state::complete);
@@ -51,6 +66,34 @@
     cr_assert(request.result_bytes == 1500000);
     cr_assert(std::get<done_message>(second).outcome.end == stage_end::refused);
     cr_assert(std::get<done_message>(second).outcome.expected == milliseconds(900));
+    cr_assert(request.account == 0xFEDCBA9876543210ULL && request.is_above_share);
+    cr_assert(request.refused_pieces == 12);
+    cr_assert(std::get<done_message>(second).outcome.delays == sample_done().outcome.delays);
+}
+
+// Guards against a VM that marks all requests of an account, or crashes, because another VM reports
+// a share that is no part of a whole.
+Test(vm_message, decode_frame_share_out_of_range_is_invalid)
+{
+    for (const double share : {-0.5, 1.5, std::numeric_limits<double>::quiet_NaN()})
+    {
+        done_message done = sample_done();
+        done.outcome.delays.shares[0].share = share;
+        std::string frame = encode_frame(done);
+        vm_message message;
+        cr_assert(decode_frame(frame, message) == frame_state::invalid);
+    }
+}
+
+// Guards against a report that takes memory without bound.
+Test(vm_message, decode_frame_many_shares_are_cut)
+{
+    done_message done = sample_done();
+    done.outcome.delays.shares.assign(account_shares_max + 100, {7, 1, 0.5});
+    std::string frame = encode_frame(done);
+    vm_message message;
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    cr_assert(std::get<done_message>(message).outcome.delays.shares.size() == account_shares_max);
 }
 
 // Guards against a job that is taken for another one when a VM gives it back.
@@ -79,11 +122,11 @@
 // memory.
 Test(vm_message, decode_frame_mutated_bytes_never_crash)
 {
-    const std::string frame = encode_frame(sample_submit());
-    for (std::uint64_t seed = 1; seed <= 3000; ++seed)
+    const std::array frames{encode_frame(sample_submit()), encode_frame(sample_done())};
+    for (std::uint64_t seed = 1; seed <= 6000; ++seed)
     {
         random_source random(seed);
-        std::string bytes = frame;
+        std::string bytes = frames[seed % frames.size()];
         for (std::uint64_t i = 0; i <= random.below(6); ++i)
             bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
         vm_message message;
