Test that the batching VM reports accounts above their share

Change: a peer submits jobs of two accounts; the outcome names the large one, and nobody where the configuration has no accounts.

--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -131,6 +131,18 @@
                            { return std::holds_alternative<Message>(message); });
     }
 
+    template <typename Message>
+    std::vector<Message> received() const
+    {
+        std::vector<Message> found;
+        for (const zinnianotch::vm_message& message : received_)
+        {
+            if (const auto* const one = std::get_if<Message>(&message))
+                found.push_back(*one);
+        }
+        return found;
+    }
+
 private:
     small_deployment& harness_;
     std::vector<zinnianotch::vm_message> received_;
@@ -802,6 +814,54 @@
     cr_assert(encoder.requests.empty());
 }
 
+// Guards against accounts that the batching VM does not tell apart, and against shares where the
+// configuration does not call for them.
+Test(edge, stage_outcome_reports_the_account_above_its_share)
+{
+    for (const bool has_accounts : {true, false})
+    {
+        small_deployment harness;
+        harness.add_stage();
+        harness.routes["/stream/"]["slo_ms"] = value::number(4000);
+        harness.routes["/stream/"]["priority"] = value::number(1);
+        harness.routes["/urgent/"] = harness.routes["/stream/"];
+        harness.routes["/urgent/"]["slo_ms"] = value::number(1000);
+        harness.routes["/urgent/"]["priority"] = value::number(0);
+        if (has_accounts)
+            harness.accounts =
+                value::array({account("library", "secret"), account("archive", "hidden")});
+        harness.add_endpoint("encoders", "encoder-1").never_responds = true;
+        harness.start();
+        fake_peer peer(harness, 0);
+        cr_assert(peer.connect());
+        std::uint64_t next_job = 0;
+        const auto submit = [&](std::uint64_t account, std::uint32_t pieces)
+        {
+            zinnianotch::submit_message job;
+            job.job = ++next_job;
+            job.request.service = "encoders";
+            job.request.pieces = pieces;
+            job.request.account = account;
+            job.request.refused_pieces = pieces;
+            peer.send(job); // refused at once: its deadline has passed
+        };
+        submit(2, 1);
+        std::vector<zinnianotch::account_share> shares;
+        cr_assert(peer.run_until(
+            [&]
+            {
+                submit(1, 50'000);
+                const auto outcomes = peer.received<zinnianotch::done_message>();
+                if (!outcomes.empty())
+                    shares = outcomes.back().outcome.delays.shares;
+                return !shares.empty() || (!has_accounts && outcomes.size() > 20);
+            }));
+        cr_assert(shares.empty() != has_accounts);
+        if (has_accounts)
+            cr_assert(shares.size() == 1 && shares[0].account == 1 && shares[0].share < 0.5);
+    }
+}
+
 // Guards against results that fill an endpoint's memory until they expire, because the VM exits
 // before it has released them.
 Test(edge, planned_stop_results_are_released_before_exit)
