--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -55,6 +55,13 @@
     return static_cast<Enum>(number);
 }
 
+// Throws kj::Exception unless the number is from 0 to 1.
+double to_share(double number)
+{
+    KJ_REQUIRE(number >= 0.0 && number <= 1.0, "share out of range in a VM message");
+    return number;
+}
+
 class message_writer
 {
 public:
@@ -319,11 +326,10 @@
     message.outcome.delays.late = milliseconds(from.getLateDelayMs());
     for (const auto entry : from.getShares())
     {
-        const double share = entry.getShare();
-        KJ_REQUIRE(share >= 0.0 && share <= 1.0, "share out of range in a VM message");
         if (message.outcome.delays.shares.size() == account_shares_max)
             break;
-        message.outcome.delays.shares.push_back({entry.getAccount(), entry.getPriority(), share});
+        message.outcome.delays.shares.push_back(
+            {entry.getAccount(), entry.getPriority(), to_share(entry.getShare())});
     }
     return message;
 }
