--- a/tests/unit/chain_admission_test.cpp
+++ b/tests/unit/chain_admission_test.cpp
@@ -280,7 +280,7 @@
 Test(chain_admission, find_old_report_is_ignored)
 {
     queue_delay_reports reports;
-    reports.record("q", {{{1, milliseconds(3000)}}, milliseconds(9000)}, start);
+    reports.record("q", {{{1, milliseconds(3000)}}, milliseconds(9000), {}}, start);
     const queue_delays* const known = reports.find("q", start + queue_delays_max_age);
     cr_assert(known != nullptr && find_delay(*known, 2) == milliseconds(3000));
     cr_assert_not(find_delay(*known, 0).has_value());
