Let calls to the store go on while their response arrives

Cause: A call that follows a table timed out 600 ms after its wait even while its response arrived, and was repeated from the first byte 1.6 s later, then 3.2 s. Ruled out: Account shares. Change: Each part of a response extends the call by the slack, by 3 s at most in all.

--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -38,6 +38,9 @@
 // Time beyond the long-poll wait after which a call times out.
 inline constexpr milliseconds follow_timeout_slack{600};
 inline constexpr milliseconds list_timeout{1500};
+// A call whose response is arriving goes on, for this long at most beyond its timeout: given up, it
+// would only be repeated from the first byte.
+inline constexpr milliseconds response_max_extension{3000};
 // Largest response of the store: a page of a table, or the changes of a table.
 inline constexpr std::size_t store_response_limit = 16 * 1024 * 1024;
 // Delay of the first retry of a failed call, which doubles with each further failure, and its
@@ -101,6 +104,7 @@
     void on_failure(upstream_failure failure) override;
 
     void send(time_point now);
+    void extend_call(time_point now);
     void on_page(record_page page, std::uint64_t era, time_point now);
     void list_again(time_point now);
     void on_call_failed(const std::string& why, time_point now);
@@ -127,6 +131,7 @@
     retry_delays retry_delays_;
     time_point next_call_at_{};
     time_point call_deadline_{};
+    time_point last_call_deadline_{}; // of a call whose response is arriving
     time_point regained_at_{};
     time_point last_response_at_{};
     int status_ = 0;
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -111,14 +111,24 @@
         request = Codec::encode_follow(address_, table_, position_.revision, wait);
         call_deadline_ = now + wait + follow_timeout_slack;
     }
+    last_call_deadline_ = call_deadline_ + response_max_extension;
     connection_ = pool_.start(std::move(request), *this, default_idle_timeout, now);
 }
 
+// A part of the response has arrived.
+template <typename Codec>
+void state_follower<Codec>::extend_call(time_point now)
+{
+    call_deadline_ =
+        std::min(std::max(call_deadline_, now + follow_timeout_slack), last_call_deadline_);
+}
+
 template <typename Codec>
 void state_follower<Codec>::on_head(message_head& head, body_framing, std::optional<std::uint64_t>)
 {
     status_ = head.status;
     response_era_ = Codec::decode_era(head);
+    extend_call(steady_clock::now());
 }
 
 template <typename Codec>
@@ -126,7 +136,7 @@
 {
     body_ += bytes;
     if (body_.size() <= store_response_limit)
-        return;
+        return extend_call(steady_clock::now());
     connection_->cancel();
     in_flight_ = false;
     body_.clear();
--- a/tests/unit/edge_relay_test.cpp
+++ b/tests/unit/edge_relay_test.cpp
@@ -1,5 +1,6 @@
 // The state of the store on VMs that do not read it themselves: they take it from the relays of
 // their failure domain.
+#include "coordination/state_follower.h"
 #include "serving_fixture.h"
 
 #include <criterion/criterion.h>
@@ -116,6 +117,25 @@
     cr_assert(harness.run_until([&] { return harness.all_have_version(2); }, config_bound));
 }
 
+// Guards against calls that are given up while their response arrives, each after the same part of
+// it, so that a large configuration never takes effect.
+Test(edge_relay, response_of_store_arrives_slowly_version_takes_effect)
+{
+    relayed_deployment harness;
+    harness.start();
+    harness.run_for(milliseconds(3600)); // polls in progress end
+    for (const std::size_t vm : harness.relays)
+        harness.store.fail_listener(vm);
+    harness.store.slow_responses("op", 2 * zinnianotch::follow_timeout_slack);
+    harness.configure(2);
+    cr_assert(harness.run_until(
+        [&]
+        {
+            return harness.vm(harness.others[0]).desired_version() == 2 &&
+                   harness.vm(harness.others[1]).desired_version() == 2;
+        }));
+}
+
 // Guards against hundreds of VMs that keep calling a store that is down: each may try each table
 // three times in three seconds.
 Test(edge_relay, store_down_for_all_others_rarely_call_it)
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -244,7 +244,16 @@
     value body = value::object();
     body["rows"] = value::array(list);
     body["ver"] = page_version.is_null() ? value::number(version_) : page_version;
-    respond(feed.client, 200, body.serialize());
+    const auto slow = response_times_.find(feed.table);
+    if (slow == response_times_.end() || rows.empty())
+    {
+        respond(feed.client, 200, body.serialize());
+        return true;
+    }
+    constexpr std::size_t parts = 20;
+    const std::string text = response(200, body.serialize());
+    send_in_parts(feed.client, text, text.size() / parts + 1,
+                  slow->second / static_cast<int>(parts));
     return true;
 }
 
@@ -297,15 +306,36 @@
     respond(client, 200, "{\"ver\":" + std::to_string(version_) + "}");
 }
 
+std::string fake_store::response(int status, const std::string& body) const
+{
+    return response_text(
+        status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) + "\r\n",
+        body);
+}
+
 void fake_store::respond(const std::shared_ptr<server_connection>& client, int status,
                          const std::string& body)
 {
-    client->send(response_text(
-        status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) + "\r\n",
-        body));
+    client->send(response(status, body));
     client->end(true);
 }
 
+void fake_store::send_in_parts(const std::shared_ptr<server_connection>& client,
+                               const std::string& rest, std::size_t part, milliseconds pause)
+{
+    client->send(rest.substr(0, part));
+    if (rest.size() <= part)
+        return client->end(true);
+    const auto timer = std::make_shared<asio::steady_timer>(io_, pause);
+    timer->async_wait(
+        [this, timer, client, rest = rest.substr(part), part,
+         pause](const boost::system::error_code& error)
+        {
+            if (!error)
+                send_in_parts(client, rest, part, pause);
+        });
+}
+
 fake_endpoint::fake_endpoint(asio::io_context& io, std::string id)
     : io_(io), id_(std::move(id)), listener_(make_listener())
 {
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -48,6 +48,11 @@
     void restore_listener(std::size_t listener) { failing_listeners_.erase(listener); }
     // Calls at this address get no response from now on, nor do those in progress.
     void silence_listener(std::size_t listener) { silent_listeners_.insert(listener); }
+    // Responses with rows of the table take this long from their first to their last byte.
+    void slow_responses(const std::string& table, milliseconds duration)
+    {
+        response_times_[table] = duration;
+    }
     std::uint64_t calls_at(std::size_t listener) const { return calls_at_[listener]; }
 
     void put(const std::string& table, const std::string& key, const web::json::value& document);
@@ -101,14 +106,18 @@
                            const std::string& body);
     bool respond_to_feed(const pending_feed& feed, bool even_if_empty);
     void notify_feeds();
+    std::string response(int status, const std::string& body) const;
     void respond(const std::shared_ptr<zinnianotch::server_connection>& client, int status,
                  const std::string& body);
+    void send_in_parts(const std::shared_ptr<zinnianotch::server_connection>& client,
+                       const std::string& rest, std::size_t part, milliseconds pause);
 
     boost::asio::io_context& io_;
     std::vector<std::unique_ptr<zinnianotch::server_listener>> listeners_;
     std::set<std::size_t> failing_listeners_;
     std::set<std::size_t> silent_listeners_;
-    std::vector<std::uint64_t> calls_at_; // by listener
+    std::map<std::string, milliseconds> response_times_; // by table
+    std::vector<std::uint64_t> calls_at_;                // by listener
     std::map<std::pair<std::string, std::string>, row> rows_;
     std::uint64_t version_ = 1;
     std::uint64_t history_from_ = 0;
