--- a/packages/coordination/edge_exchange.h
+++ b/packages/coordination/edge_exchange.h
@@ -162,6 +162,7 @@
     endpoint_ptr acquire(placement_request& request, time_point now);
     endpoint_ptr acquire_fallback(placement_request& request, time_point now);
     endpoint_ptr acquire_last_resort(placement_request& request, time_point now);
+    endpoint_ptr acquire_from(rollout_pool other, placement_request& request, time_point now);
     void choose_pool(placement_request& request, time_point now);
     void begin_rollout_attempt(time_point now);
     void count_first_byte(time_point now);
--- a/packages/coordination/edge_rollout_impl.h
+++ b/packages/coordination/edge_rollout_impl.h
@@ -247,8 +247,20 @@
     return endpoint;
 }
 
+// Without an endpoint, the request keeps the pool for which one is expected.
+template <typename Codec>
+endpoint_ptr edge<Codec>::exchange::acquire_from(rollout_pool other, placement_request& request,
+                                                 time_point now)
+{
+    const rollout_pool chosen = std::exchange(request.pool, other);
+    endpoint_ptr endpoint = acquire_endpoint(request, now);
+    if (!endpoint && !owner_.endpoints_.next_available_at(request, now))
+        request.pool = chosen;
+    return endpoint;
+}
+
 // An old endpoint stops as soon as the new version is completed, so it gets no request that could
-// not run again. Without an endpoint, the request keeps the version for which one is expected.
+// not run again.
 template <typename Codec>
 endpoint_ptr edge<Codec>::exchange::acquire_fallback(placement_request& request, time_point now)
 {
@@ -258,11 +270,7 @@
         may_be_cut ? rollout_pool::none : request.gate->fallback(request.pool, now);
     if (other == rollout_pool::none)
         return nullptr;
-    const rollout_pool chosen = std::exchange(request.pool, other);
-    endpoint_ptr endpoint = acquire_endpoint(request, now);
-    if (!endpoint && !owner_.endpoints_.next_available_at(request, now))
-        request.pool = chosen;
-    return endpoint;
+    return acquire_from(other, request, now);
 }
 
 // Endpoints of the pool that this request has tried, or that are only busy, count as reachable
@@ -278,11 +286,7 @@
     const auto available_at = owner_.endpoints_.next_available_at(of_any, now);
     if (available_at && *available_at <= now)
         return nullptr;
-    const rollout_pool chosen = std::exchange(request.pool, other);
-    endpoint_ptr endpoint = acquire_endpoint(request, now);
-    if (!endpoint && !owner_.endpoints_.next_available_at(request, now))
-        request.pool = chosen;
-    return endpoint;
+    return acquire_from(other, request, now);
 }
 
 // Chooses once for each attempt, however often it is placed, because each choice counts as a send.
