Log why links between VMs end, and what decided a denied request

vm_lost told neither which end closed a link nor why, so a link that one end wrongly took for idle could not be told from one that was congested. Both ends now log the reason, the time since bytes were last received and the bytes that passed; counters vm_links_ended_WHY_total and vm_link_{received,sent}_bytes_total. A request that is refused because the desired state lacks its route or key gets a line denied with the version, its age, and who last confirmed it.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -168,6 +168,9 @@
     void choose_relays();
     void update_reading(time_point now);
     void log_state_source(state_table table, time_point now);
+    // Logs what this VM knew of the desired state when it denied a request: `missing` names what
+    // the state lacks.
+    void log_denial(const std::string& request, std::string_view missing, time_point now);
     replica_type& replica(state_table table);
     held_records held_of(state_table table, time_point now);
     void on_held_records(const held_records& held);
@@ -229,6 +232,9 @@
     state_sources sources_;
     std::vector<table_reading> reading_; // by state_table
     std::array<std::string, state_table_count> logged_sources_;
+    // Who last confirmed that the copy of the desired state is up to date: "store" or a VM.
+    std::string state_confirmed_by_;
+    time_point state_confirmed_at_{};
     bool is_relay_ = true;
     bool has_followers_ = false; // VMs of the domain that are not relays take the state from here
     table_copies noticed_copies_;
--- a/packages/coordination/edge_exchange_impl.h
+++ b/packages/coordination/edge_exchange_impl.h
@@ -96,12 +96,14 @@
     route_ = find_route(*state_, call_.host, call_.target);
     if (route_ == nullptr)
     {
+        owner_.log_denial(call_.attempt, "route", now);
         fail(reason::not_found, verdict::not_run, "no route matches host and target", now);
         return false;
     }
     account_ = call_.key.empty() ? nullptr : find_account(*state_, call_.key);
     if (account_ == nullptr && state_->needs_keys() && !route_->anonymous)
     {
+        owner_.log_denial(call_.attempt, "key", now);
         fail(reason::unauthorized, verdict::not_run, "missing or unknown API key", now);
         return false;
     }
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -160,7 +160,8 @@
         io_, options_.peers.host, options_.peers.port,
         [this](const std::shared_ptr<vm_channel>& from, vm_message&& message)
         { on_vm_message(from, std::move(message)); },
-        [this](const std::shared_ptr<vm_channel>& from) { stage_router_.on_closed(from); });
+        [this](const std::shared_ptr<vm_channel>& from, const link_history& history)
+        { stage_router_.on_closed(from, history); });
     peers_->set_memory(memory_);
     // A link is made from one side only, so each side sends what it knows.
     peers_->on_accepted = [this](const std::shared_ptr<vm_channel>& channel)
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -532,10 +532,21 @@
 void edge<Codec>::log_state_source(state_table table, time_point now)
 {
     std::string source = "none";
+    std::string confirmed_by = "store";
+    milliseconds age{0};
     if (follower(table).in_sync_at(now))
         source = "store";
     else if (const auto origin = sources_.newest(table, now))
+    {
         source = "vms";
+        confirmed_by = origin->vm;
+        age = origin->age;
+    }
+    if (table == state_table::desired && source != "none")
+    {
+        state_confirmed_by_ = confirmed_by;
+        state_confirmed_at_ = now - age;
+    }
     std::string& logged = logged_sources_[static_cast<std::size_t>(table)];
     if (source == logged)
         return;
@@ -549,6 +560,26 @@
     logged = source;
 }
 
+template <typename Codec>
+void edge<Codec>::log_denial(const std::string& request, std::string_view missing, time_point now)
+{
+    const auto age = [now](time_point at)
+    {
+        if (at == time_point{})
+            return std::string("-");
+        return edge_detail::milliseconds_text(std::chrono::duration_cast<milliseconds>(now - at));
+    };
+    log_event(log_level::info, "denied",
+              {{"request", request},
+               {"missing", std::string(missing)},
+               {"version", std::to_string(state_->version)},
+               {"version_ms", age(state_since_)},
+               {"revision", std::to_string(replica(state_table::desired).position().revision)},
+               {"confirmed_by", state_confirmed_by_.empty() ? "-" : state_confirmed_by_},
+               {"confirmed_ms", age(state_confirmed_at_)},
+               {"links", std::to_string(stage_router_.links_up())}});
+}
+
 // Asks any VM for changes to the tables that neither the store nor a VM in touch with it provides.
 template <typename Codec>
 void edge<Codec>::query_peers(time_point now)
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "coordination/stage_batcher.h"
+#include "transport/log.h"
 #include "transport/vm_link.h"
 
 #include <map>
@@ -65,7 +66,7 @@
 
     // Handles a message about stages from another VM.
     void on_message(const std::shared_ptr<vm_channel>& from, vm_message&& message);
-    void on_closed(const std::shared_ptr<vm_channel>& from);
+    void on_closed(const std::shared_ptr<vm_channel>& from, const link_history& history);
 
     // VMs to keep a link to for the state of the store.
     void set_state_peers(std::vector<std::string> names);
@@ -113,7 +114,10 @@
     void update_links();
     // By value: a change of the VM list may destroy the link that the message comes from.
     void on_link_message(std::string vm, vm_message&& message);
-    void on_link_changed(const std::string& vm, bool up);
+    void handle_link_up(const std::string& vm);
+    void handle_link_down(const std::string& vm, const link_history& history);
+    void log_link_end(log_level level, std::string_view event, std::string_view peer,
+                      const link_history& history);
     void on_done(const std::string& vm, const done_message& message);
     // Sends a job to the VM that batches its queue now, and keeps the id that `submit` returned.
     void route_job(std::uint64_t id, remote_job job, time_point now);
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -67,10 +67,11 @@
     entry.link = std::make_unique<vm_link>(
         io_, *peer,
         [this, name](vm_message&& message) { on_link_message(name, std::move(message)); },
-        [this, name](bool up) { on_link_changed(name, up); });
+        [this, name] { handle_link_up(name); },
+        [this, name](const link_history& history) { handle_link_down(name, history); });
     entry.link->set_memory(memory_);
     if (was_up)
-        on_link_changed(name, false); // a link that is replaced does not report its end
+        handle_link_down(name, {}); // a link that is replaced does not report its end
 }
 
 // Keeps links to the first VMs in the rendezvous order of each queue, and to those that the state
@@ -212,23 +213,43 @@
     done(message.outcome);
 }
 
+template <typename Codec>
+void stage_router<Codec>::log_link_end(log_level level, std::string_view event,
+                                       std::string_view peer, const link_history& history)
+{
+    const std::string why(to_string(history.end));
+    counters_.count("vm_links_ended_" + why + "_total");
+    counters_.count("vm_link_received_bytes_total", history.received_bytes);
+    counters_.count("vm_link_sent_bytes_total", history.sent_bytes);
+    log_event(level, event,
+              {{"peer", std::string(peer)},
+               {"why", why},
+               {"lived_ms", std::to_string(history.lived.count())},
+               {"silent_ms", std::to_string(history.silent.count())},
+               {"received", std::to_string(history.received_bytes)},
+               {"sent", std::to_string(history.sent_bytes)},
+               {"queued", std::to_string(history.queued_bytes)}});
+}
+
+template <typename Codec>
+void stage_router<Codec>::handle_link_up(const std::string& vm)
+{
+    log_event(log_level::info, "vm_regained", {{"peer", vm}});
+    if (const auto entry = links_.find(vm); entry != links_.end())
+        entry->second.leaving = false;
+    if (on_link_up)
+        on_link_up(vm);
+}
+
 // When the link to a batching VM is lost, its jobs are rerouted to the next VM. The lost VM's calls
 // may still run: a piece that runs twice costs endpoint time but fails no request.
 template <typename Codec>
-void stage_router<Codec>::on_link_changed(const std::string& vm, bool up)
+void stage_router<Codec>::handle_link_down(const std::string& vm, const link_history& history)
 {
     const time_point now = steady_clock::now();
-    log_event(up ? log_level::info : log_level::warning, up ? "vm_regained" : "vm_lost",
-              {{"peer", vm}});
-    const auto entry = links_.find(vm);
-    if (entry != links_.end())
+    log_link_end(log_level::warning, "vm_lost", vm, history);
+    if (const auto entry = links_.find(vm); entry != links_.end())
         entry->second.leaving = false;
-    if (up)
-    {
-        if (on_link_up)
-            on_link_up(vm);
-        return;
-    }
     on_state_(vm, leaving_message{});
     std::vector<std::uint64_t> ids;
     for (const auto& [id, job] : remote_jobs_)
@@ -342,8 +363,12 @@
 }
 
 template <typename Codec>
-void stage_router<Codec>::on_closed(const std::shared_ptr<vm_channel>& from)
+void stage_router<Codec>::on_closed(const std::shared_ptr<vm_channel>& from,
+                                    const link_history& history)
 {
+    // The connecting end reports the other ends of a link.
+    if (history.end != link_end::peer_closed && history.end != link_end::local)
+        log_link_end(log_level::info, "vm_link_closed", from->peer(), history);
     const auto jobs = peer_jobs_.find(from.get());
     if (jobs == peer_jobs_.end())
         return;
--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -1,5 +1,7 @@
 #include "transport/vm_link.h"
 
+#include "state/enum_names.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -14,18 +16,28 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+constexpr std::array<std::string_view, 7> link_end_names = {
+    "idle", "peer_closed", "failed", "invalid_message", "queue_full", "memory_short", "local"};
+
 } // namespace
 
+std::string_view to_string(link_end value)
+{
+    return name_of(link_end_names, value);
+}
+
 vm_channel::vm_channel(tcp::socket socket) : socket_(std::move(socket))
 {
     boost::system::error_code ignored;
     (void)socket_.set_option(tcp::no_delay(true), ignored);
+    peer_ = socket_.remote_endpoint(ignored).address().to_string();
 }
 
 void vm_channel::start(message_handler on_message, closed_handler on_closed, time_point now)
 {
     on_message_ = std::move(on_message);
     on_closed_ = std::move(on_closed);
+    opened_at_ = now;
     last_received_at_ = now;
     read();
 }
@@ -37,7 +49,7 @@
     const std::string frame = encode_frame(message);
     send_queue_ += frame;
     if (send_queue_.size() > max_queued_bytes_)
-        return close();
+        return close(link_end::queue_full);
     if (held_)
         held_.grow(frame.size(), steady_clock::now());
     write_next();
@@ -52,7 +64,7 @@
         [weak = weak_from_this()]
         {
             if (const auto self = weak.lock())
-                self->close();
+                self->close(link_end::memory_short);
         },
         now);
     max_queued_bytes_ = account->ledger.link_limit(link_max_queued_bytes);
@@ -63,7 +75,7 @@
     if (closed_)
         return;
     if (now - last_received_at_ > link_idle_timeout)
-        return close();
+        return close(link_end::idle);
     if (!send_pings || now - last_received_at_ < link_ping_interval ||
         now - last_ping_at_ < link_ping_interval)
         return;
@@ -71,11 +83,20 @@
     send(ping_message{});
 }
 
-void vm_channel::close()
+void vm_channel::close(link_end why)
 {
     if (closed_)
         return;
     closed_ = true;
+    const time_point now = steady_clock::now();
+    const auto since = [now](time_point at)
+    { return std::chrono::duration_cast<milliseconds>(now - at); };
+    const link_history history{why,
+                               since(opened_at_),
+                               since(last_received_at_),
+                               received_bytes_,
+                               sent_bytes_,
+                               send_queue_.size() + write_buffer_.size()};
     held_.release();
     boost::system::error_code ignored;
     (void)socket_.close(ignored);
@@ -83,7 +104,7 @@
     const auto on_closed = std::move(on_closed_);
     on_closed_ = nullptr;
     if (on_closed)
-        on_closed();
+        on_closed(history);
 }
 
 void vm_channel::read()
@@ -95,7 +116,9 @@
             if (self->closed_)
                 return;
             if (error)
-                return self->close();
+                return self->close(error == asio::error::eof ? link_end::peer_closed
+                                                             : link_end::failed);
+            self->received_bytes_ += count;
             self->unparsed_.append(self->buffer_.data(), count);
             self->last_received_at_ = steady_clock::now();
             self->parse();
@@ -113,7 +136,7 @@
         if (state == frame_state::incomplete)
             return;
         if (state == frame_state::invalid)
-            return close();
+            return close(link_end::invalid_message);
         if (std::holds_alternative<ping_message>(message))
         {
             send(pong_message{});
@@ -138,26 +161,28 @@
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t count)
         {
             self->write_in_progress_ = false;
+            self->sent_bytes_ += count;
             if (self->held_)
                 self->held_.drain(count, steady_clock::now());
             if (self->closed_)
                 return;
             if (error)
-                return self->close();
+                return self->close(link_end::failed);
+            self->write_buffer_.clear();
             self->write_next();
         });
 }
 
 vm_link::vm_link(asio::io_context& io, tcp::endpoint peer, vm_channel::message_handler on_message,
-                 std::function<void(bool up)> on_state_change)
-    : io_(io), peer_(std::move(peer)), on_message_(std::move(on_message)),
-      on_state_change_(std::move(on_state_change))
+                 up_handler on_up, vm_channel::closed_handler on_down)
+    : io_(io), peer_(std::move(peer)), on_message_(std::move(on_message)), on_up_(std::move(on_up)),
+      on_down_(std::move(on_down))
 {
 }
 
 vm_link::~vm_link()
 {
-    on_state_change_ = nullptr;
+    on_down_ = nullptr;
     if (connecting_socket_)
     {
         boost::system::error_code ignored;
@@ -214,26 +239,27 @@
                     if (!up_)
                     {
                         up_ = true;
-                        if (on_state_change_)
-                            on_state_change_(true);
+                        if (on_up_)
+                            on_up_();
                     }
                     if (!std::holds_alternative<pong_message>(message))
                         on_message_(std::move(message));
                 },
-                [this] { handle_channel_closed(); }, steady_clock::now());
+                [this](const link_history& history) { handle_channel_closed(history); },
+                steady_clock::now());
             channel_->send(ping_message{});
         });
 }
 
-void vm_link::handle_channel_closed()
+void vm_link::handle_channel_closed(const link_history& history)
 {
     channel_.reset();
     reconnect_at_ = steady_clock::now() + link_reconnect_delay;
     if (!up_)
         return;
     up_ = false;
-    if (on_state_change_)
-        on_state_change_(false);
+    if (on_down_)
+        on_down_(history);
 }
 
 vm_listener::vm_listener(asio::io_context& io, const std::string& address, std::uint16_t port,
@@ -245,7 +271,7 @@
 
 vm_listener::~vm_listener()
 {
-    on_closed_ = [](const std::shared_ptr<vm_channel>&) {};
+    on_closed_ = [](const std::shared_ptr<vm_channel>&, const link_history&) {};
     const auto channels_copy = channels_;
     for (const auto& channel : channels_copy)
         channel->close();
@@ -263,11 +289,11 @@
             if (const auto locked = weak.lock())
                 on_message_(locked, std::move(message));
         },
-        [this, weak]
+        [this, weak](const link_history& history)
         {
             if (const auto locked = weak.lock())
             {
-                on_closed_(locked);
+                on_closed_(locked, history);
                 channels_.erase(locked);
             }
         },
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace zinnianotch
@@ -34,12 +35,37 @@
 // too slowly is closed beyond it.
 inline constexpr std::size_t link_max_queued_bytes = 32 * 1024 * 1024;
 
+// Why a connection between two VMs ended.
+enum class link_end
+{
+    idle,            // nothing was received for link_idle_timeout
+    peer_closed,     // in order
+    failed,          // reset, or another error of the socket
+    invalid_message, // bytes that are no message
+    queue_full,      // the peer reads too slowly
+    memory_short,
+    local // this VM needs it no longer
+};
+
+std::string_view to_string(link_end value);
+
+// What passed over a connection that has ended.
+struct link_history
+{
+    link_end end = link_end::local;
+    milliseconds lived{0};
+    milliseconds silent{0}; // since bytes were last received
+    std::uint64_t received_bytes = 0;
+    std::uint64_t sent_bytes = 0;   // taken by the socket
+    std::uint64_t queued_bytes = 0; // not taken by it
+};
+
 // An open connection, on the connecting or the accepting side.
 class vm_channel : public std::enable_shared_from_this<vm_channel>
 {
 public:
     using message_handler = std::function<void(vm_message&&)>;
-    using closed_handler = std::function<void()>;
+    using closed_handler = std::function<void(const link_history&)>;
 
     explicit vm_channel(boost::asio::ip::tcp::socket socket);
 
@@ -50,8 +76,10 @@
     // Closes the connection after link_idle_timeout without received data. If `send_pings` is set,
     // pings a peer after link_ping_interval without received data.
     void tick(time_point now, bool send_pings);
-    void close();
+    void close(link_end why = link_end::local);
     bool is_open() const { return !closed_; }
+    // Address of the peer, without its port.
+    const std::string& peer() const { return peer_; }
 
 private:
     void read();
@@ -59,6 +87,7 @@
     void write_next();
 
     boost::asio::ip::tcp::socket socket_;
+    std::string peer_;
     message_handler on_message_;
     closed_handler on_closed_;
     std::array<char, 16384> buffer_{};
@@ -69,16 +98,22 @@
     std::size_t max_queued_bytes_ = link_max_queued_bytes;
     bool write_in_progress_ = false;
     bool closed_ = false;
+    time_point opened_at_{};
     time_point last_received_at_{};
     time_point last_ping_at_{};
+    std::uint64_t received_bytes_ = 0;
+    std::uint64_t sent_bytes_ = 0;
 };
 
 // The connecting side: keeps one connection to a VM open and reconnects when it closes.
 class vm_link
 {
 public:
+    using up_handler = std::function<void()>;
+
     vm_link(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint peer,
-            vm_channel::message_handler on_message, std::function<void(bool up)> on_state_change);
+            vm_channel::message_handler on_message, up_handler on_up,
+            vm_channel::closed_handler on_down);
     ~vm_link();
 
     vm_link(const vm_link&) = delete;
@@ -93,12 +128,13 @@
 
 private:
     void connect(time_point now);
-    void handle_channel_closed();
+    void handle_channel_closed(const link_history& history);
 
     boost::asio::io_context& io_;
     boost::asio::ip::tcp::endpoint peer_;
     vm_channel::message_handler on_message_;
-    std::function<void(bool up)> on_state_change_;
+    up_handler on_up_;
+    vm_channel::closed_handler on_down_;
     std::shared_ptr<boost::asio::ip::tcp::socket> connecting_socket_;
     time_point connect_started_at_{};
     time_point reconnect_at_{};
@@ -112,7 +148,8 @@
 {
 public:
     using message_handler = std::function<void(const std::shared_ptr<vm_channel>&, vm_message&&)>;
-    using closed_handler = std::function<void(const std::shared_ptr<vm_channel>&)>;
+    using closed_handler =
+        std::function<void(const std::shared_ptr<vm_channel>&, const link_history&)>;
 
     vm_listener(boost::asio::io_context& io, const std::string& address, std::uint16_t port,
                 message_handler on_message, closed_handler on_closed);
--- a/tests/unit/edge_test.cpp
+++ b/tests/unit/edge_test.cpp
@@ -103,7 +103,7 @@
               harness.io, {boost::asio::ip::make_address(loopback), harness.vm(vm).peers_port()},
               [this](zinnianotch::vm_message&& message)
               { received_.push_back(std::move(message)); },
-              [](bool) {})
+              [] {}, [](const zinnianotch::link_history&) {})
     {
     }
 
