--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -326,6 +326,7 @@
 void edge<Codec>::on_crash_report(const crash_report& report, report_receivers to)
 {
     const time_point now = steady_clock::now();
+    counters_.count("crash_reports_received_total");
     const bool is_news = report.subject == crash_report_subject::requests
                              ? crashing_requests_.on_report(report, now)
                              : crash_suspects_.on_report(report, now);
--- a/tests/unit/edge_relay_test.cpp
+++ b/tests/unit/edge_relay_test.cpp
@@ -67,6 +67,50 @@
         return calls;
     }
 
+    // Value of a counter of the VM; 0 if it is not there yet.
+    std::uint64_t counter(std::size_t vm, const std::string& name)
+    {
+        const std::string page = get_from_metrics_port(vm, "/metrics")->body;
+        const std::string line = "\nzinnianotch_" + name + " ";
+        const std::size_t found = page.find(line);
+        return found == std::string::npos ? 0 : std::stoull(page.substr(found + line.size()));
+    }
+
+    // Makes `reports` crashes known to all VMs, as news from a VM that is not in the list.
+    void report_crashes(std::size_t reports)
+    {
+        namespace ip = boost::asio::ip;
+        bool is_up = false;
+        zinnianotch::vm_link link(
+            io, {ip::make_address(loopback), vm(relays[0]).peers_port()},
+            [](zinnianotch::vm_message&&) {}, [&] { is_up = true; },
+            [](const zinnianotch::link_history&) {});
+        link.tick(zinnianotch::steady_clock::now());
+        cr_assert(run_until([&] { return is_up; }));
+        for (std::size_t i = 0; i < reports; ++i)
+        {
+            zinnianotch::crash_report report;
+            report.origin = "elsewhere";
+            report.sequence = i + 1;
+            report.engines = {{"engine-" + std::to_string(i), 1}};
+            report.domain = "dom-a";
+            report.age = milliseconds(500) * i; // without a common cause
+            report.parts = {"part-" + std::to_string(i % 7), "own-" + std::to_string(i)};
+            link.send(report);
+        }
+        cr_assert(run_until(
+            [&]
+            {
+                for (std::size_t i = 0; i < vm_count; ++i)
+                {
+                    if (counter(i, "crash_reports_received_total") < reports)
+                        return false;
+                }
+                return true;
+            }));
+        run_for(milliseconds(500)); // copies on their way arrive
+    }
+
     bool any_routes_to(const std::string& endpoint)
     {
         for (std::size_t i = 0; i < vm_count; ++i)
@@ -169,6 +213,24 @@
         config_bound));
 }
 
+// Guards against links that are full of copies of what is known of crashes: each VM that a new one
+// is linked to sends all of it.
+Test(edge_relay, vm_joins_after_crashes_hears_of_each_about_once)
+{
+    constexpr std::size_t reports = 100;
+    relayed_deployment harness;
+    harness.start();
+    harness.report_crashes(reports);
+    const std::size_t joined = harness.add_vm();
+    cr_assert(harness.run_until([&] { return harness.is_ready(joined); }));
+    cr_assert(harness.run_until(
+        [&] { return harness.counter(joined, "crash_reports_received_total") >= reports; }));
+    harness.run_for(milliseconds(4000));
+    const std::uint64_t received = harness.counter(joined, "crash_reports_received_total");
+    cr_assert(received <= reports + reports / 2, "%lu reports",
+              static_cast<unsigned long>(received));
+}
+
 // Guards against a table without records that other VMs do not adopt: the last endpoint of all has
 // left, and would get requests from VMs that do not read the store.
 Test(edge_relay, all_endpoints_gone_no_vm_keeps_them)
