--- a/tests/unit/edge_relay_test.cpp
+++ b/tests/unit/edge_relay_test.cpp
@@ -213,6 +213,27 @@
         config_bound));
 }
 
+// Guards against a VM without relays that calls the store again only after the bound on a change.
+Test(edge_relay, relays_die_and_store_fails_for_others_change_after_its_return_is_in_time)
+{
+    relayed_deployment harness;
+    harness.start();
+    const std::size_t watched = harness.others[0];
+    for (const std::size_t vm : harness.relays)
+        harness.kill_vm(vm);
+    for (const std::size_t vm : harness.others)
+        harness.store.fail_listener(vm);
+    harness.run_for(milliseconds(6000)); // until the delays between calls no longer grow
+    const std::uint64_t calls = harness.store.calls_at(watched);
+    cr_assert(harness.run_until([&] { return harness.store.calls_at(watched) > calls; }));
+    harness.run_for(milliseconds(100)); // until its other tables are refused as well
+    for (const std::size_t vm : harness.others)
+        harness.store.restore_listener(vm);
+    harness.configure(2);
+    cr_assert(harness.run_until([&] { return harness.vm(watched).desired_version() == 2; },
+                                config_bound));
+}
+
 // Guards against links that are full of copies of what is known of crashes: each VM that a new one
 // is linked to sends all of it.
 Test(edge_relay, vm_joins_after_crashes_hears_of_each_about_once)
