Send pings by what an end has sent, not by what it has received

Callers: denied as an older version of the desired state says (CONFIG), stage jobs lost and moved. VMs had no source of state while their links to the relays were down.

Cause: both ends of a link between two VMs close it when they have received nothing for 1 s, but only the connecting end sent pings, and only when it had itself received nothing for 350 ms. Frequent messages from the accepting end (crash reports, paces, results) left it without any in return, and it closed a link in use. Class: a liveness check whose sending depends on what is received.

Change: each end sends a ping when it has sent nothing for its interval, 350 ms at the connecting and 450 ms at the accepting end, so that an idle link carries as many messages as before. The idle timeout of 1 s stays. Ruled out: a ping every 350 ms whatever was sent (more messages on busy links), a longer idle timeout (a lost VM would be noticed later).

--- a/packages/transport/vm_link.cpp
+++ b/packages/transport/vm_link.cpp
@@ -26,19 +26,18 @@
     return name_of(link_end_names, value);
 }
 
-vm_channel::vm_channel(tcp::socket socket) : socket_(std::move(socket))
+vm_channel::vm_channel(tcp::socket socket, milliseconds ping_interval, time_point now)
+    : socket_(std::move(socket)), opened_at_(now), liveness_(ping_interval, now)
 {
     boost::system::error_code ignored;
     (void)socket_.set_option(tcp::no_delay(true), ignored);
     peer_ = socket_.remote_endpoint(ignored).address().to_string();
 }
 
-void vm_channel::start(message_handler on_message, closed_handler on_closed, time_point now)
+void vm_channel::start(message_handler on_message, closed_handler on_closed)
 {
     on_message_ = std::move(on_message);
     on_closed_ = std::move(on_closed);
-    opened_at_ = now;
-    last_received_at_ = now;
     read();
 }
 
@@ -50,8 +49,10 @@
     send_queue_ += frame;
     if (send_queue_.size() > max_queued_bytes_)
         return close(link_end::queue_full);
+    const time_point now = steady_clock::now();
+    liveness_.on_sent(now);
     if (held_)
-        held_.grow(frame.size(), steady_clock::now());
+        held_.grow(frame.size(), now);
     write_next();
 }
 
@@ -70,17 +71,19 @@
     max_queued_bytes_ = account->ledger.link_limit(link_max_queued_bytes);
 }
 
-void vm_channel::tick(time_point now, bool send_pings)
+void vm_channel::tick(time_point now)
 {
     if (closed_)
         return;
-    if (now - last_received_at_ > link_idle_timeout)
-        return close(link_end::idle);
-    if (!send_pings || now - last_received_at_ < link_ping_interval ||
-        now - last_ping_at_ < link_ping_interval)
+    switch (liveness_.next_action(now))
+    {
+    case link_action::none:
         return;
-    last_ping_at_ = now;
-    send(ping_message{});
+    case link_action::send_ping:
+        return send(ping_message{});
+    case link_action::close:
+        return close(link_end::idle);
+    }
 }
 
 void vm_channel::close(link_end why)
@@ -93,7 +96,7 @@
     { return std::chrono::duration_cast<milliseconds>(now - at); };
     const link_history history{why,
                                since(opened_at_),
-                               since(last_received_at_),
+                               since(liveness_.received_at()),
                                received_bytes_,
                                sent_bytes_,
                                send_queue_.size() + write_buffer_.size()};
@@ -120,7 +123,7 @@
                                                              : link_end::failed);
             self->received_bytes_ += count;
             self->unparsed_.append(self->buffer_.data(), count);
-            self->last_received_at_ = steady_clock::now();
+            self->liveness_.on_received(steady_clock::now());
             self->parse();
             if (!self->closed_)
                 self->read();
@@ -195,7 +198,7 @@
 void vm_link::tick(time_point now)
 {
     if (channel_)
-        return channel_->tick(now, true);
+        return channel_->tick(now);
     if (connecting_socket_ && now - connect_started_at_ > link_connect_timeout)
     {
         boost::system::error_code ignored;
@@ -231,8 +234,10 @@
             connecting_socket_.reset();
             if (error)
                 return;
-            channel_ = std::make_shared<vm_channel>(std::move(*socket));
-            channel_->set_memory(memory_, steady_clock::now());
+            const time_point opened_at = steady_clock::now();
+            channel_ =
+                std::make_shared<vm_channel>(std::move(*socket), link_ping_interval, opened_at);
+            channel_->set_memory(memory_, opened_at);
             channel_->start(
                 [this](vm_message&& message)
                 {
@@ -245,8 +250,7 @@
                     if (!std::holds_alternative<pong_message>(message))
                         on_message_(std::move(message));
                 },
-                [this](const link_history& history) { handle_channel_closed(history); },
-                steady_clock::now());
+                [this](const link_history& history) { handle_channel_closed(history); });
             channel_->send(ping_message{});
         });
 }
@@ -279,8 +283,10 @@
 
 void vm_listener::add(tcp::socket socket)
 {
-    const auto channel = std::make_shared<vm_channel>(std::move(socket));
-    channel->set_memory(memory_, steady_clock::now());
+    const time_point now = steady_clock::now();
+    const auto channel =
+        std::make_shared<vm_channel>(std::move(socket), link_accepted_ping_interval, now);
+    channel->set_memory(memory_, now);
     channels_.insert(channel);
     const std::weak_ptr<vm_channel> weak = channel;
     channel->start(
@@ -296,8 +302,7 @@
                 on_closed_(locked, history);
                 channels_.erase(locked);
             }
-        },
-        steady_clock::now());
+        });
     if (announcement_)
         channel->send(*announcement_);
     if (on_accepted)
@@ -321,7 +326,7 @@
 {
     const auto channels_copy = channels_;
     for (const auto& channel : channels_copy)
-        channel->tick(now, false);
+        channel->tick(now);
 }
 
 } // namespace zinnianotch
--- a/packages/transport/vm_link.h
+++ b/packages/transport/vm_link.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "protocol/vm_message.h"
+#include "state/link_liveness.h"
 #include "state/time.h"
 #include "transport/memory_account.h"
 #include "transport/socket_acceptor.h"
@@ -25,10 +26,6 @@
 namespace zinnianotch
 {
 
-// Time without received data before a ping is sent, and before the connection is closed: a frozen
-// or disconnected peer is detected within about a second.
-inline constexpr milliseconds link_ping_interval{350};
-inline constexpr milliseconds link_idle_timeout{1000};
 inline constexpr milliseconds link_connect_timeout{500};
 inline constexpr milliseconds link_reconnect_delay{500};
 // Maximum number of bytes queued behind the write in progress. The connection to a peer that reads
@@ -67,15 +64,14 @@
     using message_handler = std::function<void(vm_message&&)>;
     using closed_handler = std::function<void(const link_history&)>;
 
-    explicit vm_channel(boost::asio::ip::tcp::socket socket);
+    vm_channel(boost::asio::ip::tcp::socket socket, milliseconds ping_interval, time_point now);
 
-    void start(message_handler on_message, closed_handler on_closed, time_point now);
+    void start(message_handler on_message, closed_handler on_closed);
     void send(const vm_message& message);
     // Queued messages are counted there from now on.
     void set_memory(const std::shared_ptr<memory_account>& account, time_point now);
-    // Closes the connection after link_idle_timeout without received data. If `send_pings` is set,
-    // pings a peer after link_ping_interval without received data.
-    void tick(time_point now, bool send_pings);
+    // To be called periodically: sends pings and closes an idle connection, see link_liveness.
+    void tick(time_point now);
     void close(link_end why = link_end::local);
     bool is_open() const { return !closed_; }
     // Address of the peer, without its port.
@@ -98,9 +94,8 @@
     std::size_t max_queued_bytes_ = link_max_queued_bytes;
     bool write_in_progress_ = false;
     bool closed_ = false;
-    time_point opened_at_{};
-    time_point last_received_at_{};
-    time_point last_ping_at_{};
+    time_point opened_at_;
+    link_liveness liveness_;
     std::uint64_t received_bytes_ = 0;
     std::uint64_t sent_bytes_ = 0;
 };
@@ -166,7 +161,7 @@
     void broadcast(const vm_message& message);
     // Sends the message on all open connections, and first on each connection accepted from now on.
     void announce(const vm_message& message);
-    // To be called periodically: closes connections after link_idle_timeout.
+    // To be called periodically: sends pings and closes idle connections.
     void tick(time_point now);
 
 private:
