Call the store again soon on a VM that hears from no relay

Callers: denied as an older version says, at a VM whose links to its relays were down.

Cause: a VM that is no relay repeats a failed call to the store after 1.6, 3.2 and then 4 s, on the ground that its relays have lost the store as well and find out first. Without relays nobody finds out for it, and one such delay is longer than a change may take (3 s). Class: a delay that relies on another party without a look at whether it is there.

Change: the long delays apply only while a VM announces its copies, in sync or not; a change of the delays also moves the call that is waited for. Ruled out: shorter delays for all, which load a store that comes back.

--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -234,8 +234,6 @@
     const milliseconds wait = has_followers_ ? relay_long_poll_wait : desired_timing.long_poll_wait;
     desired_follower_->set_long_poll_wait(wait);
     endpoints_follower_->set_long_poll_wait(wait);
-    for (const state_table table : all_state_tables)
-        follower(table).set_retry_delays(is_relay_ ? retry_delays{} : retry_delays_of_many);
 }
 
 template <typename Codec>
@@ -513,8 +511,10 @@
 template <typename Codec>
 void edge<Codec>::update_reading(time_point now)
 {
+    const bool waits_for_relays = !is_relay_ && sources_.has_recent_notice(now);
     for (const state_table table : all_state_tables)
     {
+        follower(table).set_retry_delays(waits_for_relays ? retry_delays_of_many : retry_delays{});
         table_reading& reading = reading_[static_cast<std::size_t>(table)];
         const store_position position = replica(table).position();
         const bool is_covered = sources_.is_covered(table, position.era, now);
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -49,9 +49,12 @@
 {
     milliseconds first{200};
     milliseconds max{1000};
+
+    bool operator==(const retry_delays&) const = default;
 };
-// For a VM that is not a relay. Its relays have lost the store as well, and hundreds of VMs would
-// load a store that is about to recover; the relays find out first and cover the others.
+// For a VM that hears from its relays. They have lost the store as well, and hundreds of VMs would
+// load a store that is about to recover; the relays find out first and cover the others. A VM that
+// hears from none has to find out itself, within the time that a change may take.
 inline constexpr retry_delays retry_delays_of_many{milliseconds(1600), milliseconds(4000)};
 
 template <typename Codec>
@@ -80,7 +83,8 @@
     void call_again(time_point now);
     bool is_reading() const { return reading_; }
     void set_long_poll_wait(milliseconds wait) { timing_.long_poll_wait = wait; }
-    void set_retry_delays(const retry_delays& delays) { retry_delays_ = delays; }
+    // Also applies to the retry that is waited for.
+    void set_retry_delays(const retry_delays& delays);
 
     // True while the table is read, has been loaded and the last call succeeded.
     bool in_sync() const { return reading_ && responded_ && loaded_ && failures_ == 0; }
@@ -108,6 +112,7 @@
     void on_page(record_page page, std::uint64_t era, time_point now);
     void list_again(time_point now);
     void on_call_failed(const std::string& why, time_point now);
+    void schedule_retry();
 
     upstream_pool pool_;
     std::string address_;
@@ -128,6 +133,7 @@
     bool call_lists_ = true;                    // as well
     std::optional<std::uint64_t> response_era_; // nullopt if it cannot be read
     std::uint32_t failures_ = 0;
+    time_point failed_at_{};
     retry_delays retry_delays_;
     time_point next_call_at_{};
     time_point call_deadline_{};
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -241,9 +241,26 @@
                    {"why", why},
                    {"revision", std::to_string(position_.revision)}});
     listed_records_.clear();
-    const milliseconds delay = retry_delays_.first * (1U << std::min(failures_, 5U));
-    next_call_at_ = now + std::min(delay, retry_delays_.max);
     ++failures_;
+    failed_at_ = now;
+    schedule_retry();
+}
+
+template <typename Codec>
+void state_follower<Codec>::schedule_retry()
+{
+    const milliseconds delay = retry_delays_.first * (1U << std::min(failures_ - 1, 5U));
+    next_call_at_ = failed_at_ + std::min(delay, retry_delays_.max);
+}
+
+template <typename Codec>
+void state_follower<Codec>::set_retry_delays(const retry_delays& delays)
+{
+    if (delays == retry_delays_)
+        return;
+    retry_delays_ = delays;
+    if (failures_ > 0 && !in_flight_)
+        schedule_retry();
 }
 
 } // namespace zinnianotch
--- a/packages/state/state_source.cpp
+++ b/packages/state/state_source.cpp
@@ -118,6 +118,13 @@
     return position;
 }
 
+bool state_sources::has_recent_notice(time_point now) const
+{
+    return std::any_of(sources_.begin(), sources_.end(),
+                       [now](const auto& entry)
+                       { return now - entry.second.received_at <= notice_max_age; });
+}
+
 std::optional<state_sources::origin> state_sources::newest(state_table table, time_point now) const
 {
     std::optional<origin> found;
--- a/packages/state/state_source.h
+++ b/packages/state/state_source.h
@@ -88,6 +88,8 @@
     // holds the same content in the same era.
     store_position confirmed_position(state_table table, const table_copy& own,
                                       time_point now) const;
+    // True while a VM announces its copies, whether or not it reaches the store.
+    bool has_recent_notice(time_point now) const;
     // Name and age of the newest announcement that covers the table.
     struct origin
     {
--- a/tests/unit/state_source_test.cpp
+++ b/tests/unit/state_source_test.cpp
@@ -91,6 +91,21 @@
     cr_assert_not(sources.is_covered(table, 1, start));
 }
 
+// Guards against a VM that takes relays which have lost the store for relays that are gone.
+Test(state_source, has_recent_notice_also_of_vm_out_of_sync)
+{
+    state_sources sources;
+    cr_assert_not(sources.has_recent_notice(start));
+    table_copy lost = in_sync_at(5, 1);
+    lost.in_sync = false;
+    sources.on_notice("relay-1", copies_with(lost), start);
+    cr_assert(sources.has_recent_notice(start + notice_max_age));
+    cr_assert_not(sources.has_recent_notice(start + notice_max_age + milliseconds(1)));
+    sources.on_notice("relay-1", copies_with(lost), start);
+    sources.remove("relay-1");
+    cr_assert_not(sources.has_recent_notice(start));
+}
+
 // Guards against hundreds of VMs that fetch what they have, or fetch the same change from each
 // relay.
 Test(state_source, next_query_asks_one_vm_for_newer_content_only)
