Send reports of crashes once to VMs that missed them, and paced

Cause: at the opening of each link both ends sent all that they knew of crashes, 12 to 120 kB, at once and ahead of whatever came later. A VM that gathers stages or reads the store for others is linked to all VMs; when its links come up together, its network link is full for seconds. Pings, notices, store calls and connections to endpoints are late, links end as idle, and open again. Class: work that is repeated whole at each opening, whatever the other side knows.

Change: the ends of a link that comes up again exchange what they have sent since it was lost. A VM that has started asks up to three others for all that they know, one a second, with a digest of what it knows itself; what it gets is not passed on. All answers together take at most a fifth of the network link of the VM that sends them, and take turns. The query is encoded as a query for held records with further fields, so that VMs of the version before neither close the link nor answer with much. Ruled out: pacing alone (70 senders do not know of each other), digests in each notice (ages and expiry differ between VMs).

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -11,6 +11,7 @@
 #include "coordination/serving_record_order.h"
 #include "coordination/stage_router.h"
 #include "coordination/state_follower.h"
+#include "state/crash_catch_up.h"
 #include "state/crash_report_outbox.h"
 #include "state/crash_suspects.h"
 #include "state/crashing_requests.h"
@@ -38,6 +39,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace zinnianotch
@@ -191,7 +193,12 @@
     // their pace.
     void send_pace_reports(time_point now);
     void on_pace_reports(const pace_reports& message, bool from_accepted);
-    std::vector<vm_message> crash_snapshot();
+    std::vector<crash_report> crash_snapshot(time_point now);
+    // Another VM that has missed reports, by the connection that it made or by its name.
+    using report_receiver = std::variant<std::weak_ptr<vm_channel>, std::string>;
+    void answer_crash_query(const report_receiver& from, const crash_query& query, time_point now);
+    // Asks for reports that this VM has missed, and sends those that others have missed.
+    void exchange_missed_reports(time_point now);
     void relieve_memory(time_point now);
     void log_held_parts(time_point now);
     void log_held_requests(time_point now);
@@ -256,6 +263,9 @@
     crash_suspects crash_suspects_;
     crashing_requests crashing_requests_;
     crash_report_outbox crash_outbox_;
+    sent_reports sent_crash_reports_;
+    crash_catch_up crash_catch_up_{steady_clock::now()};
+    paced_answers<report_receiver> crash_answers_;
     std::set<std::string> logged_held_parts_;
     std::set<std::string> logged_held_requests_;
     std::map<std::string, time_estimate, std::less<>> first_byte_times_;   // by service
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -116,8 +116,8 @@
                     { on_peer_state(vm, message); }),
       reading_(state_table_count, table_reading(edge_detail::spread_of(options_.vm))),
       crash_suspects_(options_.vm + "/" + random_id()), crashing_requests_(options_.vm),
-      crash_outbox_(options_.link_speed), share_marker_(rollout_lifetime_), work_(random_number()),
-      tick_timer_(io)
+      crash_outbox_(options_.link_speed), crash_answers_(options_.link_speed),
+      share_marker_(rollout_lifetime_), work_(random_number()), tick_timer_(io)
 {
     memory_->ledger.set_bound(held_memory_bound(options_.memory_bytes));
     stage_router_.set_memory(memory_);
@@ -163,21 +163,27 @@
         [this](const std::shared_ptr<vm_channel>& from, const link_history& history)
         { stage_router_.on_closed(from, history); });
     peers_->set_memory(memory_);
-    // A link is made from one side only, so each side sends what it knows.
     peers_->on_accepted = [this](const std::shared_ptr<vm_channel>& channel)
     {
-        for (const vm_message& message : crash_snapshot())
-            channel->send(message);
         if (reads_any_table() && !stop_)
             channel->send(state_notice{copies(steady_clock::now())});
     };
     stage_router_.on_link_up = [this](const std::string& vm)
     {
-        for (const vm_message& message : crash_snapshot())
-            stage_router_.send(vm, message);
+        const time_point up_at = steady_clock::now();
+        const auto known = known_vms_.find(vm);
+        const bool is_remote = known != known_vms_.end() && known->second.domain != options_.domain;
+        // A link is made from one side only, which also sends what the other has missed.
+        if (const auto missed = crash_catch_up_.on_link_up(vm, is_remote, up_at))
+        {
+            stage_router_.send(vm, crash_query{missed});
+            answer_crash_query(vm, crash_query{missed}, up_at);
+        }
         if (rollouts_)
             rollouts_->on_link_up(vm);
     };
+    stage_router_.on_link_down = [this](const std::string& vm, time_point received_at)
+    { crash_catch_up_.on_link_down(vm, received_at, steady_clock::now()); };
     const auto follow = [this](state_table table, const follow_timing& pace)
     {
         return std::make_unique<state_follower<Codec>>(io_, options_.store, table, pace,
@@ -317,6 +323,7 @@
         peers_->broadcast(each.report);
         if (each.to == report_receivers::all_links)
             stage_router_.broadcast(each.report);
+        sent_crash_reports_.add(each, now);
         counters_.count("crash_reports_sent_total");
     }
 }
@@ -330,7 +337,7 @@
     const bool is_news = report.subject == crash_report_subject::requests
                              ? crashing_requests_.on_report(report, now)
                              : crash_suspects_.on_report(report, now);
-    if (is_news)
+    if (is_news && !report.is_known)
         crash_outbox_.add(report, to, now);
 }
 
@@ -377,14 +384,46 @@
 }
 
 template <typename Codec>
-std::vector<vm_message> edge<Codec>::crash_snapshot()
+std::vector<crash_report> edge<Codec>::crash_snapshot(time_point now)
 {
-    const time_point now = steady_clock::now();
-    const std::vector<crash_report> of_parts = crash_suspects_.snapshot(now);
+    std::vector<crash_report> reports = crash_suspects_.snapshot(now);
     const std::vector<crash_report> of_requests = crashing_requests_.snapshot(now);
-    std::vector<vm_message> messages(of_parts.begin(), of_parts.end());
-    messages.insert(messages.end(), of_requests.begin(), of_requests.end());
-    return messages;
+    reports.insert(reports.end(), of_requests.begin(), of_requests.end());
+    return reports;
+}
+
+template <typename Codec>
+void edge<Codec>::answer_crash_query(const report_receiver& from, const crash_query& query,
+                                     time_point now)
+{
+    const bool to_accepted = std::holds_alternative<std::weak_ptr<vm_channel>>(from);
+    auto reports = query.since ? sent_crash_reports_.since(now - *query.since, to_accepted, now)
+                               : std::nullopt;
+    if (!reports)
+    {
+        reports = crash_snapshot(now);
+        if (!query.since && digest_of(*reports) == query.digest)
+            return;
+        for (crash_report& report : *reports)
+            report.is_known = !query.since;
+    }
+    if (!crash_answers_.add(from, std::move(*reports), now))
+        counters_.count("crash_queries_dropped_total");
+}
+
+template <typename Codec>
+void edge<Codec>::exchange_missed_reports(time_point now)
+{
+    if (const auto vm = crash_catch_up_.next_full_query(now))
+        stage_router_.send(*vm, crash_query{std::nullopt, digest_of(crash_snapshot(now))});
+    for (const auto& [receiver, report] : crash_answers_.take(now))
+    {
+        if (const auto* name = std::get_if<std::string>(&receiver))
+            stage_router_.send(*name, report);
+        else if (const auto channel = std::get<std::weak_ptr<vm_channel>>(receiver).lock())
+            channel->send(report);
+        counters_.count("crash_reports_repeated_total");
+    }
 }
 
 // Lets the slowest holders give way while memory is short.
@@ -466,6 +505,8 @@
         return on_held_records(*held);
     if (const auto* report = std::get_if<crash_report>(&message))
         return on_crash_report(*report, report_receivers::all_links);
+    if (const auto* missed = std::get_if<crash_query>(&message))
+        return answer_crash_query(std::weak_ptr(from), *missed, steady_clock::now());
     if (const auto* paces = std::get_if<pace_reports>(&message))
         return on_pace_reports(*paces, true);
     if (const auto* report = std::get_if<rollout_report>(&message))
@@ -539,6 +580,7 @@
     expire_held_records(now);
     check_held_records_known(now);
     send_crash_reports(now);
+    exchange_missed_reports(now);
     send_pace_reports(now);
     tick_rollouts(now);
     serve_deferred_requests(now);
--- a/packages/coordination/stage_router.h
+++ b/packages/coordination/stage_router.h
@@ -72,6 +72,8 @@
     void set_state_peers(std::vector<std::string> names);
     // Called with each VM whose link comes up.
     std::function<void(const std::string& vm)> on_link_up;
+    // Called with each VM whose link is lost, and when bytes were last received on it.
+    std::function<void(const std::string& vm, time_point received_at)> on_link_down;
     // True if the link to the VM is up and the VM is not shutting down.
     bool is_linked(const std::string& vm) const;
     // Sends the message to the VM, if its link is up.
--- a/packages/coordination/stage_router_impl.h
+++ b/packages/coordination/stage_router_impl.h
@@ -250,6 +250,8 @@
     log_link_end(log_level::warning, "vm_lost", vm, history);
     if (const auto entry = links_.find(vm); entry != links_.end())
         entry->second.leaving = false;
+    if (on_link_down)
+        on_link_down(vm, now - history.silent);
     on_state_(vm, leaving_message{});
     std::vector<std::uint64_t> ids;
     for (const auto& [id, job] : remote_jobs_)
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -63,6 +63,9 @@
   revision @1 :UInt64;        # known to the querying VM; an answer without records means nothing newer
   era @2 :UInt64;             # of the store, to which the revision belongs
   held @3 :Bool;              # asks for HeldRecords instead
+  crashes @4 :Bool;           # asks for crash reports instead; `held` is set too, for VMs that do not know this field
+  crashesSinceMs @5 :Int32;   # sent in this time; negative: all that are known
+  crashDigest @6 :UInt64;     # of what the asking VM knows
 }
 
 struct StateAnswer {
@@ -120,6 +123,7 @@
   ageMs @9 :Int32;
   subject @10 :UInt8;         # crash_report_subject
   route @11 :Text;
+  isKnown @12 :Bool;          # to all VMs but the receiver: not to be passed on
 }
 
 struct PaceSample {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -143,7 +143,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(935cd4b233367a7d, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(935cd4b233367a7d, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1084,6 +1084,12 @@
 
   inline bool getHeld() const;
 
+  inline bool getCrashes() const;
+
+  inline  ::int32_t getCrashesSinceMs() const;
+
+  inline  ::uint64_t getCrashDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1124,6 +1130,15 @@
   inline bool getHeld();
   inline void setHeld(bool value);
 
+  inline bool getCrashes();
+  inline void setCrashes(bool value);
+
+  inline  ::int32_t getCrashesSinceMs();
+  inline void setCrashesSinceMs( ::int32_t value);
+
+  inline  ::uint64_t getCrashDigest();
+  inline void setCrashDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1768,6 +1783,8 @@
   inline bool hasRoute() const;
   inline  ::capnp::Text::Reader getRoute() const;
 
+  inline bool getIsKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1853,6 +1870,9 @@
   inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRoute();
 
+  inline bool getIsKnown();
+  inline void setIsKnown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3668,6 +3688,48 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StateQuery::Reader::getCrashes() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool StateQuery::Builder::getCrashes() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void StateQuery::Builder::setCrashes(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t StateQuery::Reader::getCrashesSinceMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t StateQuery::Builder::getCrashesSinceMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StateQuery::Builder::setCrashesSinceMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StateQuery::Reader::getCrashDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateQuery::Builder::getCrashDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StateQuery::Builder::setCrashDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t StateAnswer::Reader::getTable() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4381,6 +4443,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool CrashReport::Reader::getIsKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getIsKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setIsKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PaceSample::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -136,6 +136,16 @@
         to.setEra(message.position.era);
         to.setHeld(message.held);
     }
+    // As a query for held records, which VMs that do not know crash queries answer with little.
+    void operator()(const crash_query& message)
+    {
+        auto to = out_.initQuery();
+        to.setTable(static_cast<std::uint8_t>(state_table::desired));
+        to.setHeld(true);
+        to.setCrashes(true);
+        to.setCrashesSinceMs(message.since ? clamp_to_int32(*message.since) : -1);
+        to.setCrashDigest(message.digest);
+    }
     void operator()(const state_answer& message)
     {
         auto to = out_.initAnswer();
@@ -204,6 +214,7 @@
         to.setAgeMs(clamp_to_int32(message.age));
         to.setSubject(static_cast<std::uint8_t>(message.subject));
         to.setRoute(message.route);
+        to.setIsKnown(message.is_known);
     }
     void operator()(const state_notice& message)
     {
@@ -344,11 +355,19 @@
             from.getDeleted()};
 }
 
-state_query read_query(wire::StateQuery::Reader from)
+vm_message read_query(wire::StateQuery::Reader from)
 {
-    return {to_enum(from.getTable(), state_table::vms),
-            {from.getEra(), from.getRevision()},
-            from.getHeld()};
+    if (from.getCrashes())
+    {
+        crash_query query;
+        if (from.getCrashesSinceMs() >= 0)
+            query.since = milliseconds(from.getCrashesSinceMs());
+        query.digest = from.getCrashDigest();
+        return query;
+    }
+    return state_query{to_enum(from.getTable(), state_table::vms),
+                       {from.getEra(), from.getRevision()},
+                       from.getHeld()};
 }
 
 state_answer read_answer(wire::StateAnswer::Reader from)
@@ -418,6 +437,7 @@
     message.age = milliseconds(from.getAgeMs());
     message.subject = to_enum(from.getSubject(), crash_report_subject::requests);
     message.route = to_text(from.getRoute());
+    message.is_known = from.getIsKnown();
     return message;
 }
 
--- a/packages/protocol/vm_message.h
+++ b/packages/protocol/vm_message.h
@@ -2,6 +2,7 @@
 // followed by a Cap'n Proto message (stage.capnp) of that many bytes.
 #pragma once
 
+#include "state/crash_catch_up.h"
 #include "state/crash_suspects.h"
 #include "state/rollout.h"
 #include "state/stage_request.h"
@@ -83,10 +84,11 @@
     std::vector<pace_report> reports;
 };
 
-using vm_message = std::variant<ping_message, pong_message, submit_message, done_message,
-                                cancel_message, release_message, state_query, state_answer,
-                                leaving_message, state_notice, returned_message, crash_report,
-                                held_records, pace_reports, rollout_report, rollout_verdict>;
+using vm_message =
+    std::variant<ping_message, pong_message, submit_message, done_message, cancel_message,
+                 release_message, state_query, state_answer, leaving_message, state_notice,
+                 returned_message, crash_report, held_records, pace_reports, rollout_report,
+                 rollout_verdict, crash_query>;
 
 // Largest accepted message in bytes, without the length prefix.
 inline constexpr std::size_t frame_limit = 16 * 1024 * 1024;
--- a/packages/state/crash_report_outbox.cpp
+++ b/packages/state/crash_report_outbox.cpp
@@ -35,11 +35,6 @@
     return is_likely ? urgency::likely_cause : urgency::unlikely_cause;
 }
 
-std::size_t approximate_bytes(const crash_report& report)
-{
-    return report_base_bytes + report_entry_bytes * (report.engines.size() + report.parts.size());
-}
-
 // Adds the missing values, and returns true unless there would be too many.
 template <typename Value>
 bool unite(std::vector<Value>& into, const std::vector<Value>& values)
@@ -58,6 +53,11 @@
 
 } // namespace
 
+std::size_t approximate_bytes(const crash_report& report)
+{
+    return report_base_bytes + report_entry_bytes * (report.engines.size() + report.parts.size());
+}
+
 void crash_report_outbox::add(crash_report report, report_receivers to, time_point now)
 {
     if (merge(report, to, now))
--- a/packages/state/crash_report_outbox.h
+++ b/packages/state/crash_report_outbox.h
@@ -27,6 +27,8 @@
 inline constexpr std::size_t max_merged_entries = 64;
 inline constexpr std::size_t max_waiting_reports = 1024;
 
+std::size_t approximate_bytes(const crash_report& report);
+
 // A link between two VMs is made by one of them; the other accepts it. VMs that accept links reach
 // all others, so a report that came over a link that this VM made goes only to links that it
 // accepted.
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -132,6 +132,7 @@
     std::uint32_t probes = 0;                         // probe: number of probes including this one
     milliseconds age{0};                              // since the crash, or since the probe began
     std::string route;                                // of the requests of a crash
+    bool is_known = false; // all VMs but the receiver know of it: not to be passed on
 
     bool operator==(const crash_report&) const = default;
 };
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -71,6 +71,29 @@
     cr_assert(std::get<done_message>(second).outcome.delays == sample_done().outcome.delays);
 }
 
+// Guards against crash queries that older VMs take for an unknown message, on which they would
+// close the link, and against those that ask for something else after decoding.
+Test(vm_message, crash_query_round_trips_as_state_query)
+{
+    for (const crash_query& query : {crash_query{milliseconds(0)}, crash_query{milliseconds(4200)},
+                                     crash_query{std::nullopt, 0xFEDCBA9876543210ULL}})
+    {
+        std::string bytes = encode_frame(query);
+        vm_message decoded;
+        cr_assert(decode_frame(bytes, decoded) == frame_state::complete);
+        cr_assert(std::get<crash_query>(decoded) == query);
+    }
+    std::string bytes = encode_frame(state_query{state_table::endpoints, {3, 7}, true});
+    vm_message decoded;
+    cr_assert(decode_frame(bytes, decoded) == frame_state::complete);
+    cr_assert(std::get<state_query>(decoded).table == state_table::endpoints);
+    crash_report known;
+    known.is_known = true;
+    bytes = encode_frame(known);
+    cr_assert(decode_frame(bytes, decoded) == frame_state::complete);
+    cr_assert(std::get<crash_report>(decoded) == known);
+}
+
 // Guards against a VM that marks all requests of an account, or crashes, because another VM reports
 // a share that is no part of a whole.
 Test(vm_message, decode_frame_share_out_of_range_is_invalid)
