--- /dev/null
+++ b/tests/unit/edge_endpoint_limit_test.cpp
@@ -0,0 +1,134 @@
+// Endpoints that name how many requests a second they take from all VMs together.
+#include "serving_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace serving;
+
+namespace
+{
+
+// The rule: in any window, half as much again as the limit allows, and five requests.
+constexpr milliseconds limit_window{4000};
+constexpr double limit_tolerance = 1.5;
+constexpr double limit_slack = 5.0;
+// Requests that may be on their way when a VM hears of the limit.
+constexpr milliseconds limit_notice_time{500};
+constexpr milliseconds send_interval{25};
+
+struct limit_deployment : deployment
+{
+    static constexpr std::size_t vm_count = 6;
+    fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
+    fake_endpoint& plain_2 = add_endpoint("plain", "plain-2");
+    fake_endpoint& engine_1 = add_endpoint("engines", "engine-1");
+    fake_endpoint& encoder_1 = add_endpoint("encoders", "encoder-1");
+    fake_endpoint& encoder_2 = add_endpoint("encoders", "encoder-2");
+
+    void start()
+    {
+        engine_1.event_count = 2;
+        add_stage();
+        configure(1);
+        for (std::size_t i = 0; i < vm_count; ++i)
+            add_vm();
+        cr_assert(run_until(
+            [&]
+            {
+                for (std::size_t i = 0; i < vm_count; ++i)
+                {
+                    if (!is_ready(i) || vm(i).known_endpoints() < 5)
+                        return false;
+                }
+                return true;
+            }));
+    }
+
+    static void name_limit(fake_endpoint& endpoint, const std::string& limit)
+    {
+        endpoint.answer_fields = limit.empty() ? "" : "Server-Limit: " + limit + "\r\n";
+        endpoint.refusal_fields = endpoint.answer_fields;
+    }
+
+    std::string next_attempt() { return "a" + std::to_string(++attempts_); }
+    std::string read_text() { return request_text("GET", "/read/1", next_attempt()); }
+    std::string stream_text()
+    {
+        return request_text("POST", "/stream/1", next_attempt(), "Pieces: 1\r\nPiece-Key: k\r\n",
+                            "x");
+    }
+
+    // Sends through all VMs in turn, without waiting for responses, until the time is over.
+    void send_for(milliseconds time, std::string (limit_deployment::*text)())
+    {
+        const auto end = zinnianotch::steady_clock::now() + time;
+        while (zinnianotch::steady_clock::now() < end)
+        {
+            exchanges_.push_back(start_request(exchanges_.size() % vm_count, (this->*text)()));
+            run_for(send_interval);
+        }
+    }
+
+    // Most requests that the endpoint has received in any limit_window from `from` on.
+    static std::size_t most_in_window(const fake_endpoint& endpoint, time_point from)
+    {
+        std::size_t most = 0;
+        const std::vector<time_point>& arrivals = endpoint.arrivals;
+        for (std::size_t first = 0; first < arrivals.size(); ++first)
+        {
+            if (arrivals[first] < from)
+                continue;
+            std::size_t last = first;
+            while (last < arrivals.size() && arrivals[last] - arrivals[first] <= limit_window)
+                ++last;
+            most = std::max(most, last - first);
+        }
+        return most;
+    }
+
+    void check_limit(fake_endpoint& endpoint, double limit, std::string (limit_deployment::*text)())
+    {
+        name_limit(endpoint, std::to_string(limit));
+        send_for(limit_notice_time * 3, text);
+        const time_point told_at = zinnianotch::steady_clock::now();
+        send_for(limit_window * 2, text);
+        const double seconds = static_cast<double>(limit_window.count()) / 1000.0;
+        const auto allowed =
+            static_cast<std::size_t>(limit_tolerance * limit * seconds + limit_slack);
+        const std::size_t most = most_in_window(endpoint, told_at);
+        cr_assert(most <= allowed, "%zu requests, %zu allowed", most, allowed);
+        cr_assert(most > 0, "no request at all");
+    }
+
+    std::size_t refused() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            exchanges_.begin(), exchanges_.end(),
+            [](const auto& each) { return each->ended() && each->head.status != 200; }));
+    }
+
+private:
+    int attempts_ = 0;
+    std::vector<std::unique_ptr<client_exchange>> exchanges_;
+};
+
+} // namespace
+
+// Guards against VMs that send as many requests as before to an endpoint that has named a limit, or
+// that each take the limit for themselves.
+Test(edge_endpoint_limit, endpoint_names_limit_all_vms_together_keep_to_it)
+{
+    limit_deployment harness;
+    harness.start();
+    harness.check_limit(harness.plain_1, 1.0, &limit_deployment::read_text);
+    cr_assert(harness.refused() == 0, "%zu refused beside an endpoint without a limit",
+              harness.refused());
+}
+
+// Guards against the same with calls that run pieces of stages.
+Test(edge_endpoint_limit, stage_endpoint_names_limit_all_vms_together_keep_to_it)
+{
+    limit_deployment harness;
+    harness.start();
+    harness.check_limit(harness.encoder_1, 1.0, &limit_deployment::stream_text);
+}
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -450,6 +450,7 @@
     clients_.push_back(client);
     recorded_request recorded;
     recorded.received_at = steady_clock::now();
+    arrivals.push_back(recorded.received_at);
     recorded.method = request.head.method;
     recorded.target = request.head.target;
     recorded.body = request.body;
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -238,6 +238,7 @@
     std::map<std::string, int> executions;       // by attempt; without refused ones
     std::map<std::string, std::string> made_for; // result handle: attempt
     std::vector<std::string> freed;
+    std::vector<time_point> arrivals; // of requests of any kind
     std::size_t pieces_completed = 0;
     std::size_t pieces_rejected = 0;     // because of result_limit
     std::size_t endless_connections = 0; // on which endless bytes were sent
