Keep to the limit that an endpoint names, over all VMs

Endpoints: an endpoint in need got as many requests as any other one, up to 13 in 4 s where it had named 1.1 a second (LIMIT). Callers: their requests were queued or turned away there while other endpoints had room.

Cause: nothing reads Server-Limit. Class: a bound that the other party tells at run time, and that holds for all VMs together, has no place where it is kept.

Change: the limit is divided among the first VMs of the endpoint's rendezvous order, few for a small limit, and each spaces what it sends by its share: requests, repeated attempts, calls of stages and releases of results. VMs tell each other of limits with the reports of paces. A limit ends with a response without it to a later request, with the lifetime of the endpoint, or after 25 s without news.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -147,7 +147,7 @@
     void on_vms(const std::vector<state_record>& records, bool is_snapshot);
     void drop_endpoint(const std::string& id, time_point now);
     void on_endpoint_notice(known_endpoint& endpoint, const endpoint_answer& answer,
-                            time_point now);
+                            time_point sent_at, time_point now);
     time_point store_regained_at() const;
     void remove_lapsed_endpoints(time_point now);
     void apply_endpoint(const state_record& record, bool is_snapshot, time_point now);
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -109,8 +109,8 @@
       rollout_lifetime_(rendezvous_weight(options_.vm, random_id())),
       stage_batcher_(
           io, endpoints_, counters_, [this](time_point now) { return is_state_confirmed(now); },
-          [this](known_endpoint& endpoint, const endpoint_answer& answer, time_point now)
-          { on_endpoint_notice(endpoint, answer, now); }),
+          [this](known_endpoint& endpoint, const endpoint_answer& answer, time_point sent_at,
+                 time_point now) { on_endpoint_notice(endpoint, answer, sent_at, now); }),
       stage_router_(io, options_.vm, stage_batcher_, counters_,
                     [this](const std::string& vm, const vm_message& message)
                     { on_peer_state(vm, message); }),
@@ -366,6 +366,15 @@
             continue;
         if (by_key.empty())
             by_key = endpoints_.by_key();
+        for (const limit_report& each : report.limits)
+        {
+            const auto found = by_key.find(each.endpoint);
+            if (found == by_key.end())
+                continue;
+            endpoints_.on_limit_report(*found->second, each.limit, now);
+            stage_batcher_.throttle_endpoint(found->second->record,
+                                             found->second->limit.next_call_at(now));
+        }
         for (const pace_sample& sample : report.samples)
         {
             const auto found = by_key.find(sample.endpoint);
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -77,7 +77,7 @@
     not_run_ = metadata.not_run;
     framing_ = framing;
     owner_.endpoints_.on_reached(*endpoint_);
-    owner_.on_endpoint_notice(*endpoint_, metadata, now);
+    owner_.on_endpoint_notice(*endpoint_, metadata, sent_at_, now);
     may_have_run_ = may_have_run_ || !metadata.not_run;
     if (metadata.load)
         on_load(*metadata.load, now);
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -112,11 +112,17 @@
     refresh_stages();
 }
 
-// An endpoint has said with a response that it is leaving or wants a pause.
+// An endpoint has said with a response that it is leaving, wants a pause, or how much it takes.
 template <typename Codec>
 void edge<Codec>::on_endpoint_notice(known_endpoint& endpoint, const endpoint_answer& answer,
-                                     time_point now)
+                                     time_point sent_at, time_point now)
 {
+    if (endpoints_.on_limit(endpoint, answer, sent_at, now))
+    {
+        counters_.count("endpoint_limit_reports_total");
+        work_.exchange().add_limit({endpoint.key, endpoint.limit.limit()});
+        stage_batcher_.throttle_endpoint(endpoint.record, endpoint.limit.next_call_at(now));
+    }
     const bool ends_use = endpoints_.on_notice(endpoint, answer, now);
     if (answer.retry_after)
         stage_batcher_.pause_endpoint(endpoint.record, now + *answer.retry_after);
--- a/packages/coordination/endpoint_directory.cpp
+++ b/packages/coordination/endpoint_directory.cpp
@@ -52,6 +52,11 @@
     if (std::find(vms.begin(), vms.end(), own_vm_) == vms.end())
         vms.push_back(own_vm_);
     vms_ = std::move(vms);
+    for (const auto& [id, endpoint] : endpoints_)
+    {
+        if (const auto limit = endpoint->limit.limit())
+            endpoint->limit.set_share(share_of_limit(*limit, id, own_vm_, vms_));
+    }
 }
 
 void endpoint_directory::apply(const endpoint_record& record, const service_spec* service,
@@ -96,6 +101,9 @@
         if (added->leaving)
             added->announced_at = notice->second.noted_at;
         added->health.pause_until(notice->second.paused_until);
+        if (const auto limit = notice->second.limit)
+            added->limit.set(*limit, share_of_limit(*limit, record.id, own_vm_, vms_),
+                             notice->second.limit_named_at);
     }
     if (record.draining && !added->announced_at)
         added->announced_at = now;
@@ -185,6 +193,16 @@
     return endpoint.cold_sends.count(now) < cold_share(endpoint.record.id, own_vm_, vms_, bound);
 }
 
+// Requests to an endpoint that also runs stages would come on top of the calls of the VM that
+// batches them, so one VM sends them all.
+bool endpoint_directory::within_limit(const known_endpoint& endpoint, const service_spec* service,
+                                      time_point now)
+{
+    const bool runs_stages = service != nullptr && service->batch.has_value();
+    return endpoint.limit.may_send(now) &&
+           !(runs_stages && endpoint.limit.limit() && endpoint.limit.share().rank > 0);
+}
+
 // False if the endpoint would hold more than its memory with the request, by its last report.
 bool endpoint_directory::has_memory(const known_endpoint& endpoint,
                                     const placement_request& request, const service_spec* service,
@@ -239,6 +257,7 @@
             continue;
         const bool allowed = endpoint->health.in_flight() < connections &&
                              within_cold_share(*endpoint, service, now) &&
+                             within_limit(*endpoint, service, now) &&
                              has_memory(*endpoint, request, service, now);
         candidates.push_back({&endpoint->record, &endpoint->health, allowed});
         endpoints.push_back(endpoint);
@@ -260,6 +279,7 @@
     endpoint->health.on_sent(now);
     if (service != nullptr && service->cold_rate > 0.0)
         endpoint->cold_sends.add(now);
+    endpoint->limit.on_sent(now);
     return endpoint;
 }
 
@@ -296,7 +316,7 @@
     {
         if (!is_usable(*endpoint) || !request.allows(endpoint->record.id, now))
             continue;
-        time_point at = endpoint->health.try_at(now);
+        time_point at = std::max(endpoint->health.try_at(now), endpoint->limit.next_send_at(now));
         if (!is_reachable(endpoint->record.domain))
             at = std::max(at, reachability_->retry_at(endpoint->record.domain, now));
         if (!earliest || at < *earliest)
@@ -311,6 +331,7 @@
     std::size_t listed = 0;
     std::size_t usable = 0;
     std::size_t cold = 0;
+    std::size_t limited = 0;
     for (const auto& [id, endpoint] : endpoints_)
     {
         if (endpoint->record.service != service)
@@ -321,9 +342,11 @@
             ++usable;
         if (endpoint->health.is_cold(now))
             ++cold;
+        if (endpoint->limit.limit())
+            ++limited;
     }
     return "listed " + std::to_string(listed) + ", usable " + std::to_string(usable) + ", cold " +
-           std::to_string(cold);
+           std::to_string(cold) + ", limited " + std::to_string(limited);
 }
 
 std::vector<endpoint_ptr> endpoint_directory::serving(std::string_view service) const
@@ -465,6 +488,74 @@
     }
 }
 
+endpoint_directory::lifetime_notice& endpoint_directory::notice_of(const endpoint_record& record,
+                                                                   time_point now)
+{
+    lifetime_notice& notice = notices_[record.id];
+    if (notice.started_at != record.started_at || notice.address != record.address)
+    {
+        notice = {};
+        notice.started_at = record.started_at;
+        notice.address = record.address;
+    }
+    notice.noted_at = now;
+    return notice;
+}
+
+void endpoint_directory::set_limit(known_endpoint& endpoint, double limit, time_point now)
+{
+    const endpoint_record& record = endpoint.record;
+    const auto before = endpoint.limit.limit();
+    endpoint.limit.set(limit, share_of_limit(limit, record.id, own_vm_, vms_), now);
+    lifetime_notice& notice = notice_of(record, now);
+    notice.limit = limit;
+    notice.limit_named_at = now;
+    if (before == limit)
+        return;
+    log_event(log_level::info, "endpoint_limited",
+              {{"endpoint", record.id},
+               {"per_second", std::to_string(limit)},
+               {"before", before ? std::to_string(*before) : "-"},
+               {"own_per_second", std::to_string(endpoint.limit.share().rate)},
+               {"vms", std::to_string(vms_.size())}});
+}
+
+void endpoint_directory::end_limit(known_endpoint& endpoint, std::string_view why)
+{
+    endpoint.limit.clear();
+    if (const auto notice = notices_.find(endpoint.record.id); notice != notices_.end())
+        notice->second.limit.reset();
+    log_event(log_level::info, "endpoint_limit_ended",
+              {{"endpoint", endpoint.record.id}, {"why", std::string(why)}});
+}
+
+bool endpoint_directory::on_limit(known_endpoint& endpoint, const endpoint_answer& answer,
+                                  time_point sent_at, time_point now)
+{
+    if (answer.is_of_other)
+        return false;
+    if (answer.limit)
+    {
+        const bool is_change = endpoint.limit.limit() != answer.limit;
+        set_limit(endpoint, *answer.limit, now);
+        return endpoint.limit.take_report(now) || is_change;
+    }
+    // A response that was on its way when the limit was named does not end it.
+    if (!endpoint.limit.limit() || sent_at <= endpoint.limit.named_at())
+        return false;
+    end_limit(endpoint, "not_named");
+    return true;
+}
+
+void endpoint_directory::on_limit_report(known_endpoint& endpoint, std::optional<double> limit,
+                                         time_point now)
+{
+    if (limit)
+        set_limit(endpoint, *limit, now);
+    else if (endpoint.limit.limit())
+        end_limit(endpoint, "told_by_vm");
+}
+
 bool endpoint_directory::on_notice(known_endpoint& endpoint, const endpoint_answer& answer,
                                    time_point now)
 {
@@ -473,11 +564,8 @@
     const bool begins_to_leave = answer.leaving && !endpoint.leaving;
     endpoint.leaving = endpoint.leaving || answer.leaving;
     const endpoint_record& record = endpoint.record;
-    lifetime_notice& notice = notices_[record.id];
-    if (notice.started_at != record.started_at || notice.address != record.address)
-        notice = {record.started_at, record.address, false, {}, {}};
+    lifetime_notice& notice = notice_of(record, now);
     notice.leaving = endpoint.leaving;
-    notice.noted_at = now;
     if (answer.retry_after)
     {
         notice.paused_until = std::max(notice.paused_until, now + *answer.retry_after);
@@ -501,7 +589,11 @@
                              now > entry.second.paused_until && !endpoints_.contains(entry.first);
                   });
     for (const auto& [id, endpoint] : endpoints_)
+    {
         endpoint->pool.sweep(now);
+        if (endpoint->limit.expire(now))
+            end_limit(*endpoint, "expired");
+    }
 }
 
 std::uint64_t endpoint_directory::opened_connections() const
@@ -528,6 +620,8 @@
             use = endpoint_use::barred;
         else if (!is_reachable(record.domain))
             use = endpoint_use::unreachable;
+        else if (use == endpoint_use::used && endpoint->limit.limit())
+            use = endpoint_use::limited;
         list.push_back({id, record.service, record.domain, record.address, use,
                         endpoint->health.in_flight(), endpoint->health.load(now)});
     }
--- a/packages/coordination/endpoint_directory.h
+++ b/packages/coordination/endpoint_directory.h
@@ -6,6 +6,7 @@
 #include "state/domain_reachability.h"
 #include "state/placement.h"
 #include "state/rollout_gate.h"
+#include "state/send_limit.h"
 #include "state/serving.h"
 #include "state/shares.h"
 #include "state/timed_placement.h"
@@ -47,6 +48,7 @@
     endpoint_pace pace;
     endpoint_backlog backlog;
     window_counter cold_sends{cold_window};
+    send_limit limit;
     upstream_pool pool;
     bool removed = false;   // no longer listed; gets no new requests
     bool replaced = false;  // removed because a new lifetime has its id
@@ -173,6 +175,12 @@
     // Notes what an endpoint has said of itself with a response. It holds for its lifetime, listed
     // or not. True if the endpoint is no longer usable.
     bool on_notice(known_endpoint& endpoint, const endpoint_answer& answer, time_point now);
+    // Notes the limit that the endpoint has named with a response, or has not, to a request that
+    // was sent at `sent_at`. True if other VMs are to be told of it.
+    bool on_limit(known_endpoint& endpoint, const endpoint_answer& answer, time_point sent_at,
+                  time_point now);
+    // Another VM was told of the limit; nothing: of none.
+    void on_limit_report(known_endpoint& endpoint, std::optional<double> limit, time_point now);
     void sweep(time_point now);
     std::uint64_t opened_connections() const;
     std::vector<endpoint_report> report(time_point now) const;
@@ -189,6 +197,10 @@
     static bool has_memory(const known_endpoint& endpoint, const placement_request& request,
                            const service_spec* service, time_point now);
     bool within_cold_share(known_endpoint& endpoint, const service_spec* service, time_point now);
+    static bool within_limit(const known_endpoint& endpoint, const service_spec* service,
+                             time_point now);
+    void set_limit(known_endpoint& endpoint, double limit, time_point now);
+    void end_limit(known_endpoint& endpoint, std::string_view why);
     std::uint32_t connection_share(const service_spec* service) const;
 
     boost::asio::io_context& io_;
@@ -209,8 +221,11 @@
         std::string address;
         bool leaving = false;
         time_point paused_until{};
+        std::optional<double> limit;
+        time_point limit_named_at{};
         time_point noted_at{};
     };
+    lifetime_notice& notice_of(const endpoint_record& record, time_point now);
     std::map<std::string, lifetime_notice> notices_; // by id
     std::uint64_t tie_breaker_ = 0;
     std::uint64_t changes_ = 1;
--- a/packages/coordination/serving_call.h
+++ b/packages/coordination/serving_call.h
@@ -69,6 +69,9 @@
     bool leaving = false; // the endpoint is about to end
     // With a refusal: the endpoint wants no requests from this VM for this long.
     std::optional<milliseconds> retry_after;
+    // Requests a second that the endpoint takes from all VMs together; nothing: any number.
+    std::optional<double> limit;
+    bool is_of_other = false; // another endpoint has answered at the address
 };
 
 // One piece of a stage.
--- a/packages/coordination/stage_batcher.h
+++ b/packages/coordination/stage_batcher.h
@@ -57,7 +57,9 @@
 {
 public:
     // What an endpoint says of itself with a response.
-    using notice_handler = std::function<void(known_endpoint&, const endpoint_answer&, time_point)>;
+    // `sent_at`: of the request.
+    using notice_handler = std::function<void(known_endpoint&, const endpoint_answer&,
+                                              time_point sent_at, time_point now)>;
 
     // No calls are sent while `may_send` returns false; tick() sends them later.
     stage_batcher(boost::asio::io_context& io, endpoint_directory& endpoints, metrics& counters,
@@ -74,6 +76,8 @@
     void refresh(const serving_state& state, const std::set<std::string, std::less<>>& contended);
     // The endpoint gets no calls until this time.
     void pause_endpoint(const endpoint_record& endpoint, time_point until);
+    // The same as far as the limit that it has named allows; replaces the time set before.
+    void throttle_endpoint(const endpoint_record& endpoint, time_point until);
 
     // Runs the stage and returns the id of its job. `done` is called once, from the event loop,
     // unless the job is cancelled first.
@@ -137,6 +141,7 @@
     void fail(std::uint64_t id, piece_failure why);
     void complete(std::uint64_t id, stage_outcome outcome);
     void release_results(const job& ended);
+    bool may_release(const known_endpoint& endpoint, time_point now) const;
     void flush_releases();
     // The endpoint that produced the results has freed them, so that their memory is available.
     void on_released(const std::vector<std::string>& handles, time_point now);
--- a/packages/coordination/stage_batcher_impl.h
+++ b/packages/coordination/stage_batcher_impl.h
@@ -47,7 +47,7 @@
     {
         status_ = head.status;
         metadata_ = Codec::decode_answer(head);
-        owner_.on_notice_(*endpoint_, metadata_, steady_clock::now());
+        owner_.on_notice_(*endpoint_, metadata_, started_, steady_clock::now());
         // Responses of stages have no id: after a copy of a refusal, the results of this call would
         // answer the next one.
         if (status_ != 200)
@@ -154,7 +154,7 @@
     void on_head(message_head& head, body_framing, std::optional<std::uint64_t>) override
     {
         status_ = head.status;
-        owner_.on_notice_(*endpoint_, Codec::decode_answer(head), steady_clock::now());
+        owner_.on_notice_(*endpoint_, Codec::decode_answer(head), started_, steady_clock::now());
         if (status_ / 100 != 2)
             connection_->disable_reuse();
     }
@@ -206,6 +206,7 @@
 void stage_batcher<Codec>::refresh(const serving_state& state,
                                    const std::set<std::string, std::less<>>& contended)
 {
+    const time_point now = steady_clock::now();
     for (const auto& [name, service] : state.services)
     {
         if (!service.batch)
@@ -233,7 +234,10 @@
             entry.queue.set_endpoints(listed);
         }
         for (const endpoint_ptr& endpoint : endpoints_.serving(name))
+        {
             pause_endpoint(endpoint->record, endpoint->health.paused_until());
+            throttle_endpoint(endpoint->record, endpoint->limit.next_call_at(now));
+        }
     }
 }
 
@@ -247,6 +251,16 @@
     }
 }
 
+template <typename Codec>
+void stage_batcher<Codec>::throttle_endpoint(const endpoint_record& endpoint, time_point until)
+{
+    for (auto& [key, entry] : queues_)
+    {
+        if (entry.service == endpoint.service)
+            entry.queue.throttle_endpoint(endpoint.id, until);
+    }
+}
+
 // Queues the stage, or refuses it at once when the work queued before it leaves too little time.
 template <typename Codec>
 std::uint64_t stage_batcher<Codec>::submit(const stage_request& request, stage_callback done,
@@ -485,6 +499,8 @@
             pieces.push_back({request.attempt, request.stage, part.first + i, left, request.key,
                               request.inputs});
     }
+    endpoint->limit.on_sent(now);
+    throttle_endpoint(endpoint->record, endpoint->limit.next_call_at(now));
     counters_.count("stage_calls_total");
     counters_.count("stage_pieces_total", pieces.size());
     const std::string text =
@@ -721,6 +737,21 @@
     }
 }
 
+// To an endpoint with a limit, calls go before releases, whose results expire anyway.
+template <typename Codec>
+bool stage_batcher<Codec>::may_release(const known_endpoint& endpoint, time_point now) const
+{
+    if (!endpoint.limit.limit())
+        return true;
+    const bool has_calls = std::any_of(queues_.begin(), queues_.end(),
+                                       [&](const auto& entry)
+                                       {
+                                           return entry.second.service == endpoint.record.service &&
+                                                  entry.second.queue.has_waiting_pieces();
+                                       });
+    return !has_calls && endpoint.limit.next_call_at(now) <= now;
+}
+
 template <typename Codec>
 void stage_batcher<Codec>::flush_releases()
 {
@@ -732,11 +763,14 @@
         const endpoint_ptr endpoint = endpoints_.find_address(address);
         if (!endpoint)
             continue; // the results were lost with the endpoint
-        if (endpoint->health.is_paused(last_release_flush_))
+        if (endpoint->health.is_paused(last_release_flush_) ||
+            !may_release(*endpoint, last_release_flush_))
         {
             pending_releases_[address] = handles;
             continue;
         }
+        endpoint->limit.on_sent(last_release_flush_);
+        throttle_endpoint(endpoint->record, endpoint->limit.next_call_at(last_release_flush_));
         const auto call = std::make_shared<release_call>(*this, endpoint, handles);
         release_calls_.emplace(call.get(), call);
         call->start(Codec::encode_release(address, handles), last_release_flush_);
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -132,10 +132,16 @@
   value @2 :Float32;
 }
 
+struct EndpointLimit {
+  endpoint @0 :UInt64;        # endpoint_key
+  perSecond @1 :Float64;      # negative: the endpoint names no limit any more
+}
+
 struct PaceReport {
   origin @0 :UInt64;
   sequence @1 :UInt32;
   samples @2 :List(PaceSample);
+  limits @3 :List(EndpointLimit);
 }
 
 struct RolloutCounts {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -31,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(dc11f6ecd491614d);
 CAPNP_DECLARE_SCHEMA(dfb1e6f4ca7a0fdf);
 CAPNP_DECLARE_SCHEMA(ed0cc4a5f18653da);
+CAPNP_DECLARE_SCHEMA(a7e14faea9690ee2);
 CAPNP_DECLARE_SCHEMA(85d750203be8bd4f);
 CAPNP_DECLARE_SCHEMA(9e15493e588e6a3b);
 CAPNP_DECLARE_SCHEMA(82a29fb8f65302ab);
@@ -270,6 +271,21 @@
   };
 };
 
+struct EndpointLimit {
+  EndpointLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a7e14faea9690ee2, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PaceReport {
   PaceReport() = delete;
 
@@ -278,7 +294,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(85d750203be8bd4f, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(85d750203be8bd4f, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1985,6 +2001,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class EndpointLimit::Reader {
+public:
+  typedef EndpointLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint() const;
+
+  inline double getPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointLimit::Builder {
+public:
+  typedef EndpointLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint();
+  inline void setEndpoint( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointLimit::Pipeline {
+public:
+  typedef EndpointLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PaceReport::Reader {
 public:
   typedef PaceReport Reads;
@@ -2009,6 +2106,9 @@
   inline bool hasSamples() const;
   inline  ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>::Reader getSamples() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2050,6 +2150,13 @@
   inline void adoptSamples(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::PaceSample,  ::capnp::Kind::STRUCT>> disownSamples();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4499,6 +4606,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t EndpointLimit::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EndpointLimit::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointLimit::Builder::setEndpoint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double EndpointLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double EndpointLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndpointLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PaceReport::Reader::getOrigin() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4561,6 +4696,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PaceReport::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PaceReport::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Reader PaceReport::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Builder PaceReport::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PaceReport::Builder::setLimits( ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>::Builder PaceReport::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PaceReport::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>> PaceReport::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinnianotch::wire::EndpointLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool RolloutCounts::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -7,6 +7,7 @@
 #include <capnp/serialize.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <limits>
 
@@ -192,6 +193,12 @@
                 samples[n].setKind(static_cast<std::uint8_t>(report.samples[n].kind));
                 samples[n].setValue(report.samples[n].value);
             }
+            auto limits = list[i].initLimits(static_cast<capnp::uint>(report.limits.size()));
+            for (capnp::uint n = 0; n < limits.size(); ++n)
+            {
+                limits[n].setEndpoint(report.limits[n].endpoint);
+                limits[n].setPerSecond(report.limits[n].limit.value_or(-1.0));
+            }
         }
     }
     void operator()(const crash_report& message)
@@ -454,13 +461,20 @@
     pace_reports message;
     for (const auto entry : from)
     {
-        pace_report report{entry.getOrigin(), entry.getSequence(), {}};
+        pace_report report{entry.getOrigin(), entry.getSequence(), {}, {}};
         for (const auto sample : entry.getSamples())
         {
             report.samples.push_back({sample.getEndpoint(),
                                       to_enum(sample.getKind(), pace_sample_kind::wait),
                                       to_pace(sample.getValue())});
         }
+        for (const auto limit : entry.getLimits())
+        {
+            const double per_second = limit.getPerSecond();
+            KJ_REQUIRE(std::isfinite(per_second), "odd limit in a VM message");
+            report.limits.push_back(
+                {limit.getEndpoint(), per_second < 0.0 ? std::nullopt : std::optional(per_second)});
+        }
         message.reports.push_back(std::move(report));
     }
     return message;
--- a/packages/state/stage_batch.cpp
+++ b/packages/state/stage_batch.cpp
@@ -257,6 +257,13 @@
         found->second.paused_until = std::max(found->second.paused_until, until);
 }
 
+void stage_queue::throttle_endpoint(const std::string& endpoint, time_point until)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        found->second.throttled_until = until;
+}
+
 void stage_queue::on_memory_full(const std::string& endpoint, time_point now)
 {
     const auto found = endpoints_.find(endpoint);
@@ -387,7 +394,7 @@
 bool stage_queue::is_free(const endpoint_state& endpoint, double lowest, time_point now) const
 {
     if (endpoint.calls_in_flight >= std::max(spec_.slots, 1U) ||
-        now < std::max(endpoint.blocked_until, endpoint.paused_until))
+        now < std::max({endpoint.blocked_until, endpoint.paused_until, endpoint.throttled_until}))
         return false;
     if (domains_.is_unreachable(endpoint.domain))
         return domains_.may_probe(endpoint.domain, now);
@@ -445,7 +452,8 @@
     for (const auto& [id, endpoint] : endpoints_)
     {
         if (!is_slow(endpoint, lowest) && !domains_.is_unreachable(endpoint.domain) &&
-            now >= std::max(endpoint.blocked_until, endpoint.paused_until))
+            now >=
+                std::max({endpoint.blocked_until, endpoint.paused_until, endpoint.throttled_until}))
             ++count;
     }
     return count;
--- a/packages/state/stage_batch.h
+++ b/packages/state/stage_batch.h
@@ -148,6 +148,8 @@
     void on_call_dropped(const std::string& endpoint);
     // The endpoint wants no calls until this time.
     void pause_endpoint(const std::string& endpoint, time_point until);
+    // The same; replaces the time set before.
+    void throttle_endpoint(const std::string& endpoint, time_point until);
 
     // The endpoint had no free memory for a result. The memory that this queue does not account for
     // is held by results of calls that other VMs sent; it counts as free again over their lifetime.
@@ -186,6 +188,7 @@
         std::uint32_t failures = 0;
         time_point blocked_until{};
         time_point paused_until{};
+        time_point throttled_until{};
         time_point last_sent{};
         std::uint64_t held_bytes = 0;    // results held there, including those of calls in flight
         std::uint64_t foreign_bytes = 0; // results of calls sent by other VMs, when last observed
--- a/packages/state/vm_report.cpp
+++ b/packages/state/vm_report.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 9> endpoint_use_names = {
-    "used", "cold", "full", "failing", "unreachable", "lapsed", "draining", "domain_out", "barred"};
+constexpr std::array<std::string_view, 10> endpoint_use_names = {
+    "used",   "cold",     "full",       "failing", "unreachable",
+    "lapsed", "draining", "domain_out", "barred",  "limited"};
 
 } // namespace
 
--- a/packages/state/vm_report.h
+++ b/packages/state/vm_report.h
@@ -23,7 +23,8 @@
     lapsed,      // its entry is missing after an outage of the store and may reappear
     draining,    // it is leaving: no new requests
     domain_out,  // its failure domain is out of service
-    barred       // a roll-out keeps all requests from it
+    barred,      // a roll-out keeps all requests from it
+    limited      // it has named how many requests it takes
 };
 
 std::string_view to_string(endpoint_use value);
--- a/packages/state/work_book.cpp
+++ b/packages/state/work_book.cpp
@@ -20,9 +20,18 @@
         own_.push_back(sample);
 }
 
+void pace_exchange::add_limit(const limit_report& report)
+{
+    std::erase_if(own_limits_,
+                  [&](const limit_report& each) { return each.endpoint == report.endpoint; });
+    if (own_limits_.size() < max_pace_samples)
+        own_limits_.push_back(report);
+}
+
 bool pace_exchange::on_report(const pace_report& report, bool from_accepted, time_point now)
 {
-    if (report.origin == origin_ || report.samples.size() > max_pace_samples)
+    if (report.origin == origin_ || report.samples.size() > max_pace_samples ||
+        report.limits.size() > max_pace_samples)
         return false;
     origin_state& known = heard_[report.origin];
     if (known.at != time_point{} && report.sequence <= known.sequence)
@@ -43,9 +52,10 @@
         return {};
     sent_at_ = now;
     std::erase_if(heard_, [&](const auto& entry) { return now - entry.second.at > origin_expiry; });
-    if (!own_.empty())
+    if (!own_.empty() || !own_limits_.empty())
     {
-        const pace_report report{origin_, ++sequence_, std::exchange(own_, {})};
+        const pace_report report{origin_, ++sequence_, std::exchange(own_, {}),
+                                 std::exchange(own_limits_, {})};
         waiting_.to_accepted.push_back(report);
         waiting_.to_made.push_back(report);
     }
--- a/packages/state/work_book.h
+++ b/packages/state/work_book.h
@@ -41,12 +41,22 @@
     float value = 0.0F;
 };
 
+// The limit that an endpoint has named to the VM; nothing: it names none any more.
+struct limit_report
+{
+    std::uint64_t endpoint = 0; // see endpoint_key
+    std::optional<double> limit;
+
+    bool operator==(const limit_report&) const = default;
+};
+
 // Observations of one VM in one interval.
 struct pace_report
 {
     std::uint64_t origin = 0;
     std::uint32_t sequence = 0;
     std::vector<pace_sample> samples;
+    std::vector<limit_report> limits;
 };
 
 // Reports for the VMs whose links this one accepted, and for those that it made links to. Reports
@@ -65,6 +75,8 @@
     explicit pace_exchange(std::uint64_t origin) : origin_(origin) {}
 
     void add(const pace_sample& sample);
+    // Replaces what was added for the endpoint in this interval.
+    void add_limit(const limit_report& report);
     // True if the report is news. It is passed on with the next ones that are taken.
     bool on_report(const pace_report& report, bool from_accepted, time_point now);
     // The reports to send now; empty until the interval is over.
@@ -81,6 +93,7 @@
     std::uint32_t sequence_ = 0;
     time_point sent_at_{};
     std::vector<pace_sample> own_;
+    std::vector<limit_report> own_limits_;
     outgoing_pace waiting_;
     std::unordered_map<std::uint64_t, origin_state> heard_; // by origin
 };
--- a/tests/unit/edge_endpoint_limit_test.cpp
+++ b/tests/unit/edge_endpoint_limit_test.cpp
@@ -37,7 +37,7 @@
             {
                 for (std::size_t i = 0; i < vm_count; ++i)
                 {
-                    if (!is_ready(i) || vm(i).known_endpoints() < 5)
+                    if (!is_ready(i) || vm(i).known_endpoints() < 5 || vm(i).links_up() < 2)
                         return false;
                 }
                 return true;
@@ -100,6 +100,21 @@
         cr_assert(most > 0, "no request at all");
     }
 
+    // Sends until the endpoint has received this number of further requests; false if it does not.
+    bool run_until_requests(const fake_endpoint& endpoint, std::size_t count,
+                            std::string (limit_deployment::*text)())
+    {
+        const std::size_t before = endpoint.arrivals.size();
+        const auto end = zinnianotch::steady_clock::now() + run_timeout;
+        while (endpoint.arrivals.size() < before + count)
+        {
+            if (zinnianotch::steady_clock::now() >= end)
+                return false;
+            send_for(send_interval, text);
+        }
+        return true;
+    }
+
     std::size_t refused() const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -132,3 +147,79 @@
     harness.start();
     harness.check_limit(harness.encoder_1, 1.0, &limit_deployment::stream_text);
 }
+
+// Guards against a limit that is kept after the endpoint has stopped naming it, also by VMs that
+// are told nothing by it any more.
+Test(edge_endpoint_limit, limit_not_named_any_more_endpoint_gets_its_part_again)
+{
+    limit_deployment harness;
+    harness.start();
+    harness.check_limit(harness.plain_1, 0.2, &limit_deployment::read_text);
+    harness.name_limit(harness.plain_1, "");
+    cr_assert(harness.run_until_requests(harness.plain_1, 60, &limit_deployment::read_text));
+}
+
+// Guards against a limit that is laid on the next lifetime of the endpoint.
+Test(edge_endpoint_limit, endpoint_starts_again_limit_is_forgotten)
+{
+    limit_deployment harness;
+    harness.start();
+    harness.check_limit(harness.plain_1, 0.2, &limit_deployment::read_text);
+    harness.name_limit(harness.plain_1, "");
+    harness.publish_endpoint("plain", harness.plain_1, "dom-a", "ready", 2);
+    harness.run_for(limit_notice_time * 3);
+    const std::size_t before = harness.plain_1.arrivals.size();
+    harness.send_for(limit_window / 2, &limit_deployment::read_text);
+    cr_assert(harness.plain_1.arrivals.size() >= before + 10);
+}
+
+// Guards against callers that wait for an endpoint which takes no more, or are not told when to
+// come back.
+Test(edge_endpoint_limit, all_endpoints_limited_rest_is_refused_at_once_as_not_run)
+{
+    limit_deployment harness;
+    harness.start();
+    harness.name_limit(harness.plain_1, "0.5");
+    harness.name_limit(harness.plain_2, "0.5");
+    harness.send_for(limit_notice_time * 3, &limit_deployment::read_text);
+    std::size_t refused = 0;
+    for (std::size_t i = 0; i < 12; ++i)
+    {
+        const time_point sent_at = zinnianotch::steady_clock::now();
+        const auto exchange =
+            harness.send_and_wait(i % limit_deployment::vm_count, harness.read_text());
+        if (exchange->head.status == 200)
+            continue;
+        ++refused;
+        cr_assert(exchange->head.status == 503);
+        cr_assert(zinnianotch::find_field(exchange->head, "Retry-After").has_value());
+        cr_assert(zinnianotch::steady_clock::now() - sent_at < limit_notice_time);
+    }
+    cr_assert(refused >= 8, "%zu refused", refused);
+}
+
+// Guards against a VM that learns of a limit only by exceeding it.
+Test(edge_endpoint_limit, one_vm_is_told_others_hear_of_it)
+{
+    limit_deployment harness;
+    harness.start();
+    harness.name_limit(harness.plain_1, "0.2");
+    while (harness.plain_1.arrivals.empty())
+        (void)harness.send_and_wait(0, harness.read_text());
+    const auto all_know = [&]
+    {
+        for (std::size_t i = 0; i < limit_deployment::vm_count; ++i)
+        {
+            const auto report = harness.vm(i).report(zinnianotch::steady_clock::now());
+            const bool knows = std::any_of(
+                report.endpoints.begin(), report.endpoints.end(),
+                [](const auto& each)
+                { return each.id == "plain-1" && each.use == zinnianotch::endpoint_use::limited; });
+            if (!knows)
+                return false;
+        }
+        return true;
+    };
+    cr_assert(harness.run_until(all_know));
+    cr_assert(harness.plain_1.arrivals.size() == 1);
+}
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -93,6 +93,25 @@
     cr_assert(codec::decode_answer(head).not_run);
 }
 
+// Guards against a limit that is overlooked or made up because of an odd value.
+Test(platform_codec, decode_answer_limit_only_if_readable)
+{
+    const auto limit_of = [](int status, std::vector<zinnianotch::header_field> fields)
+    {
+        message_head head;
+        head.status = status;
+        head.fields = std::move(fields);
+        return codec::decode_answer(head).limit;
+    };
+    for (const int status : {200, 409, 429, 500, 503})
+        cr_assert(limit_of(status, {{"server-limit", "1.3"}}) == 1.3);
+    cr_assert(limit_of(200, {{"Server-Limit", "0"}}) == 0.0);
+    cr_assert(limit_of(200, {{"Server-Limit", "7"}, {"Server-Limit", "2.5"}}) == 2.5);
+    for (const char* const text : {"", "-1", "1e999", "nan", "inf", "1,3", "many", "1 per s"})
+        cr_assert_not(limit_of(200, {{"Server-Limit", text}}), "%s", text);
+    cr_assert_not(limit_of(200, {}));
+}
+
 // Guards against an endpoint that is avoided for good, or not at all, because of an odd value.
 Test(platform_codec, decode_answer_leaving_and_pause_only_if_readable)
 {
--- a/tests/unit/work_book_test.cpp
+++ b/tests/unit/work_book_test.cpp
@@ -54,6 +54,28 @@
     cr_assert(ends.to_made.empty() && ends.to_accepted.size() == 1);
 }
 
+// Guards against VMs that hear of a limit only from the endpoint itself, which they may not ask.
+Test(work_book, limits_are_told_with_the_last_state_of_each_endpoint)
+{
+    pace_exchange vm(1);
+    vm.add_limit({42, 1.0});
+    vm.add_limit({43, 0.0});
+    vm.add_limit({42, std::nullopt});
+    std::string frame = encode_frame(pace_reports{vm.take(start).to_made});
+    vm_message message;
+    cr_assert(decode_frame(frame, message) == frame_state::complete);
+    const pace_report& read = std::get<pace_reports>(message).reports.at(0);
+    const std::vector<limit_report> expected = {{43, 0.0}, {42, std::nullopt}};
+    cr_assert(read.limits == expected);
+    cr_assert(vm.take(start + pace_share_interval).to_made.empty());
+    for (const double odd :
+         {std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()})
+    {
+        frame = encode_frame(pace_reports{{{9, 4, {}, {{42, odd}}}}});
+        cr_assert(decode_frame(frame, message) == frame_state::invalid);
+    }
+}
+
 // Guards against samples that are changed on the way, and against odd numbers of another version.
 Test(work_book, pace_reports_are_encoded_whole_and_odd_ones_rejected)
 {
