Refuse at once where another VM has the share of a limited endpoint

A VM without a share of a large limit expected room after 1/L seconds, less than the time for which a request waits for an endpoint, so requests waited for 250 ms for one that this VM may not use. It now expects room at another VM after a second at least, and refuses with that as Retry-After.

--- a/packages/state/send_limit.cpp
+++ b/packages/state/send_limit.cpp
@@ -96,7 +96,8 @@
     if (!limit_)
         return now;
     if (share_.rate <= 0.0)
-        return now + to_duration(1.0 / std::max(*limit_, probe_rate()));
+        return now + std::max<time_point::duration>(
+                         limit_elsewhere_min, to_duration(1.0 / std::max(*limit_, probe_rate())));
     return next_at(share_.rate, now);
 }
 
--- a/packages/state/send_limit.h
+++ b/packages/state/send_limit.h
@@ -24,6 +24,9 @@
 // Interval between requests of a sender whose share is smaller than that, also with a limit of
 // zero: an endpoint that gets nothing cannot say that the limit is over.
 inline constexpr milliseconds limit_probe_interval{10'000};
+// Shortest time until a VM without a share expects room at another one: its own requests are
+// refused at once instead of waiting for an endpoint that it may not use.
+inline constexpr milliseconds limit_elsewhere_min{1000};
 // Interval at which a VM tells the others of a limit that the endpoint goes on naming, and the time
 // after which one that no VM has told of counts as over. The second grows with the rank of the VM,
 // so that not all VMs try the endpoint at the same moment.
--- a/tests/unit/send_limit_test.cpp
+++ b/tests/unit/send_limit_test.cpp
@@ -156,6 +156,19 @@
     }
 }
 
+// Guards against requests that wait at a VM which may not use the only endpoint.
+Test(send_limit, vm_without_share_expects_room_elsewhere_later)
+{
+    for (const double per_second : limits)
+    {
+        send_limit limit;
+        limit.set(per_second, {0.0, 300}, start);
+        cr_assert_not(limit.may_send(start));
+        cr_assert(limit.next_send_at(start) >= start + limit_elsewhere_min);
+        cr_assert(limit.next_send_at(start) <= start + limit_probe_interval);
+    }
+}
+
 // Guards against a limit that outlives the endpoint's need, where no VM hears that it is over, and
 // against VMs that then all try the endpoint at once.
 Test(send_limit, limit_not_named_any_more_expires_by_rank)
