--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -63,6 +63,13 @@
     return number;
 }
 
+// Throws kj::Exception unless the number is finite; a negative one means no limit.
+std::optional<double> to_limit(double per_second)
+{
+    KJ_REQUIRE(std::isfinite(per_second), "odd limit in a VM message");
+    return per_second < 0.0 ? std::nullopt : std::optional(per_second);
+}
+
 class message_writer
 {
 public:
@@ -469,12 +476,7 @@
                                       to_pace(sample.getValue())});
         }
         for (const auto limit : entry.getLimits())
-        {
-            const double per_second = limit.getPerSecond();
-            KJ_REQUIRE(std::isfinite(per_second), "odd limit in a VM message");
-            report.limits.push_back(
-                {limit.getEndpoint(), per_second < 0.0 ? std::nullopt : std::optional(per_second)});
-        }
+            report.limits.push_back({limit.getEndpoint(), to_limit(limit.getPerSecond())});
         message.reports.push_back(std::move(report));
     }
     return message;
--- a/tests/unit/work_book_test.cpp
+++ b/tests/unit/work_book_test.cpp
@@ -79,7 +79,7 @@
 // Guards against samples that are changed on the way, and against odd numbers of another version.
 Test(work_book, pace_reports_are_encoded_whole_and_odd_ones_rejected)
 {
-    const pace_report report{9, 4, {{42, pace_sample_kind::wait, 80.5F}, {43, {}, 1.5F}}};
+    const pace_report report{9, 4, {{42, pace_sample_kind::wait, 80.5F}, {43, {}, 1.5F}}, {}};
     std::string frame = encode_frame(pace_reports{{report}});
     vm_message message;
     cr_assert(decode_frame(frame, message) == frame_state::complete);
@@ -90,7 +90,7 @@
     for (const float odd : {-1.0F, 1.0e9F, std::numeric_limits<float>::infinity(),
                             std::numeric_limits<float>::quiet_NaN()})
     {
-        frame = encode_frame(pace_reports{{{9, 4, {{42, {}, odd}}}}});
+        frame = encode_frame(pace_reports{{{9, 4, {{42, {}, odd}}, {}}}});
         cr_assert(decode_frame(frame, message) == frame_state::invalid);
     }
 }
