--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and clients of the cases of the second review (review/6 and later) into
+# Builds the stand-ins and clients of the scripts of the second review (review/6 to 9) into
 # build-review-2/. Needs the packages of the deploy file only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
