Show that responses with invalid field names are refused

Ruled out: as far as the name itself is damaged, it does not happen here. Names with a blank, a tab, a blank before the colon, a control byte, DEL or NUL, without a name or without a colon, are refused by the parser, also in a trailer, however the bytes are cut. Control bytes in values are refused as well. Change: tests only. Stand-ins send responses with a damaged head: the fake endpoints and store of the unit tests, and the stand-ins of the process tests. A 101 response is covered too; it was refused before.

--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -24,6 +24,7 @@
 {
     if (client.path() == "/control")
     {
+        client.set_head_fault({});
         handle_control(client);
         return;
     }
@@ -34,6 +35,7 @@
         if (client.path() != "/load")
             ++requests_;
     }
+    client.set_head_fault(injected.head);
     if (injected.down)
         client.close();
     else
@@ -56,6 +58,11 @@
             if (change.has_field(name))
                 number = change.at(name).as_integer();
         };
+        const auto set_text = [&](const char* name, std::string& text)
+        {
+            if (change.has_field(name))
+                text = change.at(name).as_string();
+        };
         set_flag("leaving", active_faults.leaving);
         set_flag("down", active_faults.down);
         set_flag("swap_attempts", active_faults.swap_attempts);
@@ -64,6 +71,8 @@
         set_number("fail_percent", active_faults.fail_percent);
         set_number("lose_answers_percent", active_faults.lose_answers_percent);
         set_number("cut_after_tokens", active_faults.cut_after_tokens);
+        set_text("invalid_status", active_faults.head.status);
+        set_text("invalid_lines", active_faults.head.lines);
         apply_control(change);
     }
     auto counters = web::json::value::object();
--- a/tests/standins/session.cpp
+++ b/tests/standins/session.cpp
@@ -9,6 +9,8 @@
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <sstream>
+#include <string_view>
 #include <thread>
 
 namespace standins
@@ -97,6 +99,22 @@
     return request_.body();
 }
 
+template <typename Message>
+bool session::send_with_fault(const Message& message)
+{
+    constexpr std::size_t status_at = std::string_view("HTTP/1.1 ").size();
+    constexpr std::size_t status_digits = 3;
+    std::ostringstream out;
+    out << message;
+    std::string text = out.str();
+    text.insert(text.find("\r\n\r\n") + 2, head_fault_.lines);
+    if (!head_fault_.status.empty())
+        text.replace(status_at, status_digits, head_fault_.status);
+    boost::system::error_code error;
+    boost::asio::write(socket_, boost::asio::buffer(text), error);
+    return !error;
+}
+
 void session::respond(int status, std::string body,
                       const std::map<std::string, std::string>& headers)
 {
@@ -108,9 +126,7 @@
     response.keep_alive(request_.keep_alive());
     response.body() = std::move(body);
     response.prepare_payload();
-    boost::system::error_code error;
-    http::write(socket_, response, error);
-    if (error || !request_.keep_alive())
+    if (!send_with_fault(response) || !request_.keep_alive())
         close();
 }
 
@@ -120,10 +136,7 @@
     response.set(http::field::content_type, "application/x-ndjson");
     response.keep_alive(request_.keep_alive());
     response.chunked(true);
-    http::response_serializer<http::empty_body> serializer(response);
-    boost::system::error_code error;
-    http::write_header(socket_, serializer, error);
-    return !error;
+    return send_with_fault(response.base());
 }
 
 bool session::write_line(const std::string& line)
--- a/tests/standins/session.h
+++ b/tests/standins/session.h
@@ -16,12 +16,22 @@
 
 using milliseconds = std::chrono::milliseconds;
 
+// What makes the heads of responses invalid.
+struct head_fault
+{
+    std::string status; // replaces the status code; empty: none
+    std::string lines;  // added to the header, each with its line end
+};
+
 // Connection of one client, with its current request.
 class session
 {
 public:
     explicit session(boost::asio::ip::tcp::socket socket);
 
+    // Of the response to the current request.
+    void set_head_fault(head_fault fault) { head_fault_ = std::move(fault); }
+
     // Reads the next request. Returns false if the connection is closed or the request is
     // malformed.
     bool read();
@@ -49,9 +59,14 @@
     void close();
 
 private:
+    // Sends a response, or its head, with the fault in it.
+    template <typename Message>
+    bool send_with_fault(const Message& message);
+
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     boost::beast::http::request<boost::beast::http::string_body> request_;
+    head_fault head_fault_;
 };
 
 // Listens on 127.0.0.1, calls `handler` for each request, and returns the port; port 0 chooses a
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -41,6 +41,7 @@
     int fail_percent = 0;         // status 500 (endpoints) or 503 (platform), without effect
     int lose_answers_percent = 0; // work or write takes effect, but no response is sent
     int cut_after_tokens = 0;     // connection closed after this many tokens; 0: never
+    head_fault head;              // of each response, by the names invalid_status and invalid_lines
 };
 
 // Base class of all roles: the control interface and fault injection.
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -145,6 +145,33 @@
               std::string(to_string(outcome.error().outcome)).c_str());
 }
 
+// Makes each kind of call to an endpoint that sends these bytes and closes the connection.
+void expect_broken_calls(const std::string& response)
+{
+    const raw_listener listener;
+    std::atomic<bool> stops{false};
+    const scripted_endpoint server(
+        [&]
+        {
+            while (!stops)
+            {
+                raw_socket peer = listener.accept(milliseconds(poll_step_ms));
+                if (!peer.valid() || peer.read_until("\r\n\r\n").empty())
+                    continue;
+                peer.send(response);
+            }
+        });
+    http_client client(listener.url());
+    const auto no_line = [](std::string_view) { return true; };
+    std::vector<result<client_reply>> outcomes;
+    outcomes.push_back(client.send(get("/load"), long_timeout));
+    outcomes.push_back(client.send_once(post("/loan", "{}"), long_timeout));
+    outcomes.push_back(client.stream(post("/generate", "{}"), long_timeout, long_timeout, no_line));
+    stops = true;
+    for (const auto& outcome : outcomes)
+        expect_failure(outcome, verdict::may_have_run, reason::connection_broken);
+}
+
 } // namespace
 
 // Guards against a request or response whose status, headers or body are lost or altered.
@@ -652,6 +679,15 @@
     }
 }
 
+// Guards against a header with a damaged line that counts as valid, or that loses the length of the
+// body.
+Test(http_client, field_name_invalid_connection_broken)
+{
+    for (const std::string& line : {std::string("X Note: 1"), std::string("X-Note : 1"),
+                                    std::string("X\001Note: 1"), std::string("X\0Note: 1", 9)})
+        expect_broken_calls("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}");
+}
+
 // Guards against a stream that is received faster than its lines are handled.
 Test(http_client, stream_slow_handler_endpoint_is_paused)
 {
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -82,6 +83,13 @@
     bool valid() const { return descriptor_ >= 0; }
     int descriptor() const { return descriptor_; }
 
+    // True if bytes or the end of the connection have arrived.
+    bool is_readable() const
+    {
+        pollfd readable{descriptor_, POLLIN, 0};
+        return ::poll(&readable, 1, 0) > 0;
+    }
+
     // Returns false if the connection fails, or the peer stops reading for test_timeout, before all
     // of `data` has been passed to the system.
     bool send(std::string_view data) const
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -41,12 +41,18 @@
     return text;
 }
 
-std::string response_text(int status, const std::string& fields, const std::string& body)
+std::string response_text(const std::string& status, const std::string& fields,
+                          const std::string& body)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields +
+    return "HTTP/1.1 " + status + " Status\r\n" + fields +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string response_text(int status, const std::string& fields, const std::string& body)
+{
+    return response_text(std::to_string(status), fields, body);
+}
+
 std::string chunk(const std::string& bytes)
 {
     std::array<char, 24> size{};
@@ -251,7 +257,7 @@
         return true;
     }
     constexpr std::size_t parts = 20;
-    const std::string text = response(200, body.serialize());
+    const std::string text = response(success_status, body.serialize());
     send_in_parts(feed.client, text, text.size() / parts + 1,
                   slow->second / static_cast<int>(parts));
     return true;
@@ -306,17 +312,18 @@
     respond(client, 200, "{\"ver\":" + std::to_string(version_) + "}");
 }
 
-std::string fake_store::response(int status, const std::string& body) const
+std::string fake_store::response(const std::string& status, const std::string& body) const
 {
-    return response_text(
-        status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) + "\r\n",
-        body);
+    return response_text(status,
+                         "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) +
+                             "\r\n" + response_fields,
+                         body);
 }
 
 void fake_store::respond(const std::shared_ptr<server_connection>& client, int status,
                          const std::string& body)
 {
-    client->send(response(status, body));
+    client->send(response(status == 200 ? success_status : std::to_string(status), body));
     client->end(true);
 }
 
@@ -633,7 +640,7 @@
     }
     value response = value::object();
     response["items"] = value::array(items);
-    const std::string answer = response_text(200, answer_fields, response.serialize());
+    const std::string answer = response_text(success_status, answer_fields, response.serialize());
     client->send((repeats_answer_late ? last_answer_ : "") + answer);
     last_answer_ = answer;
     answered_on_ = client;
@@ -726,8 +733,9 @@
             return run_after(break_delay, [client] { client->abort(); });
         }
         if (close_delimited)
-            return send_response(client, "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body, false);
-        const std::string answer = response_text(200, fields, body);
+            return send_response(
+                client, "HTTP/1.1 " + success_status + " OK\r\n" + fields + "\r\n" + body, false);
+        const std::string answer = response_text(success_status, fields, body);
         const std::string late_copy = repeats_answer_late ? last_answer_ : "";
         last_answer_ = answer;
         return send_response(client, late_copy + answer + (extra_bytes ? "HTTP/1.1 200 O" : ""),
@@ -735,7 +743,7 @@
     }
     const auto resumed = request.fields.find("last-event-id");
     const int first = resumed == request.fields.end() ? 1 : std::stoi(resumed->second) + 1;
-    const std::string head = "HTTP/1.1 200 OK\r\n" + fields +
+    const std::string head = "HTTP/1.1 " + success_status + " OK\r\n" + fields +
                              "Content-Type: text/event-stream\r\n" +
                              (close_delimited ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
     const std::size_t first_part =
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -69,9 +69,11 @@
     // new era begins. Calls in progress get no response.
     void restore_copy();
 
-    web::json::value page_version; // given out instead of the version of a page, unless null
-    int refuse_status = 0;         // status of the response to every call; 0: calls are served
-    bool unresponsive = false;     // accepts calls and never responds
+    web::json::value page_version;      // given out instead of the version of a page, unless null
+    int refuse_status = 0;              // status of the response to every call; 0: calls are served
+    std::string success_status = "200"; // as sent in the status line
+    std::string response_fields;        // added to all responses, each with its line end
+    bool unresponsive = false;          // accepts calls and never responds
     std::uint64_t calls = 0;
     std::uint64_t writes = 0;         // received, including refused ones
     milliseconds next_write_delay{0}; // before the next write takes effect
@@ -106,7 +108,7 @@
                            const std::string& body);
     bool respond_to_feed(const pending_feed& feed, bool even_if_empty);
     void notify_feeds();
-    std::string response(int status, const std::string& body) const;
+    std::string response(const std::string& status, const std::string& body) const;
     void respond(const std::shared_ptr<zinnianotch::server_connection>& client, int status,
                  const std::string& body);
     void send_in_parts(const std::shared_ptr<zinnianotch::server_connection>& client,
@@ -210,6 +212,7 @@
     bool refusal_copies_have_id = false; // as well
     std::string refusal_fields;          // added to refusals, each with its line end
     std::string answer_fields;           // added to all other responses
+    std::string success_status = "200";  // as sent in the status line
     bool never_responds = false;         // accepts requests and never responds
     std::string piece_failure_reason;    // if set, every piece fails with it
     bool first_piece_fails = false;      // of each call, with the reason "error"
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -85,17 +85,12 @@
         cr_assert(run_until([&] { return (out = listener.accept(milliseconds(0))).valid(); }));
         return out;
     }
-    static bool is_readable(const raw_socket& socket)
-    {
-        pollfd readable{socket.descriptor(), POLLIN, 0};
-        return ::poll(&readable, 1, 0) > 0;
-    }
     // Completes an exchange; the returned socket is that of a kept connection.
     raw_socket keep_connection()
     {
         send("GET / HTTP/1.1\r\n\r\n");
         raw_socket server = accept();
-        cr_assert(run_until([&] { return is_readable(server); }));
+        cr_assert(run_until([&] { return server.is_readable(); }));
         (void)server.read_until("\r\n\r\n");
         (void)server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         cr_assert(ends() && response.done);
@@ -108,7 +103,7 @@
     {
         send("GET / HTTP/1.1\r\n\r\n");
         raw_socket server = accept();
-        cr_assert(run_until([&] { return is_readable(server); }));
+        cr_assert(run_until([&] { return server.is_readable(); }));
         (void)server.read_until("\r\n\r\n");
         (void)server.send("HTTP/1.1 200 OK\r\n\r\nwhole");
         cr_assert(run_until([&] { return response.body == "whole"; }));
@@ -116,6 +111,46 @@
     }
 };
 
+// Sends a request to a server that answers with the bytes, in pieces of the given size, and keeps
+// the connection open.
+void respond_with(pool_of_raw_server& harness, const std::string& bytes, std::size_t piece_bytes)
+{
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    raw_socket server = harness.accept();
+    cr_assert(harness.run_until([&] { return server.is_readable(); }));
+    (void)server.read_until("\r\n\r\n");
+    for (std::size_t at = 0; at < bytes.size(); at += piece_bytes)
+    {
+        (void)server.send(bytes.substr(at, piece_bytes));
+        (void)harness.io.poll();
+        harness.io.restart();
+    }
+    cr_assert(harness.ends(), "%s", bytes.c_str());
+}
+
+const std::vector<std::size_t> piece_sizes = {1, 7, SIZE_MAX};
+
+void expect_invalid(const std::string& bytes)
+{
+    for (const std::size_t piece : piece_sizes)
+    {
+        pool_of_raw_server harness;
+        respond_with(harness, bytes, piece);
+        cr_assert(harness.response.failure == upstream_failure::invalid_answer, "%s: %s",
+                  bytes.c_str(), harness.response.failure ? "broken" : "complete");
+    }
+}
+
+void expect_whole(const std::string& bytes, std::string_view body = "whole")
+{
+    for (const std::size_t piece : piece_sizes)
+    {
+        pool_of_raw_server harness;
+        respond_with(harness, bytes, piece);
+        cr_assert(harness.response.done && harness.response.body == body, "%s", bytes.c_str());
+    }
+}
+
 } // namespace
 
 // Guards against settings that are accepted and then name no peer: the address of the store may be
@@ -196,7 +231,7 @@
     std::vector<char> buffer(64 * 1024);
     while (received < request.size())
     {
-        cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+        cr_assert(harness.run_until([&] { return server.is_readable(); }));
         const ssize_t count = ::recv(server.descriptor(), buffer.data(), buffer.size(), 0);
         cr_assert(count > 0, "the connection ended after %zu bytes", received);
         received += static_cast<std::size_t>(count);
@@ -212,7 +247,7 @@
     pool_of_raw_server harness;
     harness.send("GET / HTTP/1.1\r\n\r\n");
     raw_socket server = harness.accept();
-    cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+    cr_assert(harness.run_until([&] { return server.is_readable(); }));
     (void)server.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nencoded");
     cr_assert(harness.ends());
     cr_assert(harness.response.failure == upstream_failure::invalid_answer);
@@ -282,7 +317,7 @@
     harness.response = {};
     harness.send("GET / HTTP/1.1\r\n\r\n");
     raw_socket server = harness.accept();
-    cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+    cr_assert(harness.run_until([&] { return server.is_readable(); }));
     server.reset();
     cr_assert(harness.ends());
     cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
@@ -295,7 +330,7 @@
         pool_of_raw_server harness;
         harness.send("GET / HTTP/1.1\r\n\r\n");
         raw_socket server = harness.accept();
-        cr_assert(harness.run_until([&] { return pool_of_raw_server::is_readable(server); }));
+        cr_assert(harness.run_until([&] { return server.is_readable(); }));
         server.reset();
         cr_assert(harness.ends());
         cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
@@ -349,3 +384,45 @@
     cr_assert(harness.run_until([&] { return seen.has_value(); }));
     cr_assert(*seen == upstream_failure::connect_failed);
 }
+
+// Guards against bytes after the switch to another protocol that are read as the response.
+Test(upstream, response_switching_protocols_is_broken)
+{
+    pool_of_raw_server harness;
+    harness.send("GET / HTTP/1.1\r\n\r\n");
+    raw_socket server = harness.accept();
+    (void)server.send("HTTP/1.1 101 x\r\nContent-Length: 5\r\n\r\nwhole");
+    server.shutdown_send();
+    cr_assert(harness.ends());
+    cr_assert(harness.response.failure == upstream_failure::broken_before_answer);
+}
+
+// Guards against a field that is passed on with an invalid name, or with a line that belongs to no
+// field.
+Test(upstream, response_field_name_invalid_is_invalid)
+{
+    for (const std::string& line :
+         {std::string("X Note: 1"), std::string("X\tNote: 1"), std::string("X-Note : 1"),
+          std::string("X\001Note: 1"), std::string("X\177Note: 1"), std::string("X\0Note: 1", 9),
+          std::string(": 1"), std::string("no field"), std::string(" X-Note: 1"),
+          std::string("X-Note: 1\001"), std::string("X-Note: 1\r2")})
+    {
+        const std::string length = "Content-Length: 5\r\n";
+        expect_invalid("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length + "\r\nwhole");
+        if (!line.starts_with(' ')) // would continue the field before it
+            expect_invalid("HTTP/1.1 200 OK\r\n" + length + line + "\r\n\r\nwhole");
+        expect_invalid("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" +
+                       line + "\r\n\r\n");
+    }
+}
+
+// Guards against bodies that are refused because they begin with a blank, or hold lines that do.
+Test(upstream, response_body_line_begins_with_blank_is_complete)
+{
+    constexpr std::string_view body = " a\r\n b\r\n\r\n\tc";
+    expect_whole("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" + std::string(body), body);
+    expect_whole("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "c\r\n" +
+                     std::string(body) + "\r\n1\r\n \r\n0\r\nX-Note: 1\r\n\r\n",
+                 std::string(body) + " ");
+}
