Refuse responses whose status code is out of range

Callers saw: a response with status 000, 042, 600 or 999 as the endpoint's answer, with its seal and body (000 as 'HTTP/1.1 0'); on the own interface an order recorded as run with status 999. Cause: the parser takes any three digits for a status code, and nothing after it checked the range. Ruled out: a check in each reader. They share message_parser, and a response that is refused there takes the path that bytes which are no response have taken before: a retry where the route allows it, 502 otherwise, may_have_run on the own interface. Change: a status below 100 or above 599 is a parse error (RFC 9110, section 15, calls all others invalid).

--- a/packages/transport/message_parser.cpp
+++ b/packages/transport/message_parser.cpp
@@ -16,6 +16,10 @@
     "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
     "transfer-encoding", "upgrade",    "proxy-connection"};
 
+// Status codes outside of this range are invalid (RFC 9110, section 15).
+constexpr int status_min = 100;
+constexpr int status_max = 599;
+
 boost::beast::string_view to_beast(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -103,8 +107,13 @@
 
 template <message_kind Kind>
 void message_parser<Kind>::on_response_impl(int code, beast_view reason_phrase, int version,
-                                            error_code&)
+                                            error_code& error)
 {
+    if (code < status_min || code > status_max)
+    {
+        error = boost::beast::http::error::bad_status;
+        return;
+    }
     head.status = code;
     head.reason_phrase = std::string(reason_phrase);
     head.version = version;
--- a/tests/process/invalid_response_test.cpp
+++ b/tests/process/invalid_response_test.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds order_deadline{5000};
 
 // Changes of a stand-in's faults.
+constexpr const char* status_out_of_range = R"({"invalid_status":"999"})";
 constexpr const char* field_name_invalid = R"({"invalid_lines":"X Note: 1\r\n"})";
 constexpr const char* no_fault = R"({"invalid_status":"","invalid_lines":""})";
 
@@ -73,16 +74,34 @@
 
 } // namespace
 
+// Guards against an order that is recorded with a response that its service has not given.
+Test(invalid_response, order_status_out_of_range_may_have_run)
+{
+    check_order(status_out_of_range);
+}
+
 Test(invalid_response, order_field_name_invalid_may_have_run)
 {
     check_order(field_name_invalid);
 }
 
+// Guards against a claim of an order that rests on a response which the table has not given.
+Test(invalid_response, table_status_out_of_range_order_is_not_run)
+{
+    check_table(status_out_of_range);
+}
+
 Test(invalid_response, table_field_name_invalid_order_is_not_run)
 {
     check_table(field_name_invalid);
 }
 
+// Guards against a state of an endpoint that it has not reported.
+Test(invalid_response, load_report_status_out_of_range_has_no_effect)
+{
+    check_load_report(status_out_of_range);
+}
+
 Test(invalid_response, load_report_field_name_invalid_has_no_effect)
 {
     check_load_report(field_name_invalid);
--- a/tests/unit/edge_invalid_response_test.cpp
+++ b/tests/unit/edge_invalid_response_test.cpp
@@ -20,6 +20,9 @@
     bool close_delimited = false; // the end of the connection ends the response
 };
 
+const std::vector<invalid_head> status_out_of_range = {
+    {"000", ""}, {"042", ""}, {"099", ""}, {"600", ""}, {"999", ""}};
+
 const std::vector<invalid_head> field_name_invalid = {
     {"200", "X Note: 1\r\n"},    {"200", "X\tNote: 1\r\n"},
     {"200", "X-Note : 1\r\n"},   {"200", "X\001Note: 1\r\n"},
@@ -164,6 +167,32 @@
 
 } // namespace
 
+// Guards against a response with an invalid status that a client gets as the endpoint's answer.
+Test(edge_invalid_response, order_status_out_of_range_caller_gets_502)
+{
+    check_orders(status_out_of_range);
+}
+
+Test(edge_invalid_response, read_status_out_of_range_other_endpoint_answers)
+{
+    check_reads(status_out_of_range);
+}
+
+Test(edge_invalid_response, stream_status_out_of_range_other_engine_answers)
+{
+    check_streams(status_out_of_range);
+}
+
+Test(edge_invalid_response, stage_call_status_out_of_range_has_no_results)
+{
+    check_stage_calls(status_out_of_range);
+}
+
+Test(edge_invalid_response, store_status_out_of_range_changes_nothing)
+{
+    check_store(status_out_of_range);
+}
+
 // Guards against a response that a client gets with an invalid header line, or cut short by one.
 Test(edge_invalid_response, order_field_name_invalid_caller_gets_502)
 {
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -679,6 +679,13 @@
     }
 }
 
+// Guards against a response with an invalid status that counts as the endpoint's answer.
+Test(http_client, status_out_of_range_connection_broken)
+{
+    for (const std::string status : {"000", "042", "099", "600", "999"})
+        expect_broken_calls("HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\n{}");
+}
+
 // Guards against a header with a damaged line that counts as valid, or that loses the length of the
 // body.
 Test(http_client, field_name_invalid_connection_broken)
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -385,6 +385,22 @@
     cr_assert(*seen == upstream_failure::connect_failed);
 }
 
+// Guards against a response with an invalid status that is delivered.
+Test(upstream, response_status_out_of_range_is_invalid)
+{
+    for (const std::string status : {"000", "042", "099", "600", "999"})
+        expect_invalid("HTTP/1.1 " + status + " x\r\nContent-Length: 5\r\n\r\nwhole");
+}
+
+// Guards against valid status codes that are refused.
+Test(upstream, response_status_at_ends_of_range_is_complete)
+{
+    for (const std::string status : {"200", "299", "599"})
+        expect_whole("HTTP/1.1 " + status + " x\r\nContent-Length: 5\r\n\r\nwhole");
+    expect_whole("HTTP/1.1 100 x\r\n\r\nHTTP/1.1 199 x\r\n\r\n"
+                 "HTTP/1.1 200 x\r\nContent-Length: 5\r\n\r\nwhole");
+}
+
 // Guards against bytes after the switch to another protocol that are read as the response.
 Test(upstream, response_switching_protocols_is_broken)
 {
