Refuse responses with folded header lines

Callers saw: a response in whose head a line begins with a blank, for example ' more: 2' or ' Content-Length: N', as the endpoint's answer. In the second case the length of the body was lost, and a part of it that ended with its connection counted as complete. On the own interface orders, rows of the table and load reports took effect from such responses. Cause: the parser appends a line that begins with a blank to the value of the field before it (obsolete line folding). Such a line may as well be a field whose name was damaged. Ruled out: replacing the fold by a blank, which RFC 9112, section 5.2, allows too; the damaged field would still be lost. Telling folds from the views that the parser hands out: a value whose first line is empty is not copied, so they do not show all folds. Change: message_parser looks for folded lines in the bytes that a head or a trailer took, and fails then (RFC 9112 lets a gateway answer 502). The parser is no longer eager, so that these bytes hold nothing of a body; bodies whose lines begin with a blank have a test.

--- a/packages/transport/message_parser.cpp
+++ b/packages/transport/message_parser.cpp
@@ -25,6 +25,13 @@
     return {text.data(), text.size()};
 }
 
+// True if one of the lines continues the line before it (RFC 9112, section 5.2).
+bool has_folded_line(std::string_view lines)
+{
+    return lines.find("\r\n ") != std::string_view::npos ||
+           lines.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 bool equals_ignore_case(std::string_view a, std::string_view b)
@@ -57,7 +64,8 @@
 {
     this->header_limit(header_limit);
     this->body_limit(body_limit);
-    this->eager(true);
+    // Each call of put() consumes lines of the head or of the trailer, or a part of the body.
+    this->eager(false);
 }
 
 template <message_kind Kind>
@@ -67,17 +75,18 @@
     std::size_t consumed = 0;
     while (consumed < bytes.size() && !finished_)
     {
-        const std::size_t count =
-            this->put(boost::asio::buffer(bytes.data() + consumed, bytes.size() - consumed), error);
+        const std::string_view rest = bytes.substr(consumed);
+        const bool in_head = !head_done_;
+        const std::size_t count = this->put(boost::asio::buffer(rest.data(), rest.size()), error);
         consumed += count;
-        if (error == http::error::need_more)
-        {
+        const bool needs_more = error == http::error::need_more;
+        if (needs_more)
             error = {};
-            return consumed;
-        }
-        if (error)
-            return consumed;
-        if (count == 0)
+        // The line may be a field whose name was damaged, for example the length of the body.
+        if (Kind == message_kind::response && !error && (in_head || in_trailer_) &&
+            has_folded_line(rest.substr(0, count)))
+            error = http::error::bad_obs_fold;
+        if (error || needs_more || count == 0)
             return consumed;
     }
     return consumed;
@@ -165,8 +174,9 @@
 }
 
 template <message_kind Kind>
-void message_parser<Kind>::on_chunk_header_impl(std::uint64_t, beast_view, error_code&)
+void message_parser<Kind>::on_chunk_header_impl(std::uint64_t size, beast_view, error_code&)
 {
+    in_trailer_ = size == 0;
 }
 
 template <message_kind Kind>
--- a/packages/transport/message_parser.h
+++ b/packages/transport/message_parser.h
@@ -107,6 +107,7 @@
     void on_finish_impl(error_code& error) override;
 
     bool head_done_ = false;
+    bool in_trailer_ = false; // after the last chunk
     bool finished_ = false;
     body_framing framing_ = body_framing::none;
     std::optional<std::uint64_t> length_;
--- a/tests/process/invalid_response_test.cpp
+++ b/tests/process/invalid_response_test.cpp
@@ -15,6 +15,7 @@
 // Changes of a stand-in's faults.
 constexpr const char* status_out_of_range = R"({"invalid_status":"999"})";
 constexpr const char* field_name_invalid = R"({"invalid_lines":"X Note: 1\r\n"})";
+constexpr const char* header_line_folded = R"({"invalid_lines":"X-Note: 1\r\n more: 2\r\n"})";
 constexpr const char* no_fault = R"({"invalid_status":"","invalid_lines":""})";
 
 // Places an order while the services answer like this: it runs once, and nobody knows its result.
@@ -85,6 +86,11 @@
     check_order(field_name_invalid);
 }
 
+Test(invalid_response, order_header_line_folded_may_have_run)
+{
+    check_order(header_line_folded);
+}
+
 // Guards against a claim of an order that rests on a response which the table has not given.
 Test(invalid_response, table_status_out_of_range_order_is_not_run)
 {
@@ -96,6 +102,11 @@
     check_table(field_name_invalid);
 }
 
+Test(invalid_response, table_header_line_folded_order_is_not_run)
+{
+    check_table(header_line_folded);
+}
+
 // Guards against a state of an endpoint that it has not reported.
 Test(invalid_response, load_report_status_out_of_range_has_no_effect)
 {
@@ -106,3 +117,8 @@
 {
     check_load_report(field_name_invalid);
 }
+
+Test(invalid_response, load_report_header_line_folded_has_no_effect)
+{
+    check_load_report(header_line_folded);
+}
--- a/tests/unit/edge_invalid_response_test.cpp
+++ b/tests/unit/edge_invalid_response_test.cpp
@@ -29,6 +29,13 @@
     {"200", "X\177Note: 1\r\n"}, {"200", std::string("X\0Note: 1\r\n", 11)},
     {"200", ": 1\r\n"},          {"200", "no field\r\n"}};
 
+// A line that begins with a blank continues the field before it.
+const std::vector<invalid_head> folded_lines = {
+    {"200", "X-Note: 1\r\n more: 2\r\n"},
+    {"200", "X-Note: 1\r\n\tmore: 2\r\n"},
+    {"200", "X-Note:\r\n more: 2\r\n"},
+    {"200", "X-Note: 1\r\n Content-Length: 1000\r\n", true}};
+
 struct invalid_response_deployment : deployment
 {
     fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
@@ -218,3 +225,28 @@
 {
     check_store(field_name_invalid);
 }
+
+Test(edge_invalid_response, order_header_line_folded_caller_gets_502)
+{
+    check_orders(folded_lines);
+}
+
+Test(edge_invalid_response, read_header_line_folded_other_endpoint_answers)
+{
+    check_reads(folded_lines);
+}
+
+Test(edge_invalid_response, stream_header_line_folded_other_engine_answers)
+{
+    check_streams(folded_lines);
+}
+
+Test(edge_invalid_response, stage_call_header_line_folded_has_no_results)
+{
+    check_stage_calls(folded_lines);
+}
+
+Test(edge_invalid_response, store_header_line_folded_changes_nothing)
+{
+    check_store(folded_lines);
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -695,6 +695,12 @@
         expect_broken_calls("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}");
 }
 
+Test(http_client, header_line_folded_connection_broken)
+{
+    expect_broken_calls("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Note: 1\r\n more: 2\r\n\r\n{}");
+    expect_broken_calls("HTTP/1.1 200 OK\r\nX-Note: 1\r\n Content-Length: 9\r\n\r\n{}");
+}
+
 // Guards against a stream that is received faster than its lines are handled.
 Test(http_client, stream_slow_handler_endpoint_is_paused)
 {
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -425,13 +425,28 @@
     {
         const std::string length = "Content-Length: 5\r\n";
         expect_invalid("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length + "\r\nwhole");
-        if (!line.starts_with(' ')) // would continue the field before it
-            expect_invalid("HTTP/1.1 200 OK\r\n" + length + line + "\r\n\r\nwhole");
+        expect_invalid("HTTP/1.1 200 OK\r\n" + length + line + "\r\n\r\nwhole");
         expect_invalid("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" +
                        line + "\r\n\r\n");
     }
 }
 
+// Guards against a line that begins with a blank and is taken as part of the field before it,
+// although it may be a field whose name was damaged, such as the length of the body.
+Test(upstream, response_header_line_folded_is_invalid)
+{
+    for (const std::string lines : {"X-Note: 1\r\n more: 2", "X-Note: 1\r\n\tmore: 2",
+                                    "X-Note:\r\n more: 2", "X-Note: 1\r\n ", "X-Note:\r\n \r\n 2"})
+    {
+        expect_invalid("HTTP/1.1 200 OK\r\n" + lines + "\r\nContent-Length: 5\r\n\r\nwhole");
+        expect_invalid("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + lines + "\r\n\r\nwhole");
+        expect_invalid("HTTP/1.1 102 x\r\n" + lines + "\r\n\r\n");
+        expect_invalid("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" +
+                       lines + "\r\n\r\n");
+    }
+    expect_invalid("HTTP/1.1 200 OK\r\nX-Note: 1\r\n Content-Length: 5\r\n\r\nwhole");
+}
+
 // Guards against bodies that are refused because they begin with a blank, or hold lines that do.
 Test(upstream, response_body_line_begins_with_blank_is_complete)
 {
