Take a reset that a write has received for the end of no response

Callers saw: a part of a body as a complete response. The engine had answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was being written. A stream that was reset between two events looked complete in the same way, and a call of http_client. Cause: the kernel reports a reset once. With a write and a read pending, the write is tried first and gets ECONNRESET; the read then gets the bytes that had arrived and after them an end of file, which was taken for the end of the response. The server accepted a new connection, so that end counted as confirmed. Ruled out: taking each failed write for a reset. A server that has ended its response in order and then resets the connection, since it does not read the rest of the upload, makes the write fail with EPIPE; its response is complete, and a trial without the distinction fails upstream/response_without_length_ended_before_reset_under_request_*. Change: upstream_connection remembers that a write failed otherwise than with EPIPE; an end of file does not end a response after that. Handled before: lengths and chunks, whose missing end the parser sees, and results of a stage call, whose request fits the buffers of the connection, so that the read gets the reset. Calls of the store and load reports are small or have no body; the shared reader covers them.

--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -83,6 +83,7 @@
     head_delivered_ = false;
     skipping_response_ = false;
     skipped_bytes_ = 0;
+    reset_under_write_ = false;
     paused_ = false;
     reads_once_ = false;
     parser_.emplace(response_header_limit, response_body_limit);
@@ -290,6 +291,8 @@
                                  self->writing_ = false;
                                  self->request_ = {}; // may be large
                                  self->written_bytes_ = 0;
+                                 if (error && !is_replaced)
+                                     self->reset_under_write_ = error != asio::error::broken_pipe;
                                  // A server may send its response and close before it has read the
                                  // whole request, so a pending read decides the outcome. Without
                                  // one, the error is reported here.
@@ -324,7 +327,7 @@
         return parse();
     }
     boost::beast::error_code parse_error;
-    const bool closed_by_server = error == asio::error::eof;
+    const bool closed_by_server = error == asio::error::eof && !reset_under_write_;
     if (closed_by_server && head_delivered_ && parser_->framing() == body_framing::until_close)
     {
         parser_->feed_eof(parse_error);
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -184,6 +184,10 @@
     bool paused_ = false;
     bool reads_once_ = false; // although paused
     bool writing_ = false;
+    // The connection was reset before the server had ended its response. The system reports a reset
+    // once: if a write receives it, the next read finds the end of the stream. After an end in
+    // order a write fails with broken_pipe.
+    bool reset_under_write_ = false;
     bool server_will_close_ = false;
     time_point idle_since_{};
     milliseconds idle_timeout_ = default_idle_timeout;
--- a/tests/unit/edge_complete_response_test.cpp
+++ b/tests/unit/edge_complete_response_test.cpp
@@ -1,11 +1,14 @@
 // Responses that end early: a client is told that a response is complete only if its endpoint has
 // said so, or lives on after it has closed the connection that ends a response without a length.
+#include "raw_socket.h"
 #include "serving_fixture.h"
 
 #include <criterion/criterion.h>
 
 using namespace serving;
 using web::json::value;
+using zinnianotch::test::raw_listener;
+using zinnianotch::test::raw_socket;
 
 namespace
 {
@@ -77,6 +80,50 @@
     }
 };
 
+// The only endpoint of each service answers before it has read a request, and resets the
+// connection.
+struct resetting_deployment : deployment
+{
+    raw_listener listener;
+
+    resetting_deployment()
+    {
+        constexpr std::uint64_t body_bytes_max = 32 * 1024 * 1024;
+        client_limits["max_body_bytes"] = value::number(body_bytes_max);
+        add_stage();
+        for (const std::string service : {"plain", "engines", "encoders"})
+            publish_address(service, "resetting-" + service, address(), "dom-a");
+        configure(1);
+        add_vm();
+        cr_assert(run_until([&] { return is_ready(0) && vm(0).known_endpoints() >= 3; }));
+    }
+
+    std::string address() const
+    {
+        return std::string(loopback) + ":" + std::to_string(listener.port());
+    }
+
+    // Uploads more than the buffers of a connection hold, resets the connection this long after
+    // `part` of the response, and returns the client's side.
+    std::unique_ptr<client_exchange> upload(const std::string& path, const std::string& part,
+                                            milliseconds delay)
+    {
+        constexpr std::size_t body_bytes = 24 * 1024 * 1024;
+        constexpr milliseconds write_time{100};
+        auto exchange =
+            start_request(0, request_text("POST", path, "a1", "", std::string(body_bytes, 'x')));
+        raw_socket endpoint;
+        cr_assert(run_until([&] { return (endpoint = listener.accept(milliseconds(0))).valid(); }));
+        run_for(write_time);
+        (void)endpoint.send("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: seal\r\n\r\n" +
+                            part);
+        run_for(delay);
+        endpoint.reset();
+        cr_assert(run_until([&] { return exchange->ended(); }));
+        return exchange;
+    }
+};
+
 } // namespace
 
 // Guards against a stream that looks complete although its engine crashed between two events.
@@ -199,3 +246,55 @@
             ending_deployment().check_error_after_break(status, true, delimited);
     }
 }
+
+// Guards against a part of a body that looks whole: the endpoint answers a long upload at once and
+// resets the connection while the rest of the upload is being sent.
+Test(edge_complete_response, body_reset_under_upload_caller_gets_502)
+{
+    for (const milliseconds delay : {milliseconds(0), milliseconds(5), milliseconds(50)})
+    {
+        resetting_deployment harness;
+        const auto exchange = harness.upload("/order/1", "part", delay);
+        cr_assert(exchange->done && exchange->head.status == 502, "status %d: %s",
+                  exchange->head.status, exchange->body.c_str());
+        cr_assert_not(zinnianotch::find_field(exchange->head, "Response-Seal").has_value());
+    }
+}
+
+// Guards against a stream that looks complete because it was reset between two events.
+Test(edge_complete_response, stream_reset_under_upload_breaks_off)
+{
+    for (const milliseconds delay : {milliseconds(0), milliseconds(5), milliseconds(50)})
+    {
+        resetting_deployment harness;
+        const auto exchange = harness.upload("/once/1", events_text(2), delay);
+        cr_assert(exchange->failure || exchange->head.status == 502,
+                  "the stream looks complete: %s", exchange->body.c_str());
+    }
+}
+
+// Guards against results of a stage call whose connection was reset.
+Test(edge_complete_response, stage_results_reset_are_not_used)
+{
+    resetting_deployment harness;
+    const auto exchange = harness.start_request(
+        0, request_text("POST", "/stream/1", "a1", "Pieces: 1\r\nPiece-Key: k\r\n", "x"));
+    int calls = 0;
+    const auto answer_calls = [&]
+    {
+        raw_socket endpoint = harness.listener.accept(milliseconds(0));
+        if (!endpoint.valid())
+            return exchange->ended();
+        cr_assert(harness.run_until([&] { return endpoint.is_readable(); }));
+        const std::string request = endpoint.read_until("\r\n\r\n");
+        cr_assert(request.starts_with("POST /stage-run "), "%s", request.c_str());
+        (void)endpoint.send("HTTP/1.1 200 OK\r\n\r\n{\"items\":[{\"handle\":\"" +
+                            harness.address() + "/1\"}]}");
+        endpoint.reset();
+        ++calls;
+        return exchange->ended();
+    };
+    cr_assert(harness.run_until(answer_calls));
+    cr_assert(exchange->done && exchange->head.status >= 500, "status %d", exchange->head.status);
+    cr_assert(calls > 0, "the fault was not met");
+}
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -701,6 +701,32 @@
     expect_broken_calls("HTTP/1.1 200 OK\r\nX-Note: 1\r\n Content-Length: 9\r\n\r\n{}");
 }
 
+// Guards against a part of a response that looks complete because its endpoint reset the connection
+// while the request was still being written.
+Test(http_client, body_reset_under_request_connection_broken)
+{
+    constexpr std::size_t body_bytes = 32 * 1024 * 1024;
+    constexpr int calls = 5;
+    const raw_listener listener;
+    const scripted_endpoint server(
+        [&]
+        {
+            for (int i = 0; i < calls; ++i)
+            {
+                raw_socket peer = listener.accept();
+                while (peer.valid() && peer.read_until("\r\n\r\n").empty())
+                    peer = listener.accept();
+                peer.wait_until_filled();
+                peer.send("HTTP/1.1 200 OK\r\n\r\npart of it");
+                peer.reset();
+            }
+        });
+    http_client client(listener.url());
+    for (int i = 0; i < calls; ++i)
+        expect_failure(client.send_once(post("/loan", std::string(body_bytes, 'x')), long_timeout),
+                       verdict::may_have_run, reason::connection_broken);
+}
+
 // Guards against a stream that is received faster than its lines are handled.
 Test(http_client, stream_slow_handler_endpoint_is_paused)
 {
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -133,6 +133,24 @@
         return out;
     }
 
+    // Waits until no more bytes arrive, as when the peer has filled the buffers of the connection;
+    // returns false on timeout.
+    bool wait_until_filled() const
+    {
+        constexpr int unchanged_polls = 10;
+        int waiting_bytes = -1;
+        int unchanged = 0;
+        const auto is_filled = [&]
+        {
+            int now_waiting = 0;
+            (void)::ioctl(descriptor_, FIONREAD, &now_waiting);
+            unchanged = now_waiting == waiting_bytes ? unchanged + 1 : 0;
+            waiting_bytes = now_waiting;
+            return unchanged >= unchanged_polls;
+        };
+        return eventually(is_filled);
+    }
+
     // Reads until the connection ends or test_timeout has elapsed; disconnected() tells which.
     std::string read_to_end() { return read_until({}); }
     // True if the last read found the connection closed or reset by the peer.
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -109,6 +109,18 @@
         cr_assert(run_until([&] { return response.body == "whole"; }));
         return server;
     }
+    // Accepts the connection of a request that does not fit the buffers of the connection, and
+    // reads none of it.
+    raw_socket accept_large_request()
+    {
+        constexpr std::size_t body_bytes = 32 * 1024 * 1024;
+        constexpr milliseconds write_time{50};
+        send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+             std::string(body_bytes, 'x'));
+        raw_socket server = accept();
+        cr_assert(waits_for(write_time));
+        return server;
+    }
 };
 
 // Sends a request to a server that answers with the bytes, in pieces of the given size, and keeps
@@ -457,3 +469,42 @@
                      std::string(body) + "\r\n1\r\n \r\n0\r\nX-Note: 1\r\n\r\n",
                  std::string(body) + " ");
 }
+
+// Guards against a part of a response that looks complete: its server resets the connection while
+// the request is still being written, and the reset is reported to the write.
+Test(upstream, response_without_length_reset_under_request_is_broken)
+{
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n"})
+    {
+        for (const milliseconds delay : {milliseconds(0), milliseconds(50)})
+        {
+            pool_of_raw_server harness;
+            raw_socket server = harness.accept_large_request();
+            (void)server.send(head + "part");
+            (void)harness.waits_for(delay);
+            server.reset();
+            cr_assert(harness.ends());
+            cr_assert(harness.response.failure.has_value(), "complete: %s",
+                      harness.response.body.c_str());
+        }
+    }
+}
+
+// Guards against a complete response that is broken because its server, which has ended it in
+// order, does not read the rest of the request.
+Test(upstream, response_without_length_ended_before_reset_under_request_is_complete)
+{
+    for (const bool resets : {false, true})
+    {
+        pool_of_raw_server harness;
+        raw_socket server = harness.accept_large_request();
+        (void)server.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+        server.shutdown_send();
+        if (resets)
+            server.reset();
+        cr_assert(harness.ends());
+        cr_assert(harness.response.done && harness.response.body == "whole");
+    }
+}
