Share the deployment of four endpoints among tests

Ruled out: the deployments of other tests, whose endpoints differ. Change: four_endpoint_deployment in the fixture. No check changes.

--- a/tests/unit/edge_complete_response_test.cpp
+++ b/tests/unit/edge_complete_response_test.cpp
@@ -13,27 +13,15 @@
 namespace
 {
 
-struct ending_deployment : deployment
+struct ending_deployment : four_endpoint_deployment
 {
-    fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
-    fake_endpoint& plain_2 = add_endpoint("plain", "plain-2");
-    fake_endpoint& engine_1 = add_endpoint("engines", "engine-1");
-    fake_endpoint& engine_2 = add_endpoint("engines", "engine-2");
-
     ending_deployment()
     {
         for (fake_endpoint* endpoint : {&plain_1, &plain_2, &engine_1, &engine_2})
             endpoint->close_delimited = true;
-        engine_1.event_count = 5;
-        engine_2.event_count = 5;
     }
 
-    void start()
-    {
-        configure(1);
-        add_vm();
-        cr_assert(run_until([&] { return is_ready(0) && vm(0).known_endpoints() >= 4; }));
-    }
+    void start() { cr_assert(four_endpoint_deployment::start()); }
 
     // Sends requests to the path until the endpoint has crashed; returns the exchange during which
     // it did.
--- a/tests/unit/edge_faulty_endpoint_test.cpp
+++ b/tests/unit/edge_faulty_endpoint_test.cpp
@@ -17,21 +17,12 @@
 // Time within which a client gets a response from another endpoint, well below the deadline of 5 s.
 constexpr milliseconds recovery_bound{3000};
 
-struct faulty_deployment : deployment
+struct faulty_deployment : four_endpoint_deployment
 {
-    fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
-    fake_endpoint& plain_2 = add_endpoint("plain", "plain-2");
-    fake_endpoint& engine_1 = add_endpoint("engines", "engine-1");
-    fake_endpoint& engine_2 = add_endpoint("engines", "engine-2");
-
     void start()
     {
-        engine_1.event_count = 5;
-        engine_2.event_count = 5;
         routes["/stream/"]["attempts"] = value::number(4);
-        configure(1);
-        add_vm();
-        cr_assert(run_until([&] { return is_ready(0) && vm(0).known_endpoints() >= 4; }));
+        cr_assert(four_endpoint_deployment::start());
     }
 
     // Sends requests to the path until both endpoints of its service have got one, the first of
--- a/tests/unit/edge_invalid_response_test.cpp
+++ b/tests/unit/edge_invalid_response_test.cpp
@@ -36,21 +36,9 @@
     {"200", "X-Note:\r\n more: 2\r\n"},
     {"200", "X-Note: 1\r\n Content-Length: 1000\r\n", true}};
 
-struct invalid_response_deployment : deployment
+struct invalid_response_deployment : four_endpoint_deployment
 {
-    fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
-    fake_endpoint& plain_2 = add_endpoint("plain", "plain-2");
-    fake_endpoint& engine_1 = add_endpoint("engines", "engine-1");
-    fake_endpoint& engine_2 = add_endpoint("engines", "engine-2");
-
-    void start()
-    {
-        engine_1.event_count = 5;
-        engine_2.event_count = 5;
-        configure(1);
-        add_vm();
-        cr_assert(run_until([&] { return is_ready(0) && vm(0).known_endpoints() >= 4; }));
-    }
+    void start() { cr_assert(four_endpoint_deployment::start()); }
 
     static void set_head(fake_endpoint& endpoint, const invalid_head& head)
     {
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -1078,4 +1078,18 @@
     (void)run_until([] { return false; }, time);
 }
 
+four_endpoint_deployment::four_endpoint_deployment()
+{
+    engine_1.event_count = 5;
+    engine_2.event_count = 5;
+}
+
+bool four_endpoint_deployment::start()
+{
+    constexpr std::size_t endpoint_count = 4;
+    configure(1);
+    add_vm();
+    return run_until([&] { return is_ready(0) && vm(0).known_endpoints() >= endpoint_count; });
+}
+
 } // namespace serving
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -414,6 +414,20 @@
     std::vector<std::unique_ptr<zinnianotch::edge<zinnianotch::platform::codec>>> vms_;
 };
 
+// Two endpoints of the plain service, and two engines that send five events.
+struct four_endpoint_deployment : deployment
+{
+    four_endpoint_deployment();
+    // Writes the desired state and adds a VM. False if that does not become ready with all
+    // endpoints.
+    bool start();
+
+    fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
+    fake_endpoint& plain_2 = add_endpoint("plain", "plain-2");
+    fake_endpoint& engine_1 = add_endpoint("engines", "engine-1");
+    fake_endpoint& engine_2 = add_endpoint("engines", "engine-2");
+};
+
 web::json::value route(const std::string& kind, const std::string& service);
 
 } // namespace serving
--- a/tests/unit/upstream_test.cpp
+++ b/tests/unit/upstream_test.cpp
@@ -435,9 +435,8 @@
           std::string(": 1"), std::string("no field"), std::string(" X-Note: 1"),
           std::string("X-Note: 1\001"), std::string("X-Note: 1\r2")})
     {
-        const std::string length = "Content-Length: 5\r\n";
-        expect_invalid("HTTP/1.1 200 OK\r\n" + line + "\r\n" + length + "\r\nwhole");
-        expect_invalid("HTTP/1.1 200 OK\r\n" + length + line + "\r\n\r\nwhole");
+        expect_invalid("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 5\r\n\r\nwhole");
+        expect_invalid("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line + "\r\n\r\nwhole");
         expect_invalid("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" +
                        line + "\r\n\r\n");
     }
