--- a/packages/transport/message_parser.cpp
+++ b/packages/transport/message_parser.cpp
@@ -64,7 +64,7 @@
 {
     this->header_limit(header_limit);
     this->body_limit(body_limit);
-    // Each call of put() consumes lines of the head or of the trailer, or a part of the body.
+    // Keeps apart what calls of put() consume: lines of the head or the trailer, or the body.
     this->eager(false);
 }
 
--- a/packages/transport/upstream.cpp
+++ b/packages/transport/upstream.cpp
@@ -292,16 +292,21 @@
                                  self->request_ = {}; // may be large
                                  self->written_bytes_ = 0;
                                  if (error && !is_replaced)
-                                     self->reset_under_write_ = error != asio::error::broken_pipe;
-                                 // A server may send its response and close before it has read the
-                                 // whole request, so a pending read decides the outcome. Without
-                                 // one, the error is reported here.
-                                 if (error && !is_replaced && !self->reading_ && !self->closed_ &&
-                                     self->connect_purpose_ == connect_purpose::send_request)
-                                     self->on_broken(steady_clock::now());
+                                     self->on_write_failed(error);
                              });
 }
 
+void upstream_connection::on_write_failed(const boost::system::error_code& error)
+{
+    // The system reports a reset once. If a write receives it, the next read finds the end of the
+    // stream. After an end in order, a write fails with broken_pipe instead.
+    reset_under_write_ = error != asio::error::broken_pipe;
+    // A server may send its response and close before it has read the whole request, so a pending
+    // read decides the outcome. Without one, the error is reported here.
+    if (!reading_ && !closed_ && connect_purpose_ == connect_purpose::send_request)
+        on_broken(steady_clock::now());
+}
+
 void upstream_connection::read()
 {
     if (reading_ || closed_ || (paused_ && !reads_once_))
--- a/packages/transport/upstream.h
+++ b/packages/transport/upstream.h
@@ -147,6 +147,7 @@
     void on_connect_failed(std::uint64_t attempt, const boost::system::error_code& error);
     void write();
     void write_some();
+    void on_write_failed(const boost::system::error_code& error);
     void read();
     void on_read(const boost::system::error_code& error, std::size_t count);
     void parse();
@@ -184,10 +185,7 @@
     bool paused_ = false;
     bool reads_once_ = false; // although paused
     bool writing_ = false;
-    // The connection was reset before the server had ended its response. The system reports a reset
-    // once: if a write receives it, the next read finds the end of the stream. After an end in
-    // order a write fails with broken_pipe.
-    bool reset_under_write_ = false;
+    bool reset_under_write_ = false; // before the server had ended its response
     bool server_will_close_ = false;
     time_point idle_since_{};
     milliseconds idle_timeout_ = default_idle_timeout;
