--- a/review/rig-3/crash_part.cpp
+++ b/review/rig-3/crash_part.cc
@@ -1,9 +1,6 @@
-// Requests with one part of their prompt crash each engine that begins to write an answer on it: the
-// process ends 78 ms after the head, when three events are out.
-//
-// VARIANT=parts: at once after the head, and the part is the last of 24 shared ones.
-// VARIANT=head: 900 ms after the head, with the first event, which does not get out any more.
-#include "rig.h"
+// Requests with one part of their prompt crash each engine that begins to write an answer on it:
+// the process ends 78 ms after the head, when three events are out.
+#include "rig.hpp"
 
 using namespace rig;
 
@@ -15,7 +12,9 @@
 constexpr std::int64_t engine_down_ms = 2500;
 constexpr std::int64_t play_ms = 40'000;
 constexpr std::int64_t crashing_interval_ms = 900;
+constexpr int shared_parts = 4;
 constexpr int stream_events = 8;
+constexpr int events_before_crash = 3;
 constexpr std::int64_t event_ms = 26;
 constexpr int allowed_arrivals = 3;
 
@@ -42,11 +41,6 @@
 int main(int argc, char** argv)
 {
     script own(argc, argv);
-    const char* const given = std::getenv("VARIANT");
-    const std::string variant = given != nullptr ? given : "events";
-    const int shared_parts = variant == "parts" ? 24 : 4;
-    const int events_before_crash = variant == "events" ? 3 : 0;
-    const std::int64_t head_to_event_ms = variant == "head" ? 900 : 20;
     store table;
     std::mutex mutex;
     std::vector<std::int64_t> crashes;
@@ -83,7 +77,6 @@
                                   "\r\nContent-Type: text/event-stream\r\n"
                                   "Transfer-Encoding: chunked\r\n\r\n"))
                     return false;
-                sleep_ms(head_to_event_ms);
                 for (int event = 1; event <= (crashes_now ? events_before_crash : stream_events);
                      ++event)
                 {
@@ -107,9 +100,9 @@
     const auto list = [&](std::size_t i)
     {
         const engine& each = *engines[i];
-        table.put("servers", each.id,
-                  server_entry("pool", each.listener->address(), zones[i % 3], 64, "ready",
-                               each.born));
+        table.put(
+            "servers", each.id,
+            server_entry("pool", each.listener->address(), zones[i % 3], 64, "ready", each.born));
     };
     for (std::size_t i = 0; i < engines.size(); ++i)
         list(i);
@@ -131,7 +124,8 @@
             else if (p == shared_parts - 1)
                 std::snprintf(part, sizeof part, "900d%04x:40,", static_cast<unsigned>(n % 40));
             else
-                std::snprintf(part, sizeof part, "%08x:40,", 0xa0000000U + static_cast<unsigned>(p));
+                std::snprintf(part, sizeof part, "%08x:40,",
+                              0xa0000000U + static_cast<unsigned>(p));
             prefix += part;
         }
         char last[32];
@@ -200,8 +194,9 @@
            crashes.size(), arrivals.size(), refused.load(), sound_sent.load(),
            sound_answered.load(), sound_cut.load());
     finish(late > allowed_arrivals,
-           std::to_string(late) + " requests with the crashing part reached engines later than "
-                                  "contact_ms after the fifth crash (3 are allowed); crashes " +
+           std::to_string(late) +
+               " requests with the crashing part reached engines later than "
+               "contact_ms after the fifth crash (3 are allowed); crashes " +
                std::to_string(crashes.size()) + ", sound requests cut off " +
                std::to_string(sound_cut.load()));
 }
--- a/review/rig-3/leaving_engine.cpp
+++ b/review/rig-3/leaving_engine.cc
@@ -1,7 +1,7 @@
-// One VM loses the store for a second. Just after it is back, an engine leaves as some engines do: its
-// entry is removed, and it serves on for a while. Another VM, which nothing has happened to, goes on
-// sending requests to it.
-#include "rig.h"
+// One VM loses the store for a second. Just after it is back, an engine leaves as some engines do:
+// its entry is removed, and it serves on for a while. Another VM, which nothing has happened to,
+// goes on sending requests to it.
+#include "rig.hpp"
 
 using namespace rig;
 
--- a/review/rig-3/part_row.cpp
+++ b/review/rig-3/part_row.cc
@@ -1,5 +1,5 @@
 // A row of another part of the table op has the key of the desired state.
-#include "rig.h"
+#include "rig.hpp"
 
 using namespace rig;
 
@@ -39,10 +39,9 @@
                 RECORD("engine of %s runs %s %s, tenant %s", service, attempt.c_str(),
                        request.target().c_str(), request.field("Tenant").c_str());
                 run_by_rehearsal += is_rehearsal ? 1 : 0;
-                return client.write(response_text(200,
-                                                  "Attempt-Id: " + attempt +
-                                                      "\r\nResponse-Seal: s." + attempt + "\r\n",
-                                                  service));
+                return client.write(response_text(
+                    200, "Attempt-Id: " + attempt + "\r\nResponse-Seal: s." + attempt + "\r\n",
+                    service));
             });
     };
     const auto circulation = make("circulation", false);
--- a/review/rig-3/slow_engine.cpp
+++ b/review/rig-3/slow_engine.cc
@@ -1,6 +1,6 @@
 // One of six engines works five times as long as usual for a while. Like some engines, it does not
 // drop a request when its channel closes.
-#include "rig.h"
+#include "rig.hpp"
 
 using namespace rig;
 
