Review: case 14, VMs that never finish reading a burst of desired states

A burst of 25 desired states with 2,001 routes each, 60 ms apart, at three VMs whose links to the store have 10 Mbit/s. Each VM ends its call for the changes although they are arriving (response_max_extension), drops them and asks for the same again, so none ever follows.

The store of the stand-ins can now return each change of a row, with a history of limited time, and a link of limited speed was added.

--- a/review/rig-3/rig.hpp
+++ b/review/rig-3/rig.hpp
@@ -23,6 +23,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <ctime>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -409,6 +410,83 @@
     std::set<int> open_;
 };
 
+// A link of limited speed from the store to one machine.
+class narrow_link
+{
+public:
+    narrow_link(std::uint16_t to, double mbps) : to_(to), bytes_per_ms_(mbps * 125.0)
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+            ::listen(listener_, 64) != 0 ||
+            ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+            cannot_run("no port for a link");
+        port_ = ntohs(address.sin_port);
+        std::thread([this] { accept(); }).detach();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+private:
+    void accept()
+    {
+        for (;;)
+        {
+            const int client = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            if (client < 0)
+                continue;
+            const auto near = std::make_shared<channel>(client);
+            const auto far = std::make_shared<channel>();
+            if (!far->connect(to_))
+                continue;
+            const int one = 1;
+            ::setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+            std::thread([this, near, far] { pass(*near, *far, false); }).detach();
+            std::thread([this, near, far] { pass(*far, *near, true); }).detach();
+        }
+    }
+    // All connections share the link, piece by piece.
+    void pass(channel& from, channel& to, bool is_limited)
+    {
+        char bytes[4096];
+        for (;;)
+        {
+            const ssize_t count = ::recv(from.fd(), bytes, sizeof bytes, 0);
+            if (count <= 0)
+                break;
+            if (is_limited)
+                wait_turn(static_cast<std::size_t>(count));
+            if (!to.write(std::string(bytes, static_cast<std::size_t>(count))))
+                break;
+        }
+        ::shutdown(to.fd(), SHUT_RDWR);
+        ::shutdown(from.fd(), SHUT_RDWR);
+    }
+    void wait_turn(std::size_t bytes)
+    {
+        clock_type::time_point until;
+        {
+            const std::lock_guard lock(mutex_);
+            until = std::max(free_at_, clock_type::now());
+            until += std::chrono::nanoseconds(
+                static_cast<std::int64_t>(static_cast<double>(bytes) / bytes_per_ms_ * 1e6));
+            free_at_ = until;
+        }
+        std::this_thread::sleep_until(until);
+    }
+
+    std::uint16_t to_;
+    double bytes_per_ms_;
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::mutex mutex_;
+    clock_type::time_point free_at_{};
+};
+
 inline std::string base64(const std::string& text)
 {
     static const char* digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -447,12 +525,20 @@
     }
 
     std::string address() const { return server_.address(); }
+    std::uint16_t port() const { return server_.port(); }
     // Another address of the same store, for one machine that is to lose it for a while.
     std::string other_address() const { return other_server_.address(); }
     void cut_other() { other_server_.stop(); }
     void restore_other() { other_server_.start_again(); }
     // When a change of this table was first asked for at the other address after restore_other().
     std::atomic<std::int64_t> other_asked_at{-1};
+    // From now on /rows-feed returns each change of a row, for the given time.
+    void keep_history(std::int64_t history_ms)
+    {
+        const std::lock_guard lock(mutex_);
+        history_ms_ = history_ms;
+        history_from_ = version_;
+    }
 
     // As the operator or an engine writes; returns when it is acknowledged.
     void put(const std::string& table, const std::string& key, const std::string& value,
@@ -498,7 +584,7 @@
              const std::string& part = {})
     {
         rows_[{table, part, key}] = {value, ++version_, false};
-        changed_.notify_all();
+        note_change({table, part, key});
     }
     void unset(const std::string& table, const std::string& key)
     {
@@ -506,8 +592,24 @@
         if (found == rows_.end() || found->second.deleted)
             return;
         found->second = {"", ++version_, true};
+        note_change(found->first);
+    }
+    void note_change(const row_name& name)
+    {
+        if (history_ms_ > 0)
+            history_.push_back({version_, now_ms(), name.table, encode(name, rows_[name])});
         changed_.notify_all();
     }
+    // Forgets changes whose time is up. False if some after this version are forgotten.
+    bool has_history_after(std::uint64_t version)
+    {
+        while (!history_.empty() && now_ms() - history_.front().at > history_ms_)
+        {
+            history_from_ = history_.front().version;
+            history_.pop_front();
+        }
+        return history_ms_ == 0 || version >= history_from_;
+    }
     static std::string parameter(const std::string& target, const std::string& name)
     {
         const auto query = target.find('?');
@@ -557,6 +659,14 @@
     }
     std::string changes(const std::string& table, std::uint64_t after)
     {
+        if (history_ms_ > 0)
+        {
+            std::string rows;
+            for (const change& each : history_)
+                if (each.table == table && each.version > after)
+                    rows += (rows.empty() ? "" : ",") + each.text;
+            return rows;
+        }
         std::map<std::uint64_t, std::string> ordered;
         for (const auto& [name, each] : rows_)
             if (name.table == table && each.version > after)
@@ -589,8 +699,17 @@
             const std::uint64_t after = std::stoull(parameter(target, "after"));
             const milliseconds wait(std::stoll(parameter(target, "wait_ms")));
             std::unique_lock lock(mutex_);
+            if (!has_history_after(after))
+            {
+                RECORD("store: changes of %s after version %llu are forgotten", table.c_str(),
+                       static_cast<unsigned long long>(after));
+                return client.write(response_text(410, "", "{}"));
+            }
             changed_.wait_for(lock, wait, [&] { return !changes(table, after).empty(); });
             body = "{\"rows\":[" + changes(table, after) + "]," + tail();
+            if (history_ms_ > 0 && table == "op")
+                RECORD("store: changes of op after version %llu, %zu bytes",
+                       static_cast<unsigned long long>(after), body.size());
         }
         else if (path == "/rows-tx")
         {
@@ -633,10 +752,21 @@
             unset(removed_tables[i], removed_keys[i]);
     }
 
+    struct change
+    {
+        std::uint64_t version = 0;
+        std::int64_t at = 0;
+        std::string table;
+        std::string text;
+    };
+
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<row_name, row> rows_;
     std::uint64_t version_ = 0;
+    std::int64_t history_ms_ = 0; // 0: only the last change of each row is kept, without end
+    std::deque<change> history_;
+    std::uint64_t history_from_ = 0; // changes up to this version are forgotten
     server server_;
     server other_server_;
 };
@@ -843,11 +973,19 @@
     // Starts the VMs vm-0, vm-1 and so on; with `outputs`, their standard output goes there.
     void start_vms(const std::vector<std::string>& zones, const std::string& store_address,
                    const std::vector<int>& outputs = {})
+    {
+        start_vms(zones, std::vector<std::string>(zones.size(), store_address),
+                  "  memory_mb: 260\n", outputs);
+    }
+    // The same with an address of the store for each.
+    void start_vms(const std::vector<std::string>& zones,
+                   const std::vector<std::string>& store_addresses,
+                   const std::string& more_settings, const std::vector<int>& outputs = {})
     {
         for (std::size_t i = 0; i < zones.size(); ++i)
         {
-            vms.push_back(std::make_unique<vm>("vm-" + std::to_string(i), zones[i], store_address,
-                                               folder, program, "  memory_mb: 260\n"));
+            vms.push_back(std::make_unique<vm>("vm-" + std::to_string(i), zones[i],
+                                               store_addresses[i], folder, program, more_settings));
             running_vms().push_back(vms.back().get());
             vms.back()->start(outputs.empty() ? -1 : outputs[i]);
         }
