Delay removals of endpoints after outages of the store only

Cause: an outage of one VM's connection was taken for one of the store. A VM took over the time at which any VM that answered with news had regained the store, and passed it on; until lapse_grace after it, removed entries counted as lapsed. A VM that had lost only its own connection delayed removals as well, up to 3.9 s after the cut, though it counts as in touch 3 s after. judge_unconfirmed_end and the stages used that time too. Ruled out: ignoring other VMs' times (VMs that do not read the store would drop all endpoints after an outage; edge_relay/entries_lapse_* has that); taking removals recorded after the return for certain (an entry lapses three check-in intervals after its last write, so also after the return); a shorter grace. The hold of records after a restored store has the same length but its remaining time travels, and is never extended. Change: state/table_outage. VMs that read the store announce for how long they have done so without a failed call. An outage begins when neither this VM nor one that it hears from reads the endpoints, and it has ended at the earliest time since which one of them does. endpoint_lapsed logs the time since the outage.

--- a/packages/coordination/edge.h
+++ b/packages/coordination/edge.h
@@ -21,6 +21,7 @@
 #include "state/stage_times.h"
 #include "state/state_source.h"
 #include "state/stop_schedule.h"
+#include "state/table_outage.h"
 #include "state/verdict.h"
 #include "state/work_book.h"
 #include "transport/memory_account.h"
@@ -148,7 +149,9 @@
     void drop_endpoint(const std::string& id, time_point now);
     void on_endpoint_notice(known_endpoint& endpoint, const endpoint_answer& answer,
                             time_point sent_at, time_point now);
-    time_point store_regained_at() const;
+    void update_endpoints_outage(time_point now);
+    // True shortly after an outage of the store: an entry that is missing may return.
+    bool may_have_lapsed(time_point now) const;
     void remove_lapsed_endpoints(time_point now);
     void apply_endpoint(const state_record& record, bool is_snapshot, time_point now);
     void refresh_stages();
@@ -246,7 +249,7 @@
     bool has_followers_ = false; // VMs of the domain that are not relays take the state from here
     table_copies noticed_copies_;
     time_point noticed_at_{};
-    time_point endpoints_regained_at_{}; // by the VMs that this one takes the state from
+    table_outage endpoints_outage_;
     std::unique_ptr<server_listener> callers_;
     std::unique_ptr<server_listener> readiness_;
     std::unique_ptr<server_listener> metrics_listener_;
@@ -255,7 +258,7 @@
     std::unique_ptr<state_follower<Codec>> vms_follower_;
     std::shared_ptr<const serving_state> state_;
     time_point state_since_{};
-    std::map<std::string, time_point> lapsed_endpoints_; // id: time of removal
+    std::map<std::string, time_point> lapsed_endpoints_; // id: latest time of removal
     std::map<std::string, vm_record> known_vms_;
     // Last revision logged, by table and name; entries of deleted records are removed.
     std::map<std::pair<state_table, std::string>, std::uint64_t> logged_bad_records_;
--- a/packages/coordination/edge_impl.h
+++ b/packages/coordination/edge_impl.h
@@ -576,6 +576,7 @@
     const time_point now = steady_clock::now();
     ++ticks_;
     check_pause(now);
+    update_endpoints_outage(now);
     desired_follower_->tick(now);
     endpoints_follower_->tick(now);
     vms_follower_->tick(now);
--- a/packages/coordination/edge_response_impl.h
+++ b/packages/coordination/edge_response_impl.h
@@ -333,8 +333,8 @@
     known.announced_at = endpoint_->announced_at;
     known.withdrawn_at = endpoint_->withdrawn_at;
     known.replaced = endpoint_->replaced;
-    known.is_list_current = owner_.is_current(state_table::endpoints, now) &&
-                            now >= owner_.store_regained_at() + lapse_grace;
+    known.is_list_current =
+        owner_.is_current(state_table::endpoints, now) && !owner_.may_have_lapsed(now);
     known.others_broke = end.follows_break || endpoint_->broken_exchanges != end.broken_exchanges;
     const response_end judged = judge_response_end(known, now);
     if (judged == response_end::undecided)
--- a/packages/coordination/edge_state_impl.h
+++ b/packages/coordination/edge_state_impl.h
@@ -133,33 +133,48 @@
     boost::asio::post(io_, [this] { refresh_stages(); });
 }
 
-// When the endpoints could be read again after an outage of the store, by this VM or by the one
-// that it takes the state from.
 template <typename Codec>
-time_point edge<Codec>::store_regained_at() const
+void edge<Codec>::update_endpoints_outage(time_point now)
 {
-    return std::max(endpoints_follower_->regained_at(), endpoints_regained_at_);
+    // After a pause, nothing tells whether the store was away meanwhile.
+    if (paused_until_)
+        return;
+    constexpr state_table table = state_table::endpoints;
+    const std::uint64_t era = replica(table).position().era;
+    const bool is_current = follower(table).in_sync() || sources_.is_covered(table, era, now);
+    endpoints_outage_.update(is_current, sources_.in_sync_since(table, era, now), now);
+}
+
+template <typename Codec>
+bool edge<Codec>::may_have_lapsed(time_point now) const
+{
+    return now < endpoints_outage_.ended_at(now) + lapse_grace;
 }
 
-// Removes an endpoint whose entry is gone. Shortly after a store outage the removal is delayed by
-// lapse_grace, since the entry may only have lapsed.
+// Removes an endpoint whose entry is gone, unless the entry may have lapsed: then it is removed
+// when it has not returned in time, or as soon as another VM has told that the store was not away.
 template <typename Codec>
 void edge<Codec>::drop_endpoint(const std::string& id, time_point now)
 {
-    const time_point until = store_regained_at() + lapse_grace;
-    if (now >= until)
+    if (!may_have_lapsed(now))
         return endpoints_.remove(id, now);
-    if (lapsed_endpoints_.emplace(id, until).second)
-        log_event(log_level::info, "endpoint_lapsed", {{"endpoint", id}});
+    const time_point outage_end = endpoints_outage_.ended_at(now);
+    if (lapsed_endpoints_.emplace(id, outage_end + lapse_grace).second)
+        log_event(
+            log_level::info, "endpoint_lapsed",
+            {{"endpoint", id},
+             {"since_outage_ms", edge_detail::milliseconds_text(
+                                     std::chrono::duration_cast<milliseconds>(now - outage_end))}});
 }
 
 template <typename Codec>
 void edge<Codec>::remove_lapsed_endpoints(time_point now)
 {
+    const bool may_return = may_have_lapsed(now);
     const auto due = std::erase_if(lapsed_endpoints_,
                                    [&](const auto& entry)
                                    {
-                                       if (now < entry.second)
+                                       if (may_return && now < entry.second)
                                            return false;
                                        endpoints_.remove(entry.first, now);
                                        return true;
@@ -341,8 +356,9 @@
     answer.table = query.table;
     answer.loaded = copy.loaded();
     answer.update = copy.changes_since(query.position);
-    if (store_regained_at() != time_point{})
-        answer.regained_ago = edge_detail::since(store_regained_at(), steady_clock::now());
+    const time_point now = steady_clock::now();
+    if (const time_point outage_end = endpoints_outage_.ended_at(now); outage_end != time_point{})
+        answer.regained_ago = edge_detail::since(outage_end, now);
     from->send(answer);
 }
 
@@ -405,9 +421,8 @@
     if (!answer.loaded)
         return;
     if (answer.table == state_table::endpoints && answer.regained_ago &&
-        (!replica(answer.table).loaded() || answer.update.position > before))
-        endpoints_regained_at_ =
-            std::max(endpoints_regained_at_, steady_clock::now() - *answer.regained_ago);
+        !replica(answer.table).loaded())
+        endpoints_outage_.on_first_copy(steady_clock::now() - *answer.regained_ago);
     if (!apply_update(answer.table, answer.update))
         return;
     const store_position& position = answer.update.position;
@@ -449,8 +464,14 @@
 table_copy edge<Codec>::copy_of(state_table table, time_point now)
 {
     const replica_type& own = replica(table);
-    return {own.loaded(), follower(table).in_sync_at(now), own.position(), own.digest(),
-            own.held_digest()};
+    const state_follower<Codec>& from = follower(table);
+    const bool is_in_sync = from.in_sync_at(now);
+    return {own.loaded(),
+            is_in_sync,
+            own.position(),
+            own.digest(),
+            own.held_digest(),
+            is_in_sync ? edge_detail::since(from.in_sync_since(), now) : milliseconds(0)};
 }
 
 template <typename Codec>
--- a/packages/coordination/state_follower.h
+++ b/packages/coordination/state_follower.h
@@ -91,8 +91,8 @@
     // As above, and the call in progress has not timed out: false when the process was paused for
     // longer than that.
     bool in_sync_at(time_point now) const;
-    // When the store answered again after it had been lost; the epoch if it was never lost.
-    time_point regained_at() const { return regained_at_; }
+    // With in_sync(): since when all calls have succeeded, in one era of the store.
+    time_point in_sync_since() const { return in_sync_since_; }
     // When the store last answered a call; the epoch if it never did.
     time_point last_response_at() const { return last_response_at_; }
     // Skips the listing: the table was obtained elsewhere at this position, and changes are
@@ -138,7 +138,7 @@
     time_point next_call_at_{};
     time_point call_deadline_{};
     time_point last_call_deadline_{}; // of a call whose response is arriving
-    time_point regained_at_{};
+    time_point in_sync_since_{};
     time_point last_response_at_{};
     int status_ = 0;
     std::string body_;
--- a/packages/coordination/state_follower_impl.h
+++ b/packages/coordination/state_follower_impl.h
@@ -168,8 +168,8 @@
     if (!page)
         return on_call_failed("unreadable page", now);
     last_response_at_ = now;
-    if (failures_ > 0 && loaded_)
-        regained_at_ = now;
+    if (!in_sync() || era != call_position_.era)
+        in_sync_since_ = now;
     if (failures_ > 0)
         log_event(log_level::info, "store_regained",
                   {{"table", std::string(to_string(table_))},
--- a/packages/protocol/stage.capnp
+++ b/packages/protocol/stage.capnp
@@ -87,6 +87,7 @@
   digest @3 :UInt64;
   era @4 :UInt64;
   heldDigest @5 :UInt64;
+  inSyncForMs @6 :Int32;      # without interruption
 }
 
 struct HeldRecord {
--- a/packages/protocol/stage.capnp.h
+++ b/packages/protocol/stage.capnp.h
@@ -1331,6 +1331,8 @@
 
   inline  ::uint64_t getHeldDigest() const;
 
+  inline  ::int32_t getInSyncForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1377,6 +1379,9 @@
   inline  ::uint64_t getHeldDigest();
   inline void setHeldDigest( ::uint64_t value);
 
+  inline  ::int32_t getInSyncForMs();
+  inline void setInSyncForMs( ::int32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4067,6 +4072,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int32_t TableCopy::Reader::getInSyncForMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t TableCopy::Builder::getInSyncForMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TableCopy::Builder::setInSyncForMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HeldRecord::Reader::hasRecord() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/protocol/vm_message.cpp
+++ b/packages/protocol/vm_message.cpp
@@ -242,6 +242,7 @@
             list[i].setEra(copy.position.era);
             list[i].setDigest(copy.digest);
             list[i].setHeldDigest(copy.held_digest);
+            list[i].setInSyncForMs(clamp_to_int32(copy.in_sync_for));
         }
     }
 
@@ -431,6 +432,7 @@
         copy.position = position;
         copy.digest = list[i].getDigest();
         copy.held_digest = list[i].getHeldDigest();
+        copy.in_sync_for = milliseconds(std::max(list[i].getInSyncForMs(), 0));
     }
     return message;
 }
--- a/packages/state/state_source.cpp
+++ b/packages/state/state_source.cpp
@@ -57,6 +57,22 @@
                        });
 }
 
+std::optional<time_point> state_sources::in_sync_since(state_table table, std::uint64_t era,
+                                                       time_point now) const
+{
+    std::optional<time_point> earliest;
+    for (const auto& [vm, from] : sources_)
+    {
+        const table_copy& copy = from.copies[index_of(table)];
+        if (!covers(from, table, now) || copy.position.era < era)
+            continue;
+        const time_point since = from.received_at - copy.in_sync_for;
+        if (!earliest || since < *earliest)
+            earliest = since;
+    }
+    return earliest;
+}
+
 std::optional<std::string> state_sources::next_query(state_table table, const table_copy& own,
                                                      time_point now)
 {
--- a/packages/state/state_source.h
+++ b/packages/state/state_source.h
@@ -53,6 +53,7 @@
     store_position position;       // the copy holds all changes up to this position
     std::uint64_t digest = 0;      // of all records; equal for copies with the same content
     std::uint64_t held_digest = 0; // of the records that are held; see table_replica
+    milliseconds in_sync_for{0};   // without interruption; with `in_sync`
 };
 
 // One copy for each state_table.
@@ -71,6 +72,10 @@
 
     // True while another VM keeps the table up to date from the store, in the era or a later one.
     bool is_covered(state_table table, std::uint64_t era, time_point now) const;
+    // The time since which some other VM has kept the table up to date without interruption, in the
+    // era or a later one; nothing if none does.
+    std::optional<time_point> in_sync_since(state_table table, std::uint64_t era,
+                                            time_point now) const;
     // VM to ask for the changes that it has and `own` lacks; nothing if there is none, or while a
     // query is in progress. Counts the query as sent.
     std::optional<std::string> next_query(state_table table, const table_copy& own, time_point now);
--- a/tests/unit/state_source_test.cpp
+++ b/tests/unit/state_source_test.cpp
@@ -34,6 +34,13 @@
     return {true, true, {1, revision}, digest};
 }
 
+table_copy in_sync_for(milliseconds time)
+{
+    table_copy copy = in_sync_at(5, 1);
+    copy.in_sync_for = time;
+    return copy;
+}
+
 } // namespace
 
 // Guards against small deployments in which a VM depends on another one to reach the store.
@@ -227,3 +234,28 @@
     cr_assert_not(sources.next_held_difference(table, own));
     cr_assert_not(state_sources().next_held_difference(table, own));
 }
+
+// Guards against a VM that takes another one's outage for one of the store: the VM that has read
+// the table longest counts, while its announcement is recent.
+Test(state_source, in_sync_since_several_vms_is_that_of_longest)
+{
+    state_sources sources;
+    cr_assert_not(sources.in_sync_since(table, 1, start).has_value());
+    sources.on_notice("vm-1", copies_with(in_sync_for(milliseconds(300))), start);
+    sources.on_notice("vm-2", copies_with(in_sync_for(milliseconds(9000))), start);
+    cr_assert(sources.in_sync_since(table, 1, start) == start - milliseconds(9000));
+    const time_point later = start + notice_max_age + milliseconds(1);
+    sources.on_notice("vm-1", copies_with(in_sync_for(milliseconds(1301))), later);
+    cr_assert(sources.in_sync_since(table, 1, later) == start - milliseconds(300));
+    cr_assert_not(sources.in_sync_since(table, 2, later).has_value());
+}
+
+// Guards against a VM without the store whose word on it counts.
+Test(state_source, in_sync_since_vm_that_lost_store_does_not_count)
+{
+    state_sources sources;
+    table_copy lost = in_sync_for(milliseconds(9000));
+    lost.in_sync = false;
+    sources.on_notice("vm-1", copies_with(lost), start);
+    cr_assert_not(sources.in_sync_since(table, 1, start).has_value());
+}
--- a/tests/unit/vm_message_test.cpp
+++ b/tests/unit/vm_message_test.cpp
@@ -181,12 +181,13 @@
     cr_assert(decoded.records[0].value.size() == 2 && !decoded.records[0].deleted);
 
     state_notice notice;
-    notice.copies[1] = {true, true, {4, 17}, 0xFFFFFFFFFFFFFFFFULL, 8};
+    notice.copies[1] = {true, true, {4, 17}, 0xFFFFFFFFFFFFFFFFULL, 8, milliseconds(70)};
     frame = encode_frame(notice);
     cr_assert(decode_frame(frame, message) == frame_state::complete);
     const auto& copies = std::get<state_notice>(message).copies;
     cr_assert(copies[1].in_sync && copies[1].position == (store_position{4, 17}));
     cr_assert(copies[1].held_digest == 8);
+    cr_assert(copies[1].in_sync_for == milliseconds(70));
     cr_assert(copies[1].digest == 0xFFFFFFFFFFFFFFFFULL);
     cr_assert_not(copies[0].loaded);
 
