Suspect all shared parts of a long prompt

Cause: only the first 16 parts of a broken request were kept, a bound on memory that was a bound on what may be a cause. Besides, only 64 parts of a crash could be shown sound, so that rare parts stayed suspect. Change: a request has up to 1,024 suspect parts, as many as one crash; the likeliest causes of a crash are kept. All crashes have 8,192, and 256 sound parts each. A report carries no more parts than are kept. The evaluation numbers the parts, and looks only at companions whose weights may suffice; the results are the same. Tests: edge_crashing_prompt sent requests that differed in their prompts only, so that crashing_requests held them as one request; they have different paths now, which is stricter.

--- a/packages/state/crash_suspects.cpp
+++ b/packages/state/crash_suspects.cpp
@@ -40,7 +40,7 @@
 // Exponent of the fraction of the crashes at which a part is suspect, in its rank.
 constexpr double coverage_exponent = 1.5;
 constexpr std::size_t max_holds = 64;
-constexpr std::size_t max_sound_parts = 64; // per crash
+constexpr std::size_t max_sound_parts = 256; // per crash
 constexpr std::size_t max_pending_reports = 1024;
 constexpr std::uint32_t max_probe_growth_steps = 8;
 constexpr milliseconds expiry_interval{1000};
@@ -66,11 +66,39 @@
                        [&](const std::string& part) { return contains(parts, part); });
 }
 
+// Numbers the parts of all crashes, so that each text is looked up only once.
+using part_number = std::uint32_t;
+
+class part_numbers
+{
+public:
+    part_number add(std::string_view part)
+    {
+        const auto [found, is_new] =
+            numbers_.try_emplace(part, static_cast<part_number>(names_.size()));
+        if (is_new)
+            names_.push_back(part);
+        return found->second;
+    }
+    std::size_t size() const { return names_.size(); }
+    std::string_view name(part_number part) const { return names_[part]; }
+    // VMs number parts differently, and have to agree on the order.
+    void sort_by_name(std::vector<part_number>& parts) const
+    {
+        std::sort(parts.begin(), parts.end(),
+                  [this](part_number a, part_number b) { return names_[a] < names_[b]; });
+    }
+
+private:
+    std::unordered_map<std::string_view, part_number> numbers_;
+    std::vector<std::string_view> names_;
+};
+
 // A request that may be the cause of a crash, with the parts not shown sound since.
 struct candidate
 {
-    std::vector<std::string_view> parts;
-    double share = 0.0; // of the suspicion of all candidates; their strength at first
+    std::vector<part_number> parts; // sorted
+    double share = 0.0;             // of the suspicion of all candidates; their strength at first
 };
 
 // A crash as it is evaluated.
@@ -81,13 +109,18 @@
     time_point at{};
     std::size_t cause = 0; // equal for crashes with a common cause
     std::vector<candidate> candidates;
-    double scale = 0.0;                         // largest possible weight
-    double strong_candidates = 0.0;             // number, in units of the strongest one
-    std::map<std::string_view, double> weights; // by part
-    // By part: probability that the candidates would not have it if it was not the cause.
-    std::map<std::string_view, double> absences;
-    std::vector<std::string_view> strongest_parts;
+    double scale = 0.0;                                  // largest possible weight
+    double strong_candidates = 0.0;                      // number, in units of the strongest one
+    std::vector<std::pair<part_number, double>> weights; // by part, sorted
     double unexplained = 1.0; // fraction of the weights that no held part explains
+
+    double weight(part_number part) const
+    {
+        const auto found = std::lower_bound(weights.begin(), weights.end(), part,
+                                            [](const auto& entry, part_number searched)
+                                            { return entry.first < searched; });
+        return found != weights.end() && found->first == part ? found->second : 0.0;
+    }
 };
 
 // Largest weight of a crash by the strength of its strongest candidate.
@@ -106,18 +139,35 @@
 }
 
 // Weight of the crash for requests that have all these parts.
-double joint_weight(const crash_case& of, const std::vector<std::string_view>& parts)
+double joint_weight(const crash_case& of, const std::vector<part_number>& parts)
 {
     double share = 0.0;
     for (const candidate& each : of.candidates)
     {
         if (std::all_of(parts.begin(), parts.end(),
-                        [&](std::string_view part) { return contains(each.parts, part); }))
+                        [&](part_number part)
+                        { return std::binary_search(each.parts.begin(), each.parts.end(), part); }))
             share += each.share;
     }
     return weight_of(of, share);
 }
 
+// Sorts by part and adds up the shares of each.
+void unite_shares(std::vector<std::pair<part_number, double>>& shares)
+{
+    std::stable_sort(shares.begin(), shares.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::size_t count = 0;
+    for (const auto& [part, share] : shares)
+    {
+        if (count > 0 && shares[count - 1].first == part)
+            shares[count - 1].second += share;
+        else
+            shares[count++] = {part, share};
+    }
+    shares.resize(count);
+}
+
 // Sets the shares of the candidates and the weights of their parts from their strengths.
 void assign_weights(crash_case& of)
 {
@@ -130,22 +180,27 @@
     }
     of.scale = scale_of(strongest);
     of.strong_candidates = total / strongest;
-    std::map<std::string_view, double> shares;
+    std::optional<part_number> only_strongest;
+    bool has_several_strongest = false;
     for (candidate& each : of.candidates)
     {
         const bool is_strongest = each.share == strongest;
         each.share /= total;
-        for (const std::string_view part : each.parts)
+        for (const part_number part : each.parts)
         {
-            shares[part] += each.share;
-            if (is_strongest && !contains(of.strongest_parts, part))
-                of.strongest_parts.push_back(part);
+            of.weights.emplace_back(part, each.share);
+            has_several_strongest |= is_strongest && only_strongest.value_or(part) != part;
+            if (is_strongest)
+                only_strongest = part;
         }
     }
-    for (const auto& [part, share] : shares)
-        of.weights[part] = weight_of(of, share);
-    if (of.strongest_parts.size() == 1 && strongest >= 1.0)
-        of.weights[of.strongest_parts.front()] *= sole_suspect_weight;
+    unite_shares(of.weights);
+    for (auto& [part, weight] : of.weights)
+    {
+        weight = weight_of(of, weight);
+        if (!has_several_strongest && strongest >= 1.0 && part == only_strongest)
+            weight *= sole_suspect_weight;
+    }
 }
 
 // Numbers the common causes of crashes, which are sorted by time.
@@ -181,42 +236,51 @@
     return request.progress == answer_progress::events ? several_events_weight : 1.0;
 }
 
-// Sets the absences of the parts. The requests that an engine had not begun to answer, or had been
-// answering for long, are a sample of all requests.
-void assign_absences(std::vector<crash_case>& crashes,
-                     const std::map<engine_lifetime, crash_record>& records)
+// The requests that an engine had not begun to answer, or had been answering for long: a sample of
+// all requests.
+class request_sample
 {
-    double requests = assumed_requests_with_part;
-    std::unordered_map<std::string_view, double> with_part;
-    for (const auto& [engine, record] : records)
+public:
+    void add(const std::vector<part_number>& parts)
     {
-        for (const broken_request& request : record.requests)
+        requests_ += 1.0;
+        for (const part_number part : parts)
         {
-            if (strength_of(request) >= several_events_weight)
-                continue;
-            requests += 1.0;
-            for (const std::string& part : request.parts)
-                with_part[part] += 1.0;
+            if (part >= with_part_.size())
+                with_part_.resize(part + 1);
+            with_part_[part] += 1.0;
         }
     }
-    for (crash_case& each : crashes)
+
+    // Probability that the candidates of a crash would not have a part which is not its cause.
+    double absence(const crash_case& of, part_number part) const
     {
-        for (const auto& [part, weight] : each.weights)
-        {
-            const auto found = with_part.find(part);
-            const double seen = found == with_part.end() ? 0.0 : found->second;
-            const double frequency = (seen + assumed_requests_with_part) / requests;
-            each.absences[part] = std::pow(1.0 - frequency, each.strong_candidates);
-        }
+        const double seen = part < with_part_.size() ? with_part_[part] : 0.0;
+        const double frequency = (seen + assumed_requests_with_part) / requests_;
+        return std::pow(1.0 - frequency, of.strong_candidates);
     }
-}
+
+private:
+    double requests_ = assumed_requests_with_part;
+    std::vector<double> with_part_;
+};
+
+// The crashes that have candidates, by time.
+struct crash_cases
+{
+    part_numbers parts;
+    std::vector<crash_case> list;
+    request_sample sample;
+};
 
 // Sum over the causes of the largest weight that `weight` gives to one of its crashes, and of a
 // fraction of the others: the less `part` is expected at an unrelated crash, the more these count.
 template <typename Weight>
-double sum_over_causes(const std::vector<crash_case>& crashes, std::string_view part,
+double sum_over_causes(const crash_cases& crashes, part_number part,
                        std::span<const std::size_t> indices, Weight weight)
 {
+    if (indices.size() == 1)
+        return weight(crashes.list[indices.front()]);
     struct cause_sum
     {
         double largest = 0.0;
@@ -226,9 +290,10 @@
     std::map<std::size_t, cause_sum> by_cause;
     for (const std::size_t i : indices)
     {
-        cause_sum& sum = by_cause[crashes[i].cause];
-        const double value = weight(crashes[i]);
-        const double unexpected = value * crashes[i].absences.at(part);
+        const crash_case& each = crashes.list[i];
+        cause_sum& sum = by_cause[each.cause];
+        const double value = weight(each);
+        const double unexpected = value * crashes.sample.absence(each, part);
         sum.unexpected += unexpected;
         if (value <= sum.largest)
             continue;
@@ -253,117 +318,121 @@
     return found;
 }
 
-double score_of(const std::vector<crash_case>& crashes, std::string_view part,
-                std::span<const std::size_t> indices)
+double score_of(const crash_cases& crashes, part_number part, std::span<const std::size_t> indices)
 {
     return sum_over_causes(crashes, part, indices,
-                           [&](const crash_case& of)
-                           { return of.weights.at(part) * of.unexplained; });
+                           [&](const crash_case& of) { return of.weight(part) * of.unexplained; });
 }
 
-std::vector<candidate> make_candidates(const crash_record& record)
+void add_candidates(crash_cases& crashes, const crash_record& record, crash_case& to)
 {
-    std::vector<candidate> candidates;
     for (const broken_request& request : record.requests)
     {
         candidate of;
+        of.share = strength_of(request);
+        std::vector<part_number> all;
         for (const std::string& part : request.parts)
         {
-            if (!contains(record.sound, part) && !contains(of.parts, part))
-                of.parts.emplace_back(part);
+            all.push_back(crashes.parts.add(part));
+            if (!record.sound.contains(part))
+                of.parts.push_back(all.back());
         }
+        if (of.share < several_events_weight)
+            crashes.sample.add(all);
         if (of.parts.empty())
             continue;
-        of.share = strength_of(request);
-        candidates.push_back(std::move(of));
+        std::sort(of.parts.begin(), of.parts.end());
+        of.parts.erase(std::unique(of.parts.begin(), of.parts.end()), of.parts.end());
+        to.candidates.push_back(std::move(of));
     }
-    return candidates;
 }
 
-// The crashes that have candidates, by time.
-std::vector<crash_case> make_cases(const std::map<engine_lifetime, crash_record>& records)
+crash_cases make_cases(const std::map<engine_lifetime, crash_record>& records)
 {
-    std::vector<crash_case> crashes;
+    crash_cases crashes;
     for (const auto& [engine, record] : records)
     {
         crash_case each;
         each.engine = &engine;
         each.domain = record.domain;
         each.at = record.at;
-        each.candidates = make_candidates(record);
+        add_candidates(crashes, record, each);
         if (each.candidates.empty())
             continue;
         assign_weights(each);
-        crashes.push_back(std::move(each));
+        crashes.list.push_back(std::move(each));
     }
-    std::sort(crashes.begin(), crashes.end(),
+    std::sort(crashes.list.begin(), crashes.list.end(),
               [](const crash_case& a, const crash_case& b) { return a.at < b.at; });
-    assign_causes(crashes);
-    assign_absences(crashes, records);
+    assign_causes(crashes.list);
     return crashes;
 }
 
+// By part.
 struct suspect_index
 {
-    std::map<std::string_view, std::vector<std::size_t>> crashes;    // at which a part is suspect
-    std::unordered_map<std::string_view, std::size_t> sound_crashes; // number since it was sound
+    std::vector<std::vector<std::size_t>> crashes; // at which the part is suspect
+    std::vector<double> sound_crashes;             // number since it was sound
 };
 
-suspect_index make_index(const std::vector<crash_case>& crashes,
+suspect_index make_index(crash_cases& crashes,
                          const std::map<engine_lifetime, crash_record>& records)
 {
     suspect_index index;
-    for (std::size_t i = 0; i < crashes.size(); ++i)
-    {
-        for (const auto& [part, weight] : crashes[i].weights)
-            index.crashes[part].push_back(i);
-    }
     for (const auto& [engine, record] : records)
     {
         for (const std::string& part : record.sound)
-            ++index.sound_crashes[part];
+        {
+            const part_number number = crashes.parts.add(part);
+            if (number >= index.sound_crashes.size())
+                index.sound_crashes.resize(number + 1);
+            index.sound_crashes[number] += 1.0;
+        }
+    }
+    index.sound_crashes.resize(crashes.parts.size());
+    index.crashes.resize(crashes.parts.size());
+    for (std::size_t i = 0; i < crashes.list.size(); ++i)
+    {
+        for (const auto& [part, weight] : crashes.list[i].weights)
+            index.crashes[part].push_back(i);
     }
     return index;
 }
 
 // A part that was often shown sound after a crash is rather present by chance.
-double specificity(const suspect_index& index, std::string_view part)
+double specificity(const suspect_index& index, part_number part)
 {
-    const auto suspect = static_cast<double>(index.crashes.at(part).size());
-    const auto found = index.sound_crashes.find(part);
-    const double sound =
-        found == index.sound_crashes.end() ? 0.0 : static_cast<double>(found->second);
-    return suspect / (suspect + sound_presence_factor * sound);
+    const auto suspect = static_cast<double>(index.crashes[part].size());
+    return suspect / (suspect + sound_presence_factor * index.sound_crashes[part]);
 }
 
 // A part at more of the crashes is rather the cause: one cause of all of them is more likely than
 // several.
-double coverage(const suspect_index& index, std::string_view part, std::size_t crashes)
+double coverage(const suspect_index& index, part_number part, std::size_t crashes)
 {
-    const auto suspect = static_cast<double>(index.crashes.at(part).size());
+    const auto suspect = static_cast<double>(index.crashes[part].size());
     return std::pow(suspect / static_cast<double>(crashes), coverage_exponent);
 }
 
 struct suspect_part
 {
-    std::string_view part;
+    part_number part = 0;
     double score = 0.0;
     std::vector<std::size_t> crashes; // that no held part explains
 };
 
 // The most suspect of the parts with a score of combination_threshold or more.
-std::optional<suspect_part> most_suspect(const std::vector<crash_case>& crashes,
-                                         const suspect_index& index,
-                                         const std::vector<std::string_view>& parts)
+std::optional<suspect_part> most_suspect(const crash_cases& crashes, const suspect_index& index,
+                                         const std::vector<part_number>& parts)
 {
     std::optional<suspect_part> top;
     double top_rank = 0.0;
-    for (const std::string_view part : parts)
+    for (const part_number part : parts)
     {
-        std::vector<std::size_t> left = unexplained(crashes, index.crashes.at(part));
+        std::vector<std::size_t> left = unexplained(crashes.list, index.crashes[part]);
         const double score = score_of(crashes, part, left);
         const double rank =
-            score * specificity(index, part) * coverage(index, part, crashes.size());
+            score * specificity(index, part) * coverage(index, part, crashes.list.size());
         if (score < combination_threshold || rank <= top_rank)
             continue;
         top = suspect_part{part, score, std::move(left)};
@@ -375,36 +444,46 @@
 // Parts at the crashes of a suspect part.
 struct companions
 {
-    std::vector<std::string_view> present;  // at all of its crashes, in the same requests
-    std::vector<std::string_view> frequent; // others at many of its crashes
+    std::vector<part_number> present;  // at all of its crashes, in the same requests
+    std::vector<part_number> frequent; // others at many of its crashes
 };
 
-companions find_companions(const std::vector<crash_case>& crashes, const suspect_part& top)
+companions find_companions(const crash_cases& crashes, const suspect_part& top)
 {
-    const auto joint_score = [&](const std::vector<std::string_view>& parts)
+    const auto joint_score = [&](const std::vector<part_number>& parts)
     {
         return sum_over_causes(crashes, top.part, top.crashes,
                                [&](const crash_case& of)
                                { return joint_weight(of, parts) * of.unexplained; });
     };
-    std::set<std::string_view> others;
+    const double slack = std::min(combination_slack, combination_slack_ratio * top.score);
+    const double present_min = top.score - slack;
+    const double frequent_min = ambiguity_ratio * top.score;
+
+    // No joint score of a part is above the sum of its weights, which is cheap.
+    std::vector<double> weight_sums(crashes.parts.size());
     for (const std::size_t i : top.crashes)
     {
-        for (const auto& [other, weight] : crashes[i].weights)
-            others.insert(other);
+        for (const auto& [other, weight] : crashes.list[i].weights)
+            weight_sums[other] += weight * crashes.list[i].unexplained;
     }
-    others.erase(top.part);
+    std::vector<part_number> others;
+    for (part_number other = 0; other < weight_sums.size(); ++other)
+    {
+        if (other != top.part && weight_sums[other] >= std::min(present_min, frequent_min))
+            others.push_back(other);
+    }
+    crashes.parts.sort_by_name(others);
 
-    const double slack = std::min(combination_slack, combination_slack_ratio * top.score);
-    std::vector<std::string_view> combination{top.part};
+    std::vector<part_number> combination{top.part};
     companions found;
-    for (const std::string_view other : others)
+    for (const part_number other : others)
     {
         combination.push_back(other);
-        if (joint_score(combination) > top.score - slack)
+        if (joint_score(combination) > present_min)
             continue;
         combination.pop_back();
-        if (joint_score({top.part, other}) >= ambiguity_ratio * top.score)
+        if (joint_score({top.part, other}) >= frequent_min)
             found.frequent.push_back(other);
     }
     found.present.assign(combination.begin() + 1, combination.end());
@@ -445,7 +524,8 @@
     report.sequence = next_sequence_++;
     report.engines = {engine};
     report.domain = domain;
-    report.parts = parts;
+    report.parts.assign(parts.begin(),
+                        parts.begin() + std::min(parts.size(), max_parts_per_request));
     report.progress = progress;
     report.answering_for = answering_for;
     if (add_crash(report, now))
@@ -467,7 +547,10 @@
         return;
     for (const auto& [engine, record] : crashes_)
     {
-        if (record.at < sent_at && !contains_all(record.sound, report.parts))
+        const bool is_known = std::all_of(report.parts.begin(), report.parts.end(),
+                                          [&sound = record.sound](const std::string& part)
+                                          { return sound.contains(part); });
+        if (record.at < sent_at && !is_known)
             report.engines.push_back(engine);
     }
     if (add_sound(report, now))
@@ -518,7 +601,7 @@
         if (!record.sound.empty())
         {
             report.kind = crash_report_kind::sound;
-            report.parts = record.sound;
+            report.parts.assign(record.sound.begin(), record.sound.end());
             reports.push_back(report);
         }
         report.kind = crash_report_kind::crash;
@@ -529,10 +612,9 @@
             report.progress = request.progress;
             report.answering_for = request.answering_for;
             report.parts.clear();
-            std::copy_if(request.parts.begin(), request.parts.end(),
-                         std::back_inserter(report.parts),
-                         [&sound = record.sound](const std::string& part)
-                         { return !contains(sound, part); });
+            std::copy_if(
+                request.parts.begin(), request.parts.end(), std::back_inserter(report.parts),
+                [&sound = record.sound](const std::string& part) { return !sound.contains(part); });
             if (!report.parts.empty())
                 reports.push_back(report);
         }
@@ -669,17 +751,8 @@
                     });
     if (is_known)
         return false;
-    if (record->requests.size() >= max_requests_per_crash)
-    {
-        // A likelier cause takes the place of the least likely one.
-        const auto least = std::min_element(record->requests.begin(), record->requests.end(),
-                                            [](const broken_request& a, const broken_request& b)
-                                            { return strength_of(a) < strength_of(b); });
-        if (strength_of(request) <= strength_of(*least))
-            return false;
-        part_count_ -= least->parts.size();
-        record->requests.erase(least);
-    }
+    if (!make_room_in(*record, request))
+        return false;
     part_count_ += request.parts.size();
     record->domain = report.domain;
     record->at = std::min(record->at, at);
@@ -699,10 +772,8 @@
             continue;
         for (const std::string& part : report.parts)
         {
-            if (contains(record->sound, part) || record->sound.size() >= max_sound_parts)
-                continue;
-            record->sound.push_back(part);
-            is_news = true;
+            if (record->sound.size() < max_sound_parts)
+                is_news |= record->sound.insert(part).second;
         }
     }
     if (!is_news)
@@ -785,6 +856,28 @@
     return true;
 }
 
+// Drops less likely causes of the crash until the request is within the bounds of one crash.
+// Returns false if those that are as likely leave no room.
+bool crash_suspects::make_room_in(crash_record& record, const broken_request& added)
+{
+    std::vector<broken_request>& requests = record.requests;
+    std::size_t parts = added.parts.size();
+    for (const broken_request& each : requests)
+        parts += each.parts.size();
+    while (requests.size() >= max_requests_per_crash || parts > max_parts_per_crash)
+    {
+        const auto least = std::min_element(requests.begin(), requests.end(),
+                                            [](const broken_request& a, const broken_request& b)
+                                            { return strength_of(a) < strength_of(b); });
+        if (strength_of(added) <= strength_of(*least))
+            return false;
+        parts -= least->parts.size();
+        part_count_ -= least->parts.size();
+        requests.erase(least);
+    }
+    return true;
+}
+
 void crash_suspects::emit(crash_report report, time_point now)
 {
     if (pending_.size() < max_pending_reports)
@@ -827,17 +920,20 @@
 {
     is_changed_ = false;
 
-    std::vector<crash_case> crashes = make_cases(crashes_);
+    crash_cases crashes = make_cases(crashes_);
     const suspect_index index = make_index(crashes, crashes_);
     scores_.clear();
-    std::vector<std::string_view> open; // parts that may be held
-    for (const auto& [part, indices] : index.crashes)
+    std::vector<part_number> open; // parts that may be held
+    for (part_number part = 0; part < crashes.parts.size(); ++part)
     {
-        const double score = score_of(crashes, part, indices);
-        scores_.emplace(part, score);
+        if (index.crashes[part].empty())
+            continue;
+        const double score = score_of(crashes, part, index.crashes[part]);
+        scores_.emplace(crashes.parts.name(part), score);
         if (score >= combination_threshold)
             open.push_back(part);
     }
+    crashes.parts.sort_by_name(open);
 
     holds_.clear();
     while (holds_.size() < max_holds)
@@ -851,18 +947,21 @@
             continue;
         const double left = beside.frequent.empty() ? 0.0 : ambiguous_unexplained;
         hold each;
-        each.with.assign(beside.present.begin(), beside.present.end());
-        each.without.assign(beside.frequent.begin(), beside.frequent.end());
+        for (const part_number part : beside.present)
+            each.with.emplace_back(crashes.parts.name(part));
+        for (const part_number part : beside.frequent)
+            each.without.emplace_back(crashes.parts.name(part));
         std::set<std::size_t> causes;
         for (const std::size_t i : top->crashes)
         {
-            crashes[i].unexplained *= left;
-            causes.insert(crashes[i].cause);
-            each.crashes.push_back(*crashes[i].engine);
-            each.last_crash_at = std::max(each.last_crash_at, crashes[i].at);
+            crash_case& crash = crashes.list[i];
+            crash.unexplained *= left;
+            causes.insert(crash.cause);
+            each.crashes.push_back(*crash.engine);
+            each.last_crash_at = std::max(each.last_crash_at, crash.at);
         }
         each.is_confirmed = each.without.empty() && causes.size() >= confirming_crashes;
-        holds_.emplace(top->part, std::move(each));
+        holds_.emplace(crashes.parts.name(top->part), std::move(each));
     }
     std::erase_if(asked_at_, [&](const auto& entry) { return !holds_.contains(entry.first); });
 }
--- a/packages/state/crash_suspects.h
+++ b/packages/state/crash_suspects.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -70,8 +71,9 @@
 // Bounds on memory. The oldest crashes under which no part is held go first.
 inline constexpr std::size_t max_crashes = 256;
 inline constexpr std::size_t max_requests_per_crash = 16;
-inline constexpr std::size_t max_parts_per_request = 16;
-inline constexpr std::size_t max_suspect_parts = 4096;
+inline constexpr std::size_t max_parts_per_request = 1024;
+inline constexpr std::size_t max_parts_per_crash = 1024;
+inline constexpr std::size_t max_suspect_parts = 8192;
 
 // How far the response to a request was when its connection broke.
 enum class answer_progress
@@ -168,7 +170,7 @@
     time_point at{}; // never earlier than the crash
     time_point received_at{};
     std::vector<broken_request> requests;
-    std::vector<std::string> sound; // parts of runs sent after the crash
+    std::set<std::string, std::less<>> sound; // parts of runs sent after the crash
 };
 
 class crash_suspects
@@ -245,6 +247,7 @@
     crash_record* find_or_add(const engine_lifetime& engine, time_point at, time_point now);
     bool supports_hold(const engine_lifetime& engine) const;
     bool make_room(std::size_t added, time_point at, time_point now);
+    bool make_room_in(crash_record& record, const broken_request& added);
     void emit(crash_report report, time_point now);
     // Brings the holds up to date with the crashes.
     void update(time_point now);
--- a/tests/unit/crash_suspects_history_test.cpp
+++ b/tests/unit/crash_suspects_history_test.cpp
@@ -170,6 +170,14 @@
     after_events // several events are out
 };
 
+struct history_shape
+{
+    crash_point point = crash_point::before_events;
+    std::size_t documents = 0; // in each prompt, before its other parts
+};
+
+constexpr std::size_t document_count = 4000;
+
 struct history_totals
 {
     std::uint64_t histories = 0;
@@ -199,9 +207,8 @@
 class crash_history
 {
 public:
-    crash_history(std::uint64_t seed, history_totals& totals,
-                  crash_point point = crash_point::before_events)
-        : random_(seed), totals_(totals), crash_point_(point),
+    crash_history(std::uint64_t seed, history_totals& totals, const history_shape& shape = {})
+        : random_(seed), totals_(totals), shape_(shape),
           vms_(static_cast<std::size_t>(random_.between(6, 40))),
           engines_(static_cast<std::size_t>(random_.between(6, 40)))
     {
@@ -214,7 +221,7 @@
         }
         first_count_ = static_cast<std::size_t>(random_.between(4, 20));
         has_third_ = random_.chance(0.3);
-        is_streaming_ = random_.chance(0.6) || point == crash_point::after_events;
+        is_streaming_ = random_.chance(0.6) || shape.point == crash_point::after_events;
         is_head_early_ = random_.chance(0.5);
         stage_max_ = random_.chance(0.5) ? 1200 : 0;
         attempts_ = static_cast<std::uint32_t>(random_.between(1, 3));
@@ -315,6 +322,7 @@
         std::size_t vm = 0;
         std::uint64_t vm_incarnation = 0;
         part_list parts;
+        std::string placed_by;
         std::optional<std::size_t> crashing; // index of the series
         std::uint32_t attempts_left = 0;
         std::uint32_t crashes = 0;
@@ -526,6 +534,10 @@
             each.outcome = outcomes_.size();
             outcomes_.push_back({now_, parts[0], false});
         }
+        each.placed_by = parts[1];
+        for (std::size_t i = 0; i < shape_.documents; ++i)
+            parts.insert(parts.begin(),
+                         "document-" + std::to_string(random_.below(document_count)));
         if (!host.policy->may_accept(parts, host.name, names_, local_time(host)))
         {
             totals_.sound_refused += crashing ? 0 : 1;
@@ -589,7 +601,7 @@
             if (static_cast<double>(engines_[i].running.size() + engines_[i].waiting.size()) >
                 bound)
                 continue;
-            const std::uint64_t weight = rendezvous_weight(each.parts[1], engines_[i].id);
+            const std::uint64_t weight = rendezvous_weight(each.placed_by, engines_[i].id);
             if (best && weight <= best_weight)
                 continue;
             best = i;
@@ -646,7 +658,7 @@
         const std::uint64_t attempt = each.attempt;
         if (each.crashing)
         {
-            const std::int64_t crash_delay = crash_point_ == crash_point::before_events
+            const std::int64_t crash_delay = shape_.point == crash_point::before_events
                                                  ? random_.between(40, 150)
                                                  : each.second_event + random_.between(10, 350);
             schedule_after(crash_delay,
@@ -715,7 +727,7 @@
                 const std::int64_t elapsed = now_ - each->begun_at;
                 answering_for = milliseconds(elapsed);
                 progress = answer_progress::events;
-                if ((each->crashing && crash_point_ == crash_point::before_events) ||
+                if ((each->crashing && shape_.point == crash_point::before_events) ||
                     elapsed < each->first_event)
                     progress = answer_progress::head;
                 else
@@ -850,7 +862,7 @@
 
     random_source random_;
     history_totals& totals_;
-    crash_point crash_point_;
+    history_shape shape_;
     std::vector<vm> vms_;
     std::vector<engine> engines_;
     std::vector<series> series_;
@@ -900,15 +912,15 @@
 }
 
 // Plays the histories of all seeds, or the one that is replayed, and fails if one violates a bound.
-history_totals expect_all_keep_bounds(crash_point point)
+history_totals expect_all_keep_bounds(const history_shape& shape, std::uint64_t count)
 {
     history_totals totals;
     const std::uint64_t first = replayed_seed().value_or(1);
-    const std::uint64_t last = replayed_seed().value_or(history_count);
+    const std::uint64_t last = replayed_seed().value_or(count);
     std::uint64_t violated = 0;
     for (std::uint64_t seed = first; seed <= last; ++seed)
     {
-        const auto violations = crash_history<real_policy>(seed, totals, point).run();
+        const auto violations = crash_history<real_policy>(seed, totals, shape).run();
         for (const std::string& violation : violations)
             std::printf("ZINNIANOTCH_SEED=%llu: %s\n", static_cast<unsigned long long>(seed),
                         violation.c_str());
@@ -950,7 +962,7 @@
 // requests refused because they share the other parts of those requests.
 Test(crash_suspects_history, real_policy_any_history_keeps_bounds)
 {
-    const history_totals totals = expect_all_keep_bounds(crash_point::before_events);
+    const history_totals totals = expect_all_keep_bounds({}, history_count);
     if (replayed_seed())
         return;
     // The bounds are only tested if the histories contain these situations.
@@ -964,13 +976,25 @@
 // Guards against a part that is never held, since its engines crash with several events out.
 Test(crash_suspects_history, real_policy_crash_after_events_keeps_bounds)
 {
-    const history_totals totals = expect_all_keep_bounds(crash_point::after_events);
+    const history_totals totals =
+        expect_all_keep_bounds({crash_point::after_events}, history_count);
     if (replayed_seed())
         return;
     cr_assert(totals.series_counted > 0 && totals.sound_samples > 0);
     cr_assert(totals.crashes_after_events > 0 && totals.own_crashes > 0);
 }
 
+// Guards against a part that is never held, since it is behind many others in its prompts.
+Test(crash_suspects_history, real_policy_long_prompts_keeps_bounds)
+{
+    constexpr std::uint64_t histories = 60;
+    const history_totals totals =
+        expect_all_keep_bounds({crash_point::before_events, 17}, histories);
+    if (replayed_seed())
+        return;
+    cr_assert(totals.series_counted > 0 && totals.sound_samples > 0);
+}
+
 // Guards against generated histories that cannot detect VMs that send every request.
 Test(crash_suspects_history, no_decision_same_seeds_exceeds_arrivals)
 {
--- a/tests/unit/crash_suspects_test.cpp
+++ b/tests/unit/crash_suspects_test.cpp
@@ -368,6 +368,43 @@
     cr_assert(suspects.held({"crashing"}, now).has_value());
 }
 
+// Guards against a part that is never held, since it is behind many others in its prompts.
+Test(crash_suspects, held_part_behind_hundreds_of_others_holds_it)
+{
+    crash_suspects suspects("vm-0/1");
+    for (int i = 0; i < 4; ++i)
+    {
+        part_list parts;
+        for (int part = 0; part < 400; ++part)
+            parts.push_back("document-" + std::to_string(i * 400 + part));
+        parts.emplace_back("crashing");
+        crash_alone(suspects, i, i, parts);
+    }
+    cr_assert(suspects.held({"another", "crashing"}, at(4000)).has_value());
+    cr_assert(!suspects.held({"another", "document-7"}, at(4000)));
+}
+
+// Guards against a cause that is not recorded, since long prompts of other requests have taken its
+// place.
+Test(crash_suspects, on_crash_many_long_prompts_likely_cause_is_recorded)
+{
+    crash_suspects suspects("vm-0/1");
+    for (int i = 0; i < 4; ++i)
+    {
+        for (int request = 0; request < 20; ++request)
+        {
+            part_list parts;
+            for (int part = 0; part < 200; ++part)
+                parts.push_back("document-" + std::to_string((20 * i + request) * 200 + part));
+            suspects.on_crash(engine(i), domain(i), parts, answer_progress::no_head,
+                              milliseconds(0), at(1000 * i));
+        }
+        crash_alone(suspects, i, i, {"first-" + std::to_string(i), "crashing"});
+        cr_assert(suspects.suspect_count(at(1000 * i)) <= max_suspect_parts);
+    }
+    cr_assert(suspects.held({"another", "crashing"}, at(4000)).has_value());
+}
+
 // Guards against names in reports that another VM can't read.
 Test(crash_suspects, to_string_each_value_parses_back)
 {
--- a/tests/unit/edge_crashing_prompt_test.cpp
+++ b/tests/unit/edge_crashing_prompt_test.cpp
@@ -1,4 +1,5 @@
 // Engines that crash under one part of a prompt, seen by several VMs.
+#include "seeds.h"
 #include "serving_fixture.h"
 
 #include <criterion/criterion.h>
@@ -16,6 +17,7 @@
 constexpr milliseconds observed{2000}; // sound requests after that
 constexpr milliseconds engine_down_time{600};
 constexpr const char* crashing_part = "badc0de1";
+constexpr std::size_t document_count = 4000;
 
 // Three VMs before six engines that crash under `crashing_part`. Requests with and without it share
 // their first part, and come at all VMs.
@@ -27,6 +29,8 @@
     std::vector<std::pair<time_point, std::unique_ptr<client_exchange>>> sound;
     std::vector<std::unique_ptr<client_exchange>> guilty;
     std::size_t sent = 0;
+    std::size_t documents = 0; // further shared parts of each prompt
+    zinnianotch::testing::random_source random{1};
 
     crashing_deployment()
     {
@@ -74,10 +78,14 @@
                                                   const std::string& prefix)
     {
         const std::string attempt = part + "-" + std::to_string(++sent);
-        return start_request(at_vm, request_text("POST", "/" + prefix + "/1", attempt,
-                                                 "Prompt-Prefix: 0007:800," + part + ":400,own" +
-                                                     std::to_string(sent) + ":90\r\n",
-                                                 "x"));
+        std::string prompt = "0007:800,";
+        for (std::size_t i = 0; i < documents; ++i)
+            prompt += "d0c" + std::to_string(random.below(document_count)) + ":40,";
+        prompt += part + ":400,own" + std::to_string(sent) + ":90";
+        // No two requests are the same one.
+        return start_request(at_vm,
+                             request_text("POST", "/" + prefix + "/" + std::to_string(sent),
+                                          attempt, "Prompt-Prefix: " + prompt + "\r\n", "x"));
     }
 
     // 50 sound requests a second, and 10 with the crashing part if `with_crashing`.
@@ -164,6 +172,14 @@
     expect_part_is_held(harness);
 }
 
+// Guards against a part that is never held, since it is behind many others in its prompts.
+Test(edge_crashing_prompt, crashing_part_behind_many_others_is_held)
+{
+    crashing_deployment harness;
+    harness.documents = 18;
+    expect_part_is_held(harness);
+}
+
 // Guards against a part that is never held, since its engines crash with several events out.
 Test(edge_crashing_prompt, engines_crash_after_several_events_part_is_held)
 {
