--- a/tests/unit/edge_relay_test.cpp
+++ b/tests/unit/edge_relay_test.cpp
@@ -17,9 +17,6 @@
 constexpr milliseconds config_bound{3000};
 // Bound on the time from the removal of an endpoint until it gets no more requests.
 constexpr milliseconds drain_bound{2000};
-// Age of its last response at which a VM has lost the store.
-constexpr milliseconds lost_response_age =
-    zinnianotch::endpoints_timing.long_poll_wait + 2 * zinnianotch::follow_timeout_slack;
 
 // One failure domain with three relays and two other VMs; start() waits until these two take the
 // state from the relays.
@@ -301,30 +298,7 @@
 {
     relayed_deployment harness;
     harness.start();
-    const std::size_t relay = harness.relays[0];
-    const auto response_age = [&] {
-        return harness.vm(relay)
-            .report(zinnianotch::steady_clock::now())
-            .tables[1]
-            .last_response_age;
-    };
-    int heartbeats = 0;
-    const auto run_with_heartbeats_until = [&](const std::function<bool()>& condition)
-    {
-        for (int i = 0; i < 100; ++i)
-        {
-            value entry = harness.store.get("servers", "plain-1");
-            entry["sequence"] = value::number(++heartbeats);
-            harness.store.put("servers", "plain-1", entry);
-            if (harness.run_until(condition, milliseconds(100)))
-                return true;
-        }
-        return false;
-    };
-    harness.store.fail_listener(relay);
-    cr_assert(run_with_heartbeats_until([&] { return response_age() > lost_response_age; }));
-    harness.store.restore_listener(relay);
-    cr_assert(run_with_heartbeats_until([&] { return response_age() < milliseconds(500); }));
+    cr_assert(harness.lose_store(harness.relays[0], harness.plain_1));
     harness.run_for(milliseconds(30));
     harness.store.remove("servers", "plain-2");
     cr_assert(harness.run_until(
--- a/tests/unit/edge_store_outage_test.cpp
+++ b/tests/unit/edge_store_outage_test.cpp
@@ -1,22 +1,15 @@
 // Removed entries of endpoints around outages of the store: of some VMs only, or of all.
-#include "coordination/state_follower.h"
 #include "serving_fixture.h"
 
 #include <criterion/criterion.h>
 
 using namespace serving;
-using web::json::value;
-using zinnianotch::steady_clock;
 
 namespace
 {
 
 // Bound on the time from the removal of an endpoint until it gets no more requests.
 constexpr milliseconds drain_bound{2000};
-// Age of its last response at which a VM has lost the store.
-constexpr milliseconds lost_response_age =
-    zinnianotch::endpoints_timing.long_poll_wait + 2 * zinnianotch::follow_timeout_slack;
-constexpr milliseconds heartbeat_interval{100};
 
 // Three VMs of one failure domain that all read the store.
 struct three_vm_deployment : deployment
@@ -24,7 +17,6 @@
     static constexpr std::size_t vm_count = 3;
     fake_endpoint& plain_1 = add_endpoint("plain", "plain-1");
     fake_endpoint& plain_2 = add_endpoint("plain", "plain-2");
-    int heartbeats = 0;
 
     void start()
     {
@@ -36,41 +28,6 @@
     }
 
     bool is_linked(std::size_t number) { return vm(number).links_up() == vm_count - 1; }
-
-    milliseconds last_response_age(std::size_t number)
-    {
-        return vm(number).report(steady_clock::now()).tables[1].last_response_age;
-    }
-
-    void write_heartbeat()
-    {
-        value entry = store.get("servers", "plain-1");
-        entry["sequence"] = value::number(++heartbeats);
-        store.put("servers", "plain-1", entry);
-    }
-
-    // Writes heartbeats until the condition holds.
-    bool run_with_heartbeats_until(const std::function<bool()>& condition)
-    {
-        for (int i = 0; i < 100; ++i)
-        {
-            write_heartbeat();
-            if (run_until(condition, heartbeat_interval))
-                return true;
-        }
-        return false;
-    }
-
-    // The store fails for one VM and answers it again.
-    void lose_store(std::size_t number)
-    {
-        store.fail_listener(number);
-        cr_assert(run_with_heartbeats_until(
-            [&] { return last_response_age(number) > lost_response_age; }));
-        store.restore_listener(number);
-        cr_assert(run_with_heartbeats_until(
-            [&] { return last_response_age(number) < milliseconds(500); }));
-    }
 };
 
 } // namespace
@@ -81,7 +38,7 @@
 {
     three_vm_deployment harness;
     harness.start();
-    harness.lose_store(2);
+    cr_assert(harness.lose_store(2, harness.plain_1));
     harness.run_for(milliseconds(30));
     harness.store.remove("servers", "plain-2");
     cr_assert(harness.run_until(
@@ -95,7 +52,7 @@
 {
     three_vm_deployment harness;
     harness.start();
-    harness.lose_store(2);
+    cr_assert(harness.lose_store(2, harness.plain_1));
     harness.run_for(milliseconds(30));
     harness.store.remove("servers", "plain-2");
     cr_assert(harness.run_until([&] { return !harness.vm(2).routes_to("plain-2"); }, drain_bound));
--- a/tests/unit/serving_fixture.cpp
+++ b/tests/unit/serving_fixture.cpp
@@ -938,6 +938,43 @@
     store.put("servers", endpoint.id(), entry);
 }
 
+bool deployment::lose_store(std::size_t number, const fake_endpoint& endpoint)
+{
+    constexpr milliseconds heartbeat_interval{100};
+    constexpr milliseconds lost_response_age =
+        zinnianotch::endpoints_timing.long_poll_wait + 2 * zinnianotch::follow_timeout_slack;
+    constexpr milliseconds recent_response_age{500};
+    const auto response_age = [&]
+    {
+        const auto report = vm(number).report(zinnianotch::steady_clock::now());
+        return report.tables[static_cast<std::size_t>(zinnianotch::state_table::endpoints)]
+            .last_response_age;
+    };
+    int heartbeats = 0;
+    time_point next_heartbeat{};
+    const auto run_with_heartbeats_until = [&](const std::function<bool()>& condition)
+    {
+        return run_until(
+            [&]
+            {
+                const time_point now = zinnianotch::steady_clock::now();
+                if (now >= next_heartbeat)
+                {
+                    next_heartbeat = now + heartbeat_interval;
+                    value entry = store.get("servers", endpoint.id());
+                    entry["sequence"] = value::number(++heartbeats);
+                    store.put("servers", endpoint.id(), entry);
+                }
+                return condition();
+            });
+    };
+    store.fail_listener(number);
+    if (!run_with_heartbeats_until([&] { return response_age() > lost_response_age; }))
+        return false;
+    store.restore_listener(number);
+    return run_with_heartbeats_until([&] { return response_age() < recent_response_age; });
+}
+
 void deployment::publish_address(const std::string& service, const std::string& id,
                                  const std::string& address, const std::string& domain)
 {
--- a/tests/unit/serving_fixture.h
+++ b/tests/unit/serving_fixture.h
@@ -370,6 +370,9 @@
     std::string rollout_state(const std::string& service) const;
     // Adds an entry VM and returns its index.
     std::size_t add_vm();
+    // The store fails for one VM until that has lost it, and then answers it again. Meanwhile the
+    // entry of the endpoint changes all the time. False if that takes too long.
+    bool lose_store(std::size_t vm, const fake_endpoint& endpoint);
     void stop_vm(std::size_t vm) { vms_[vm]->begin_stop(); }
     // Stops a VM without shutdown, as a crash does.
     void kill_vm(std::size_t vm) { vms_[vm].reset(); }
